--- /dev/null
+++ b/Makefile
@@ -0,0 +1,93 @@
+# citronlb: make demo | check | lint | bench
+CC ?= cc
+BUILD ?= build
+SAN ?=
+CFLAGS ?= -O2 -g
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -iquote core -iquote net \
+	-iquote citronlbd -iquote regress/standin -iquote regress
+ALL_CFLAGS = -std=gnu17 -Wall -Wextra -Werror $(CFLAGS) $(SAN) -MMD -MP
+CORE_LIBS = -ljansson -lmsgpackc -lcrypto -lbsd
+NET_LIBS = -lh2o -luv -lssl -lcrypto -lz -lcurl -lm
+
+CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
+NET = $(BUILD)/net/httpd.o $(BUILD)/net/httpc.o
+STANDIN = $(BUILD)/regress/standin/fstore.o $(BUILD)/regress/standin/fworker.o
+DAEMON = $(patsubst %.c,$(BUILD)/%.o,$(wildcard citronlbd/*.c))
+CTL = $(patsubst %.c,$(BUILD)/%.o,$(wildcard citronctl/*.c))
+UNIT_SRC = $(wildcard regress/unit/*.c)
+UNITS = $(patsubst regress/unit/%.c,$(BUILD)/regress/unit/%,$(UNIT_SRC))
+SOURCES = $(wildcard core/*.[ch] net/*.[ch] citronlbd/*.[ch] \
+	citronctl/*.[ch] regress/*.[ch] regress/*/*.[ch] bench/*.[ch])
+MANS = citronlbd/citronlbd.8 citronctl/citronctl.1 \
+	citronctl/citronlb.manifest.5
+
+PROGRAMS = $(BUILD)/citronlbd/citronlbd $(BUILD)/citronctl/citronctl \
+	$(BUILD)/regress/platformd $(BUILD)/regress/backendd \
+	$(BUILD)/regress/scn-run
+
+.PHONY: all deps demo check check-run lint format bench soak clean
+all: $(PROGRAMS) $(UNITS) $(BUILD)/bench/policy
+
+deps:
+	@scripts/deps
+
+demo: deps
+	@$(MAKE) -s all
+	@BUILD=$(BUILD) scripts/demo
+
+check: deps
+	@$(MAKE) -s all
+	@$(MAKE) -s check-run
+
+check-run:
+	@BUILD=$(BUILD) regress/run
+
+soak: all
+	@$(BUILD)/regress/scn-run --walk $(or $(SEEDS),1000)
+
+bench: deps
+	@$(MAKE) -s all
+	@BUILD=$(BUILD) bench/run
+
+lint: deps
+	clang-format --dry-run -Werror $(SOURCES)
+	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
+	  --enable=warning,portability --suppress=missingIncludeSystem \
+	  -iquote core core net citronlbd citronctl regress bench
+	mandoc -Tlint -Wwarning $(MANS)
+
+format:
+	clang-format -i $(SOURCES)
+
+clean:
+	rm -rf $(BUILD)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
+
+$(BUILD)/citronlbd/citronlbd: $(DAEMON) $(CORE) $(NET)
+	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS) -lzmq -llog4c
+
+$(BUILD)/citronctl/citronctl: $(CTL) $(CORE)
+	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -lcurl -luuid -lzmq
+
+$(BUILD)/regress/platformd: $(BUILD)/regress/standin/platformd.o $(STANDIN) \
+	$(CORE) $(NET)
+	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS)
+
+$(BUILD)/regress/backendd: $(BUILD)/regress/standin/backendd.o $(STANDIN) \
+	$(CORE) $(NET)
+	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS)
+
+SCN = $(patsubst %.c,$(BUILD)/%.o,$(wildcard regress/scn/*.c))
+$(BUILD)/regress/scn-run: $(SCN) $(STANDIN) $(CORE)
+	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -llua5.4
+
+$(BUILD)/regress/unit/%: $(BUILD)/regress/unit/%.o $(STANDIN) $(CORE)
+	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -lcunit
+
+$(BUILD)/bench/policy: $(BUILD)/bench/policy.o $(STANDIN) $(CORE)
+	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/citronctl/manifest.c
@@ -0,0 +1,280 @@
+/* Commands about the manifest and its keys. */
+#include "citronctl.h"
+
+#include <openssl/rand.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uuid/uuid.h>
+#include <zmq.h>
+
+enum
+{
+  SECRET_BYTES = 24,
+  SALT_BYTES = 12,
+  PATH_SIZE = 256,
+};
+
+char *
+read_file (const char *path, size_t *len)
+{
+  FILE *f = strcmp (path, "-") == 0 ? stdin : fopen (path, "r");
+  char *text = NULL;
+  char buf[4096];
+  size_t n;
+
+  *len = 0;
+  if (!f)
+    return NULL;
+  while ((n = fread (buf, 1, sizeof buf, f)) > 0)
+    {
+      char *grown = realloc (text, *len + n + 1);
+      if (!grown)
+        abort ();
+      text = grown;
+      memcpy (text + *len, buf, n);
+      *len += n;
+    }
+  if (f != stdin)
+    fclose (f);
+  return text ? text : strdup ("");
+}
+
+/* Reads and checks; prints what is wrong.  An exit code. */
+static int
+load (const char *path, char **text, size_t *len, struct conf *c)
+{
+  struct codec_err ce;
+  int err;
+
+  *text = read_file (path, len);
+  if (!*text)
+    {
+      fprintf (stderr, "citronctl: %s: cannot be read\n", path);
+      return EXIT_NO_READ;
+    }
+  err = conf_parse (*text, *len, c, &ce);
+  if (!err)
+    return EXIT_DONE;
+  fprintf (stderr, "citronctl: %s: %s: %s\n", path, ce.path,
+           clb_err_name (err));
+  free (*text);
+  *text = NULL;
+  return EXIT_BAD_DATA;
+}
+
+int
+cmd_check (const struct options *opt, const char *path)
+{
+  struct conf c;
+  char *text;
+  size_t len;
+  int code = load (path, &text, &len, &c);
+
+  if (code)
+    return code;
+  if (opt->json)
+    printf ("{\"teams\":%zu,\"keys\":%zu,\"queues\":%zu}\n", c.n_teams,
+            c.n_keys, c.n_queues);
+  else
+    printf ("%s: %zu teams, %zu keys, %zu queues\n", path, c.n_teams,
+            c.n_keys, c.n_queues);
+  conf_free (&c);
+  free (text);
+  return EXIT_DONE;
+}
+
+/* The manifest in force; an exit code. */
+static int
+fetch (const struct options *opt, json_t **out)
+{
+  struct answer a;
+  int code;
+
+  rpc (opt, "GET", "/v1/config", NULL, 0, &a);
+  code = rpc_exit (&a);
+  if (code)
+    fprintf (stderr, "citronctl: config: %s\n", a.body ? a.body : "no server");
+  else
+    *out = json_loadb (a.body, a.len, 0, NULL);
+  rpc_free (&a);
+  return code ? code : *out ? EXIT_DONE : EXIT_UNKNOWN;
+}
+
+int
+cmd_apply (const struct options *opt, const char *path)
+{
+  struct conf c;
+  struct answer a;
+  json_t *now = NULL;
+  char *text;
+  size_t len;
+  char url[PATH_SIZE];
+  char uuid[UUID_STR_LEN];
+  uuid_t u;
+  long base = opt->base;
+  int code = load (path, &text, &len, &c);
+
+  if (code)
+    return code;
+  conf_free (&c);
+  if (base < 0 && (code = fetch (opt, &now)) == EXIT_DONE)
+    base = (long)json_integer_value (json_object_get (now, "version"));
+  json_decref (now);
+  if (code)
+    {
+      free (text);
+      return code;
+    }
+  uuid_generate (u);
+  uuid_unparse (u, uuid);
+  snprintf (url, sizeof url, "/v1/config?base=%ld&change=%s", base,
+            opt->change ? opt->change : uuid);
+  rpc (opt, "PUT", url, text, len, &a);
+  code = rpc_exit (&a);
+  if (code)
+    fprintf (stderr, "citronctl: apply: %s\n", a.body ? a.body : "no server");
+  else
+    printf ("%s\n", a.body);
+  if (code == EXIT_CONFLICT)
+    cmd_diff (opt, path);
+  rpc_free (&a);
+  free (text);
+  return code;
+}
+
+int
+cmd_show (const struct options *opt)
+{
+  json_t *now = NULL;
+  int code = fetch (opt, &now);
+
+  if (code)
+    return code;
+  json_dumpf (now, stdout, opt->json ? JSON_COMPACT : JSON_INDENT (2));
+  printf ("\n");
+  json_decref (now);
+  return EXIT_DONE;
+}
+
+static json_t *
+named (json_t *list, const char *field, const char *name)
+{
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+    if (strcmp (json_string_value (json_object_get (item, field)), name) == 0)
+      return item;
+  return NULL;
+}
+
+/* Prints one line for each entry that differs; how many did. */
+static int
+diff_list (json_t *old, json_t *new, const char *list, const char *field)
+{
+  json_t *a = json_object_get (old, list);
+  json_t *b = json_object_get (new, list);
+  json_t *item;
+  size_t i;
+  int n = 0;
+
+  json_array_foreach (a, i, item)
+    {
+      const char *name = json_string_value (json_object_get (item, field));
+      json_t *other = named (b, field, name);
+      if (other && json_equal (item, other))
+        continue;
+      printf ("%c %s %s\n", other ? '~' : '-', list, name);
+      n++;
+    }
+  json_array_foreach (b, i, item)
+    {
+      const char *name = json_string_value (json_object_get (item, field));
+      if (named (a, field, name))
+        continue;
+      printf ("+ %s %s\n", list, name);
+      n++;
+    }
+  return n;
+}
+
+int
+cmd_diff (const struct options *opt, const char *path)
+{
+  struct conf c;
+  json_t *now = NULL;
+  json_t *old;
+  json_t *new;
+  char *text;
+  size_t len;
+  int n;
+  int code = load (path, &text, &len, &c);
+
+  if (code)
+    return code;
+  code = fetch (opt, &now);
+  if (code == EXIT_DONE)
+    {
+      old = json_object_get (now, "manifest");
+      new = codec_write (&conf_desc, &c);
+      n = diff_list (old, new, "teams", "name")
+          + diff_list (old, new, "keys", "id")
+          + diff_list (old, new, "queues", "name");
+      printf ("%d differences from version %lld\n", n,
+              (long long)json_integer_value (json_object_get (now,
+                                                              "version")));
+      json_decref (new);
+    }
+  json_decref (now);
+  conf_free (&c);
+  free (text);
+  return code;
+}
+
+static void
+random_hex (char *out, size_t bytes)
+{
+  unsigned char raw[SECRET_BYTES];
+
+  if (bytes > sizeof raw || RAND_bytes (raw, (int)bytes) != 1)
+    abort ();
+  for (size_t i = 0; i < bytes; i++)
+    snprintf (out + 2 * i, 3, "%02x", raw[i]);
+}
+
+/* The secret is shown once, here; the manifest keeps only its salted hash. */
+int
+cmd_key (const struct options *opt, const char *id, const char *team)
+{
+  char salt[2 * SALT_BYTES + 1];
+  char secret[2 * SECRET_BYTES + 1];
+  char hash[CONF_HASH_HEX];
+  char bearer[CLB_NAME_MAX + sizeof secret + 1];
+
+  (void)opt;
+  random_hex (salt, SALT_BYTES);
+  random_hex (secret, SECRET_BYTES);
+  conf_key_hash (salt, secret, hash);
+  snprintf (bearer, sizeof bearer, "%.40s.%s", id, secret);
+  printf ("{\"id\":\"%s\",\"kind\":\"%s\",", id, team ? "team" : "operator");
+  if (team)
+    printf ("\"team\":\"%s\",", team);
+  printf ("\"salt\":\"%s\",\"hash\":\"%s\"}\n", salt, hash);
+  fprintf (stderr, "key: %s\n", bearer);
+  conf_key_hash (salt, bearer, hash);
+  fprintf (stderr, "first-key: %s:%s\n", salt, hash);
+  return EXIT_DONE;
+}
+
+int
+cmd_peerkeys (void)
+{
+  char public[41];
+  char secret[41];
+
+  if (zmq_curve_keypair (public, secret))
+    return EXIT_NOT_RUN;
+  printf ("%s %s\n", public, secret);
+  return EXIT_DONE;
+}
--- /dev/null
+++ b/citronctl/rpc.c
@@ -0,0 +1,187 @@
+#include "citronctl.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CONNECT_MS = 3000,
+  URL_SIZE = 512,
+};
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *arg)
+{
+  struct answer *a = arg;
+  char *grown = realloc (a->body, a->len + size * n + 1);
+
+  if (!grown)
+    return 0;
+  a->body = grown;
+  memcpy (a->body + a->len, data, size * n);
+  a->len += size * n;
+  a->body[a->len] = '\0';
+  return size * n;
+}
+
+static struct curl_slist *
+headers (const struct options *opt)
+{
+  struct curl_slist *list = NULL;
+  char line[256];
+
+  list = curl_slist_append (list, "Content-Type: application/json");
+  list = curl_slist_append (list, "Expect:");
+  if (opt->key)
+    {
+      snprintf (line, sizeof line, "Authorization: Bearer %s", opt->key);
+      list = curl_slist_append (list, line);
+    }
+  return list;
+}
+
+static CURL *
+request (const struct options *opt, const char *method, const char *server,
+         size_t server_len, const char *path, struct curl_slist *list)
+{
+  CURL *e = curl_easy_init ();
+  char url[URL_SIZE];
+
+  snprintf (url, sizeof url, "%.*s%s", (int)server_len, server, path);
+  curl_easy_setopt (e, CURLOPT_URL, url);
+  curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (e, CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+  curl_easy_setopt (e, CURLOPT_PROXY, "");
+  if (opt->cacert)
+    curl_easy_setopt (e, CURLOPT_CAINFO, opt->cacert);
+  return e;
+}
+
+static void
+rpc_one (const struct options *opt, const char *method, const char *server,
+         size_t server_len, const char *path, const char *body, size_t len,
+         struct answer *a)
+{
+  struct curl_slist *list = headers (opt);
+  CURL *e = request (opt, method, server, server_len, path, list);
+  long sent = 0;
+
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, a);
+  if (body)
+    {
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, (long)len);
+      curl_easy_setopt (e, CURLOPT_POSTFIELDS, body);
+    }
+  if (curl_easy_perform (e) == CURLE_OK)
+    curl_easy_getinfo (e, CURLINFO_RESPONSE_CODE, &a->status);
+  curl_easy_getinfo (e, CURLINFO_REQUEST_SIZE, &sent);
+  a->sent = sent > 0;
+  curl_easy_cleanup (e);
+  curl_slist_free_all (list);
+}
+
+void
+rpc (const struct options *opt, const char *method, const char *path,
+     const char *body, size_t len, struct answer *a)
+{
+  const char *server = opt->servers;
+
+  memset (a, 0, sizeof *a);
+  while (*server && a->status == 0 && !a->sent)
+    {
+      size_t n = strcspn (server, ",");
+      rpc_one (opt, method, server, n, path, body, len, a);
+      server += n;
+      server += *server == ',';
+    }
+}
+
+void
+rpc_free (struct answer *a)
+{
+  free (a->body);
+  memset (a, 0, sizeof *a);
+}
+
+int
+rpc_exit (const struct answer *a)
+{
+  if (a->status == 0)
+    return a->sent ? EXIT_UNKNOWN : EXIT_NOT_RUN;
+  if (a->status < 300)
+    return EXIT_DONE;
+  switch (a->status)
+    {
+    case 400:
+    case 413:
+    case 422:
+      return EXIT_BAD_DATA;
+    case 401:
+    case 403:
+      return EXIT_DENIED;
+    case 404:
+      return EXIT_NOT_FOUND;
+    case 409:
+      return EXIT_CONFLICT;
+    case 503:
+      return EXIT_NOT_RUN;
+    default:
+      return EXIT_UNKNOWN;
+    }
+}
+
+/* struct stream - a line being put together */
+struct stream
+{
+  char *buf;
+  size_t len;
+  void (*line) (const char *text, size_t len);
+};
+
+static size_t
+on_stream (char *data, size_t size, size_t n, void *arg)
+{
+  struct stream *st = arg;
+  size_t len = size * n;
+
+  for (size_t i = 0; i < len; i++)
+    {
+      if (data[i] == '\n')
+        {
+          st->line (st->buf, st->len);
+          st->len = 0;
+          continue;
+        }
+      char *grown = realloc (st->buf, st->len + 2);
+      if (!grown)
+        return 0;
+      st->buf = grown;
+      st->buf[st->len++] = data[i];
+    }
+  return len;
+}
+
+int
+rpc_stream (const struct options *opt, const char *path,
+            void (*line) (const char *text, size_t len))
+{
+  struct stream st = { .line = line };
+  struct curl_slist *list = headers (opt);
+  struct answer a = { .sent = true };
+  CURL *e = request (opt, "GET", opt->servers, strcspn (opt->servers, ","),
+                     path, list);
+
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_stream);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, &st);
+  curl_easy_perform (e);
+  curl_easy_getinfo (e, CURLINFO_RESPONSE_CODE, &a.status);
+  if (st.len)
+    line (st.buf, st.len);
+  free (st.buf);
+  curl_easy_cleanup (e);
+  curl_slist_free_all (list);
+  return a.status ? rpc_exit (&a) : EXIT_NOT_RUN;
+}
--- /dev/null
+++ b/citronlbd/main.c
@@ -0,0 +1,195 @@
+/* citronlbd - one entry instance of the cluster scheduler. */
+#include "citronlbd.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  TICK_BUSY_MS = 2,  /* while records wait to be written */
+  TICK_IDLE_MS = 20,
+  /* Callers that came by an old list are answered this long. */
+  LINGER_MS = 500,
+};
+
+int64_t
+now_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
+send_peer (struct daemon *d, const struct out *o)
+{
+  const struct peer *p = node_find_peer (&d->node, o->u.peer.to);
+
+  if (p)
+    peers_send (d->peers, p->id, p->addr, &o->u.peer.msg);
+}
+
+static void
+carry_out (struct daemon *d, const struct out *o)
+{
+  switch (o->kind)
+    {
+    case OUT_PEER:
+      send_peer (d, o);
+      break;
+    case OUT_STORE:
+      platform_send (d, o->u.store.token, &o->u.store.op);
+      break;
+    case OUT_SYNC:
+      backend_sync (d, o->u.sync.worker, o->u.sync.addr, &o->u.sync.req);
+      break;
+    default:
+      serve_out (d->serve, o);
+      break;
+    }
+}
+
+void
+pump (struct daemon *d)
+{
+  struct out *o;
+
+  /* What is carried out may call back in here: the outer loop goes on. */
+  if (d->pumping)
+    return;
+  d->pumping = true;
+  while ((o = node_next_out (&d->node)))
+    {
+      carry_out (d, o);
+      out_free (o);
+    }
+  d->pumping = false;
+}
+
+static void
+stop_when_done (struct daemon *d)
+{
+  static int64_t since_ms;
+
+  if (!d->stopping || !node_stopped (&d->node))
+    return;
+  if (since_ms == 0)
+    since_ms = now_ms ();
+  if (now_ms () - since_ms >= LINGER_MS && serve_stop (d->serve))
+    uv_stop (d->loop);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct daemon *d = t->data;
+  const struct sched *s;
+  bool busy;
+
+  node_tick (&d->node, now_ms ());
+  pump (d);
+  s = d->node.sched;
+  busy = s && !sched_idle (s);
+  uv_timer_start (t, on_timer, busy ? TICK_BUSY_MS : TICK_IDLE_MS, 0);
+  stop_when_done (d);
+}
+
+static void
+on_signal (uv_signal_t *sig, int signum)
+{
+  struct daemon *d = sig->data;
+
+  if (signum == SIGHUP)
+    {
+      if (serve_reload (d->serve))
+        log_state ("tls: %s cannot be used, the old one stays", d->opt.cert);
+      else
+        log_state ("tls: reloaded");
+      return;
+    }
+  if (d->stopping)
+    return;
+  d->stopping = true;
+  log_state ("stopping");
+  node_stop (&d->node, now_ms ());
+  pump (d);
+}
+
+static void
+catch_signal (struct daemon *d, uv_signal_t *sig, int signum)
+{
+  uv_signal_init (d->loop, sig);
+  sig->data = d;
+  uv_signal_start (sig, on_signal, signum);
+}
+
+static void
+write_addrs (const struct daemon *d)
+{
+  char part[512];
+  FILE *f;
+
+  if (!d->opt.addr_file)
+    return;
+  snprintf (part, sizeof part, "%s.part", d->opt.addr_file);
+  f = fopen (part, "w");
+  if (!f)
+    {
+      fprintf (stderr, "citronlbd: %s: cannot be written\n", part);
+      exit (EX_CANTCREAT);
+    }
+  fprintf (f, "%s %s\n", serve_addr (d->serve), peers_addr (d->peers));
+  fclose (f);
+  rename (part, d->opt.addr_file);
+}
+
+static int64_t
+new_boot (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct daemon d;
+
+  options_read (argc, argv, &d.opt);
+  signal (SIGPIPE, SIG_IGN);
+  log_open ();
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  d.loop = uv_default_loop ();
+  d.opt.node.boot = new_boot ();
+  d.http = httpc_new (d.loop);
+  d.serve = serve_new (&d);
+  d.peers = d.serve ? peers_new (&d) : NULL;
+  if (!d.peers)
+    return EX_UNAVAILABLE;
+  clb_copy (d.opt.node.peer_addr, peers_addr (d.peers), CLB_ADDR_MAX);
+  node_init (&d.node, &d.opt.node, now_ms ());
+  write_addrs (&d);
+  catch_signal (&d, &d.sigterm, SIGTERM);
+  catch_signal (&d, &d.sigint, SIGINT);
+  catch_signal (&d, &d.sighup, SIGHUP);
+  uv_timer_init (d.loop, &d.timer);
+  d.timer.data = &d;
+  uv_timer_start (&d.timer, on_timer, 0, 0);
+  log_state ("%s in %s: callers %s, peers %s", d.opt.node.id,
+             d.opt.node.domain, serve_addr (d.serve), peers_addr (d.peers));
+  uv_run (d.loop, UV_RUN_DEFAULT);
+  log_state ("stopped");
+  peers_free (d.peers);
+  node_fini (&d.node);
+  log_close ();
+  return EX_OK;
+}
--- /dev/null
+++ b/citronlbd/serve.c
@@ -0,0 +1,448 @@
+/* Callers over HTTP; their service requests go on to executors from here. */
+#include "citronlbd.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SERVICE_BODY_MAX = 8 << 20,  /* bytes of any request's body */
+  STREAM_AHEAD_MAX = 1 << 20,  /* bytes kept for a slow caller */
+  WATCH_AHEAD_MAX = 256 << 10, /* bytes kept for a slow watcher */
+  EXECUTOR_CONNECT_MS = 1000,
+};
+
+/* struct forward - a service request, from its caller's side */
+struct forward
+{
+  RB_ENTRY (forward) by_call;
+  struct serve *s;
+  uint64_t call;
+  uint64_t xfer; /* 0 while not at an executor */
+  char *path;
+  char *type;
+  char *body;
+  size_t body_len;
+  bool begun; /* the answer's head has gone to the caller */
+  bool caller_gone;
+};
+RB_HEAD (forward_tree, forward);
+
+/* struct watcher - a caller that watches decisions */
+struct watcher
+{
+  TAILQ_ENTRY (watcher) link;
+  uint64_t call;
+  char team[CLB_NAME_MAX]; /* empty: all */
+  char id[CLB_ID_MAX];     /* empty: all */
+  uint64_t missed;
+};
+TAILQ_HEAD (watcher_list, watcher);
+
+struct serve
+{
+  struct daemon *d;
+  struct httpd *http;
+  struct forward_tree forwards;
+  struct watcher_list watchers;
+};
+
+static int
+forward_cmp (const struct forward *a, const struct forward *b)
+{
+  return a->call < b->call ? -1 : a->call > b->call;
+}
+
+RB_PROTOTYPE (forward_tree, forward, by_call, forward_cmp)
+RB_GENERATE (forward_tree, forward, by_call, forward_cmp)
+
+static struct forward *
+forward_find (struct serve *s, uint64_t call)
+{
+  struct forward key = { .call = call };
+
+  return RB_FIND (forward_tree, &s->forwards, &key);
+}
+
+static void
+forward_free (struct forward *f)
+{
+  RB_REMOVE (forward_tree, &f->s->forwards, f);
+  free (f->path);
+  free (f->type);
+  free (f->body);
+  free (f);
+}
+
+/* Kept until it is answered: the caller's connection may go before. */
+static void
+forward_keep (struct serve *s, const struct hreq *rq)
+{
+  struct forward *f = calloc (1, sizeof *f);
+
+  if (!f)
+    abort ();
+  f->s = s;
+  f->call = rq->no;
+  f->path = strdup (rq->path);
+  f->type = rq->type ? strdup (rq->type) : NULL;
+  f->body = malloc (rq->body_len + 1);
+  if (!f->body || !f->path)
+    abort ();
+  memcpy (f->body, rq->body_len ? rq->body : "", rq->body_len);
+  f->body_len = rq->body_len;
+  RB_INSERT (forward_tree, &s->forwards, f);
+}
+
+static int
+method_of (const char *name)
+{
+  if (strcmp (name, "GET") == 0)
+    return METHOD_GET;
+  if (strcmp (name, "POST") == 0)
+    return METHOD_POST;
+  if (strcmp (name, "PUT") == 0)
+    return METHOD_PUT;
+  return strcmp (name, "DELETE") == 0 ? METHOD_DELETE : METHOD_OTHER;
+}
+
+/* Watching. */
+
+static void
+watch_query (struct watcher *w, const char *path)
+{
+  const char *id = strstr (path, "id=");
+
+  if (id)
+    {
+      id += strlen ("id=");
+      size_t len = strcspn (id, "&");
+      if (len < sizeof w->id)
+        memcpy (w->id, id, len);
+    }
+}
+
+static void
+watch_begin (struct serve *s, const struct hreq *rq)
+{
+  struct watcher *w;
+  char team[CLB_NAME_MAX];
+  char body[96];
+  int err = node_authorize (&s->d->node, now_ms (), rq->bearer, team);
+
+  if (err)
+    {
+      int len = snprintf (body, sizeof body,
+                          "{\"error\":\"%s\",\"outcome\":\"not-run\"}",
+                          clb_err_name (err));
+      httpd_answer (s->http, rq->no, clb_err_http (err), "application/json",
+                    body, (size_t)len, 0);
+      return;
+    }
+  w = calloc (1, sizeof *w);
+  if (!w)
+    abort ();
+  w->call = rq->no;
+  clb_copy (w->team, team, sizeof w->team);
+  watch_query (w, rq->path);
+  TAILQ_INSERT_TAIL (&s->watchers, w, link);
+  httpd_begin (s->http, rq->no, 200, "application/x-ndjson");
+  httpd_chunk (s->http, rq->no, "\n", 1);
+}
+
+static char *
+event_line (const struct event *e)
+{
+  json_t *json = codec_write (&event_desc, e);
+  char *text;
+
+  json_object_set_new (json, "reason",
+                       json_string (clb_reason_name (e->reason)));
+  json_object_set_new (json, "text",
+                       json_string (clb_reason_text (e->reason)));
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  return text;
+}
+
+static void
+watch_tell (struct serve *s, struct watcher *w, const char *line)
+{
+  char missed[64];
+  size_t ahead = httpd_chunk (s->http, w->call, "", 0);
+
+  if (ahead > WATCH_AHEAD_MAX)
+    {
+      w->missed++;
+      return;
+    }
+  if (w->missed)
+    {
+      int len = snprintf (missed, sizeof missed, "{\"missed\":%llu}\n",
+                          (unsigned long long)w->missed);
+      httpd_chunk (s->http, w->call, missed, (size_t)len);
+      w->missed = 0;
+    }
+  httpd_chunk (s->http, w->call, line, strlen (line));
+  httpd_chunk (s->http, w->call, "\n", 1);
+}
+
+static void
+watch_event (struct serve *s, const struct event *e)
+{
+  struct watcher *w;
+  char *line;
+
+  log_event (e);
+  if (TAILQ_EMPTY (&s->watchers))
+    return;
+  line = event_line (e);
+  TAILQ_FOREACH (w, &s->watchers, link)
+    if ((!*w->team || strcmp (w->team, e->team) == 0)
+        && (!*w->id || strcmp (w->id, e->id) == 0))
+      watch_tell (s, w, line);
+  free (line);
+}
+
+static bool
+watch_gone (struct serve *s, uint64_t call)
+{
+  struct watcher *w;
+
+  TAILQ_FOREACH (w, &s->watchers, link)
+    if (w->call == call)
+      {
+        TAILQ_REMOVE (&s->watchers, w, link);
+        free (w);
+        return true;
+      }
+  return false;
+}
+
+/* Requests. */
+
+static void
+on_request (void *arg, const struct hreq *rq)
+{
+  struct serve *s = arg;
+  struct request r = {
+    .call = rq->no,
+    .method = method_of (rq->method),
+    .path = rq->path,
+    .bearer = rq->bearer,
+    .request_id = rq->request_id,
+    .body = rq->body,
+    .body_len = rq->body_len,
+  };
+
+  if (strncmp (rq->path, "/v1/watch", strlen ("/v1/watch")) == 0)
+    {
+      watch_begin (s, rq);
+      return;
+    }
+  if (strncmp (rq->path, "/v1/service/", strlen ("/v1/service/")) == 0)
+    forward_keep (s, rq);
+  node_request (&s->d->node, now_ms (), &r);
+  pump (s->d);
+}
+
+static void
+on_gone (void *arg, uint64_t no)
+{
+  struct serve *s = arg;
+  struct forward *f = forward_find (s, no);
+
+  if (watch_gone (s, no))
+    return;
+  if (f && f->xfer)
+    {
+      f->caller_gone = true;
+      httpc_abort (s->d->http, f->xfer);
+      return;
+    }
+  node_caller_gone (&s->d->node, now_ms (), no);
+  if (f)
+    forward_free (f);
+  pump (s->d);
+}
+
+static void
+on_drained (void *arg, uint64_t no)
+{
+  struct serve *s = arg;
+  struct forward *f = forward_find (s, no);
+
+  if (f && f->xfer)
+    httpc_resume (s->d->http, f->xfer);
+}
+
+/* At the executor. */
+
+static void
+on_head (void *arg, int status, const char *type)
+{
+  struct forward *f = arg;
+
+  f->begun = true;
+  httpd_begin (f->s->http, f->call, status, type);
+}
+
+static bool
+on_data (void *arg, const char *data, size_t len)
+{
+  struct forward *f = arg;
+
+  return httpd_chunk (f->s->http, f->call, data, len) < STREAM_AHEAD_MAX;
+}
+
+static int
+forward_result (const struct forward *f, int end, int status)
+{
+  if (end == HTTPC_OK)
+    return status >= 500 ? FORWARD_ERROR : FORWARD_OK;
+  if (f->begun || f->caller_gone)
+    return FORWARD_CUT;
+  return end == HTTPC_UNREACHED ? FORWARD_UNREACHED : FORWARD_FAILED;
+}
+
+static void
+on_end (void *arg, int end, int status, const char *body, size_t len)
+{
+  struct forward *f = arg;
+  struct serve *s = f->s;
+  int result = forward_result (f, end, status);
+
+  (void)body;
+  (void)len;
+  f->xfer = 0;
+  if (f->begun)
+    httpd_end (s->http, f->call, end == HTTPC_OK);
+  node_forwarded (&s->d->node, now_ms (), f->call, result);
+  if (f->begun || f->caller_gone)
+    forward_free (f);
+  pump (s->d);
+}
+
+static void
+forward_send (struct serve *s, const struct out *o)
+{
+  struct forward *f = forward_find (s, o->u.forward.call);
+  char url[CLB_ADDR_MAX + 256];
+  struct httpc_req rq = {
+    .method = "POST",
+    .timeout_ms = o->u.forward.max_run_ms,
+    .connect_ms = EXECUTOR_CONNECT_MS,
+    .fresh = true,
+    .arg = f,
+    .on_head = on_head,
+    .on_data = on_data,
+    .on_end = on_end,
+  };
+
+  /* The process may have been paused since the slot was granted. */
+  if (!f || !node_may_forward (&s->d->node, now_ms (), o->u.forward.call))
+    {
+      node_forwarded (&s->d->node, now_ms (), o->u.forward.call,
+                      FORWARD_UNREACHED);
+      return;
+    }
+  snprintf (url, sizeof url, "http://%s%.200s", o->u.forward.addr, f->path);
+  rq.url = url;
+  rq.type = f->type;
+  rq.request_id = o->u.forward.id;
+  rq.body = f->body;
+  rq.body_len = f->body_len;
+  f->xfer = httpc_send (s->d->http, &rq);
+}
+
+static void
+answer (struct serve *s, const struct out *o)
+{
+  struct forward *f = forward_find (s, o->u.answer.call);
+  const char *body = o->u.answer.body ? o->u.answer.body : "";
+  bool json = *body == '{' || *body == '[';
+
+  httpd_answer (s->http, o->u.answer.call, o->u.answer.status,
+                json ? "application/json" : "text/plain", body, strlen (body),
+                o->u.answer.retry_ms);
+  if (f && !f->xfer)
+    forward_free (f);
+}
+
+void
+serve_out (struct serve *s, const struct out *o)
+{
+  switch (o->kind)
+    {
+    case OUT_ANSWER:
+      answer (s, o);
+      break;
+    case OUT_FORWARD:
+      forward_send (s, o);
+      break;
+    case OUT_EVENT:
+      watch_event (s, &o->u.event);
+      break;
+    default:
+      break;
+    }
+}
+
+struct serve *
+serve_new (struct daemon *d)
+{
+  struct serve *s = calloc (1, sizeof *s);
+  struct httpd_conf conf = {
+    .addr = d->opt.listen,
+    .body_max = SERVICE_BODY_MAX,
+    .cert = d->opt.cert,
+    .key = d->opt.key,
+    .arg = s,
+    .on_request = on_request,
+    .on_gone = on_gone,
+    .on_drained = on_drained,
+  };
+  int err;
+
+  if (!s)
+    abort ();
+  s->d = d;
+  RB_INIT (&s->forwards);
+  TAILQ_INIT (&s->watchers);
+  s->http = httpd_new (d->loop, &conf, &err);
+  if (s->http)
+    return s;
+  fprintf (stderr, "citronlbd: %s: %s\n", d->opt.listen, uv_strerror (err));
+  free (s);
+  return NULL;
+}
+
+const char *
+serve_addr (const struct serve *s)
+{
+  return httpd_addr (s->http);
+}
+
+int
+serve_reload (struct serve *s)
+{
+  return httpd_reload (s->http);
+}
+
+bool
+serve_stop (struct serve *s)
+{
+  struct watcher *w;
+  struct watcher *next;
+
+  httpd_stop (s->http);
+  for (w = TAILQ_FIRST (&s->watchers); w; w = next)
+    {
+      next = TAILQ_NEXT (w, link);
+      httpd_end (s->http, w->call, true);
+      TAILQ_REMOVE (&s->watchers, w, link);
+      free (w);
+    }
+  return httpd_in_hand (s->http) == 0;
+}
--- /dev/null
+++ b/core/clb.c
@@ -0,0 +1,222 @@
+#include "clb.h"
+
+#include <string.h>
+
+struct err_info
+{
+  const char *name;
+  enum clb_outcome outcome;
+  int http;
+};
+
+/* Indexed by the negated error number. */
+static const struct err_info err_table[-CLB_ERR_LAST] = {
+  [-CLB_OK] = { "ok", CLB_RAN, 200 },
+  [-CLB_EPARSE] = { "parse-error", CLB_NOT_RUN, 400 },
+  [-CLB_EFIELD] = { "bad-field", CLB_NOT_RUN, 400 },
+  [-CLB_ERANGE] = { "out-of-range", CLB_NOT_RUN, 400 },
+  [-CLB_EREF] = { "unknown-reference", CLB_NOT_RUN, 400 },
+  [-CLB_EDUP] = { "duplicate", CLB_NOT_RUN, 400 },
+  [-CLB_ENOMEM] = { "no-memory", CLB_NOT_RUN, 503 },
+  [-CLB_ECONFLICT] = { "conflict", CLB_NOT_RUN, 409 },
+  [-CLB_EUNAVAIL] = { "platform-unavailable", CLB_NOT_RUN, 503 },
+  [-CLB_EUNKNOWN] = { "outcome-unknown", CLB_UNKNOWN, 504 },
+  [-CLB_EKEY] = { "key-refused", CLB_NOT_RUN, 401 },
+  [-CLB_EDENIED] = { "not-permitted", CLB_NOT_RUN, 403 },
+  [-CLB_ESTALE] = { "configuration-not-fresh", CLB_NOT_RUN, 503 },
+  [-CLB_EFULL] = { "queue-full", CLB_NOT_RUN, 503 },
+  [-CLB_ENOHOLDER] = { "no-scheduler", CLB_NOT_RUN, 503 },
+  [-CLB_ENOTFOUND] = { "not-found", CLB_NOT_RUN, 404 },
+  [-CLB_ETIMEOUT] = { "no-room-in-time", CLB_NOT_RUN, 503 },
+  [-CLB_ENOFIT] = { "never-fits", CLB_NOT_RUN, 422 },
+  [-CLB_ESTOPPING] = { "instance-stopping", CLB_NOT_RUN, 503 },
+  [-CLB_EBACKEND] = { "backend-failed", CLB_UNKNOWN, 502 },
+  [-CLB_ETOOBIG] = { "too-large", CLB_NOT_RUN, 413 },
+  [-CLB_EDONE] = { "already-recorded", CLB_RAN, 409 },
+  [-CLB_ELEASE] = { "lease-lapsed", CLB_NOT_RUN, 503 },
+  [-CLB_ECANCELLED] = { "cancelled", CLB_NOT_RUN, 409 },
+  [-CLB_EREACH] = { "backend-unreachable", CLB_NOT_RUN, 503 },
+  [-CLB_EPROTO] = { "bad-answer", CLB_UNKNOWN, 502 },
+};
+
+struct reason_info
+{
+  const char *name;
+  const char *text;
+};
+
+static const struct reason_info reason_table[WHY_N] = {
+  [WHY_NONE] = { "none", "no reason recorded" },
+  [WHY_ACCEPTED] = { "accepted", "recorded in the domain's journal" },
+  [WHY_DUPLICATE] = { "duplicate", "a request with this id was found" },
+  [WHY_BEST_FIT] = { "best-fit", "placed where least room is left over" },
+  [WHY_SPREAD] = { "spread", "placed away from its other members" },
+  [WHY_NO_ROOM] = { "no-room", "no worker has room now" },
+  [WHY_TEAM_LIMIT] = { "team-limit", "the team is at its upper limit" },
+  [WHY_NO_WORKER_FITS] = { "no-worker-fits", "larger than every worker" },
+  [WHY_LEASE_LAPSED] = { "lease-lapsed", "the domain's lease had lapsed" },
+  [WHY_STARTED] = { "started", "the worker reports it running" },
+  [WHY_ENDED_OK] = { "ended", "the worker reports success" },
+  [WHY_ENDED_FAILED] = { "ended-failed", "the worker reports failure" },
+  [WHY_WORKER_REFUSED] = { "worker-refused", "the worker refused the start" },
+  [WHY_WORKER_LOST] = { "worker-lost", "no contact past the task lease" },
+  [WHY_WORKER_REBOOTED] = { "worker-rebooted", "the worker restarted" },
+  [WHY_WORKER_QUARANTINED]
+  = { "worker-quarantined", "too many starts failed there in a row" },
+  [WHY_WORKER_BACK] = { "worker-back", "the worker may be used again" },
+  [WHY_START_UNSEEN]
+  = { "start-unseen", "the worker proved that it never had the start" },
+  [WHY_TOO_MANY_FAILURES]
+  = { "too-many-failures", "failed on several workers" },
+  [WHY_CANCELLED] = { "cancelled", "its owner cancelled it" },
+  [WHY_NOT_IDEMPOTENT]
+  = { "not-idempotent", "it may have run and must not run twice" },
+  [WHY_TOOK_OVER] = { "took-over", "took the domain's lease" },
+  [WHY_LEASE_LOST] = { "lease-lost", "another instance took the lease" },
+  [WHY_HANDED_OVER] = { "handed-over", "gave the lease back" },
+  [WHY_STORE_DOWN] = { "store-down", "the table service does not answer" },
+  [WHY_EXTENDED] = { "extended", "went on under its peers' promises" },
+  [WHY_CONFIG] = { "config", "a newer configuration is in force" },
+  [WHY_GRANT_RAISED] = { "grant-raised", "the domain took more of a limit" },
+  [WHY_GRANT_LOWERED] = { "grant-lowered", "the domain gave up unused limit" },
+  [WHY_DEADLINE] = { "deadline", "its deadline passed before it started" },
+  [WHY_ENTRY_LOST] = { "entry-lost", "the entry instance serving it is gone" },
+  [WHY_GANG_MEMBER_FAILED]
+  = { "member-failed", "another member of the gang failed" },
+  [WHY_FORWARDED] = { "forwarded", "sent to a domain that has room" },
+};
+
+const char *const task_state_names[TASK_STATE_N + 1]
+    = { "pending", "starting",  "running", "stopping", "done",
+        "failed",  "cancelled", "unknown", NULL };
+const char *const task_class_names[CLASS_N + 1]
+    = { "urgent", "watched", "normal", "patient", NULL };
+
+static const struct err_info *
+err_lookup (int err)
+{
+  if (err > 0 || err <= CLB_ERR_LAST)
+    err = CLB_EPROTO;
+  return &err_table[-err];
+}
+
+const char *
+clb_err_name (int err)
+{
+  return err_lookup (err)->name;
+}
+
+enum clb_outcome
+clb_err_outcome (int err)
+{
+  return err_lookup (err)->outcome;
+}
+
+int
+clb_err_http (int err)
+{
+  return err_lookup (err)->http;
+}
+
+const char *
+clb_outcome_name (enum clb_outcome outcome)
+{
+  switch (outcome)
+    {
+    case CLB_NOT_RUN:
+      return "not-run";
+    case CLB_RAN:
+      return "ran";
+    case CLB_UNKNOWN:
+      break;
+    }
+  return "unknown";
+}
+
+const char *
+clb_reason_name (int reason)
+{
+  if (reason < 0 || reason >= WHY_N)
+    reason = WHY_NONE;
+  return reason_table[reason].name;
+}
+
+const char *
+clb_reason_text (int reason)
+{
+  if (reason < 0 || reason >= WHY_N)
+    reason = WHY_NONE;
+  return reason_table[reason].text;
+}
+
+bool
+task_state_final (int state)
+{
+  return state >= TASK_DONE;
+}
+
+int64_t
+clb_res_get (const struct clb_res *r, enum clb_res_kind kind)
+{
+  switch (kind)
+    {
+    case RES_CORES:
+      return r->cores;
+    case RES_MEM_MB:
+      return r->mem_mb;
+    case RES_ACCELS:
+      return r->accels;
+    case RES_SLOTS:
+      return r->slots;
+    case RES_N:
+      break;
+    }
+  return 0;
+}
+
+void
+clb_res_set (struct clb_res *r, enum clb_res_kind kind, int64_t amount)
+{
+  switch (kind)
+    {
+    case RES_CORES:
+      r->cores = amount;
+      break;
+    case RES_MEM_MB:
+      r->mem_mb = amount;
+      break;
+    case RES_ACCELS:
+      r->accels = amount;
+      break;
+    case RES_SLOTS:
+      r->slots = amount;
+      break;
+    case RES_N:
+      break;
+    }
+}
+
+void
+clb_res_add (struct clb_res *to, const struct clb_res *r, int64_t times)
+{
+  to->cores += times * r->cores;
+  to->mem_mb += times * r->mem_mb;
+  to->accels += times * r->accels;
+  to->slots += times * r->slots;
+}
+
+bool
+clb_res_fits (const struct clb_res *need, const struct clb_res *room)
+{
+  return need->cores <= room->cores && need->mem_mb <= room->mem_mb
+         && need->accels <= room->accels && need->slots <= room->slots;
+}
+
+void
+clb_copy (char *dst, const char *src, size_t size)
+{
+  size_t len = strnlen (src, size - 1);
+
+  memcpy (dst, src, len);
+  dst[len] = '\0';
+}
--- /dev/null
+++ b/core/codec.c
@@ -0,0 +1,430 @@
+#include "codec.h"
+
+#include <msgpack.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  JSON_DEPTH_MAX = 8, /* nesting accepted from a peer */
+};
+
+static int
+fail (struct codec_err *ce, int err, const char *path, const char *name)
+{
+  ce->err = err;
+  snprintf (ce->path, sizeof ce->path, "%s%s%s", path, *path ? "." : "",
+            name);
+  return err;
+}
+
+static int read_obj (const struct desc *d, const json_t *json,
+                     enum codec_mode mode, void *out, struct codec_err *ce,
+                     const char *path);
+
+static int
+read_enum (const struct fld *f, const json_t *v, int *out)
+{
+  const char *text = json_string_value (v);
+
+  if (!text)
+    return CLB_EFIELD;
+  for (int i = 0; f->names[i]; i++)
+    if (strcmp (f->names[i], text) == 0)
+      {
+        *out = i;
+        return 0;
+      }
+  return CLB_ERANGE;
+}
+
+static int
+read_i64 (const struct fld *f, const json_t *v, int64_t *out)
+{
+  if (!json_is_integer (v))
+    return CLB_EFIELD;
+  *out = json_integer_value (v);
+  return *out < f->min || *out > f->max ? CLB_ERANGE : 0;
+}
+
+static int
+read_chars (const struct fld *f, const json_t *v, char *out)
+{
+  if (!json_is_string (v))
+    return CLB_EFIELD;
+  size_t len = json_string_length (v);
+  if (len >= f->size || strlen (json_string_value (v)) != len)
+    return CLB_ERANGE;
+  memcpy (out, json_string_value (v), len + 1);
+  return 0;
+}
+
+static int
+read_text (const struct fld *f, const json_t *v, char **out)
+{
+  if (!json_is_string (v))
+    return CLB_EFIELD;
+  if (json_string_length (v) > (size_t)f->max)
+    return CLB_ERANGE;
+  *out = strdup (json_string_value (v));
+  return *out ? 0 : CLB_ENOMEM;
+}
+
+static int
+read_vec (const struct fld *f, const json_t *v, enum codec_mode mode,
+          char *base, struct codec_err *ce, const char *path)
+{
+  if (!json_is_array (v))
+    return fail (ce, CLB_EFIELD, path, f->name);
+  size_t n = json_array_size (v);
+  if (n > (size_t)f->max)
+    return fail (ce, CLB_ERANGE, path, f->name);
+  char *items = calloc (n ? n : 1, f->sub->size);
+  if (!items)
+    return fail (ce, CLB_ENOMEM, path, f->name);
+  memcpy (base + f->off, &items, sizeof items);
+  for (size_t i = 0; i < n; i++)
+    {
+      char item_path[sizeof ce->path];
+      snprintf (item_path, sizeof item_path, "%.60s%s%s[%zu]", path,
+                *path ? "." : "", f->name, i);
+      size_t done = i + 1;
+      memcpy (base + f->off2, &done, sizeof done);
+      int err = read_obj (f->sub, json_array_get (v, i), mode,
+                          items + i * f->sub->size, ce, item_path);
+      if (err)
+        return err;
+    }
+  return 0;
+}
+
+static int
+read_fld (const struct fld *f, const json_t *v, enum codec_mode mode,
+          char *base, struct codec_err *ce, const char *path)
+{
+  int err = 0;
+  char sub_path[sizeof ce->path];
+
+  switch (f->kind)
+    {
+    case FLD_I64:
+      err = read_i64 (f, v, (int64_t *)(void *)(base + f->off));
+      break;
+    case FLD_BOOL:
+      if (!json_is_boolean (v))
+        err = CLB_EFIELD;
+      *(bool *)(base + f->off) = json_is_true (v);
+      break;
+    case FLD_STR:
+      err = read_chars (f, v, base + f->off);
+      break;
+    case FLD_TEXT:
+      err = read_text (f, v, (char **)(void *)(base + f->off));
+      break;
+    case FLD_ENUM:
+      err = read_enum (f, v, (int *)(void *)(base + f->off));
+      break;
+    case FLD_OBJ:
+      snprintf (sub_path, sizeof sub_path, "%.80s%s%s", path,
+                *path ? "." : "", f->name);
+      return read_obj (f->sub, v, mode, base + f->off, ce, sub_path);
+    case FLD_VEC:
+      return read_vec (f, v, mode, base, ce, path);
+    }
+  return err ? fail (ce, err, path, f->name) : 0;
+}
+
+static bool
+known_field (const struct desc *d, const char *name)
+{
+  for (size_t i = 0; i < d->n_fields; i++)
+    if (strcmp (d->fields[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static int
+read_obj (const struct desc *d, const json_t *json, enum codec_mode mode,
+          void *out, struct codec_err *ce, const char *path)
+{
+  const char *key;
+  json_t *value;
+
+  if (!json_is_object (json))
+    return fail (ce, CLB_EFIELD, path, "(object expected)");
+  json_object_foreach ((json_t *)json, key, value)
+    if (mode == CODEC_STRICT && !known_field (d, key))
+      return fail (ce, CLB_EFIELD, path, key);
+  for (size_t i = 0; i < d->n_fields; i++)
+    {
+      const struct fld *f = &d->fields[i];
+      const json_t *v = json_object_get (json, f->name);
+      if (!v && f->required)
+        return fail (ce, CLB_EFIELD, path, f->name);
+      if (!v)
+        continue;
+      int err = read_fld (f, v, mode, out, ce, path);
+      if (err)
+        return err;
+    }
+  return 0;
+}
+
+int
+codec_read (const struct desc *d, const json_t *json, enum codec_mode mode,
+            void *out, struct codec_err *ce)
+{
+  memset (out, 0, d->size);
+  ce->err = 0;
+  ce->path[0] = '\0';
+  int err = read_obj (d, json, mode, out, ce, "");
+  if (err)
+    codec_free (d, out);
+  return err;
+}
+
+int
+codec_parse (const struct desc *d, const char *text, size_t len,
+             enum codec_mode mode, void *out, struct codec_err *ce)
+{
+  json_error_t je;
+  json_t *json = json_loadb (text, len, JSON_REJECT_DUPLICATES, &je);
+
+  memset (out, 0, d->size);
+  if (!json)
+    {
+      ce->err = CLB_EPARSE;
+      snprintf (ce->path, sizeof ce->path, "line %d column %d: %.80s",
+                je.line, je.column, je.text);
+      return CLB_EPARSE;
+    }
+  int err = codec_read (d, json, mode, out, ce);
+  json_decref (json);
+  return err;
+}
+
+static json_t *
+write_vec (const struct fld *f, const char *base)
+{
+  const char *items;
+  size_t n;
+
+  memcpy (&items, base + f->off, sizeof items);
+  memcpy (&n, base + f->off2, sizeof n);
+  if (n == 0)
+    return NULL;
+  json_t *array = json_array ();
+  for (size_t i = 0; i < n; i++)
+    json_array_append_new (array,
+                           codec_write (f->sub, items + i * f->sub->size));
+  return array;
+}
+
+/* NULL where the field holds its zero value. */
+static json_t *
+write_fld (const struct fld *f, const char *base)
+{
+  const char *p = base + f->off;
+  const char *text;
+  int64_t n;
+  int e;
+
+  switch (f->kind)
+    {
+    case FLD_I64:
+      memcpy (&n, p, sizeof n);
+      return n ? json_integer (n) : NULL;
+    case FLD_BOOL:
+      return *(const bool *)p ? json_true () : NULL;
+    case FLD_STR:
+      return *p ? json_string (p) : NULL;
+    case FLD_TEXT:
+      memcpy (&text, p, sizeof text);
+      return text ? json_string (text) : NULL;
+    case FLD_ENUM:
+      memcpy (&e, p, sizeof e);
+      return json_string (f->names[e]);
+    case FLD_OBJ:
+      return codec_write (f->sub, p);
+    case FLD_VEC:
+      return write_vec (f, base);
+    }
+  return NULL;
+}
+
+json_t *
+codec_write (const struct desc *d, const void *in)
+{
+  json_t *obj = json_object ();
+
+  for (size_t i = 0; i < d->n_fields; i++)
+    {
+      json_t *v = write_fld (&d->fields[i], in);
+      if (v)
+        json_object_set_new_nocheck (obj, d->fields[i].name, v);
+    }
+  return obj;
+}
+
+char *
+codec_text (const struct desc *d, const void *in)
+{
+  json_t *json = codec_write (d, in);
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  json_decref (json);
+  return text;
+}
+
+void
+codec_free (const struct desc *d, void *s)
+{
+  char *base = s;
+
+  for (size_t i = 0; i < d->n_fields; i++)
+    {
+      const struct fld *f = &d->fields[i];
+      char *owned;
+      size_t n;
+      if (f->kind == FLD_OBJ)
+        codec_free (f->sub, base + f->off);
+      if (f->kind != FLD_TEXT && f->kind != FLD_VEC)
+        continue;
+      memcpy (&owned, base + f->off, sizeof owned);
+      if (f->kind == FLD_VEC)
+        {
+          memcpy (&n, base + f->off2, sizeof n);
+          for (size_t j = 0; j < n; j++)
+            codec_free (f->sub, owned + j * f->sub->size);
+        }
+      free (owned);
+    }
+  memset (s, 0, d->size);
+}
+
+static void
+pack_json (msgpack_packer *pk, const json_t *v)
+{
+  const char *key;
+  json_t *item;
+  size_t i;
+
+  switch (json_typeof (v))
+    {
+    case JSON_OBJECT:
+      msgpack_pack_map (pk, json_object_size (v));
+      json_object_foreach ((json_t *)v, key, item)
+        {
+          msgpack_pack_str (pk, strlen (key));
+          msgpack_pack_str_body (pk, key, strlen (key));
+          pack_json (pk, item);
+        }
+      break;
+    case JSON_ARRAY:
+      msgpack_pack_array (pk, json_array_size (v));
+      json_array_foreach (v, i, item)
+        pack_json (pk, item);
+      break;
+    case JSON_STRING:
+      msgpack_pack_str (pk, json_string_length (v));
+      msgpack_pack_str_body (pk, json_string_value (v),
+                             json_string_length (v));
+      break;
+    case JSON_INTEGER:
+      msgpack_pack_int64 (pk, json_integer_value (v));
+      break;
+    case JSON_TRUE:
+      msgpack_pack_true (pk);
+      break;
+    case JSON_REAL:
+    case JSON_FALSE:
+    case JSON_NULL:
+      msgpack_pack_false (pk);
+      break;
+    }
+}
+
+static json_t *
+unpack_json (const msgpack_object *o, int depth)
+{
+  json_t *v = NULL;
+
+  if (depth > JSON_DEPTH_MAX)
+    return NULL;
+  switch (o->type)
+    {
+    case MSGPACK_OBJECT_BOOLEAN:
+      return json_boolean (o->via.boolean);
+    case MSGPACK_OBJECT_POSITIVE_INTEGER:
+      if (o->via.u64 > INT64_MAX)
+        return NULL;
+      return json_integer ((json_int_t)o->via.u64);
+    case MSGPACK_OBJECT_NEGATIVE_INTEGER:
+      return json_integer (o->via.i64);
+    case MSGPACK_OBJECT_STR:
+      return json_stringn (o->via.str.ptr, o->via.str.size);
+    case MSGPACK_OBJECT_ARRAY:
+      v = json_array ();
+      for (uint32_t i = 0; i < o->via.array.size; i++)
+        if (json_array_append_new (
+                v, unpack_json (&o->via.array.ptr[i], depth + 1)))
+          goto damaged;
+      return v;
+    case MSGPACK_OBJECT_MAP:
+      v = json_object ();
+      for (uint32_t i = 0; i < o->via.map.size; i++)
+        {
+          const msgpack_object_kv *kv = &o->via.map.ptr[i];
+          char key[CLB_NAME_MAX];
+          if (kv->key.type != MSGPACK_OBJECT_STR
+              || kv->key.via.str.size >= sizeof key)
+            goto damaged;
+          memcpy (key, kv->key.via.str.ptr, kv->key.via.str.size);
+          key[kv->key.via.str.size] = '\0';
+          if (json_object_set_new (v, key, unpack_json (&kv->val, depth + 1)))
+            goto damaged;
+        }
+      return v;
+    default:
+      return NULL;
+    }
+damaged:
+  json_decref (v);
+  return NULL;
+}
+
+int
+codec_pack (const struct desc *d, const void *in, char **buf, size_t *len)
+{
+  msgpack_sbuffer sb;
+  msgpack_packer pk;
+  json_t *json = codec_write (d, in);
+
+  msgpack_sbuffer_init (&sb);
+  msgpack_packer_init (&pk, &sb, msgpack_sbuffer_write);
+  pack_json (&pk, json);
+  json_decref (json);
+  *len = sb.size;
+  *buf = msgpack_sbuffer_release (&sb);
+  return *buf ? 0 : CLB_ENOMEM;
+}
+
+int
+codec_unpack (const struct desc *d, const char *buf, size_t len, void *out,
+              struct codec_err *ce)
+{
+  msgpack_unpacked up;
+  json_t *json = NULL;
+
+  memset (out, 0, d->size);
+  msgpack_unpacked_init (&up);
+  if (msgpack_unpack_next (&up, buf, len, NULL) == MSGPACK_UNPACK_SUCCESS)
+    json = unpack_json (&up.data, 0);
+  msgpack_unpacked_destroy (&up);
+  if (!json)
+    return fail (ce, CLB_EPARSE, "", d->name);
+  int err = codec_read (d, json, CODEC_LENIENT, out, ce);
+  json_decref (json);
+  return err;
+}
--- /dev/null
+++ b/core/journal.c
@@ -0,0 +1,890 @@
+/* The domain's journal: group commits, snapshots, and reading them back. */
+#include "sched.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  GROUP_WAIT_MS = 5,      /* a group stays open for more records */
+  GROUP_RECORDS = 512,    /* or until it has this many */
+  BACKLOG_RECORDS = 8192, /* then new work is refused */
+  RETRY_MS = 200,         /* before a write is sent again */
+  SNAP_EVERY_ROWS = 1000, /* journal rows between snapshots */
+  SNAP_RETRY_MS = 5000,
+  CUT_ROWS = 200,         /* journal rows deleted in one write */
+  KEY_SIZE = 256,         /* bytes of a row's key */
+};
+
+enum load_step
+{
+  LOAD_SNAP_ROW,
+  LOAD_SNAP_OBJ,
+  LOAD_ROWS,
+  LOAD_GRANTS,
+  LOAD_DONE,
+};
+
+enum snap_step
+{
+  SNAP_NONE,
+  SNAP_HELD,   /* text is made, its last row not yet durable */
+  SNAP_OBJECT, /* object being written */
+  SNAP_ROW,    /* row being pointed at it, older rows cut */
+};
+
+struct snap_row
+{
+  int64_t seq; /* last journal row that the object covers */
+  char object[CLB_ID_MAX];
+};
+static const struct fld snap_fields[] = {
+  FLD_INT (struct snap_row, seq, 0, INT64_MAX),
+  FLD_CHARS (struct snap_row, object, true),
+};
+static DESC (snap_desc, struct snap_row, snap_fields);
+
+static void
+row_key (const struct sched *s, int64_t seq, char out[KEY_SIZE])
+{
+  snprintf (out, KEY_SIZE, "journal/%s/%015lld", s->domain, (long long)seq);
+}
+
+static void
+snap_key (const struct sched *s, char out[KEY_SIZE])
+{
+  snprintf (out, KEY_SIZE, "snap/%s", s->domain);
+}
+
+static void
+request_key (const char *team, const char *request_id, char out[KEY_SIZE])
+{
+  snprintf (out, KEY_SIZE, "req/%s/%s", team, request_id);
+}
+
+static void
+group_init (struct group *g)
+{
+  memset (g, 0, sizeof *g);
+  TAILQ_INIT (&g->effects);
+}
+
+static void
+group_clear (struct group *g)
+{
+  struct effect *e;
+
+  while ((e = TAILQ_FIRST (&g->effects)))
+    {
+      TAILQ_REMOVE (&g->effects, e, link);
+      free (e);
+    }
+  codec_free (&journal_row_desc, &g->row);
+  group_init (g);
+}
+
+void
+journal_init (struct sched *s, int64_t epoch_ver)
+{
+  struct journal *j = &s->journal;
+
+  snprintf (j->epoch_key, sizeof j->epoch_key, "epoch/%s", s->domain);
+  j->epoch_ver = epoch_ver;
+  j->seq = 1;
+  group_init (&j->open);
+  group_init (&j->flight);
+}
+
+void
+journal_free (struct sched *s)
+{
+  group_clear (&s->journal.open);
+  group_clear (&s->journal.flight);
+  free (s->journal.snap_text);
+}
+
+void
+journal_add (struct sched *s, const struct rec *rec)
+{
+  struct group *g = &s->journal.open;
+
+  if (g->row.n_recs == g->cap)
+    {
+      g->cap = g->cap ? 2 * g->cap : 16;
+      g->row.recs = realloc (g->row.recs, g->cap * sizeof *g->row.recs);
+      if (!g->row.recs)
+        abort ();
+    }
+  if (g->row.n_recs == 0)
+    s->journal.opened_ms = s->now_ms;
+  g->row.recs[g->row.n_recs++] = *rec;
+  s->stats.records++;
+}
+
+struct effect *
+journal_effect (struct sched *s, int kind, const char *id)
+{
+  struct effect *e = calloc (1, sizeof *e);
+
+  if (!e)
+    abort ();
+  e->kind = kind;
+  clb_copy (e->id, id, sizeof e->id);
+  TAILQ_INSERT_TAIL (&s->journal.open.effects, e, link);
+  return e;
+}
+
+bool
+journal_full (const struct sched *s)
+{
+  return s->journal.open.row.n_recs >= BACKLOG_RECORDS;
+}
+
+/* What was waiting for the table. */
+
+static void
+effect_accept (struct sched *s, struct task *t)
+{
+  if (t->durable || task_state_final (t->state))
+    return;
+  t->durable = true;
+  sched_event (s, WHY_ACCEPTED, t->id, t->team->name, "", 0);
+  task_enqueue (s, t);
+}
+
+static void
+effect_intent (struct task *t)
+{
+  t->intent_durable = true;
+  for (int64_t i = 0; i < t->n_members; i++)
+    if (t->members[i].worker)
+      t->members[i].worker->due = true;
+}
+
+static void
+effect_run (struct sched *s, const struct effect *e)
+{
+  struct task *t = e->kind == EFFECT_ACK ? NULL : sched_task (s, e->id);
+  struct worker *w;
+
+  switch (e->kind)
+    {
+    case EFFECT_REPLY:
+      sched_reply (s, e->entry, &e->reply);
+      break;
+    case EFFECT_ACCEPT:
+      if (t)
+        effect_accept (s, t);
+      break;
+    case EFFECT_INTENT:
+      if (t && t->attempt == e->attempt)
+        effect_intent (t);
+      break;
+    case EFFECT_END:
+      if (t)
+        t->end_durable = true;
+      break;
+    case EFFECT_ACK:
+      w = pl_worker (&s->pl, e->worker);
+      if (w)
+        recon_ack (w, e->id);
+      break;
+    case EFFECT_DROP:
+      if (t)
+        task_free (s, t);
+      break;
+    }
+}
+
+static void
+effects_run (struct sched *s, struct effect_list *list)
+{
+  struct effect *e;
+
+  while ((e = TAILQ_FIRST (list)))
+    {
+      TAILQ_REMOVE (list, e, link);
+      effect_run (s, e);
+      free (e);
+    }
+}
+
+/* Writing. */
+
+static struct store_op *
+store_op_new (struct sched *s, int kind, uint64_t *token)
+{
+  struct out *o = out_new (s->out, OUT_STORE);
+
+  o->u.store.token = *token = ++*s->tokens;
+  o->u.store.op.kind = kind;
+  return &o->u.store.op;
+}
+
+static void
+group_conds (struct sched *s, struct store_op *op, const struct group *g)
+{
+  char key[KEY_SIZE];
+
+  for (size_t i = 0; i < g->row.n_recs; i++)
+    {
+      const struct rec *r = &g->row.recs[i];
+      struct task *t = sched_task (s, r->id);
+      if (r->kind == REC_ACCEPT)
+        {
+          request_key (r->team, r->spec.request_id, key);
+          store_cond (op, key, 0);
+          store_put (op, key, r->id);
+        }
+      if (r->kind == REC_FORGET && t)
+        {
+          request_key (t->team->name, t->spec.request_id, key);
+          store_put (op, key, NULL);
+        }
+    }
+}
+
+static void
+flight_send (struct sched *s)
+{
+  struct journal *j = &s->journal;
+  char key[KEY_SIZE];
+  struct store_op *op = store_op_new (s, STORE_TXN, &j->token);
+  char *text = codec_text (&journal_row_desc, &j->flight.row);
+
+  row_key (s, j->seq, key);
+  store_cond (op, j->epoch_key, j->epoch_ver);
+  store_cond (op, key, 0);
+  store_put (op, key, text);
+  group_conds (s, op, &j->flight);
+  free (text);
+  j->sent_ms = s->now_ms;
+  j->retry_ms = 0;
+}
+
+static void snap_hold (struct sched *s);
+
+static void
+flight_begin (struct sched *s)
+{
+  struct journal *j = &s->journal;
+
+  if (TAILQ_EMPTY (&j->open.effects) && j->open.row.n_recs == 0)
+    return;
+  struct group old = j->flight;
+  j->flight = j->open;
+  TAILQ_INIT (&j->flight.effects);
+  TAILQ_CONCAT (&j->flight.effects, &j->open.effects, link);
+  j->open = old;
+  group_init (&j->open);
+  if (j->flight.row.n_recs == 0)
+    {
+      effects_run (s, &j->flight.effects);
+      group_clear (&j->flight);
+      return;
+    }
+  snprintf (j->flight.row.nonce, sizeof j->flight.row.nonce, "%.40s-%lld-%lld",
+            s->me, (long long)s->boot, (long long)++j->nonce);
+  j->in_flight = true;
+  s->stats.groups++;
+  snap_hold (s);
+  flight_send (s);
+}
+
+static void
+flight_durable (struct sched *s)
+{
+  struct journal *j = &s->journal;
+  struct group done = j->flight;
+
+  TAILQ_INIT (&done.effects);
+  TAILQ_CONCAT (&done.effects, &j->flight.effects, link);
+  group_init (&j->flight);
+  j->in_flight = false;
+  j->seq++;
+  effects_run (s, &done.effects);
+  group_clear (&done);
+}
+
+/* The request was accepted before, perhaps in another domain. */
+static void
+accept_refused (struct sched *s, const char *id, const char *first)
+{
+  struct journal *j = &s->journal;
+  struct effect *e;
+  struct effect *next;
+  struct task *t = sched_task (s, id);
+  struct asker *a;
+
+  for (e = TAILQ_FIRST (&j->flight.effects); e; e = next)
+    {
+      next = TAILQ_NEXT (e, link);
+      if (strcmp (e->id, id) != 0)
+        continue;
+      if (e->kind == EFFECT_REPLY)
+        {
+          clb_copy (e->reply.id, first, sizeof e->reply.id);
+          e->reply.err = t && t->lane == LANE_SERVICE ? CLB_EDONE : 0;
+          e->reply.reason = WHY_DUPLICATE;
+          sched_reply (s, e->entry, &e->reply);
+        }
+      TAILQ_REMOVE (&j->flight.effects, e, link);
+      free (e);
+    }
+  if (!t)
+    return;
+  while ((a = TAILQ_FIRST (&t->askers)))
+    {
+      struct reply r = { .no = a->no, .err = CLB_EDONE };
+      clb_copy (r.id, first, sizeof r.id);
+      sched_reply (s, a->entry, &r);
+      TAILQ_REMOVE (&t->askers, a, link);
+      free (a);
+    }
+  s->stats.reasons[WHY_DUPLICATE]++;
+  task_free (s, t);
+  /* The snapshot made for this group has the refused task in it. */
+  if (j->snap_step == SNAP_HELD)
+    j->snap_step = SNAP_NONE;
+}
+
+/* Takes the records of refused accepts out of the group. */
+static bool
+drop_refused (struct sched *s, const struct row *row)
+{
+  struct group *g = &s->journal.flight;
+  char key[KEY_SIZE];
+
+  for (size_t i = 0; i < g->row.n_recs; i++)
+    {
+      struct rec *r = &g->row.recs[i];
+      if (r->kind != REC_ACCEPT)
+        continue;
+      request_key (r->team, r->spec.request_id, key);
+      if (strcmp (key, row->key) != 0)
+        continue;
+      accept_refused (s, r->id, row->value ? row->value : "");
+      codec_free (&rec_desc, r);
+      memmove (r, r + 1, (g->row.n_recs - i - 1) * sizeof *r);
+      g->row.n_recs--;
+      return true;
+    }
+  return false;
+}
+
+static bool
+is_own_row (const struct sched *s, const struct row *row)
+{
+  struct journal_row jr;
+  struct codec_err ce;
+
+  if (!row->value
+      || codec_parse (&journal_row_desc, row->value, strlen (row->value),
+                      CODEC_LENIENT, &jr, &ce))
+    return false;
+  bool own = strcmp (jr.nonce, s->journal.flight.row.nonce) == 0;
+  codec_free (&journal_row_desc, &jr);
+  return own;
+}
+
+static void
+flight_conflict (struct sched *s, const struct store_rep *rep)
+{
+  struct journal *j = &s->journal;
+  char key[KEY_SIZE];
+  bool dropped = false;
+
+  row_key (s, j->seq, key);
+  /* An earlier try of this very write took effect and its answer was lost. */
+  for (size_t i = 0; i < rep->n_rows; i++)
+    if (strcmp (rep->rows[i].key, key) == 0 && is_own_row (s, &rep->rows[i]))
+      {
+        flight_durable (s);
+        return;
+      }
+  for (size_t i = 0; i < rep->n_rows; i++)
+    dropped |= drop_refused (s, &rep->rows[i]);
+  if (!dropped)
+    {
+      s->phase = SCHED_LOST;
+      return;
+    }
+  if (j->flight.row.n_recs == 0)
+    {
+      effects_run (s, &j->flight.effects);
+      group_clear (&j->flight);
+      j->in_flight = false;
+      return;
+    }
+  flight_send (s);
+}
+
+static void
+flight_answer (struct sched *s, const struct store_rep *rep)
+{
+  struct journal *j = &s->journal;
+
+  j->token = 0;
+  switch (rep->err)
+    {
+    case 0:
+      flight_durable (s);
+      break;
+    case CLB_ECONFLICT:
+      flight_conflict (s, rep);
+      break;
+    default:
+      s->stats.group_retries++;
+      j->retry_ms = s->now_ms + RETRY_MS;
+      break;
+    }
+}
+
+/* Snapshots. */
+
+static void
+snap_add (struct journal_row *row, size_t *cap, const struct task *t,
+          int kind)
+{
+  if (row->n_recs == *cap)
+    {
+      *cap = *cap ? 2 * *cap : 256;
+      row->recs = realloc (row->recs, *cap * sizeof *row->recs);
+      if (!row->recs)
+        abort ();
+    }
+  row->recs[row->n_recs++] = rec_of (t, kind);
+}
+
+static void
+snap_task (struct journal_row *row, size_t *cap, const struct task *t)
+{
+  snap_add (row, cap, t, REC_ACCEPT);
+  if (task_state_final (t->state))
+    {
+      snap_add (row, cap, t, REC_END);
+      return;
+    }
+  if (t->attempt > 0 || t->failures > 0)
+    snap_add (row, cap, t, REC_RETRY);
+  if (t->n_members > 0)
+    snap_add (row, cap, t, REC_INTENT);
+  if (t->cancelled)
+    snap_add (row, cap, t, REC_CANCEL);
+}
+
+/* The state after the group in flight; used only once that is durable. */
+static void
+snap_hold (struct sched *s)
+{
+  struct journal *j = &s->journal;
+  struct journal_row row = { .n_recs = 0 };
+  size_t cap = 0;
+  struct task *t;
+
+  if (j->snap_step != SNAP_NONE || j->seq - j->snap_seq < SNAP_EVERY_ROWS
+      || s->now_ms < j->snap_retry_ms)
+    return;
+  RB_FOREACH (t, task_tree, &s->tasks)
+    if (t->recorded)
+      snap_task (&row, &cap, t);
+  free (j->snap_text);
+  j->snap_text = codec_text (&journal_row_desc, &row);
+  codec_free (&journal_row_desc, &row);
+  j->snap_to = j->seq;
+  j->snap_step = SNAP_HELD;
+}
+
+static void
+snap_name (const struct sched *s, char out[CLB_ID_MAX])
+{
+  snprintf (out, CLB_ID_MAX, "snap-%s-%lld-%lld", s->domain,
+            (long long)s->epoch, (long long)s->journal.snap_to);
+}
+
+static void
+snap_put_object (struct sched *s)
+{
+  struct journal *j = &s->journal;
+  char name[CLB_ID_MAX];
+
+  if (j->in_flight && j->seq <= j->snap_to)
+    return;
+  struct store_op *op = store_op_new (s, STORE_OBJ_PUT, &j->snap_token);
+  snap_name (s, name);
+  op->key = strdup (name);
+  op->value = j->snap_text;
+  j->snap_text = NULL;
+  j->snap_step = SNAP_OBJECT;
+}
+
+static void
+snap_put_row (struct sched *s)
+{
+  struct journal *j = &s->journal;
+  struct snap_row row = { .seq = j->snap_to };
+  struct store_op *op = store_op_new (s, STORE_TXN, &j->snap_token);
+  char key[KEY_SIZE];
+
+  snap_name (s, row.object);
+  char *text = codec_text (&snap_desc, &row);
+  snap_key (s, key);
+  store_cond (op, j->epoch_key, j->epoch_ver);
+  store_put (op, key, text);
+  free (text);
+  for (int n = 0; n < CUT_ROWS && j->first_seq + n <= j->snap_to; n++)
+    {
+      row_key (s, j->first_seq + n, key);
+      store_put (op, key, NULL);
+    }
+  j->snap_step = SNAP_ROW;
+}
+
+static void
+snap_answer (struct sched *s, const struct store_rep *rep)
+{
+  struct journal *j = &s->journal;
+
+  j->snap_token = 0;
+  if (rep->err == CLB_ECONFLICT)
+    {
+      s->phase = SCHED_LOST;
+      return;
+    }
+  if (rep->err)
+    {
+      j->snap_step = SNAP_NONE;
+      j->snap_retry_ms = s->now_ms + SNAP_RETRY_MS;
+      return;
+    }
+  if (j->snap_step == SNAP_ROW)
+    {
+      j->snap_seq = j->snap_to;
+      j->first_seq += CUT_ROWS;
+      if (j->first_seq > j->snap_to)
+        {
+          j->first_seq = j->snap_to + 1;
+          j->snap_step = SNAP_NONE;
+          return;
+        }
+    }
+  snap_put_row (s);
+}
+
+/* Reading back. */
+
+static void
+load_ask (struct sched *s)
+{
+  char key[KEY_SIZE];
+  struct store_op *op;
+
+  switch (s->load_step)
+    {
+    case LOAD_SNAP_ROW:
+      op = store_op_new (s, STORE_GET, &s->load_token);
+      snap_key (s, key);
+      break;
+    case LOAD_SNAP_OBJ:
+      op = store_op_new (s, STORE_OBJ_GET, &s->load_token);
+      clb_copy (key, s->load_after, sizeof key);
+      break;
+    case LOAD_ROWS:
+      op = store_op_new (s, STORE_LIST, &s->load_token);
+      snprintf (key, sizeof key, "journal/%s/", s->domain);
+      op->after = s->load_after ? strdup (s->load_after) : NULL;
+      break;
+    default:
+      op = store_op_new (s, STORE_LIST, &s->load_token);
+      snprintf (key, sizeof key, "grant/");
+      op->after = s->load_after ? strdup (s->load_after) : NULL;
+      break;
+    }
+  op->key = strdup (key);
+  s->load_retry_ms = 0;
+}
+
+static void
+replay_accept (struct sched *s, const struct rec *r)
+{
+  struct task *t = sched_task (s, r->id);
+
+  if (t)
+    return;
+  t = task_new (s, r->id, r->team);
+  t->spec = r->spec;
+  t->class = r->class;
+  t->lane = r->lane;
+  t->idempotent = r->idempotent;
+  t->recorded = true;
+  t->durable = true;
+  t->reason = WHY_ACCEPTED;
+  RB_INSERT (request_tree, &s->requests, t);
+  if (t->lane == LANE_SERVICE)
+    t->until_ms = s->now_ms + t->spec.duration_ms + SERVICE_GRACE_MS;
+  else if (t->spec.deadline_ms > 0)
+    t->until_ms = s->now_ms + t->spec.deadline_ms;
+  task_enqueue (s, t);
+}
+
+static struct worker *
+replay_worker (struct sched *s, const struct place *p, int lane)
+{
+  struct worker *w = pl_worker (&s->pl, p->worker);
+  struct inst in
+      = { .kind = lane == LANE_SERVICE ? INST_EXECUTOR : INST_WORKER };
+
+  if (w)
+    return w;
+  clb_copy (in.id, p->worker, sizeof in.id);
+  clb_copy (in.domain, s->domain, sizeof in.domain);
+  w = pl_add (&s->pl, &in);
+  w->heard_ms = s->now_ms;
+  return w;
+}
+
+static void
+replay_intent (struct sched *s, struct task *t, const struct rec *r)
+{
+  struct worker **picked;
+
+  if (r->n_places != (size_t)t->spec.members)
+    return;
+  task_dequeue (t);
+  task_unplace (s, t);
+  picked = calloc (r->n_places, sizeof *picked);
+  if (!picked)
+    abort ();
+  for (size_t i = 0; i < r->n_places; i++)
+    {
+      picked[i] = replay_worker (s, &r->places[i], t->lane);
+      clb_res_add (&picked[i]->used, &t->spec.need, 1);
+    }
+  task_place (s, t, picked);
+  t->intent_durable = true;
+  t->attempt = r->attempt;
+  for (size_t i = 0; i < r->n_places; i++)
+    {
+      t->members[i].boot = r->places[i].boot;
+      t->members[i].state = MEMBER_SENT;
+    }
+  free (picked);
+}
+
+static void
+replay_end (struct sched *s, struct task *t, const struct rec *r)
+{
+  task_dequeue (t);
+  task_unplace (s, t);
+  t->state = r->state;
+  t->reason = r->reason;
+  t->settled = true;
+  t->end_durable = true;
+  t->until_ms = 0;
+  if (t->in_ended)
+    return;
+  TAILQ_INSERT_TAIL (&s->ended, t, ended);
+  t->in_ended = true;
+}
+
+void
+journal_replay (struct sched *s, const struct rec *r)
+{
+  struct task *t = sched_task (s, r->id);
+
+  if (r->kind == REC_ACCEPT)
+    {
+      replay_accept (s, r);
+      return;
+    }
+  if (!t)
+    return;
+  switch (r->kind)
+    {
+    case REC_INTENT:
+      replay_intent (s, t, r);
+      break;
+    case REC_RETRY:
+      task_unplace (s, t);
+      t->attempt = r->attempt;
+      t->failures = r->failures;
+      if (!t->in_queue)
+        task_enqueue (s, t);
+      break;
+    case REC_CANCEL:
+      t->cancelled = true;
+      t->state = TASK_STOPPING;
+      task_stop_members (s, t);
+      break;
+    case REC_END:
+      replay_end (s, t, r);
+      break;
+    case REC_FORGET:
+      task_free (s, t);
+      break;
+    }
+}
+
+/* 0, or %CLB_EPARSE when the text is not a journal row. */
+static int
+replay_text (struct sched *s, const char *text)
+{
+  struct journal_row row;
+  struct codec_err ce;
+  int err;
+
+  err = codec_parse (&journal_row_desc, text, strlen (text), CODEC_LENIENT,
+                     &row, &ce);
+  if (err)
+    return err;
+  for (size_t i = 0; i < row.n_recs; i++)
+    journal_replay (s, &row.recs[i]);
+  codec_free (&journal_row_desc, &row);
+  return 0;
+}
+
+static void
+load_snap_row (struct sched *s, const struct store_rep *rep)
+{
+  struct snap_row snap;
+  struct codec_err ce;
+  const char *text = rep->n_rows ? rep->rows[0].value : NULL;
+
+  s->load_step = LOAD_ROWS;
+  s->journal.first_seq = 1;
+  if (!text
+      || codec_parse (&snap_desc, text, strlen (text), CODEC_LENIENT, &snap,
+                      &ce))
+    return;
+  s->load_step = LOAD_SNAP_OBJ;
+  s->load_after = strdup (snap.object);
+  s->journal.snap_seq = snap.seq;
+  s->journal.seq = snap.seq + 1;
+  s->journal.first_seq = snap.seq + 1;
+}
+
+static void
+load_snap_obj (struct sched *s, const struct store_rep *rep)
+{
+  char key[KEY_SIZE];
+
+  if (rep->n_rows == 0 || !rep->rows[0].value
+      || replay_text (s, rep->rows[0].value))
+    s->stats.damaged_rows++;
+  row_key (s, s->journal.snap_seq, key);
+  free (s->load_after);
+  s->load_after = strdup (key);
+  s->load_step = LOAD_ROWS;
+}
+
+/* Remembers where a list goes on; true while there is more. */
+static bool
+load_more (struct sched *s, const struct store_rep *rep)
+{
+  free (s->load_after);
+  s->load_after = NULL;
+  if (!rep->more || rep->n_rows == 0)
+    return false;
+  s->load_after = strdup (rep->rows[rep->n_rows - 1].key);
+  return true;
+}
+
+static void
+load_rows (struct sched *s, const struct store_rep *rep)
+{
+  for (size_t i = 0; i < rep->n_rows; i++)
+    {
+      const struct row *row = &rep->rows[i];
+      const char *num = strrchr (row->key, '/');
+      if (!row->value || !num)
+        continue;
+      if (replay_text (s, row->value))
+        s->stats.damaged_rows++;
+      s->journal.seq = strtoll (num + 1, NULL, 10) + 1;
+    }
+  if (!load_more (s, rep))
+    s->load_step = LOAD_GRANTS;
+}
+
+static void
+load_grants (struct sched *s, const struct store_rep *rep)
+{
+  for (size_t i = 0; i < rep->n_rows; i++)
+    escrow_row (s, &rep->rows[i]);
+  if (load_more (s, rep))
+    return;
+  s->load_step = LOAD_DONE;
+  s->phase = SCHED_READY;
+  escrow_conf (s);
+  sched_event (s, WHY_TOOK_OVER, "", "", s->me, 0);
+}
+
+static void
+load_answer (struct sched *s, const struct store_rep *rep)
+{
+  s->load_token = 0;
+  if (rep->err && rep->err != CLB_ENOTFOUND)
+    {
+      s->load_retry_ms = s->now_ms + RETRY_MS;
+      return;
+    }
+  switch (s->load_step)
+    {
+    case LOAD_SNAP_ROW:
+      load_snap_row (s, rep);
+      break;
+    case LOAD_SNAP_OBJ:
+      load_snap_obj (s, rep);
+      break;
+    case LOAD_ROWS:
+      load_rows (s, rep);
+      break;
+    default:
+      load_grants (s, rep);
+      break;
+    }
+}
+
+bool
+journal_store (struct sched *s, uint64_t token, const struct store_rep *rep)
+{
+  struct journal *j = &s->journal;
+
+  if (token == s->load_token)
+    load_answer (s, rep);
+  else if (token == j->token)
+    flight_answer (s, rep);
+  else if (token == j->snap_token)
+    snap_answer (s, rep);
+  else
+    return false;
+  return true;
+}
+
+static bool
+group_due (const struct sched *s)
+{
+  const struct journal *j = &s->journal;
+
+  return j->open.row.n_recs == 0 || j->open.row.n_recs >= GROUP_RECORDS
+         || s->now_ms - j->opened_ms >= GROUP_WAIT_MS;
+}
+
+void
+journal_tick (struct sched *s)
+{
+  struct journal *j = &s->journal;
+
+  if (s->phase == SCHED_LOADING && !s->load_token
+      && s->now_ms >= s->load_retry_ms)
+    load_ask (s);
+  if (s->phase != SCHED_READY)
+    return;
+  if (j->in_flight && j->retry_ms && s->now_ms >= j->retry_ms)
+    flight_send (s);
+  if (!j->in_flight && group_due (s))
+    flight_begin (s);
+  if (j->snap_step == SNAP_HELD)
+    snap_put_object (s);
+}
--- /dev/null
+++ b/core/msg.c
@@ -0,0 +1,397 @@
+#include "msg.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BIG = INT32_MAX,            /* counts that only memory bounds */
+  MEMBERS_MAX = 1024,         /* of one gang */
+  DURATION_MS_MAX = 20 * 86400 * 1000, /* 20 days */
+  ROW_TEXT_MAX = 16 << 20,    /* bytes of one row or object */
+  WHY_TEXT_MAX = 1 << 20,
+};
+
+static const char *const rec_names[]
+    = { "accept", "intent", "retry", "cancel", "end", "forget", NULL };
+static const char *const run_names[]
+    = { "running", "ok", "failed", "stopped", "never", "refused", NULL };
+static const char *const inst_names[]
+    = { "entry", "worker", "executor", NULL };
+static const char *const lane_names[] = { "task", "service", NULL };
+static const char *const verb_names[]
+    = { "submit", "status", "cancel", "why", "acquire", "release", NULL };
+static const char *const store_names[]
+    = { "txn", "get", "list", "obj-put", "obj-get", "instances", NULL };
+static const char *const pmsg_names[]
+    = { "hello",    "call",     "reply", "handover", "promise-ask",
+        "promise",  "held-ask", "held",  NULL };
+
+static const struct fld spec_fields[] = {
+  FLD_CHARS (struct spec, request_id, true),
+  FLD_CHARS (struct spec, queue, true),
+  FLD_CHARS (struct spec, name, false),
+  FLD_STRUCT (struct spec, need, &res_desc),
+  FLD_INT (struct spec, members, 1, MEMBERS_MAX),
+  FLD_FLAG (struct spec, same_rack),
+  FLD_FLAG (struct spec, spread),
+  FLD_INT (struct spec, duration_ms, 0, DURATION_MS_MAX),
+  FLD_INT (struct spec, deadline_ms, 0, DURATION_MS_MAX),
+};
+DESC (spec_desc, struct spec, spec_fields);
+
+static const struct fld place_fields[] = {
+  FLD_CHARS (struct place, worker, true),
+  FLD_INT (struct place, boot, 0, INT64_MAX),
+};
+static DESC (place_desc, struct place, place_fields);
+
+static const struct fld rec_fields[] = {
+  FLD_NAMED (struct rec, kind, rec_names),
+  FLD_CHARS (struct rec, id, true),
+  FLD_CHARS (struct rec, team, false),
+  FLD_STRUCT (struct rec, spec, &spec_desc),
+  FLD_NAMED (struct rec, class, task_class_names),
+  FLD_NAMED (struct rec, lane, lane_names),
+  FLD_FLAG (struct rec, idempotent),
+  FLD_ARRAY (struct rec, places, n_places, &place_desc, MEMBERS_MAX),
+  FLD_INT (struct rec, attempt, 0, BIG),
+  FLD_INT (struct rec, failures, 0, BIG),
+  FLD_NAMED (struct rec, state, task_state_names),
+  FLD_INT (struct rec, reason, 0, WHY_N - 1),
+};
+DESC (rec_desc, struct rec, rec_fields);
+
+static const struct fld journal_row_fields[] = {
+  FLD_CHARS (struct journal_row, nonce, false),
+  FLD_ARRAY (struct journal_row, recs, n_recs, &rec_desc, BIG),
+};
+DESC (journal_row_desc, struct journal_row, journal_row_fields);
+
+static const struct fld lease_row_fields[] = {
+  FLD_CHARS (struct lease_row, holder, false),
+  FLD_INT (struct lease_row, boot, 0, INT64_MAX),
+  FLD_INT (struct lease_row, epoch, 0, INT64_MAX),
+  FLD_INT (struct lease_row, beat, 0, INT64_MAX),
+};
+DESC (lease_row_desc, struct lease_row, lease_row_fields);
+
+static const struct fld head_row_fields[] = {
+  FLD_INT (struct head_row, version, 1, INT64_MAX),
+  FLD_CHARS (struct head_row, hash, true),
+  FLD_CHARS (struct head_row, change_id, true),
+};
+DESC (head_row_desc, struct head_row, head_row_fields);
+
+static const struct fld grant_fields[] = {
+  FLD_CHARS (struct grant, domain, true),
+  FLD_STRUCT (struct grant, amount, &res_desc),
+  FLD_FLAG (struct grant, want),
+};
+static DESC (grant_desc, struct grant, grant_fields);
+static const struct fld grant_row_fields[] = {
+  FLD_INT (struct grant_row, conf_version, 0, INT64_MAX),
+  FLD_ARRAY (struct grant_row, grants, n_grants, &grant_desc, 64),
+};
+DESC (grant_row_desc, struct grant_row, grant_row_fields);
+
+static const struct fld start_fields[] = {
+  FLD_CHARS (struct start_cmd, id, true),
+  FLD_CHARS (struct start_cmd, name, false),
+  FLD_STRUCT (struct start_cmd, need, &res_desc),
+  FLD_INT (struct start_cmd, duration_ms, 0, DURATION_MS_MAX),
+};
+static DESC (start_desc, struct start_cmd, start_fields);
+static const struct fld run_id_fields[] = {
+  FLD_CHARS (struct run_id, id, true),
+};
+static DESC (run_id_desc, struct run_id, run_id_fields);
+
+static const struct fld sync_req_fields[] = {
+  FLD_CHARS (struct sync_req, holder, true),
+  FLD_INT (struct sync_req, epoch, 0, INT64_MAX),
+  FLD_INT (struct sync_req, seq, 0, INT64_MAX),
+  FLD_INT (struct sync_req, lease_ms, 0, BIG),
+  FLD_ARRAY (struct sync_req, starts, n_starts, &start_desc, BIG),
+  FLD_ARRAY (struct sync_req, stops, n_stops, &run_id_desc, BIG),
+  FLD_ARRAY (struct sync_req, acks, n_acks, &run_id_desc, BIG),
+};
+DESC (sync_req_desc, struct sync_req, sync_req_fields);
+
+static const struct fld run_fields[] = {
+  FLD_CHARS (struct run, id, true),
+  FLD_NAMED (struct run, state, run_names),
+  FLD_STRUCT (struct run, used, &res_desc),
+};
+static DESC (run_desc, struct run, run_fields);
+static const struct fld sync_rep_fields[] = {
+  FLD_INT (struct sync_rep, boot, 0, INT64_MAX),
+  FLD_FLAG (struct sync_rep, leaving),
+  FLD_INT (struct sync_rep, busy, 0, BIG),
+  FLD_ARRAY (struct sync_rep, runs, n_runs, &run_desc, BIG),
+};
+DESC (sync_rep_desc, struct sync_rep, sync_rep_fields);
+
+static const struct fld inst_fields[] = {
+  FLD_CHARS (struct inst, id, true),
+  FLD_NAMED (struct inst, kind, inst_names),
+  FLD_CHARS (struct inst, domain, true),
+  FLD_CHARS (struct inst, rack, false),
+  FLD_CHARS (struct inst, addr, true),
+  FLD_STRUCT (struct inst, room, &res_desc),
+  FLD_FLAG (struct inst, leaving),
+};
+static DESC (inst_desc, struct inst, inst_fields);
+static const struct fld inst_list_fields[] = {
+  FLD_ARRAY (struct inst_list, items, n_items, &inst_desc, BIG),
+};
+DESC (inst_list_desc, struct inst_list, inst_list_fields);
+
+static const struct fld cond_fields[] = {
+  FLD_STRING (struct cond, key, 512),
+  FLD_INT (struct cond, ver, 0, INT64_MAX),
+};
+static DESC (cond_desc, struct cond, cond_fields);
+static const struct fld put_fields[] = {
+  FLD_STRING (struct put, key, 512),
+  FLD_STRING (struct put, value, ROW_TEXT_MAX),
+};
+static DESC (put_desc, struct put, put_fields);
+static const struct fld store_op_fields[] = {
+  FLD_NAMED (struct store_op, kind, store_names),
+  FLD_STRING (struct store_op, key, 512),
+  FLD_STRING (struct store_op, after, 512),
+  FLD_STRING (struct store_op, value, ROW_TEXT_MAX),
+  FLD_ARRAY (struct store_op, conds, n_conds, &cond_desc, BIG),
+  FLD_ARRAY (struct store_op, puts, n_puts, &put_desc, BIG),
+};
+DESC (store_op_desc, struct store_op, store_op_fields);
+
+static const struct fld row_fields[] = {
+  FLD_STRING (struct row, key, 512),
+  FLD_INT (struct row, ver, 0, INT64_MAX),
+  FLD_STRING (struct row, value, ROW_TEXT_MAX),
+};
+static DESC (row_desc, struct row, row_fields);
+static const struct fld store_rep_fields[] = {
+  FLD_INT (struct store_rep, err, CLB_ERR_LAST, 0),
+  FLD_ARRAY (struct store_rep, rows, n_rows, &row_desc, BIG),
+  FLD_FLAG (struct store_rep, more),
+};
+DESC (store_rep_desc, struct store_rep, store_rep_fields);
+
+static const struct fld call_fields[] = {
+  FLD_INT (struct call, no, 0, INT64_MAX),
+  FLD_NAMED (struct call, verb, verb_names),
+  FLD_CHARS (struct call, team, false),
+  FLD_CHARS (struct call, id, false),
+  FLD_STRUCT (struct call, spec, &spec_desc),
+  FLD_NAMED (struct call, class, task_class_names),
+  FLD_NAMED (struct call, lane, lane_names),
+  FLD_FLAG (struct call, idempotent),
+  FLD_FLAG (struct call, open_only),
+  FLD_INT (struct call, max_waiting, 0, BIG),
+  FLD_INT (struct call, wait_ms, 0, BIG),
+  FLD_INT (struct call, stamp, 0, INT64_MAX),
+  FLD_FLAG (struct call, bad_server),
+  FLD_NAMED (struct call, state, task_state_names),
+};
+static DESC (call_desc, struct call, call_fields);
+
+static const struct fld reply_fields[] = {
+  FLD_INT (struct reply, no, 0, INT64_MAX),
+  FLD_INT (struct reply, err, CLB_ERR_LAST, 0),
+  FLD_CHARS (struct reply, id, false),
+  FLD_NAMED (struct reply, state, task_state_names),
+  FLD_INT (struct reply, reason, 0, WHY_N - 1),
+  FLD_INT (struct reply, retry_ms, 0, BIG),
+  FLD_INT (struct reply, stamp, 0, INT64_MAX),
+  FLD_CHARS (struct reply, executor, false),
+  FLD_CHARS (struct reply, addr, false),
+  FLD_STRING (struct reply, text, WHY_TEXT_MAX),
+};
+static DESC (reply_desc, struct reply, reply_fields);
+
+static const struct fld hello_fields[] = {
+  FLD_CHARS (struct hello, domain, true),
+  FLD_CHARS (struct hello, addr, false),
+  FLD_INT (struct hello, conf_version, 0, INT64_MAX),
+  FLD_INT (struct hello, conf_age_ms, 0, INT64_MAX),
+  FLD_FLAG (struct hello, holder),
+  FLD_INT (struct hello, epoch, 0, INT64_MAX),
+  FLD_FLAG (struct hello, stopping),
+  FLD_FLAG (struct hello, known),
+  FLD_INT (struct hello, stamp, 0, INT64_MAX),
+  FLD_INT (struct hello, echo, 0, INT64_MAX),
+  FLD_INT (struct hello, echo_boot, 0, INT64_MAX),
+  FLD_STRUCT (struct hello, room, &res_desc),
+};
+static DESC (hello_desc, struct hello, hello_fields);
+
+static const struct fld promise_fields[] = {
+  FLD_CHARS (struct promise, domain, true),
+  FLD_INT (struct promise, epoch, 0, INT64_MAX),
+  FLD_INT (struct promise, no, 0, INT64_MAX),
+  FLD_INT (struct promise, for_ms, 0, BIG),
+  FLD_FLAG (struct promise, given),
+};
+static DESC (promise_desc, struct promise, promise_fields);
+
+static const struct fld held_fields[] = {
+  FLD_CHARS (struct held, id, true),
+  FLD_CHARS (struct held, executor, true),
+  FLD_CHARS (struct held, team, true),
+  FLD_INT (struct held, run_ms, 0, BIG),
+};
+static DESC (held_desc, struct held, held_fields);
+static const struct fld held_list_fields[] = {
+  FLD_ARRAY (struct held_list, items, n_items, &held_desc, BIG),
+};
+static DESC (held_list_desc, struct held_list, held_list_fields);
+
+static const struct fld event_fields[] = {
+  FLD_INT (struct event, no, 0, INT64_MAX),
+  FLD_INT (struct event, ms, 0, INT64_MAX),
+  FLD_CHARS (struct event, id, false),
+  FLD_CHARS (struct event, team, false),
+  FLD_CHARS (struct event, where, false),
+  FLD_INT (struct event, reason, 0, WHY_N - 1),
+  FLD_INT (struct event, looked_at, 0, INT64_MAX),
+};
+DESC (event_desc, struct event, event_fields);
+
+/* Which description the union of a peer message has. */
+static const struct desc *
+pmsg_body (int kind)
+{
+  switch (kind)
+    {
+    case PM_HELLO:
+      return &hello_desc;
+    case PM_CALL:
+      return &call_desc;
+    case PM_REPLY:
+      return &reply_desc;
+    case PM_HELD_ASK:
+    case PM_HELD:
+      return &held_list_desc;
+    default:
+      return &promise_desc;
+    }
+}
+
+/* On the wire a peer message is its head with the packed body inside. */
+#define PMSG_FIELDS(body_desc)                                                \
+  {                                                                           \
+    FLD_NAMED (struct pmsg, kind, pmsg_names),                                \
+        FLD_CHARS (struct pmsg, from, true),                                  \
+        FLD_INT (struct pmsg, boot, 0, INT64_MAX),                            \
+    {                                                                         \
+      .name = "u", .kind = FLD_OBJ, .off = offsetof (struct pmsg, u),         \
+      .sub = (body_desc), .required = (body_desc) != NULL                     \
+    }                                                                         \
+  }
+
+enum
+{
+  PMSG_HEAD_FIELDS = 3,
+};
+
+int
+pmsg_pack (const struct pmsg *m, char **buf, size_t *len)
+{
+  const struct fld fields[] = PMSG_FIELDS (pmsg_body (m->kind));
+  const struct desc d = { "pmsg", sizeof *m, fields, CLB_COUNT (fields) };
+
+  return codec_pack (&d, m, buf, len);
+}
+
+int
+pmsg_unpack (const char *buf, size_t len, struct pmsg *m,
+             struct codec_err *ce)
+{
+  const struct fld head[] = PMSG_FIELDS (NULL);
+  const struct desc head_desc
+      = { "pmsg", sizeof *m, head, PMSG_HEAD_FIELDS };
+  int err = codec_unpack (&head_desc, buf, len, m, ce);
+
+  if (err)
+    return err;
+  const struct fld fields[] = PMSG_FIELDS (pmsg_body (m->kind));
+  const struct desc d = { "pmsg", sizeof *m, fields, CLB_COUNT (fields) };
+  return codec_unpack (&d, buf, len, m, ce);
+}
+
+void
+pmsg_free (struct pmsg *m)
+{
+  codec_free (pmsg_body (m->kind), &m->u);
+}
+
+struct out *
+out_new (struct outq *q, int kind)
+{
+  struct out *o = calloc (1, sizeof *o);
+
+  if (!o)
+    abort ();
+  o->kind = kind;
+  TAILQ_INSERT_TAIL (q, o, link);
+  return o;
+}
+
+struct out *
+out_take (struct outq *q)
+{
+  struct out *o = TAILQ_FIRST (q);
+
+  if (o)
+    TAILQ_REMOVE (q, o, link);
+  return o;
+}
+
+void
+out_free (struct out *o)
+{
+  switch (o->kind)
+    {
+    case OUT_ANSWER:
+      free (o->u.answer.body);
+      break;
+    case OUT_PEER:
+      pmsg_free (&o->u.peer.msg);
+      break;
+    case OUT_STORE:
+      codec_free (&store_op_desc, &o->u.store.op);
+      break;
+    case OUT_SYNC:
+      codec_free (&sync_req_desc, &o->u.sync.req);
+      break;
+    default:
+      break;
+    }
+  free (o);
+}
+
+void
+store_cond (struct store_op *op, const char *key, int64_t ver)
+{
+  op->conds = realloc (op->conds, (op->n_conds + 1) * sizeof *op->conds);
+  if (!op->conds)
+    abort ();
+  op->conds[op->n_conds++]
+      = (struct cond){ .key = strdup (key), .ver = ver };
+}
+
+void
+store_put (struct store_op *op, const char *key, const char *value)
+{
+  op->puts = realloc (op->puts, (op->n_puts + 1) * sizeof *op->puts);
+  if (!op->puts)
+    abort ();
+  op->puts[op->n_puts++] = (struct put){
+    .key = strdup (key),
+    .value = value ? strdup (value) : NULL,
+  };
+}
--- /dev/null
+++ b/core/node.c
@@ -0,0 +1,612 @@
+#include "node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HEAD_POLL_MS = 1000,
+  LIST_POLL_MS = 1000,
+  STORE_TIMEOUT_MS = 2500,
+  HELD_ASK_MS = 500,
+  HELD_WAIT_MS = 3000, /* slots given out before this epoch are used by then */
+};
+
+void
+node_init (struct node *n, const struct settings *set, int64_t now_ms)
+{
+  memset (n, 0, sizeof *n);
+  n->set = *set;
+  n->now_ms = now_ms;
+  TAILQ_INIT (&n->out);
+  RB_INIT (&n->pending);
+  RB_INIT (&n->callers);
+  n->conf = calloc (1, sizeof *n->conf);
+  if (!n->conf)
+    abort ();
+  n->fresh_ms = now_ms - 2 * FRESH_MS;
+  role_init (&n->role, set->domain, set->id, set->boot, now_ms, &n->out,
+             &n->tokens);
+}
+
+void
+node_fini (struct node *n)
+{
+  struct out *o;
+
+  entry_fini (n);
+  sched_free (n->sched);
+  while ((o = out_take (&n->out)))
+    out_free (o);
+  codec_free (&inst_list_desc, &n->list);
+  conf_free (n->conf);
+  free (n->conf);
+}
+
+/* Peers. */
+
+const struct peer *
+node_find_peer (const struct node *n, const char *id)
+{
+  for (int i = 0; i < n->n_peers; i++)
+    if (strcmp (n->peers[i].id, id) == 0)
+      return &n->peers[i];
+  return NULL;
+}
+
+struct peer *
+node_peer_of (struct node *n, const char *id)
+{
+  struct peer *p = (struct peer *)node_find_peer (n, id);
+
+  if (p || n->n_peers == PEERS_MAX || strcmp (id, n->set.id) == 0)
+    return p;
+  p = &n->peers[n->n_peers++];
+  memset (p, 0, sizeof *p);
+  clb_copy (p->id, id, sizeof p->id);
+  return p;
+}
+
+void
+node_send (struct node *n, const char *to, struct pmsg *m)
+{
+  struct out *o = out_new (&n->out, OUT_PEER);
+
+  clb_copy (o->u.peer.to, to, sizeof o->u.peer.to);
+  clb_copy (m->from, n->set.id, sizeof m->from);
+  m->boot = n->set.boot;
+  o->u.peer.msg = *m;
+}
+
+static bool
+peer_alive (const struct node *n, const struct peer *p)
+{
+  return p->heard_ms && n->now_ms - p->heard_ms < PEER_SILENT_MS;
+}
+
+const char *
+node_holder (struct node *n, const char *domain)
+{
+  const struct peer *best = NULL;
+
+  if (strcmp (domain, n->set.domain) == 0 && n->sched
+      && n->sched->phase == SCHED_READY)
+    return n->set.id;
+  for (int i = 0; i < n->n_peers; i++)
+    {
+      const struct peer *p = &n->peers[i];
+      if (!peer_alive (n, p) || !p->hello.holder
+          || strcmp (p->domain, domain) != 0)
+        continue;
+      if (!best || p->hello.epoch > best->hello.epoch)
+        best = p;
+    }
+  return best ? best->id : NULL;
+}
+
+static void
+send_hello (struct node *n, struct peer *p)
+{
+  struct pmsg m = { .kind = PM_HELLO };
+  struct hello *h = &m.u.hello;
+
+  clb_copy (h->domain, n->set.domain, sizeof h->domain);
+  clb_copy (h->addr, n->set.peer_addr, sizeof h->addr);
+  h->conf_version = n->head.version;
+  h->conf_age_ms = n->now_ms - n->fresh_ms;
+  h->holder = n->sched && n->sched->phase == SCHED_READY;
+  h->epoch = n->sched ? n->sched->epoch : 0;
+  h->stopping = n->stopping;
+  h->known = role_member (&n->role, p->id, p->boot);
+  h->stamp = n->now_ms;
+  h->echo = p->their_stamp;
+  h->echo_boot = p->boot;
+  h->room = n->room;
+  node_send (n, p->id, &m);
+  n->stats.hellos++;
+}
+
+static void
+send_hellos (struct node *n)
+{
+  if (n->now_ms < n->next_hello_ms)
+    return;
+  n->next_hello_ms = n->now_ms + HELLO_MS;
+  memset (&n->room, 0, sizeof n->room);
+  if (n->sched && n->sched->phase == SCHED_READY)
+    n->room = pl_room (&n->sched->pl, n->now_ms);
+  for (int i = 0; i < n->n_peers; i++)
+    send_hello (n, &n->peers[i]);
+}
+
+static void
+head_read (struct node *n)
+{
+  struct out *o = out_new (&n->out, OUT_STORE);
+
+  o->u.store.token = n->head_token = ++n->tokens;
+  o->u.store.op.kind = STORE_GET;
+  o->u.store.op.key = strdup ("head");
+  n->head_sent_ms = n->now_ms;
+  n->next_head_ms = n->now_ms + HEAD_POLL_MS;
+}
+
+/* A peer's proof counts from the stamp of ours that it had seen by then. */
+static void
+hello_freshness (struct node *n, const struct hello *h)
+{
+  if (h->conf_version > n->head.version)
+    {
+      n->next_head_ms = n->now_ms;
+      return;
+    }
+  if (h->conf_version < n->head.version || h->echo_boot != n->set.boot
+      || h->echo == 0 || n->head.version == 0)
+    return;
+  int64_t proved = h->echo - h->conf_age_ms;
+  if (proved > n->fresh_ms)
+    n->fresh_ms = proved;
+}
+
+static void
+got_hello (struct node *n, const struct pmsg *m)
+{
+  struct peer *p = node_peer_of (n, m->from);
+
+  if (!p)
+    return;
+  if (p->boot != m->boot)
+    p->held_told = false;
+  p->boot = m->boot;
+  p->heard_ms = n->now_ms;
+  p->their_stamp = m->u.hello.stamp;
+  p->hello = m->u.hello;
+  clb_copy (p->domain, m->u.hello.domain, sizeof p->domain);
+  if (*m->u.hello.addr)
+    clb_copy (p->addr, m->u.hello.addr, sizeof p->addr);
+  if (strcmp (p->domain, n->set.domain) == 0)
+    role_heard (&n->role, m->from, m->boot, &m->u.hello);
+  hello_freshness (n, &m->u.hello);
+}
+
+bool
+node_fresh (const struct node *n)
+{
+  return n->head.version > 0 && n->now_ms - n->fresh_ms < FRESH_MS;
+}
+
+/* Slots in use, told to a new holder. */
+
+static void
+held_tick (struct node *n)
+{
+  struct sched *s = n->sched;
+  bool all = true;
+
+  if (!s || s->slots_known || s->phase != SCHED_READY)
+    return;
+  for (int i = 0; i < n->n_peers; i++)
+    {
+      struct peer *p = &n->peers[i];
+      if (p->held_told || !peer_alive (n, p))
+        continue;
+      all = false;
+      if (n->now_ms - p->held_asked_ms < HELD_ASK_MS)
+        continue;
+      struct pmsg m = { .kind = PM_HELD_ASK };
+      p->held_asked_ms = n->now_ms;
+      node_send (n, p->id, &m);
+    }
+  /* One that is frozen finds its slot too old to use when it wakes. */
+  if (!all || n->now_ms - s->began_ms < HELD_WAIT_MS)
+    return;
+  struct held_list mine = { .n_items = 0 };
+  entry_held (n, &mine);
+  sched_held (s, &mine);
+  free (mine.items);
+  s->slots_known = true;
+  s->dirty = true;
+}
+
+static void
+answer_held (struct node *n, const char *to)
+{
+  struct pmsg m = { .kind = PM_HELD };
+
+  entry_held (n, &m.u.held);
+  node_send (n, to, &m);
+}
+
+static void
+got_held (struct node *n, const struct pmsg *m)
+{
+  struct peer *p = node_peer_of (n, m->from);
+
+  if (!p || !n->sched)
+    return;
+  sched_held (n->sched, &m->u.held);
+  p->held_told = true;
+}
+
+static void
+got_peer (struct node *n, const struct pmsg *m)
+{
+  switch (m->kind)
+    {
+    case PM_HELLO:
+      got_hello (n, m);
+      break;
+    case PM_CALL:
+      if (n->sched)
+        sched_call (n->sched, m->from, &m->u.call);
+      break;
+    case PM_REPLY:
+      entry_reply (n, &m->u.reply);
+      break;
+    case PM_HANDOVER:
+      role_handover (&n->role);
+      break;
+    case PM_PROMISE_ASK:
+      if (strcmp (m->u.promise.domain, n->set.domain) == 0)
+        role_promise_ask (&n->role, m->from, m->boot, &m->u.promise);
+      break;
+    case PM_PROMISE:
+      role_promise (&n->role, m->from, m->boot, &m->u.promise);
+      break;
+    case PM_HELD_ASK:
+      answer_held (n, m->from);
+      break;
+    case PM_HELD:
+      got_held (n, m);
+      break;
+    }
+}
+
+/* Configuration. */
+
+void
+node_take_conf (struct node *n, const struct head_row *head, int64_t ver,
+                const char *text)
+{
+  struct conf *c = calloc (1, sizeof *c);
+  struct codec_err ce;
+
+  if (!c)
+    abort ();
+  /* It was checked before it was written: damage keeps the old one. */
+  if (head->version <= n->head.version
+      || conf_parse (text, strlen (text), c, &ce))
+    {
+      free (c);
+      return;
+    }
+  c->version = head->version;
+  n->head = *head;
+  n->head_ver = ver;
+  if (n->sched)
+    sched_conf (n->sched, c);
+  conf_free (n->conf);
+  free (n->conf);
+  n->conf = c;
+  struct out *o = out_new (&n->out, OUT_EVENT);
+  o->u.event.ms = n->now_ms;
+  o->u.event.reason = WHY_CONFIG;
+  o->u.event.looked_at = c->version;
+  clb_copy (o->u.event.where, n->set.id, sizeof o->u.event.where);
+  /* Tell the peers at once, so that none waits for its own poll. */
+  n->next_hello_ms = n->now_ms;
+}
+
+static void
+object_read (struct node *n, const struct head_row *head, int64_t ver)
+{
+  struct out *o = out_new (&n->out, OUT_STORE);
+  char name[CLB_ID_MAX] = "manifest-";
+
+  strcat (name, head->hash);
+  n->object_head = *head;
+  n->object_ver = ver;
+  n->object_sent_ms = n->head_sent_ms;
+  o->u.store.token = n->object_token = ++n->tokens;
+  o->u.store.op.kind = STORE_OBJ_GET;
+  o->u.store.op.key = strdup (name);
+}
+
+static void
+head_answer (struct node *n, const struct store_rep *rep)
+{
+  struct head_row head;
+  struct codec_err ce;
+
+  n->head_token = 0;
+  if (rep->err || rep->n_rows == 0 || !rep->rows[0].value)
+    return;
+  const char *text = rep->rows[0].value;
+  if (codec_parse (&head_row_desc, text, strlen (text), CODEC_LENIENT, &head,
+                   &ce))
+    return;
+  if (head.version == n->head.version)
+    {
+      n->head_ver = rep->rows[0].ver;
+      if (n->head_sent_ms > n->fresh_ms)
+        n->fresh_ms = n->head_sent_ms;
+    }
+  else if (head.version > n->head.version && !n->object_token)
+    object_read (n, &head, rep->rows[0].ver);
+}
+
+static void
+object_answer (struct node *n, const struct store_rep *rep)
+{
+  n->object_token = 0;
+  if (rep->err || rep->n_rows == 0 || !rep->rows[0].value)
+    return;
+  node_take_conf (n, &n->object_head, n->object_ver, rep->rows[0].value);
+  if (n->head.version == n->object_head.version
+      && n->object_sent_ms > n->fresh_ms)
+    n->fresh_ms = n->object_sent_ms;
+}
+
+/* The platform's list. */
+
+static void
+list_read (struct node *n)
+{
+  struct out *o = out_new (&n->out, OUT_STORE);
+
+  o->u.store.token = n->list_token = ++n->tokens;
+  o->u.store.op.kind = STORE_INSTANCES;
+  n->list_sent_ms = n->now_ms;
+  n->next_list_ms = n->now_ms + LIST_POLL_MS;
+}
+
+static void
+list_peers (struct node *n)
+{
+  for (int i = 0; i < n->n_peers; i++)
+    n->peers[i].listed = false;
+  for (size_t i = 0; i < n->list.n_items; i++)
+    {
+      const struct inst *in = &n->list.items[i];
+      struct peer *p
+          = in->kind == INST_ENTRY ? node_peer_of (n, in->id) : NULL;
+      if (!p)
+        continue;
+      p->listed = true;
+      clb_copy (p->domain, in->domain, sizeof p->domain);
+      clb_copy (p->addr, in->addr, sizeof p->addr);
+    }
+  for (int i = 0; i < n->n_peers; i++)
+    if (!n->peers[i].listed
+        && n->now_ms - n->peers[i].heard_ms > 10 * PEER_SILENT_MS)
+      n->peers[i--] = n->peers[--n->n_peers];
+}
+
+static void
+list_answer (struct node *n, const struct store_rep *rep)
+{
+  struct inst_list list;
+  struct codec_err ce;
+
+  n->list_token = 0;
+  if (rep->err || rep->n_rows == 0 || !rep->rows[0].value)
+    return;
+  const char *text = rep->rows[0].value;
+  if (codec_parse (&inst_list_desc, text, strlen (text), CODEC_LENIENT, &list,
+                   &ce))
+    return;
+  codec_free (&inst_list_desc, &n->list);
+  n->list = list;
+  n->list_known = true;
+  list_peers (n);
+  role_listed (&n->role, &n->list);
+  if (n->sched)
+    sched_instances (n->sched, &n->list);
+}
+
+static void
+platform_tick (struct node *n)
+{
+  if (n->head_token && n->now_ms - n->head_sent_ms > STORE_TIMEOUT_MS)
+    n->head_token = 0;
+  if (n->list_token && n->now_ms - n->list_sent_ms > STORE_TIMEOUT_MS)
+    n->list_token = 0;
+  if (n->object_token && n->now_ms - n->object_sent_ms > 4 * STORE_TIMEOUT_MS)
+    n->object_token = 0;
+  if (!n->head_token && n->now_ms >= n->next_head_ms)
+    head_read (n);
+  if (!n->list_token && n->now_ms >= n->next_list_ms)
+    list_read (n);
+}
+
+/* The role and its scheduler. */
+
+static void
+sched_begin (struct node *n)
+{
+  n->sched = sched_new (n->set.domain, n->set.id, n->set.boot, n->role.epoch,
+                        n->role.epoch_ver, n->now_ms, n->conf, &n->out,
+                        &n->tokens);
+  if (n->list_known)
+    sched_instances (n->sched, &n->list);
+  for (int i = 0; i < n->n_peers; i++)
+    n->peers[i].held_told = false;
+  n->next_hello_ms = n->now_ms;
+}
+
+static void
+sched_end (struct node *n)
+{
+  sched_free (n->sched);
+  n->sched = NULL;
+  n->next_hello_ms = n->now_ms;
+}
+
+static void
+role_step (struct node *n)
+{
+  struct sched *s;
+
+  n->role.now_ms = n->now_ms;
+  role_tick (&n->role);
+  if (n->sched && n->sched->phase == SCHED_LOST)
+    role_lost (&n->role);
+  if (n->sched
+      && (n->role.state != ROLE_HOLD || n->role.epoch != n->sched->epoch))
+    sched_end (n);
+  if (!n->sched && n->role.state == ROLE_HOLD && !n->stopping)
+    sched_begin (n);
+  s = n->sched;
+  if (!s)
+    return;
+  int64_t until = role_until (&n->role);
+  s->now_ms = n->now_ms;
+  s->may_start = n->now_ms < until;
+  s->lapsed_ms = s->may_start ? 0 : until;
+}
+
+/* Hands the domain over once nothing is on the way to the table. */
+static void
+stop_tick (struct node *n)
+{
+  if (!n->stopping || n->handed_over)
+    return;
+  if (n->sched)
+    {
+      n->sched->stopping = true;
+      if (n->sched->phase == SCHED_READY && !sched_idle (n->sched))
+        return;
+    }
+  if (!role_give_up (&n->role))
+    return;
+  n->handed_over = true;
+  for (int i = 0; i < n->n_peers; i++)
+    if (strcmp (n->peers[i].domain, n->set.domain) == 0)
+      {
+        struct pmsg m = { .kind = PM_HANDOVER };
+        clb_copy (m.u.promise.domain, n->set.domain,
+                  sizeof m.u.promise.domain);
+        node_send (n, n->peers[i].id, &m);
+      }
+}
+
+static void
+node_step (struct node *n)
+{
+  role_step (n);
+  platform_tick (n);
+  held_tick (n);
+  if (n->sched)
+    sched_tick (n->sched);
+  entry_tick (n);
+  stop_tick (n);
+  send_hellos (n);
+}
+
+/* Inputs. */
+
+static void
+node_at (struct node *n, int64_t now_ms)
+{
+  n->now_ms = now_ms;
+  n->role.now_ms = now_ms;
+  if (n->sched)
+    n->sched->now_ms = now_ms;
+}
+
+void
+node_tick (struct node *n, int64_t now_ms)
+{
+  node_at (n, now_ms);
+  node_step (n);
+}
+
+void
+node_peer (struct node *n, int64_t now_ms, const struct pmsg *m)
+{
+  node_at (n, now_ms);
+  got_peer (n, m);
+  node_step (n);
+}
+
+void
+node_store (struct node *n, int64_t now_ms, uint64_t token,
+            const struct store_rep *rep)
+{
+  node_at (n, now_ms);
+  if (rep->err == CLB_EUNAVAIL || rep->err == CLB_EUNKNOWN)
+    n->stats.store_errors++;
+  if (token == n->head_token)
+    head_answer (n, rep);
+  else if (token == n->object_token)
+    object_answer (n, rep);
+  else if (token == n->list_token)
+    list_answer (n, rep);
+  else if (!entry_store (n, token, rep)
+           && !role_store (&n->role, token, rep) && n->sched)
+    sched_store (n->sched, token, rep);
+  node_step (n);
+}
+
+void
+node_sync (struct node *n, int64_t now_ms, const char *worker, int64_t seq,
+           const struct sync_rep *rep)
+{
+  node_at (n, now_ms);
+  if (n->sched)
+    sched_sync (n->sched, worker, seq, rep);
+  node_step (n);
+}
+
+void
+node_stop (struct node *n, int64_t now_ms)
+{
+  node_at (n, now_ms);
+  n->stopping = true;
+  n->next_hello_ms = now_ms;
+  node_step (n);
+}
+
+bool
+node_stopped (const struct node *n)
+{
+  return n->handed_over && n->n_pending == 0;
+}
+
+struct out *
+node_next_out (struct node *n)
+{
+  struct out *o;
+
+  while ((o = out_take (&n->out)))
+    {
+      if (o->kind != OUT_PEER || strcmp (o->u.peer.to, n->set.id) != 0)
+        return o;
+      /* Calls to the scheduler of this very instance. */
+      got_peer (n, &o->u.peer.msg);
+      out_free (o);
+      if (n->sched)
+        sched_tick (n->sched);
+    }
+  return NULL;
+}
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,256 @@
+#include "place.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SCORE_ONE = 1024,           /* a whole worker left over */
+  SCORE_ACCEL_WASTE = 8192,   /* accelerators that the task cannot use */
+  SCORE_SAME_RACK = 16384,    /* another member's rack, unwished */
+};
+
+int
+pl_worker_cmp (const struct worker *a, const struct worker *b)
+{
+  return strcmp (a->inst.id, b->inst.id);
+}
+
+RB_GENERATE (worker_tree, worker, by_id, pl_worker_cmp)
+
+void
+pl_init (struct pl *pl)
+{
+  RB_INIT (&pl->workers);
+  pl->n_workers = 0;
+}
+
+void
+pl_remove (struct pl *pl, struct worker *w)
+{
+  RB_REMOVE (worker_tree, &pl->workers, w);
+  pl->n_workers--;
+  free (w->acks);
+  free (w->strays);
+  free (w);
+}
+
+void
+pl_clear (struct pl *pl)
+{
+  struct worker *w;
+
+  while ((w = RB_MIN (worker_tree, &pl->workers)))
+    pl_remove (pl, w);
+}
+
+struct worker *
+pl_worker (struct pl *pl, const char *id)
+{
+  struct worker key;
+
+  clb_copy (key.inst.id, id, sizeof key.inst.id);
+  return RB_FIND (worker_tree, &pl->workers, &key);
+}
+
+struct worker *
+pl_add (struct pl *pl, const struct inst *inst)
+{
+  struct worker *w = pl_worker (pl, inst->id);
+
+  if (!w)
+    {
+      w = calloc (1, sizeof *w);
+      if (!w)
+        abort ();
+      clb_copy (w->inst.id, inst->id, sizeof w->inst.id);
+      TAILQ_INIT (&w->members);
+      RB_INSERT (worker_tree, &pl->workers, w);
+      pl->n_workers++;
+    }
+  w->inst = *inst;
+  return w;
+}
+
+bool
+pl_usable (const struct worker *w, int64_t now_ms)
+{
+  return w->state == WORKER_LIVE && w->listed && !w->leaving
+         && now_ms >= w->quarantine_until_ms;
+}
+
+static struct clb_res
+free_room (const struct worker *w)
+{
+  struct clb_res room = w->inst.room;
+
+  clb_res_add (&room, &w->used, -1);
+  return room;
+}
+
+/* What would be left over, summed over the dimensions: less is tighter. */
+static int64_t
+leftover (const struct worker *w, const struct clb_res *room,
+          const struct clb_res *need)
+{
+  int64_t score = 0;
+
+  for (int k = 0; k < RES_N; k++)
+    {
+      int64_t size = clb_res_get (&w->inst.room, k);
+      if (size > 0)
+        score += (clb_res_get (room, k) - clb_res_get (need, k)) * SCORE_ONE
+                 / size;
+    }
+  if (room->accels > 0 && need->accels == 0)
+    score += SCORE_ACCEL_WASTE;
+  return score;
+}
+
+static int
+members_on_rack (const char *rack, struct worker *const *picked, int64_t n)
+{
+  int found = 0;
+
+  for (int64_t i = 0; i < n; i++)
+    found += strcmp (picked[i]->inst.rack, rack) == 0;
+  return found;
+}
+
+/* Services go where most room is left, so that one loss takes few of them. */
+static bool
+wants_level (const struct spec *spec)
+{
+  return spec->need.slots > 0 || spec->spread;
+}
+
+static struct worker *
+pick_one (struct pl *pl, const struct spec *spec, int64_t now_ms,
+          const char *rack, struct worker **picked, int64_t n,
+          int64_t *looked_at)
+{
+  struct worker *w;
+  struct worker *best = NULL;
+  int64_t best_score = 0;
+
+  RB_FOREACH (w, worker_tree, &pl->workers)
+    {
+      if (!pl_usable (w, now_ms)
+          || (w->inst.kind == INST_EXECUTOR) != (spec->need.slots > 0))
+        continue;
+      if (rack && strcmp (rack, w->inst.rack) != 0)
+        continue;
+      (*looked_at)++;
+      struct clb_res room = free_room (w);
+      if (!clb_res_fits (&spec->need, &room))
+        continue;
+      int64_t score = leftover (w, &room, &spec->need);
+      if (wants_level (spec))
+        score = -score;
+      if (spec->spread)
+        score += SCORE_SAME_RACK
+                 * members_on_rack (w->inst.rack, picked, n);
+      if (!best || score < best_score)
+        {
+          best = w;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static void
+unreserve (const struct spec *spec, struct worker **picked, int64_t n)
+{
+  for (int64_t i = 0; i < n; i++)
+    clb_res_add (&picked[i]->used, &spec->need, -1);
+}
+
+static bool
+pick_all (struct pl *pl, const struct spec *spec, int64_t now_ms,
+          const char *rack, struct worker **picked, int64_t *looked_at)
+{
+  for (int64_t i = 0; i < spec->members; i++)
+    {
+      picked[i] = pick_one (pl, spec, now_ms, rack, picked, i, looked_at);
+      if (!picked[i])
+        {
+          unreserve (spec, picked, i);
+          return false;
+        }
+      clb_res_add (&picked[i]->used, &spec->need, 1);
+    }
+  return true;
+}
+
+static bool
+pick_same_rack (struct pl *pl, const struct spec *spec, int64_t now_ms,
+                struct worker **picked, int64_t *looked_at)
+{
+  struct worker *w;
+  const char *last = NULL;
+
+  RB_FOREACH (w, worker_tree, &pl->workers)
+    {
+      /* Workers of a rack mostly follow each other by name. */
+      if (last && strcmp (last, w->inst.rack) == 0)
+        continue;
+      last = w->inst.rack;
+      if (pick_all (pl, spec, now_ms, last, picked, looked_at))
+        return true;
+    }
+  return false;
+}
+
+/* Whether the workers could hold all members if nothing else ran. */
+static bool
+could_ever_fit (struct pl *pl, const struct spec *spec)
+{
+  struct worker *w;
+  int64_t held = 0;
+
+  RB_FOREACH (w, worker_tree, &pl->workers)
+    {
+      struct clb_res room = w->inst.room;
+      if (!w->listed
+          || (w->inst.kind == INST_EXECUTOR) != (spec->need.slots > 0))
+        continue;
+      for (; held < spec->members && clb_res_fits (&spec->need, &room);
+           held++)
+        clb_res_add (&room, &spec->need, -1);
+      if (held >= spec->members)
+        return true;
+    }
+  return false;
+}
+
+int
+pl_pick (struct pl *pl, const struct spec *spec, int64_t now_ms,
+         struct worker **picked, int64_t *looked_at)
+{
+  *looked_at = 0;
+  if (spec->same_rack && spec->members > 1
+      && pick_same_rack (pl, spec, now_ms, picked, looked_at))
+    return WHY_BEST_FIT;
+  if (pick_all (pl, spec, now_ms, NULL, picked, looked_at))
+    return spec->spread ? WHY_SPREAD : WHY_BEST_FIT;
+  return could_ever_fit (pl, spec) ? WHY_NO_ROOM : WHY_NO_WORKER_FITS;
+}
+
+struct clb_res
+pl_room (struct pl *pl, int64_t now_ms)
+{
+  struct worker *w;
+  struct clb_res sum = { 0 };
+
+  RB_FOREACH (w, worker_tree, &pl->workers)
+    if (pl_usable (w, now_ms))
+      {
+        struct clb_res room = free_room (w);
+        for (int k = 0; k < RES_N; k++)
+          if (clb_res_get (&room, k) < 0)
+            clb_res_set (&room, k, 0);
+        clb_res_add (&sum, &room, 1);
+      }
+  return sum;
+}
--- /dev/null
+++ b/core/view.c
@@ -0,0 +1,222 @@
+/* What an instance shows of itself: status as JSON, counters as text. */
+#include "node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const worker_state_names[]
+    = { "unseen", "live", "silent", "condemned", "gone" };
+static const char *const end_names[]
+    = { "ok", "error", "unreached", "failed", "cut" };
+
+static void
+add_str (json_t *obj, const char *key, const char *value)
+{
+  json_object_set_new (obj, key, json_string (value));
+}
+
+static void
+add_int (json_t *obj, const char *key, int64_t value)
+{
+  json_object_set_new (obj, key, json_integer (value));
+}
+
+static void
+add_bool (json_t *obj, const char *key, bool value)
+{
+  json_object_set_new (obj, key, json_boolean (value));
+}
+
+static json_t *
+view_peers (struct node *n)
+{
+  json_t *list = json_array ();
+
+  for (int i = 0; i < n->n_peers; i++)
+    {
+      const struct peer *p = &n->peers[i];
+      json_t *item = json_object ();
+      add_str (item, "id", p->id);
+      add_str (item, "domain", p->domain);
+      add_bool (item, "alive",
+                p->heard_ms && n->now_ms - p->heard_ms < PEER_SILENT_MS);
+      add_bool (item, "holder", p->hello.holder);
+      add_int (item, "epoch", p->hello.epoch);
+      add_int (item, "config_version", p->hello.conf_version);
+      json_array_append_new (list, item);
+    }
+  return list;
+}
+
+static json_t *
+view_workers (struct node *n)
+{
+  json_t *list = json_array ();
+  struct worker *w;
+
+  RB_FOREACH (w, worker_tree, &n->sched->pl.workers)
+    {
+      json_t *item = json_object ();
+      add_str (item, "id", w->inst.id);
+      add_str (item, "rack", w->inst.rack);
+      add_str (item, "kind",
+               w->inst.kind == INST_EXECUTOR ? "executor" : "worker");
+      add_str (item, "state", worker_state_names[w->state]);
+      add_bool (item, "listed", w->listed);
+      add_bool (item, "leaving", w->leaving);
+      add_bool (item, "quarantined", n->now_ms < w->quarantine_until_ms);
+      json_object_set_new (item, "room",
+                           codec_write (&res_desc, &w->inst.room));
+      json_object_set_new (item, "used", codec_write (&res_desc, &w->used));
+      json_array_append_new (list, item);
+    }
+  return list;
+}
+
+static json_t *
+view_teams (struct node *n)
+{
+  json_t *list = json_array ();
+  struct team *t;
+
+  RB_FOREACH (t, team_tree, &n->sched->teams)
+    {
+      json_t *item = json_object ();
+      add_str (item, "name", t->name);
+      add_int (item, "weight", t->weight);
+      add_int (item, "waiting", t->waiting);
+      add_bool (item, "frozen", t->frozen);
+      json_object_set_new (item, "limit", codec_write (&res_desc, &t->limit));
+      json_object_set_new (item, "granted",
+                           codec_write (&res_desc, &t->granted));
+      json_object_set_new (item, "used", codec_write (&res_desc, &t->used));
+      json_array_append_new (list, item);
+    }
+  return list;
+}
+
+static void
+count_states (const struct node *n, int64_t counts[TASK_STATE_N])
+{
+  struct task *t;
+
+  memset (counts, 0, TASK_STATE_N * sizeof *counts);
+  RB_FOREACH (t, task_tree, &n->sched->tasks)
+    counts[t->state]++;
+}
+
+static json_t *
+view_sched (struct node *n)
+{
+  json_t *obj = json_object ();
+  json_t *tasks = json_object ();
+  int64_t counts[TASK_STATE_N];
+
+  count_states (n, counts);
+  for (int i = 0; i < TASK_STATE_N; i++)
+    add_int (tasks, task_state_names[i], counts[i]);
+  add_int (obj, "epoch", n->sched->epoch);
+  add_bool (obj, "ready", n->sched->phase == SCHED_READY);
+  add_bool (obj, "may_start", n->sched->may_start);
+  add_int (obj, "journal_row", n->sched->journal.seq);
+  json_object_set_new (obj, "tasks", tasks);
+  json_object_set_new (obj, "teams", view_teams (n));
+  json_object_set_new (obj, "workers", view_workers (n));
+  return obj;
+}
+
+char *
+view_status (struct node *n)
+{
+  json_t *obj = json_object ();
+  char *text;
+
+  add_str (obj, "id", n->set.id);
+  add_str (obj, "domain", n->set.domain);
+  add_int (obj, "config_version", n->head.version);
+  add_int (obj, "config_age_ms", n->now_ms - n->fresh_ms);
+  add_bool (obj, "stopping", n->stopping);
+  add_int (obj, "requests_in_hand", n->n_pending);
+  const char *holder = node_holder (n, n->set.domain);
+  add_str (obj, "holder", holder ? holder : "");
+  json_object_set_new (obj, "peers", view_peers (n));
+  if (n->sched)
+    json_object_set_new (obj, "scheduler", view_sched (n));
+  text = json_dumps (obj, JSON_COMPACT);
+  json_decref (obj);
+  return text;
+}
+
+static void
+metric (FILE *f, const char *name, const char *label, const char *value,
+        uint64_t count)
+{
+  if (label)
+    fprintf (f, "citronlb_%s{%s=\"%s\"} %llu\n", name, label, value,
+             (unsigned long long)count);
+  else
+    fprintf (f, "citronlb_%s %llu\n", name, (unsigned long long)count);
+}
+
+static void
+metrics_entry (FILE *f, const struct node *n)
+{
+  const struct node_stats *st = &n->stats;
+
+  metric (f, "requests_total", NULL, NULL, st->requests);
+  metric (f, "service_requests_total", NULL, NULL, st->service_requests);
+  for (int i = 0; i < -CLB_ERR_LAST; i++)
+    metric (f, "answers_total", "error", clb_err_name (-i), st->errors[i]);
+  for (int i = 0; i <= FORWARD_CUT; i++)
+    metric (f, "forward_ends_total", "end", end_names[i],
+            st->forward_ends[i]);
+  metric (f, "call_retries_total", NULL, NULL, st->retries);
+  metric (f, "late_replies_total", NULL, NULL, st->late_replies);
+  metric (f, "stale_slots_total", NULL, NULL, st->stale_slots);
+  metric (f, "store_errors_total", NULL, NULL, st->store_errors);
+  metric (f, "hellos_total", NULL, NULL, st->hellos);
+  metric (f, "requests_in_hand", NULL, NULL, (uint64_t)n->n_pending);
+  metric (f, "config_version", NULL, NULL, (uint64_t)n->head.version);
+  metric (f, "config_age_ms", NULL, NULL,
+          (uint64_t)(n->now_ms - n->fresh_ms));
+}
+
+static void
+metrics_sched (FILE *f, const struct node *n)
+{
+  const struct sched_stats *st = &n->sched->stats;
+  int64_t counts[TASK_STATE_N];
+
+  for (int i = 0; i < WHY_N; i++)
+    metric (f, "decisions_total", "reason", clb_reason_name (i),
+            st->reasons[i]);
+  count_states (n, counts);
+  for (int i = 0; i < TASK_STATE_N; i++)
+    metric (f, "tasks", "state", task_state_names[i], (uint64_t)counts[i]);
+  metric (f, "journal_groups_total", NULL, NULL, st->groups);
+  metric (f, "journal_records_total", NULL, NULL, st->records);
+  metric (f, "journal_retries_total", NULL, NULL, st->group_retries);
+  metric (f, "journal_damaged_rows_total", NULL, NULL, st->damaged_rows);
+  metric (f, "worker_syncs_total", NULL, NULL, st->syncs);
+  metric (f, "worker_sync_failures_total", NULL, NULL, st->sync_failures);
+  metric (f, "placed_total", NULL, NULL, st->placed);
+  metric (f, "lease_epoch", NULL, NULL, (uint64_t)n->sched->epoch);
+}
+
+char *
+view_metrics (struct node *n)
+{
+  char *text = NULL;
+  size_t len = 0;
+  FILE *f = open_memstream (&text, &len);
+
+  if (!f)
+    return NULL;
+  metrics_entry (f, n);
+  metric (f, "holder", NULL, NULL, n->sched != NULL);
+  if (n->sched)
+    metrics_sched (f, n);
+  fclose (f);
+  return text;
+}
--- /dev/null
+++ b/net/httpc.c
@@ -0,0 +1,335 @@
+#include "httpc.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <bsd/sys/tree.h>
+
+enum
+{
+  CONNECTIONS_KEPT = 256, /* idle ones, for all servers together */
+  ANSWER_MAX = 64 << 20,  /* bytes of an answer that is kept whole */
+};
+
+struct xfer
+{
+  RB_ENTRY (xfer) by_no;
+  struct httpc *c;
+  CURL *easy;
+  struct curl_slist *headers;
+  struct httpc_req rq;
+  uint64_t no;
+  char *buf;
+  size_t len;
+  bool head_told;
+  bool paused;
+};
+RB_HEAD (xfer_tree, xfer);
+
+struct httpc
+{
+  uv_loop_t *loop;
+  uv_timer_t timer;
+  CURLM *multi;
+  struct xfer_tree xfers;
+  uint64_t next_no;
+};
+
+/* struct watch - libuv's side of one of curl's sockets */
+struct watch
+{
+  uv_poll_t poll;
+  struct httpc *c;
+  curl_socket_t fd;
+};
+
+static int
+xfer_cmp (const struct xfer *a, const struct xfer *b)
+{
+  return a->no < b->no ? -1 : a->no > b->no;
+}
+
+RB_PROTOTYPE (xfer_tree, xfer, by_no, xfer_cmp)
+RB_GENERATE (xfer_tree, xfer, by_no, xfer_cmp)
+
+static struct xfer *
+xfer_find (struct httpc *c, uint64_t no)
+{
+  struct xfer key = { .no = no };
+
+  return RB_FIND (xfer_tree, &c->xfers, &key);
+}
+
+static void
+tell_head (struct xfer *x)
+{
+  long status = 0;
+  char *type = NULL;
+
+  if (x->head_told || !x->rq.on_head)
+    return;
+  x->head_told = true;
+  curl_easy_getinfo (x->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (x->easy, CURLINFO_CONTENT_TYPE, &type);
+  x->rq.on_head (x->rq.arg, (int)status, type);
+}
+
+static void
+xfer_finish (struct xfer *x, CURLcode code)
+{
+  struct httpc *c = x->c;
+  long status = 0;
+  long sent = 0;
+  int end = HTTPC_OK;
+
+  curl_easy_getinfo (x->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (x->easy, CURLINFO_REQUEST_SIZE, &sent);
+  if (code != CURLE_OK)
+    end = sent == 0 ? HTTPC_UNREACHED : HTTPC_FAILED;
+  else
+    tell_head (x);
+  RB_REMOVE (xfer_tree, &c->xfers, x);
+  curl_multi_remove_handle (c->multi, x->easy);
+  curl_easy_cleanup (x->easy);
+  curl_slist_free_all (x->headers);
+  x->rq.on_end (x->rq.arg, end, (int)status, x->rq.on_data ? NULL : x->buf,
+                x->len);
+  free (x->buf);
+  free (x);
+}
+
+static void
+reap (struct httpc *c)
+{
+  CURLMsg *msg;
+  int left;
+
+  while ((msg = curl_multi_info_read (c->multi, &left)))
+    if (msg->msg == CURLMSG_DONE)
+      {
+        struct xfer *x;
+        CURLcode code = msg->data.result;
+        curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **)&x);
+        xfer_finish (x, code);
+      }
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct httpc *c = t->data;
+  int running;
+
+  curl_multi_socket_action (c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (c);
+}
+
+static int
+set_timer (CURLM *multi, long ms, void *arg)
+{
+  struct httpc *c = arg;
+
+  (void)multi;
+  if (ms < 0)
+    uv_timer_stop (&c->timer);
+  else
+    uv_timer_start (&c->timer, on_timer, ms ? (uint64_t)ms : 1, 0);
+  return 0;
+}
+
+static void
+on_poll (uv_poll_t *poll, int status, int events)
+{
+  struct watch *w = poll->data;
+  struct httpc *c = w->c;
+  int flags = 0;
+  int running;
+
+  if (status < 0)
+    flags |= CURL_CSELECT_ERR;
+  if (events & UV_READABLE)
+    flags |= CURL_CSELECT_IN;
+  if (events & UV_WRITABLE)
+    flags |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (c->multi, w->fd, flags, &running);
+  reap (c);
+}
+
+static void
+free_watch (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+static int
+set_socket (CURL *easy, curl_socket_t fd, int what, void *arg, void *sockp)
+{
+  struct httpc *c = arg;
+  struct watch *w = sockp;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (w)
+        {
+          uv_poll_stop (&w->poll);
+          uv_close ((uv_handle_t *)&w->poll, free_watch);
+          curl_multi_assign (c->multi, fd, NULL);
+        }
+      return 0;
+    }
+  if (!w)
+    {
+      w = calloc (1, sizeof *w);
+      if (!w)
+        abort ();
+      w->c = c;
+      w->fd = fd;
+      uv_poll_init_socket (c->loop, &w->poll, fd);
+      w->poll.data = w;
+      curl_multi_assign (c->multi, fd, w);
+    }
+  if (what & CURL_POLL_IN)
+    events |= UV_READABLE;
+  if (what & CURL_POLL_OUT)
+    events |= UV_WRITABLE;
+  uv_poll_start (&w->poll, events, on_poll);
+  return 0;
+}
+
+struct httpc *
+httpc_new (uv_loop_t *loop)
+{
+  struct httpc *c = calloc (1, sizeof *c);
+
+  if (!c)
+    abort ();
+  c->loop = loop;
+  RB_INIT (&c->xfers);
+  uv_timer_init (loop, &c->timer);
+  c->timer.data = c;
+  c->multi = curl_multi_init ();
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_KEPT);
+  return c;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *arg)
+{
+  struct xfer *x = arg;
+  size_t len = size * n;
+  char *grown;
+
+  if (x->rq.on_data)
+    {
+      tell_head (x);
+      if (x->paused)
+        return CURL_WRITEFUNC_PAUSE;
+      x->paused = !x->rq.on_data (x->rq.arg, data, len);
+      return len;
+    }
+  if (x->len + len > ANSWER_MAX)
+    return 0;
+  grown = realloc (x->buf, x->len + len + 1);
+  if (!grown)
+    return 0;
+  x->buf = grown;
+  memcpy (x->buf + x->len, data, len);
+  x->len += len;
+  x->buf[x->len] = '\0';
+  return len;
+}
+
+/* A connection that is given up must not deliver what it still holds. */
+static int
+on_socket (void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+  struct linger off = { .l_onoff = 1, .l_linger = 0 };
+
+  (void)arg;
+  (void)purpose;
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &off, sizeof off);
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+add_header (struct xfer *x, const char *name, const char *value)
+{
+  char line[512];
+
+  if (!value || strlen (name) + strlen (value) + 3 > sizeof line)
+    return;
+  strcpy (line, name);
+  strcat (line, ": ");
+  strcat (line, value);
+  x->headers = curl_slist_append (x->headers, line);
+}
+
+uint64_t
+httpc_send (struct httpc *c, const struct httpc_req *rq)
+{
+  struct xfer *x = calloc (1, sizeof *x);
+  CURL *e = curl_easy_init ();
+
+  if (!x || !e)
+    abort ();
+  x->c = c;
+  x->easy = e;
+  x->rq = *rq;
+  x->no = ++c->next_no;
+  RB_INSERT (xfer_tree, &c->xfers, x);
+  add_header (x, "Content-Type", rq->type);
+  add_header (x, "X-Request-Id", rq->request_id);
+  x->headers = curl_slist_append (x->headers, "Expect:");
+  curl_easy_setopt (e, CURLOPT_PRIVATE, x);
+  curl_easy_setopt (e, CURLOPT_URL, rq->url);
+  curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, rq->method);
+  curl_easy_setopt (e, CURLOPT_HTTPHEADER, x->headers);
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, x);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_PROXY, "");
+  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)rq->timeout_ms);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)rq->connect_ms);
+  if (rq->fresh)
+    {
+      curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (rq->body)
+    {
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)rq->body_len);
+      curl_easy_setopt (e, CURLOPT_COPYPOSTFIELDS, rq->body);
+    }
+  curl_multi_add_handle (c->multi, e);
+  return x->no;
+}
+
+void
+httpc_resume (struct httpc *c, uint64_t no)
+{
+  struct xfer *x = xfer_find (c, no);
+
+  if (!x || !x->paused)
+    return;
+  x->paused = false;
+  curl_easy_pause (x->easy, CURLPAUSE_CONT);
+}
+
+void
+httpc_abort (struct httpc *c, uint64_t no)
+{
+  struct xfer *x = xfer_find (c, no);
+
+  if (x)
+    xfer_finish (x, CURLE_ABORTED_BY_CALLBACK);
+}
--- /dev/null
+++ b/net/httpd.h
@@ -0,0 +1,71 @@
+/**
+ * DOC: HTTP server of the daemon and the stand-ins, a thin face on libh2o.
+ */
+#ifndef HTTPD_H
+#define HTTPD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+struct httpd;
+
+/** struct hreq - a request; valid until its answer is done or on_gone */
+struct hreq
+{
+  uint64_t no; /* never reused by this server */
+  const char *method;
+  const char *path;       /* with the query, terminated */
+  const char *bearer;     /* of the Authorization header, or NULL */
+  const char *request_id; /* X-Request-Id, or NULL */
+  const char *type;       /* Content-Type, or NULL */
+  const char *body;       /* not terminated */
+  size_t body_len;
+};
+
+struct httpd_conf
+{
+  const char *addr; /* "ip:port"; port 0 takes a free one */
+  size_t body_max;  /* bytes; larger bodies are refused with 413 */
+  const char *cert; /* files of a PEM chain and key, or NULL for clear text */
+  const char *key;
+  void *arg;
+  void (*on_request) (void *arg, const struct hreq *rq);
+  /** on_gone - the connection went away before the answer was whole */
+  void (*on_gone) (void *arg, uint64_t no);
+  /** on_drained - a streamed answer may be sent more; may be NULL */
+  void (*on_drained) (void *arg, uint64_t no);
+};
+
+/** httpd_new() - Listens at once; NULL and a negated errno in @err if not. */
+struct httpd *httpd_new (uv_loop_t *loop, const struct httpd_conf *conf,
+                         int *err);
+/** httpd_addr() - "ip:port" that it listens on, owned by @d. */
+const char *httpd_addr (const struct httpd *d);
+/** httpd_reload() - Read certificate and key again.  0 or -1, old kept. */
+int httpd_reload (struct httpd *d);
+/** httpd_stop() - Take no more connections; requests in hand go on. */
+void httpd_stop (struct httpd *d);
+
+/** httpd_in_hand() - Requests whose answer is not done. */
+size_t httpd_in_hand (const struct httpd *d);
+
+/** httpd_answer() - The whole answer; unknown numbers are passed over. */
+void httpd_answer (struct httpd *d, uint64_t no, int status,
+                   const char *type, const char *body, size_t len,
+                   int64_t retry_ms);
+/** httpd_begin() - The head of a streamed answer. */
+void httpd_begin (struct httpd *d, uint64_t no, int status,
+                  const char *type);
+/**
+ * httpd_chunk() - More of a streamed answer; copied.
+ *
+ * Return: bytes not yet sent, for back-pressure; 0 when the caller is gone.
+ */
+size_t httpd_chunk (struct httpd *d, uint64_t no, const char *data,
+                    size_t len);
+/** httpd_end() - End of a streamed answer; not @whole breaks it off. */
+void httpd_end (struct httpd *d, uint64_t no, bool whole);
+
+#endif
