--- a/core/entry.c
+++ b/core/entry.c
@@ -427,9 +427,10 @@
 }
 
 static void
-service (struct node *n, const struct request *rq, const char *name)
+service (struct node *n, const struct request *rq, const char *rest)
 {
-  const struct conf_queue *q = conf_queue (n->conf, name);
+  char name[CLB_NAME_MAX] = "";
+  const struct conf_queue *q;
   char team[CLB_NAME_MAX];
   const char *domain;
   struct pending *p;
@@ -437,6 +438,10 @@
   int err = 0;
 
   n->stats.service_requests++;
+  size_t len = strcspn (rest, "?");
+  if (len < sizeof name)
+    memcpy (name, rest, len);
+  q = conf_queue (n->conf, name);
   if (!q || q->lane != LANE_SERVICE)
     err = n->head.version ? CLB_EREF : CLB_ESTALE;
   else
