--- a/core/msg.c
+++ b/core/msg.c
@@ -29,8 +29,8 @@
         "promise",  "held-ask", "held",  NULL };
 
 static const struct fld spec_fields[] = {
-  FLD_CHARS (struct spec, request_id, true),
-  FLD_CHARS (struct spec, queue, true),
+  FLD_CHARS (struct spec, request_id, false),
+  FLD_CHARS (struct spec, queue, false),
   FLD_CHARS (struct spec, name, false),
   FLD_STRUCT (struct spec, need, &res_desc),
   FLD_INT (struct spec, members, 1, MEMBERS_MAX),
