--- a/core/clb.c
+++ b/core/clb.c
@@ -134,7 +134,7 @@
 }
 
 const char *
-clb_reason_name (int reason)
+clb_reason_name (int64_t reason)
 {
   if (reason < 0 || reason >= WHY_N)
     reason = WHY_NONE;
@@ -142,7 +142,7 @@
 }
 
 const char *
-clb_reason_text (int reason)
+clb_reason_text (int64_t reason)
 {
   if (reason < 0 || reason >= WHY_N)
     reason = WHY_NONE;
--- a/core/clb.h
+++ b/core/clb.h
@@ -148,8 +148,8 @@
 enum clb_outcome clb_err_outcome (int err);
 const char *clb_outcome_name (enum clb_outcome outcome);
 int clb_err_http (int err);
-const char *clb_reason_name (int reason);
-const char *clb_reason_text (int reason);
+const char *clb_reason_name (int64_t reason);
+const char *clb_reason_text (int64_t reason);
 
 extern const char *const task_state_names[TASK_STATE_N + 1];
 extern const char *const task_class_names[CLASS_N + 1];
--- a/core/codec.h
+++ b/core/codec.h
@@ -46,9 +46,13 @@
   size_t n_fields;
 };
 
+/* Fails to compile unless the member is as wide as an int64_t. */
+#define FLD_OFF64(s, f)                                                       \
+  (offsetof (s, f)                                                            \
+   + 0 * sizeof (char[sizeof (((s *)0)->f) == sizeof (int64_t) ? 1 : -1]))
 #define FLD_INT(s, f, lo, hi)                                                 \
   {                                                                           \
-    .name = #f, .kind = FLD_I64, .off = offsetof (s, f), .min = (lo),         \
+    .name = #f, .kind = FLD_I64, .off = FLD_OFF64 (s, f), .min = (lo),        \
     .max = (hi)                                                               \
   }
 #define FLD_FLAG(s, f)                                                        \
--- a/core/entry.c
+++ b/core/entry.c
@@ -245,46 +245,50 @@
 
 /* Which domain. */
 
-static const struct clb_res *
-domain_room (const struct node *n, const char *domain, const char *holder)
+/* enum domain_fit - how well a domain suits some work */
+enum domain_fit
 {
-  const struct peer *p;
-
-  if (strcmp (holder, n->set.id) == 0)
-    return &n->room;
-  p = node_find_peer (n, holder);
-  return p && strcmp (p->domain, domain) == 0 ? &p->hello.room : NULL;
-}
+  FIT_NO_HOLDER,
+  FIT_NEVER,  /* larger than what it has */
+  FIT_LATER,
+  FIT_NOW,
+};
 
-static bool
-domain_fits (struct node *n, const char *domain, const struct clb_res *need)
+static int
+domain_fit (struct node *n, const char *domain, const struct spec *spec)
 {
   const char *holder = node_holder (n, domain);
-  const struct clb_res *room
-      = holder ? domain_room (n, domain, holder) : NULL;
+  const struct peer *p = holder ? node_find_peer (n, holder) : NULL;
+  struct pl_sum sum = n->sum;
+  struct clb_res need = { 0 };
 
-  return room && clb_res_fits (need, room);
+  if (!holder)
+    return FIT_NO_HOLDER;
+  if (p)
+    sum = (struct pl_sum){ p->hello.room, p->hello.size, p->hello.largest };
+  clb_res_add (&need, &spec->need, spec->members);
+  if (!clb_res_fits (&spec->need, &sum.largest)
+      || !clb_res_fits (&need, &sum.size))
+    return FIT_NEVER;
+  return clb_res_fits (&need, &sum.room) ? FIT_NOW : FIT_LATER;
 }
 
-/* This domain when it has room or nobody else has; NULL without a holder. */
+/* The domain that suits best, this one before others; NULL without any. */
 static const char *
 pick_domain (struct node *n, const struct spec *spec)
 {
-  struct clb_res need = { 0 };
-  const char *any = NULL;
+  const char *best = n->set.domain;
+  int best_fit = domain_fit (n, best, spec);
 
-  clb_res_add (&need, &spec->need, spec->members);
-  if (domain_fits (n, n->set.domain, &need))
-    return n->set.domain;
   for (int i = 0; i < n->n_peers; i++)
     {
-      const char *d = n->peers[i].domain;
-      if (domain_fits (n, d, &need))
-        return d;
-      if (!any && node_holder (n, d))
-        any = d;
+      int fit = domain_fit (n, n->peers[i].domain, spec);
+      if (fit <= best_fit)
+        continue;
+      best = n->peers[i].domain;
+      best_fit = fit;
     }
-  return node_holder (n, n->set.domain) ? n->set.domain : any;
+  return best_fit == FIT_NO_HOLDER ? NULL : best;
 }
 
 /* Tasks. */
--- a/core/msg.c
+++ b/core/msg.c
@@ -225,6 +225,8 @@
   FLD_INT (struct hello, stamp, 0, INT64_MAX),
   FLD_INT (struct hello, echo, 0, INT64_MAX),
   FLD_INT (struct hello, echo_boot, 0, INT64_MAX),
+  FLD_STRUCT (struct hello, size, &res_desc),
+  FLD_STRUCT (struct hello, largest, &res_desc),
   FLD_STRUCT (struct hello, room, &res_desc),
 };
 static DESC (hello_desc, struct hello, hello_fields);
--- a/core/msg.h
+++ b/core/msg.h
@@ -58,7 +58,7 @@
   int64_t attempt;
   int64_t failures;
   int state; /* enum task_state, of REC_END */
-  int reason;
+  int64_t reason; /* enum clb_reason */
 };
 extern const struct desc rec_desc;
 
@@ -281,7 +281,7 @@
   int64_t err;
   char id[CLB_ID_MAX];
   int state; /* enum task_state */
-  int reason;
+  int64_t reason; /* enum clb_reason */
   int64_t retry_ms; /* when to come back */
   int64_t stamp;    /* of the call that this answers */
   char executor[CLB_ID_MAX];
@@ -302,7 +302,9 @@
   int64_t stamp; /* the sender's clock */
   int64_t echo;  /* the receiver's last stamp that the sender has seen */
   int64_t echo_boot;
-  struct clb_res room; /* a holder's free capacity */
+  struct clb_res room;    /* a holder's free capacity */
+  struct clb_res size;    /* its whole capacity */
+  struct clb_res largest; /* of any one of its workers */
 };
 
 /** struct held - a slot that an entry instance still uses */
@@ -382,7 +384,7 @@
   char id[CLB_ID_MAX];
   char team[CLB_NAME_MAX];
   char where[CLB_ID_MAX]; /* worker, executor or instance */
-  int reason;             /* enum clb_reason */
+  int64_t reason;         /* enum clb_reason */
   int64_t looked_at;      /* candidates weighed */
 };
 extern const struct desc event_desc;
--- a/core/node.c
+++ b/core/node.c
@@ -121,7 +121,9 @@
   h->stamp = n->now_ms;
   h->echo = p->their_stamp;
   h->echo_boot = p->boot;
-  h->room = n->room;
+  h->room = n->sum.room;
+  h->size = n->sum.size;
+  h->largest = n->sum.largest;
   node_send (n, p->id, &m);
   n->stats.hellos++;
 }
@@ -132,9 +134,9 @@
   if (n->now_ms < n->next_hello_ms)
     return;
   n->next_hello_ms = n->now_ms + HELLO_MS;
-  memset (&n->room, 0, sizeof n->room);
+  memset (&n->sum, 0, sizeof n->sum);
   if (n->sched && n->sched->phase == SCHED_READY)
-    n->room = pl_room (&n->sched->pl, n->now_ms);
+    n->sum = pl_summary (&n->sched->pl, n->now_ms);
   for (int i = 0; i < n->n_peers; i++)
     send_hello (n, &n->peers[i]);
 }
--- a/core/node.h
+++ b/core/node.h
@@ -158,7 +158,7 @@
   struct peer peers[PEERS_MAX];
   int n_peers;
   int64_t next_hello_ms;
-  struct clb_res room; /* this domain's, while holder, as last told */
+  struct pl_sum sum; /* this domain's, while holder, as last told */
   struct pending_tree pending;
   struct caller_tree callers;
   int n_pending;
--- a/core/place.c
+++ b/core/place.c
@@ -237,20 +237,30 @@
   return could_ever_fit (pl, spec) ? WHY_NO_ROOM : WHY_NO_WORKER_FITS;
 }
 
-struct clb_res
-pl_room (struct pl *pl, int64_t now_ms)
+static void
+add_at_least_zero (struct clb_res *sum, const struct clb_res *r)
+{
+  for (int k = 0; k < RES_N; k++)
+    if (clb_res_get (r, k) > 0)
+      clb_res_set (sum, k, clb_res_get (sum, k) + clb_res_get (r, k));
+}
+
+struct pl_sum
+pl_summary (struct pl *pl, int64_t now_ms)
 {
   struct worker *w;
-  struct clb_res sum = { 0 };
+  struct pl_sum sum = { 0 };
 
   RB_FOREACH (w, worker_tree, &pl->workers)
-    if (pl_usable (w, now_ms))
-      {
-        struct clb_res room = free_room (w);
-        for (int k = 0; k < RES_N; k++)
-          if (clb_res_get (&room, k) < 0)
-            clb_res_set (&room, k, 0);
-        clb_res_add (&sum, &room, 1);
-      }
+    {
+      if (!pl_usable (w, now_ms))
+        continue;
+      struct clb_res room = free_room (w);
+      add_at_least_zero (&sum.room, &room);
+      add_at_least_zero (&sum.size, &w->inst.room);
+      for (int k = 0; k < RES_N; k++)
+        if (clb_res_get (&w->inst.room, k) > clb_res_get (&sum.largest, k))
+          clb_res_set (&sum.largest, k, clb_res_get (&w->inst.room, k));
+    }
   return sum;
 }
--- a/core/place.h
+++ b/core/place.h
@@ -82,7 +82,13 @@
 int pl_pick (struct pl *pl, const struct spec *spec, int64_t now_ms,
              struct worker **picked, int64_t *looked_at);
 
-/** pl_room() - Free capacity of the usable workers, summed. */
-struct clb_res pl_room (struct pl *pl, int64_t now_ms);
+/** struct pl_sum - what a domain's usable workers and executors offer */
+struct pl_sum
+{
+  struct clb_res room;    /* free */
+  struct clb_res size;    /* free or not */
+  struct clb_res largest; /* of any one, in each dimension */
+};
+struct pl_sum pl_summary (struct pl *pl, int64_t now_ms);
 
 #endif
--- a/core/role.c
+++ b/core/role.c
@@ -108,6 +108,7 @@
   row.beat = r->row.beat + 1;
   r->state = ROLE_CLAIMING;
   r->claim_sent_ms = r->now_ms;
+  r->next_claim_ms = r->now_ms + RENEW_MS;
   r->claim_open = true;
   write_row (r, &row, true);
 }
@@ -211,11 +212,15 @@
   char key[KEY_SIZE];
   const struct row *row;
 
+  lease_key (r, key);
   if (rep->err == CLB_ECONFLICT || rep->err == CLB_EUNAVAIL)
     {
       r->state = ROLE_FOLLOW;
       r->claim_open = false;
-      r->next_op_ms = r->now_ms;
+      r->next_op_ms = r->now_ms + RENEW_MS;
+      /* The row that this claim was made from is not the row any more. */
+      if (rep->err == CLB_ECONFLICT)
+        saw_row (r, row_named (rep, key));
       return;
     }
   if (rep->err)
@@ -224,7 +229,6 @@
       r->next_op_ms = r->now_ms + RENEW_MS;
       return;
     }
-  lease_key (r, key);
   row = row_named (rep, key);
   r->row_ver = row ? row->ver : 0;
   clb_copy (r->row.holder, r->me, sizeof r->row.holder);
@@ -503,7 +507,8 @@
     ask_promises (r);
   if (r->token)
     return;
-  if (r->state == ROLE_FOLLOW && may_claim (r))
+  if (r->state == ROLE_FOLLOW && may_claim (r)
+      && r->now_ms >= r->next_claim_ms)
     claim (r);
   else if (r->now_ms >= r->next_op_ms)
     {
--- a/core/role.h
+++ b/core/role.h
@@ -59,6 +59,7 @@
   int64_t epoch;
   int64_t epoch_ver;
   int64_t claim_sent_ms;
+  int64_t next_claim_ms;
   bool claim_open;       /* a claim may still take effect */
   bool stopping;
   bool handing_over;
--- a/core/sched.c
+++ b/core/sched.c
@@ -13,6 +13,7 @@
   BACKOFF_BASE_MS = 500,    /* before the second attempt */
   BACKOFF_MAX_MS = 60000,
   EXPIRE_PERIOD_MS = 50,    /* between looks at the deadlines */
+  NEVER_FITS_MS = 120000,   /* larger than every worker this long: ended */
   ENDED_KEPT = 6000,       /* ended tasks that can still be asked about */
   SHARE_ONE = 1 << 20,      /* a whole fleet, in share arithmetic */
 };
@@ -1015,6 +1016,18 @@
   task_event (s, t, reason, "", looked_at);
 }
 
+/* A task that no worker could hold is told so, after a while in which larger
+   ones might have come. */
+static void
+note_never_fits (struct sched *s, struct task *t)
+{
+  if (t->nofit_ms == 0)
+    t->nofit_ms = s->now_ms;
+  else if (s->now_ms - t->nofit_ms >= NEVER_FITS_MS
+           && s->now_ms - s->began_ms >= NEVER_FITS_MS)
+    task_ended (s, t, TASK_FAILED, WHY_NO_WORKER_FITS);
+}
+
 static bool
 try_place (struct sched *s, struct round *r, struct task *t)
 {
@@ -1041,6 +1054,10 @@
     {
       round_block (r, &t->spec);
       note_blocked (s, t, reason, looked_at);
+      if (reason == WHY_NO_WORKER_FITS)
+        note_never_fits (s, t);
+      else
+        t->nofit_ms = 0;
     }
   else
     task_start (s, t, picked, reason, looked_at);
--- a/core/sched.h
+++ b/core/sched.h
@@ -102,6 +102,7 @@
   int64_t failures;
   int64_t accepted_ms;
   int64_t placed_ms;
+  int64_t nofit_ms;      /* since when no worker could hold it, or 0 */
   int64_t not_before_ms; /* of the next attempt */
   int64_t until_ms;      /* pending: given up then; 0 never */
   struct member *members;
--- a/regress/scn/check.c
+++ b/regress/scn/check.c
@@ -15,7 +15,7 @@
   IN_FORCE_MS = 3500,  /* a change is in force everywhere within this */
   LEAVING_MS = 4000,   /* after the list shows it, nothing new arrives */
   MEMBERS_MAX = 32,
-  LIMITS_MAX = 256,
+  LIMITS_MAX = 1024,
   WITHDRAWN_MAX = 64,
   TEAMS_MAX = 16,
 };
@@ -175,6 +175,8 @@
         continue;
       if (now <= until && clb_res_fits (used, &l->amount))
         return true;
+      if (l->maybe)
+        continue;
       until = l->since_ms + IN_FORCE_MS;
       if (now > until)
         return false;
@@ -272,6 +274,8 @@
     return;
   k = work_of (c, call->name);
   k->idempotent = call->idempotent;
+  /* A refusal speaks of its own call: a later one may well run. */
+  k->not_run = false;
   k->calls++;
 }
 
@@ -344,7 +348,8 @@
 }
 
 void
-check_limit (struct check *c, const char *team, const struct clb_res *amount)
+check_limit (struct check *c, const char *team, const struct clb_res *amount,
+             bool maybe)
 {
   struct limit *l = &c->limits[c->n_limits++];
 
@@ -352,6 +357,7 @@
     abort ();
   clb_copy (l->team, team, sizeof l->team);
   l->amount = *amount;
+  l->maybe = maybe;
   l->since_ms = c->w->now_ms;
 }
 
--- a/regress/scn/verbs.c
+++ b/regress/scn/verbs.c
@@ -99,7 +99,10 @@
 static int
 v_kill (lua_State *L)
 {
-  world_kill (&world, arg_node (L, 1));
+  struct wnode *n = arg_node (L, 1);
+
+  n->stopping = false; /* whatever was planned */
+  world_kill (&world, n);
   return 0;
 }
 
@@ -363,7 +366,8 @@
                        field_int (L, 2, "accels", 0),
                        field_int (L, 2, "slots", 0) };
 
-  check_limit (world.check, luaL_checkstring (L, 1), &r);
+  check_limit (world.check, luaL_checkstring (L, 1), &r,
+               lua_toboolean (L, 3));
   return 0;
 }
 
@@ -426,6 +430,23 @@
   { "told", v_told },         { NULL, NULL },
 };
 
+static void
+print_nodes (void)
+{
+  for (int i = 0; i < world.n_nodes; i++)
+    {
+      const struct wnode *n = &world.nodes[i];
+      const struct role *r = &n->node.role;
+      printf ("%s up %d frozen %d: role %d row %s/%lld epoch %lld known %d "
+              "still %lld promise %lld up %d sched %d\n",
+              n->set.id, n->up, n->frozen, r->state, r->row.holder,
+              (long long)r->row.boot, (long long)r->row.epoch, r->row_known,
+              (long long)(world.now_ms - r->still_since_ms),
+              (long long)(r->promise_until_ms - world.now_ms), r->store_up,
+              n->up && n->node.sched ? n->node.sched->phase : -1);
+    }
+}
+
 static int
 run_script (const char *dir, const char *script, uint64_t seed, bool trace,
             char *why, size_t size)
@@ -445,6 +466,8 @@
   bad = luaL_dofile (L, lib) || luaL_dofile (L, script);
   if (bad)
     snprintf (why, size, "%s", lua_tostring (L, -1));
+  if (bad && trace)
+    print_nodes ();
   lua_close (L);
   world_fini (&world);
   return bad;
--- a/regress/scn/world.h
+++ b/regress/scn/world.h
@@ -79,6 +79,7 @@
   char team[CLB_NAME_MAX];
   struct clb_res amount;
   int64_t since_ms;
+  bool maybe; /* asked for; whether it was accepted is not known */
 };
 
 struct event_item;
@@ -149,7 +150,7 @@
 void check_call (struct check *c, const struct wcall *call);
 void check_answer (struct check *c, struct wcall *call);
 void check_limit (struct check *c, const char *team,
-                  const struct clb_res *amount);
+                  const struct clb_res *amount, bool maybe);
 void check_key_withdrawn (struct check *c, const char *key);
 /** check_next_accepted() - Walk the accepted tasks; NULL at the end. */
 const char *check_next_accepted (struct check *c, int *at);
