Fault attribution, doubled accepts, stop without a holder

Changes: both groups' effects are refused; a task that fails on two workers clears the first, and is placed elsewhere if it can be; a stopping instance tells of a release for ten seconds; unsent placements of a frozen team are withdrawn.

--- a/core/entry.c
+++ b/core/entry.c
@@ -11,7 +11,8 @@
   PENDING_TICK_MS = 20,    /* between looks at the deadlines */
   ABOUT_WAIT_MS = 5000,    /* for status, cancel and why */
   APPLY_WAIT_MS = 10000,
-  RELEASE_WAIT_MS = 60000, /* the holder hears of an end this long */
+  RELEASE_WAIT_MS = 60000, /* a holder is told of an end this long */
+  RELEASE_STOP_MS = 10000, /* likewise by an instance that is stopping */
   LONG_WAIT_MAX_MS = 300000,
   REPLY_SLACK_MS = 2000,   /* a reply may come this much after its wait */
   FORWARD_TRIES = 3,       /* executors tried for an idempotent request */
@@ -1012,6 +1013,9 @@
 {
   const char *holder;
 
+  if (n->stopping && p->step == STEP_RELEASING
+      && p->until_ms > n->stopping_ms + RELEASE_STOP_MS)
+    p->until_ms = n->stopping_ms + RELEASE_STOP_MS;
   if (n->now_ms >= p->until_ms)
     {
       give_up (n, p);
--- a/core/escrow.c
+++ b/core/escrow.c
@@ -300,9 +300,11 @@
 static void
 shrink (struct sched *s, struct team *team)
 {
-  struct clb_res part = lowered_part (s, team, false);
+  struct clb_res part;
 
   team->frozen = true;
+  sched_withdraw (s, team);
+  part = lowered_part (s, team, false);
   if (same_res (&part, &team->granted))
     part = lowered_part (s, team, true);
   if (same_res (&part, &team->granted))
--- a/core/journal.c
+++ b/core/journal.c
@@ -307,17 +307,14 @@
   group_clear (&done);
 }
 
-/* The request was accepted before, perhaps in another domain. */
 static void
-accept_refused (struct sched *s, const char *id, const char *first)
+refuse_effects (struct sched *s, struct effect_list *list, const char *id,
+                const char *first, int err)
 {
-  struct journal *j = &s->journal;
   struct effect *e;
   struct effect *next;
-  struct task *t = sched_task (s, id);
-  struct asker *a;
 
-  for (e = TAILQ_FIRST (&j->flight.effects); e; e = next)
+  for (e = TAILQ_FIRST (list); e; e = next)
     {
       next = TAILQ_NEXT (e, link);
       if (strcmp (e->id, id) != 0)
@@ -325,13 +322,27 @@
       if (e->kind == EFFECT_REPLY)
         {
           clb_copy (e->reply.id, first, sizeof e->reply.id);
-          e->reply.err = t && t->lane == LANE_SERVICE ? CLB_EDONE : 0;
+          e->reply.err = err;
           e->reply.reason = WHY_DUPLICATE;
           sched_reply (s, e->entry, &e->reply);
         }
-      TAILQ_REMOVE (&j->flight.effects, e, link);
+      TAILQ_REMOVE (list, e, link);
       free (e);
     }
+}
+
+/* The request was accepted before, perhaps in another domain. */
+static void
+accept_refused (struct sched *s, const char *id, const char *first)
+{
+  struct journal *j = &s->journal;
+  struct task *t = sched_task (s, id);
+  int err = t && t->lane == LANE_SERVICE ? CLB_EDONE : 0;
+  struct asker *a;
+
+  /* Doubled calls may wait for it in the next group too. */
+  refuse_effects (s, &j->flight.effects, id, first, err);
+  refuse_effects (s, &j->open.effects, id, first, err);
   if (!t)
     return;
   while ((a = TAILQ_FIRST (&t->askers)))
--- a/core/node.c
+++ b/core/node.c
@@ -585,6 +585,7 @@
 {
   node_at (n, now_ms);
   n->stopping = true;
+  n->stopping_ms = now_ms;
   n->next_hello_ms = now_ms;
   node_step (n);
 }
--- a/core/node.h
+++ b/core/node.h
@@ -165,6 +165,7 @@
   int64_t next_no;
   int64_t next_pending_ms;
   bool stopping;
+  int64_t stopping_ms; /* since when */
   bool handed_over;
   struct node_stats stats;
 };
--- a/core/place.c
+++ b/core/place.c
@@ -8,6 +8,7 @@
   SCORE_ONE = 1024,           /* a whole worker left over */
   SCORE_ACCEL_WASTE = 8192,   /* accelerators that the task cannot use */
   SCORE_SAME_RACK = 16384,    /* another member's rack, unwished */
+  SCORE_AVOID = 1 << 24,
 };
 
 int
@@ -124,32 +125,58 @@
   return spec->need.slots > 0 || spec->spread;
 }
 
+/* struct search - one choice of workers */
+struct search
+{
+  struct pl *pl;
+  const struct spec *spec;
+  const char *avoid;
+  int64_t now_ms;
+  struct worker **picked;
+  int64_t n_picked;
+  int64_t looked_at;
+};
+
+static bool
+right_kind (const struct worker *w, const struct spec *spec)
+{
+  return (w->inst.kind == INST_EXECUTOR) == (spec->need.slots > 0);
+}
+
+static int64_t
+score_of (const struct search *s, const struct worker *w,
+          const struct clb_res *room)
+{
+  int64_t score = leftover (w, room, &s->spec->need);
+
+  if (wants_level (s->spec))
+    score = -score;
+  if (s->spec->spread)
+    score += SCORE_SAME_RACK
+             * members_on_rack (w->inst.rack, s->picked, s->n_picked);
+  if (strcmp (w->inst.id, s->avoid) == 0)
+    score += SCORE_AVOID;
+  return score;
+}
+
 static struct worker *
-pick_one (struct pl *pl, const struct spec *spec, int64_t now_ms,
-          const char *rack, struct worker **picked, int64_t n,
-          int64_t *looked_at)
+pick_one (struct search *s, const char *rack)
 {
   struct worker *w;
   struct worker *best = NULL;
   int64_t best_score = 0;
 
-  RB_FOREACH (w, worker_tree, &pl->workers)
+  RB_FOREACH (w, worker_tree, &s->pl->workers)
     {
-      if (!pl_usable (w, now_ms)
-          || (w->inst.kind == INST_EXECUTOR) != (spec->need.slots > 0))
+      if (!pl_usable (w, s->now_ms) || !right_kind (w, s->spec))
         continue;
       if (rack && strcmp (rack, w->inst.rack) != 0)
         continue;
-      (*looked_at)++;
+      s->looked_at++;
       struct clb_res room = free_room (w);
-      if (!clb_res_fits (&spec->need, &room))
+      if (!clb_res_fits (&s->spec->need, &room))
         continue;
-      int64_t score = leftover (w, &room, &spec->need);
-      if (wants_level (spec))
-        score = -score;
-      if (spec->spread)
-        score += SCORE_SAME_RACK
-                 * members_on_rack (w->inst.rack, picked, n);
+      int64_t score = score_of (s, w, &room);
       if (!best || score < best_score)
         {
           best = w;
@@ -160,43 +187,43 @@
 }
 
 static void
-unreserve (const struct spec *spec, struct worker **picked, int64_t n)
+unreserve (struct search *s)
 {
-  for (int64_t i = 0; i < n; i++)
-    clb_res_add (&picked[i]->used, &spec->need, -1);
+  for (int64_t i = 0; i < s->n_picked; i++)
+    clb_res_add (&s->picked[i]->used, &s->spec->need, -1);
+  s->n_picked = 0;
 }
 
 static bool
-pick_all (struct pl *pl, const struct spec *spec, int64_t now_ms,
-          const char *rack, struct worker **picked, int64_t *looked_at)
+pick_all (struct search *s, const char *rack)
 {
-  for (int64_t i = 0; i < spec->members; i++)
+  while (s->n_picked < s->spec->members)
     {
-      picked[i] = pick_one (pl, spec, now_ms, rack, picked, i, looked_at);
-      if (!picked[i])
+      struct worker *w = pick_one (s, rack);
+      if (!w)
         {
-          unreserve (spec, picked, i);
+          unreserve (s);
           return false;
         }
-      clb_res_add (&picked[i]->used, &spec->need, 1);
+      s->picked[s->n_picked++] = w;
+      clb_res_add (&w->used, &s->spec->need, 1);
     }
   return true;
 }
 
 static bool
-pick_same_rack (struct pl *pl, const struct spec *spec, int64_t now_ms,
-                struct worker **picked, int64_t *looked_at)
+pick_same_rack (struct search *s)
 {
   struct worker *w;
   const char *last = NULL;
 
-  RB_FOREACH (w, worker_tree, &pl->workers)
+  RB_FOREACH (w, worker_tree, &s->pl->workers)
     {
       /* Workers of a rack mostly follow each other by name. */
       if (last && strcmp (last, w->inst.rack) == 0)
         continue;
       last = w->inst.rack;
-      if (pick_all (pl, spec, now_ms, last, picked, looked_at))
+      if (pick_all (s, last))
         return true;
     }
   return false;
@@ -212,8 +239,7 @@
   RB_FOREACH (w, worker_tree, &pl->workers)
     {
       struct clb_res room = w->inst.room;
-      if (!w->listed
-          || (w->inst.kind == INST_EXECUTOR) != (spec->need.slots > 0))
+      if (!w->listed || !right_kind (w, spec))
         continue;
       for (; held < spec->members && clb_res_fits (&spec->need, &room);
            held++)
@@ -225,14 +251,19 @@
 }
 
 int
-pl_pick (struct pl *pl, const struct spec *spec, int64_t now_ms,
-         struct worker **picked, int64_t *looked_at)
+pl_pick (struct pl *pl, const struct spec *spec, const char *avoid,
+         int64_t now_ms, struct worker **picked, int64_t *looked_at)
 {
-  *looked_at = 0;
-  if (spec->same_rack && spec->members > 1
-      && pick_same_rack (pl, spec, now_ms, picked, looked_at))
-    return WHY_BEST_FIT;
-  if (pick_all (pl, spec, now_ms, NULL, picked, looked_at))
+  struct search s = { .pl = pl,
+                      .spec = spec,
+                      .avoid = avoid,
+                      .now_ms = now_ms,
+                      .picked = picked };
+  bool found = spec->same_rack && spec->members > 1 && pick_same_rack (&s);
+
+  found = found || pick_all (&s, NULL);
+  *looked_at = s.looked_at;
+  if (found)
     return spec->spread ? WHY_SPREAD : WHY_BEST_FIT;
   return could_ever_fit (pl, spec) ? WHY_NO_ROOM : WHY_NO_WORKER_FITS;
 }
--- a/core/place.h
+++ b/core/place.h
@@ -70,6 +70,7 @@
 
 /**
  * pl_pick() - Choose a worker for each of @spec's members, and reserve.
+ * @avoid: worker taken only when no other will do, or empty
  * @picked: room for spec->members pointers
  * @looked_at: candidates weighed
  *
@@ -79,8 +80,8 @@
  * Return: %WHY_BEST_FIT or %WHY_SPREAD with reservations made;
  * %WHY_NO_ROOM; %WHY_NO_WORKER_FITS when no listed worker is large enough.
  */
-int pl_pick (struct pl *pl, const struct spec *spec, int64_t now_ms,
-             struct worker **picked, int64_t *looked_at);
+int pl_pick (struct pl *pl, const struct spec *spec, const char *avoid,
+             int64_t now_ms, struct worker **picked, int64_t *looked_at);
 
 /** struct pl_sum - what a domain's usable workers and executors offer */
 struct pl_sum
--- a/core/recon.c
+++ b/core/recon.c
@@ -9,7 +9,7 @@
   CLOCK_MARGIN_MS = 1000, /* clock rates and pauses between two machines */
   FAIL_STREAK_MAX = 4,    /* failed starts in a row, then quarantine */
   QUARANTINE_MS = 10000,  /* the first; each later one is twice as long */
-  QUARANTINE_MAX_MS = 640000,
+  QUARANTINE_MAX_MS = 160000,
 };
 
 static void
@@ -46,6 +46,9 @@
 may_send_start (const struct sched *s, const struct worker *w,
                 const struct member *m)
 {
+  /* The limit may have been lowered since it was placed. */
+  if (m->task->team->frozen && task_unsent (m->task))
+    return false;
   return m->state == MEMBER_INTENT && m->task->intent_durable && s->may_start
          && w->state == WORKER_LIVE;
 }
@@ -148,6 +151,31 @@
   sched_event (s, WHY_WORKER_QUARANTINED, "", "", w->inst.id, 0);
 }
 
+static void
+worker_cleared (struct sched *s, struct worker *w)
+{
+  if (w->fail_streak > 0)
+    w->fail_streak--;
+  if (s->now_ms >= w->quarantine_until_ms)
+    return;
+  w->quarantine_until_ms = s->now_ms;
+  sched_event (s, WHY_WORKER_BACK, "", "", w->inst.id, 0);
+}
+
+/* A task that fails on two workers is at fault, and they are not. */
+static void
+run_failed (struct sched *s, struct worker *w, struct task *t)
+{
+  struct worker *first = *t->failed_on ? pl_worker (&s->pl, t->failed_on)
+                                       : NULL;
+
+  if (!*t->failed_on || strcmp (t->failed_on, w->inst.id) == 0)
+    worker_failed (s, w);
+  else if (first && t->failures == 1)
+    worker_cleared (s, first);
+  clb_copy (t->failed_on, w->inst.id, sizeof t->failed_on);
+}
+
 void
 recon_service_end (struct sched *s, struct worker *w, bool bad)
 {
@@ -230,7 +258,7 @@
           w->quarantine_ms = 0;
         }
       if (run->state == RUN_FAILED || run->state == RUN_REFUSED)
-        worker_failed (s, w);
+        run_failed (s, w, m->task);
       member_clear (s, m, end_of_run (m, run->state));
       task_settle (s, m->task);
     }
--- a/core/sched.c
+++ b/core/sched.c
@@ -506,6 +506,26 @@
   task_enqueue (s, t);
 }
 
+bool
+task_unsent (const struct task *t)
+{
+  for (int64_t i = 0; i < t->n_members; i++)
+    if (t->members[i].state != MEMBER_INTENT)
+      return false;
+  return t->n_members > 0 && t->lane == LANE_TASK;
+}
+
+void
+sched_withdraw (struct sched *s, struct team *team)
+{
+  struct task *t;
+  struct task *next;
+
+  RB_FOREACH_SAFE (t, task_tree, &s->tasks, next)
+    if (t->team == team && task_unsent (t))
+      task_retry (s, t, WHY_TEAM_LIMIT);
+}
+
 /* struct tally - how a placed task's members ended */
 struct tally
 {
@@ -1049,7 +1069,8 @@
   if (!picked)
     abort ();
   s->stats.picks++;
-  int reason = pl_pick (&s->pl, &t->spec, s->now_ms, picked, &looked_at);
+  int reason = pl_pick (&s->pl, &t->spec, t->failed_on, s->now_ms, picked,
+                        &looked_at);
   if (reason == WHY_NO_ROOM || reason == WHY_NO_WORKER_FITS)
     {
       round_block (r, &t->spec);
--- a/core/sched.h
+++ b/core/sched.h
@@ -100,6 +100,7 @@
   int reason;
   int64_t attempt;
   int64_t failures;
+  char failed_on[CLB_ID_MAX]; /* worker of its latest failure, or empty */
   int64_t accepted_ms;
   int64_t placed_ms;
   int64_t nofit_ms;      /* since when no worker could hold it, or 0 */
@@ -315,6 +316,10 @@
 /** member_clear() - The member is certainly not running: frees its room. */
 void member_clear (struct sched *s, struct member *m, int end);
 void member_run_id (const struct member *m, char out[CLB_ID_MAX]);
+/** task_unsent() - Placed, and no worker can have heard of it. */
+bool task_unsent (const struct task *t);
+/** sched_withdraw() - Take back what @team has placed and not yet sent. */
+void sched_withdraw (struct sched *s, struct team *team);
 void sched_reply (struct sched *s, const char *entry, const struct reply *r);
 struct rec rec_of (const struct task *t, int kind);
 
