--- a/citronlbd/main.c
+++ b/citronlbd/main.c
@@ -156,7 +156,7 @@
   struct timespec ts;
 
   clock_gettime (CLOCK_REALTIME, &ts);
-  return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
 int
--- a/core/node.c
+++ b/core/node.c
@@ -9,6 +9,7 @@
   LIST_POLL_MS = 1000,
   STORE_TIMEOUT_MS = 2500,
   HELD_ASK_MS = 500,
+  CALLS_PER_BOOT = 65536, /* for each millisecond between two starts */
   HELD_WAIT_MS = 3000, /* slots given out before this epoch are used by then */
 };
 
@@ -25,6 +26,8 @@
   if (!n->conf)
     abort ();
   n->fresh_ms = now_ms - 2 * FRESH_MS;
+  /* A reply to an earlier process of this name must match no call. */
+  n->next_no = set->boot * CALLS_PER_BOOT;
   role_init (&n->role, set->domain, set->id, set->boot, now_ms, &n->out,
              &n->tokens);
 }
@@ -487,6 +490,7 @@
   int64_t until = role_until (&n->role);
   s->now_ms = n->now_ms;
   s->may_start = n->now_ms < until;
+  s->conf_fresh = node_fresh (n);
   s->lapsed_ms = s->may_start ? 0 : until;
 }
 
--- a/core/node.h
+++ b/core/node.h
@@ -59,7 +59,7 @@
   char id[CLB_ID_MAX];
   char domain[CLB_NAME_MAX];
   char peer_addr[CLB_ADDR_MAX];
-  int64_t boot; /* differs at every start */
+  int64_t boot; /* rises at every start; milliseconds */
   int64_t snap_every; /* journal rows between snapshots; 0: the usual */
   /* An operator's key that works only until a manifest is accepted. */
   char first_salt[CLB_NAME_MAX];
--- a/core/recon.c
+++ b/core/recon.c
@@ -49,8 +49,8 @@
   /* The limit may have been lowered since it was placed. */
   if (m->task->team->frozen && task_unsent (m->task))
     return false;
-  /* Who is leaving is known only by the list. */
-  if (w->leaving || s->now_ms - s->list_ms >= LIST_FRESH_MS)
+  /* Who is leaving is known only by the list, and a limit may be lower. */
+  if (w->leaving || s->now_ms - s->list_ms >= LIST_FRESH_MS || !s->conf_fresh)
     return false;
   return m->state == MEMBER_INTENT && m->task->intent_durable && s->may_start
          && w->state == WORKER_LIVE;
--- a/core/sched.h
+++ b/core/sched.h
@@ -230,6 +230,7 @@
   int64_t now_ms;
   int64_t began_ms;
   bool may_start;       /* the lease holds; set before each input */
+  bool conf_fresh;      /* the configuration is proved current */
   int64_t lapsed_ms;    /* since when it does not, 0 while it does */
   bool stopping;        /* handing over: nothing new is placed */
   bool dirty;           /* room or queues changed since the last round */
--- /dev/null
+++ b/regress/scenarios/g01_overcommit.lua
@@ -0,0 +1,94 @@
+-- Guarantee 1: no instance is ever overcommitted.
+local function burst(at, n, ms)
+  for i = 1, n do
+    task{at = at, team = "red", id = "b" .. now() .. "-" .. i, cores = 5,
+         mem_mb = 9000, ms = ms or 2000}
+  end
+end
+
+-- Before, during and after the journal's writes.
+for _, after in ipairs{0, 3, 6, 9, 12, 16, 20, 30, 60} do
+  scenario("holder killed " .. after .. " ms into a burst", function()
+    begin{entries = 3}
+    local h = holder("a")
+    burst(h, 10)
+    run(after)
+    kill(h)
+    for _ = 1, 5 do
+      run(2000)
+      local at = any_up()
+      burst(at, 6)
+    end
+    settle()
+  end)
+end
+
+for _, ms in ipairs{4000, 7000, 20000, 90000} do
+  scenario("holder frozen " .. ms .. " ms with starts in hand", function()
+    begin{entries = 3}
+    local h = holder("a")
+    burst(h, 10)
+    run(12)
+    freeze(h)
+    for _ = 1, 4 do
+      run(ms // 4)
+      burst(any_up(), 6)
+    end
+    thaw(h)
+    run(5000)
+    burst(any_up(), 6)
+    settle()
+  end)
+end
+
+scenario("answers lost and syncs late while holders change", function()
+  begin{entries = 3, workers = 2}
+  faults{lose = 30, late = 20}
+  for _ = 1, 6 do
+    burst(any_up(), 6)
+    run(3000)
+    local h = holder("a")
+    if h then kill(h) run(100) restart(h) end
+  end
+  settle(300000)
+end)
+
+scenario("a worker reboots and forgets", function()
+  begin{workers = 2}
+  for _ = 1, 5 do
+    burst("a1", 5, 6000)
+    run(1500)
+    server("a-w1", {reboot = true})
+  end
+  settle(300000)
+end)
+
+scenario("slots: holder and entry instances die with requests running", function()
+  begin{entries = 3, executors = 1}
+  for round = 1, 6 do
+    for i = 1, 12 do
+      service{at = any_up(), team = "red", id = round .. "-" .. i, ms = 2500}
+    end
+    run(700)
+    local h = holder("a")
+    if h then kill(h) run(1500) restart(h) end
+  end
+  settle()
+end)
+
+scenario("slots: an entry instance is frozen with a slot in hand", function()
+  begin{entries = 3, executors = 1}
+  local other
+  for _, e in ipairs(entries) do if e ~= holder("a") then other = e end end
+  for round = 1, 5 do
+    for i = 1, 8 do service{at = other, team = "red", id = round .. "f" .. i, ms = 3000} end
+    run(1)
+    freeze(other)
+    run(9000)
+    for i = 1, 8 do service{at = holder("a"), team = "blue", id = round .. "g" .. i, ms = 2000} end
+    run(20)
+    thaw(other)
+    run(1000)
+  end
+  settle()
+end)
--- /dev/null
+++ b/regress/scenarios/g05_answers.lua
@@ -0,0 +1,90 @@
+-- Guarantee 5: each caller gets the whole answer to its own request.
+scenario("callers of every instance, in both lanes, answers late", function()
+  begin{domains = {"a", "b"}, entries = 2, executors = 2}
+  faults{late = 30}
+  local calls = {}
+  for i = 1, 60 do
+    local e = entries[i % 4 + 1]
+    calls[#calls + 1] = service{at = e, team = "blue", id = "s" .. i, ms = random(400)}
+    calls[#calls + 1] = task{at = e, team = "red", id = "t" .. i}
+    run(random(40))
+  end
+  run(15000)
+  for _, c in ipairs(calls) do
+    expect(answer(c).status ~= 0, "an answer for every caller")
+  end
+  settle(300000)
+end)
+
+scenario("an instance restarts: late replies to its old calls", function()
+  begin{domains = {"a", "b"}, entries = 2}
+  for round = 1, 8 do
+    for i = 1, 6 do
+      task{at = "b1", team = "red", id = "r" .. round .. "-" .. i, ms = 300}
+      service{at = "b1", team = "blue", id = "q" .. round .. "-" .. i}
+    end
+    run(random(12))
+    kill("b1")
+    restart("b1")
+    run(3200)
+  end
+  settle(300000)
+end)
+
+scenario("frozen with replies waiting, thawed after the deadline", function()
+  begin{entries = 3}
+  local other
+  for _, e in ipairs(entries) do if e ~= holder("a") then other = e end end
+  local calls = {}
+  for i = 1, 8 do
+    calls[#calls + 1] = task{at = other, team = "red", id = "f" .. i}
+    calls[#calls + 1] = service{at = other, team = "red", id = "g" .. i}
+  end
+  run(2)
+  freeze(other)
+  run(20000)
+  thaw(other)
+  run(15000)
+  for _, c in ipairs(calls) do
+    expect(answer(c).status ~= 0, "an answer for every caller")
+  end
+  settle()
+end)
+
+scenario("long waits end with the task, at any instance", function()
+  begin{domains = {"a", "b"}, entries = 2}
+  local t = task{at = "a1", team = "red", id = "long", ms = 9000}
+  run(1000)
+  local id = answer(t).id
+  local waits = {}
+  for _, e in ipairs(entries) do
+    waits[#waits + 1] = call{entry = e, method = "GET", key = key_of("red"),
+      path = "/v1/tasks/" .. id .. "?wait_ms=60000"}
+  end
+  run(2000)
+  local h = holder(id:sub(1, 1))
+  kill(h)
+  run(25000)
+  for i, e in ipairs(entries) do
+    if e ~= h then
+      expect(answer(waits[i]).state == "done", e .. " learns the end")
+    end
+  end
+end)
+
+scenario("a request given up is answered at once, with when to come back", function()
+  begin{executors = 1}
+  local calls = {}
+  for i = 1, 60 do calls[i] = service{at = "a1", team = "red", id = "w" .. i, ms = 4000} end
+  run(6000)
+  local refused = 0
+  for i = 1, 60 do
+    local a = answer(calls[i])
+    expect(a.status ~= 0, "answered")
+    if a.status == 503 then
+      refused = refused + 1
+      expect(a.retry_after_ms > 0, "says when to come back")
+    end
+  end
+  expect(refused > 0, "some had to be refused")
+end)
--- a/regress/scenarios/lib.lua
+++ b/regress/scenarios/lib.lua
@@ -37,6 +37,14 @@
 
 entries, domains = {}, {}
 
+-- One scenario: the world anew, f, then its report.
+function scenario(name, f)
+  reset()
+  entries, domains, in_force = {}, {}, {version = 0}
+  local ok, why = pcall(f)
+  report(name, not ok and tostring(why) or nil)
+end
+
 -- cell{domains={"a"}, entries=2, workers=3, executors=1, cores=16, mem_mb=32768}
 function cell(c)
   domains = c.domains or {"a"}
--- a/regress/scenarios/smoke.lua
+++ b/regress/scenarios/smoke.lua
@@ -1,13 +1,15 @@
 -- Each caller gets the whole answer to its own request.
-begin{domains = {"a", "b"}, entries = 2, workers = 3}
-local calls = {}
-for i = 1, 20 do
-  calls[i] = task{at = entries[i % 4 + 1], team = "red", id = "t" .. i}
-end
-local s = service{at = "a1", team = "blue", id = "s1"}
-local p = service{at = "b2", team = "blue", id = "p1", queue = "print"}
-run(3000)
-for i = 1, 20 do expect(answer(calls[i]).status == 202, "task accepted") end
-expect(answer(s).status == 200, "service answered")
-expect(answer(p).status == 200, "print answered")
-settle()
+scenario("each caller its own answer", function()
+  begin{domains = {"a", "b"}, entries = 2, workers = 3}
+  local calls = {}
+  for i = 1, 20 do
+    calls[i] = task{at = entries[i % 4 + 1], team = "red", id = "t" .. i}
+  end
+  local s = service{at = "a1", team = "blue", id = "s1"}
+  local p = service{at = "b2", team = "blue", id = "p1", queue = "print"}
+  run(3000)
+  for i = 1, 20 do expect(answer(calls[i]).status == 202, "task accepted") end
+  expect(answer(s).status == 200, "service answered")
+  expect(answer(p).status == 200, "print answered")
+  settle()
+end)
--- a/regress/scn/verbs.c
+++ b/regress/scn/verbs.c
@@ -13,6 +13,9 @@
 #include <string.h>
 
 static struct world world;
+static uint64_t run_seed;
+static int n_passed;
+static int n_failed;
 
 static struct wnode *
 arg_node (lua_State *L, int i)
@@ -413,23 +416,6 @@
   return 0;
 }
 
-static const luaL_Reg verbs[] = {
-  { "entry", v_entry },       { "worker", v_worker },
-  { "executor", v_executor }, { "run", v_run },
-  { "kill", v_kill },         { "restart", v_restart },
-  { "freeze", v_freeze },     { "thaw", v_thaw },
-  { "stop", v_stop },         { "up", v_up },
-  { "cut", v_cut },           { "heal", v_heal },
-  { "store", v_store },       { "faults", v_faults },
-  { "server", v_server },     { "call", v_call },
-  { "answer", v_answer },     { "holder", v_holder },
-  { "version", v_version },   { "now", v_now },
-  { "random", v_random },     { "starts", v_starts },
-  { "limit", v_limit },       { "withdrawn", v_withdrawn },
-  { "key_hash", v_key_hash }, { "accepted", v_accepted },
-  { "told", v_told },         { NULL, NULL },
-};
-
 static void
 print_nodes (void)
 {
@@ -447,6 +433,56 @@
     }
 }
 
+/* reset(): the world anew, for the next scenario of a script */
+static int
+v_reset (lua_State *L)
+{
+  bool trace = world.trace;
+
+  (void)L;
+  world_fini (&world);
+  world_init (&world, run_seed);
+  world.trace = trace;
+  return 0;
+}
+
+/* report(name, why): a scenario has ended; why is nil if it passed */
+static int
+v_report (lua_State *L)
+{
+  const char *why = lua_tostring (L, 2);
+
+  if (!why)
+    {
+      n_passed++;
+      return 0;
+    }
+  n_failed++;
+  printf ("FAIL %s seed %llu: %s\n", luaL_checkstring (L, 1),
+          (unsigned long long)run_seed, why);
+  if (world.trace)
+    print_nodes ();
+  return 0;
+}
+
+static const luaL_Reg verbs[] = {
+  { "entry", v_entry },       { "worker", v_worker },
+  { "executor", v_executor }, { "run", v_run },
+  { "kill", v_kill },         { "restart", v_restart },
+  { "freeze", v_freeze },     { "thaw", v_thaw },
+  { "stop", v_stop },         { "up", v_up },
+  { "cut", v_cut },           { "heal", v_heal },
+  { "store", v_store },       { "faults", v_faults },
+  { "server", v_server },     { "call", v_call },
+  { "answer", v_answer },     { "holder", v_holder },
+  { "version", v_version },   { "now", v_now },
+  { "random", v_random },     { "starts", v_starts },
+  { "limit", v_limit },       { "withdrawn", v_withdrawn },
+  { "key_hash", v_key_hash }, { "accepted", v_accepted },
+  { "told", v_told },         { "reset", v_reset },
+  { "report", v_report },     { NULL, NULL },
+};
+
 static int
 run_script (const char *dir, const char *script, uint64_t seed, bool trace,
             char *why, size_t size)
@@ -455,6 +491,7 @@
   char lib[512];
   int bad;
 
+  run_seed = seed;
   world_init (&world, seed);
   world.trace = trace;
   luaL_openlibs (L);
@@ -466,8 +503,6 @@
   bad = luaL_dofile (L, lib) || luaL_dofile (L, script);
   if (bad)
     snprintf (why, size, "%s", lua_tostring (L, -1));
-  if (bad && trace)
-    print_nodes ();
   lua_close (L);
   world_fini (&world);
   return bad;
@@ -492,8 +527,6 @@
   uint64_t first = 1;
   uint64_t seeds = 1;
   bool trace = false;
-  int passed = 0;
-  int failed = 0;
   char dir[400];
   char why[512];
 
@@ -513,13 +546,11 @@
               {
                 printf ("FAIL %s seed %llu: %s\n", argv[i],
                         (unsigned long long)seed, why);
-                failed++;
+                n_failed++;
               }
-            else
-              passed++;
             fflush (stdout);
           }
     }
-  printf ("%d passed, %d failed\n", passed, failed);
-  return failed ? 1 : 0;
+  printf ("%d passed, %d failed\n", n_passed, n_failed);
+  return n_failed ? 1 : 0;
 }
