Escrow tells its wants, promises without oneself, applies that try again

Causes: a holder asked itself for a promise and so never went on without the table (0 of 600 open requests served in a ten-minute outage); an idle domain never read that another was short of a team's limit (20 of 40 cores usable); a change failed at once when the write of its object had lost its answer. Ruled out: listing all grant rows (44 teams in 5 domains would be about 18 KB a look). Changes: the list never makes an instance its own peer; one small want row a domain says which grant rows to look at; object and head are tried again until the deadline.

--- a/core/entry.c
+++ b/core/entry.c
@@ -714,7 +714,7 @@
   p->sent_ms = n->now_ms;
   o->u.store.token = p->token = ++n->tokens;
   o->u.store.op.kind = STORE_TXN;
-  store_cond (&o->u.store.op, "head", p->call.stamp);
+  store_cond (&o->u.store.op, "head", p->head_ver);
   store_put (&o->u.store.op, "head", text);
   free (text);
 }
@@ -775,7 +775,7 @@
     apply_done (n, p, row->ver);
   else if (head.version <= p->base_version)
     apply_head (n, p);
-  else if (head.version == p->head.version || p->call.wait_ms == 0)
+  else if (head.version == p->head.version || !p->maybe_done)
     apply_conflict (n, p, head.version);
   else
     finish_err (n, p, CLB_EUNKNOWN, 0); /* perhaps ours came in between */
@@ -789,13 +789,10 @@
     apply_done (n, p, rep->n_rows ? rep->rows[0].ver : 0);
   else if (rep->err == CLB_ECONFLICT)
     apply_seen (n, p, rep->n_rows ? &rep->rows[0] : NULL);
-  else if (rep->err == CLB_EUNAVAIL && p->call.wait_ms == 0)
+  else if (rep->err == CLB_EUNAVAIL && !p->maybe_done)
     finish_err (n, p, CLB_EUNAVAIL, RETRY_HINT_MS);
   else
-    {
-      p->call.wait_ms = 1; /* a try whose outcome is not known */
-      p->token = 0;
-    }
+    p->maybe_done = true;
 }
 
 bool
@@ -814,9 +811,7 @@
     case STEP_APPLY_OBJECT:
       if (rep->err == 0)
         apply_head (n, p);
-      else
-        finish_err (n, p, CLB_EUNAVAIL, RETRY_HINT_MS);
-      break;
+      break; /* else tried again: it is named by its content */
     case STEP_APPLY_HEAD:
       apply_head_answer (n, p, rep);
       break;
@@ -869,7 +864,7 @@
   conf_free (&c);
   p = pending_new (n, rq->call, CALL_N);
   p->base_version = query_number (query, "base=");
-  p->call.stamp = n->head_ver;
+  p->head_ver = n->head_ver;
   p->head.version = p->base_version + 1;
   change += strlen ("change=");
   size_t len = strcspn (change, "&");
@@ -1008,6 +1003,21 @@
     finish_err (n, p, CLB_ENOHOLDER, RETRY_HINT_MS);
 }
 
+/* An operation without an answer is tried again, or found out about. */
+static void
+apply_tick (struct node *n, struct pending *p)
+{
+  if (n->now_ms - p->sent_ms < CALL_RETRY_MS)
+    return;
+  if (p->step == STEP_APPLY_OBJECT)
+    {
+      apply_object (n, p);
+      return;
+    }
+  p->maybe_done |= p->step == STEP_APPLY_HEAD;
+  apply_check (n, p);
+}
+
 static void
 pending_tick (struct node *n, struct pending *p)
 {
@@ -1021,13 +1031,9 @@
       give_up (n, p);
       return;
     }
-  if (p->step == STEP_APPLY_HEAD || p->step == STEP_APPLY_CHECK)
+  if (p->step >= STEP_APPLY_OBJECT)
     {
-      if (n->now_ms - p->sent_ms >= CALL_RETRY_MS)
-        {
-          p->call.wait_ms |= p->step == STEP_APPLY_HEAD;
-          apply_check (n, p);
-        }
+      apply_tick (n, p);
       return;
     }
   if (p->step != STEP_ASKING && p->step != STEP_RELEASING)
--- a/core/escrow.c
+++ b/core/escrow.c
@@ -14,6 +14,8 @@
   READ_PERIOD_MS = 1000,  /* while parts exceed the limit, or are short */
   GIVE_PERIOD_MS = 500,   /* between looks at what others want */
   IDLE_MS = 3000,         /* unused part kept this long */
+  WANT_PERIOD_MS = 1000,  /* between looks at what other domains want */
+  WANT_TIMEOUT_MS = 3000,
   KEY_SIZE = 256,
 };
 
@@ -145,8 +147,9 @@
   return part;
 }
 
+/* The team is acted on again @wait_ms after now, and not before the answer. */
 static void
-read_row (struct sched *s, struct team *team)
+read_row (struct sched *s, struct team *team, int64_t wait_ms)
 {
   struct out *o = out_new (s->out, OUT_STORE);
   char key[KEY_SIZE];
@@ -155,7 +158,7 @@
   o->u.store.token = team->op = ++*s->tokens;
   o->u.store.op.kind = team->op_kind = STORE_GET;
   o->u.store.op.key = strdup (key);
-  team->next_op_ms = s->now_ms + READ_PERIOD_MS;
+  team->next_op_ms = s->now_ms + wait_ms;
 }
 
 static void
@@ -169,6 +172,7 @@
 
   g->amount = *part;
   g->want = want;
+  team->told_want = want;
   team->row.conf_version = s->conf->version;
   grant_key (team, key);
   char *text = codec_text (&grant_row_desc, &team->row);
@@ -267,6 +271,109 @@
   s->dirty = true;
 }
 
+/* One small row a domain tells the others which grant rows to look at. */
+
+static char *
+want_text (struct sched *s)
+{
+  struct want_row row = { .n_teams = 0 };
+  struct team *team;
+  char *text;
+
+  row.teams = calloc (CONF_TEAMS_MAX, sizeof *row.teams);
+  if (!row.teams)
+    abort ();
+  RB_FOREACH (team, team_tree, &s->teams)
+    if (team->told_want && row.n_teams < CONF_TEAMS_MAX)
+      clb_copy (row.teams[row.n_teams++].team, team->name, CLB_NAME_MAX);
+  text = codec_text (&want_row_desc, &row);
+  free (row.teams);
+  return text;
+}
+
+static void
+want_write (struct sched *s)
+{
+  char *text = want_text (s);
+  char key[KEY_SIZE];
+  struct out *o;
+
+  if (s->want_told && strcmp (s->want_told, text) == 0)
+    {
+      free (text);
+      return;
+    }
+  o = out_new (s->out, OUT_STORE);
+  snprintf (key, sizeof key, "want/%s", s->domain);
+  o->u.store.token = s->want_put = ++*s->tokens;
+  o->u.store.op.kind = STORE_TXN;
+  store_cond (&o->u.store.op, s->journal.epoch_key, s->journal.epoch_ver);
+  store_put (&o->u.store.op, key, text);
+  free (s->want_told);
+  s->want_told = text;
+}
+
+static void
+want_read (struct sched *s)
+{
+  struct out *o = out_new (s->out, OUT_STORE);
+
+  o->u.store.token = s->want_token = ++*s->tokens;
+  o->u.store.op.kind = STORE_LIST;
+  o->u.store.op.key = strdup ("want/");
+  s->want_sent_ms = s->now_ms;
+}
+
+static void
+want_row (struct sched *s, const struct row *row)
+{
+  const char *domain = strrchr (row->key, '/');
+  struct want_row wr;
+  struct codec_err ce;
+
+  if (!domain || strcmp (domain + 1, s->domain) == 0 || !row->value
+      || codec_parse (&want_row_desc, row->value, strlen (row->value),
+                      CODEC_LENIENT, &wr, &ce))
+    return;
+  for (size_t i = 0; i < wr.n_teams; i++)
+    sched_team (s, wr.teams[i].team)->row_known = false;
+  codec_free (&want_row_desc, &wr);
+}
+
+static bool
+want_store (struct sched *s, uint64_t token, const struct store_rep *rep)
+{
+  if (token == s->want_put)
+    {
+      s->want_put = 0;
+      if (rep->err)
+        {
+          free (s->want_told);
+          s->want_told = NULL;
+        }
+      return true;
+    }
+  if (token != s->want_token)
+    return false;
+  s->want_token = 0;
+  for (size_t i = 0; rep->err == 0 && i < rep->n_rows; i++)
+    want_row (s, &rep->rows[i]);
+  return true;
+}
+
+static void
+want_tick (struct sched *s)
+{
+  if (s->now_ms - s->want_sent_ms > WANT_TIMEOUT_MS)
+    s->want_token = 0;
+  if (s->now_ms < s->next_want_ms || s->want_token)
+    return;
+  s->next_want_ms = s->now_ms + WANT_PERIOD_MS;
+  want_read (s);
+  if (!s->want_put)
+    want_write (s);
+}
+
 bool
 escrow_store (struct sched *s, uint64_t token, const struct store_rep *rep)
 {
@@ -275,7 +382,7 @@
   char key[KEY_SIZE];
 
   if (!team)
-    return false;
+    return token && want_store (s, token, rep);
   write = team->op_kind == STORE_TXN;
   team->op = 0;
   grant_key (team, key);
@@ -284,7 +391,10 @@
   else if (rep->err == 0 || rep->err == CLB_ENOTFOUND)
     take_row (s, team, rep->n_rows ? &rep->rows[0] : NULL);
   else
-    team->row_known = false;
+    {
+      team->row_known = false;
+      team->next_op_ms = s->now_ms + READ_PERIOD_MS;
+    }
   for (size_t i = 0; rep->err == CLB_ECONFLICT && i < rep->n_rows; i++)
     if (strcmp (rep->rows[i].key, s->journal.epoch_key) == 0)
       s->phase = SCHED_LOST;
@@ -309,7 +419,7 @@
     part = lowered_part (s, team, true);
   if (same_res (&part, &team->granted))
     {
-      read_row (s, team);
+      read_row (s, team, READ_PERIOD_MS);
       return;
     }
   write_part (s, team, &part, false);
@@ -326,7 +436,7 @@
   if (!same_res (&part, &team->granted) || mine->want != short_of)
     write_part (s, team, &part, short_of);
   else if (team->want)
-    read_row (s, team);
+    read_row (s, team, READ_PERIOD_MS);
 }
 
 /* Gives up what is unused, or what is above the even part while others wait.
@@ -373,9 +483,14 @@
 {
   if (team->op || s->now_ms < team->next_op_ms)
     return;
-  if (!team->row_known || team->row.conf_version > s->conf->version)
+  if (team->row_known && team->row.conf_version > s->conf->version)
+    {
+      read_row (s, team, READ_PERIOD_MS);
+      return;
+    }
+  if (!team->row_known)
     {
-      read_row (s, team);
+      read_row (s, team, 0);
       return;
     }
   team_act (s, team);
@@ -391,6 +506,7 @@
 {
   struct team *team;
 
+  want_tick (s);
   RB_FOREACH (team, team_tree, &s->teams)
     team_tick (s, team);
 }
--- a/core/msg.c
+++ b/core/msg.c
@@ -96,6 +96,15 @@
 };
 DESC (grant_row_desc, struct grant_row, grant_row_fields);
 
+static const struct fld want_fields[] = {
+  FLD_CHARS (struct want, team, true),
+};
+static DESC (want_desc, struct want, want_fields);
+static const struct fld want_row_fields[] = {
+  FLD_ARRAY (struct want_row, teams, n_teams, &want_desc, BIG),
+};
+DESC (want_row_desc, struct want_row, want_row_fields);
+
 static const struct fld start_fields[] = {
   FLD_CHARS (struct start_cmd, id, true),
   FLD_CHARS (struct start_cmd, name, false),
--- a/core/msg.h
+++ b/core/msg.h
@@ -103,6 +103,18 @@
 };
 extern const struct desc grant_row_desc;
 
+/** struct want_row - the teams that are short of their limit in a domain */
+struct want
+{
+  char team[CLB_NAME_MAX];
+};
+struct want_row
+{
+  struct want *teams;
+  size_t n_teams;
+};
+extern const struct desc want_row_desc;
+
 /* The worker interface: one sync carries lease, starts, stops and report. */
 
 struct start_cmd
--- a/core/node.h
+++ b/core/node.h
@@ -110,6 +110,8 @@
   uint64_t token;
   char *manifest;
   int64_t base_version; /* that the change was made from */
+  int64_t head_ver;     /* of the row that holds it */
+  bool maybe_done;      /* a write's answer was lost */
   struct head_row head;
 };
 RB_HEAD (pending_tree, pending);
--- a/core/role.c
+++ b/core/role.c
@@ -352,6 +352,7 @@
       if (p)
         p->listed = true;
       else if (strcmp (list->items[i].id, r->row.holder) == 0
+               && strcmp (r->row.holder, r->me) != 0
                && r->n_peers < MEMBERS_OF_DOMAIN_MAX)
         {
           p = &r->peers[r->n_peers++];
--- a/core/sched.c
+++ b/core/sched.c
@@ -94,6 +94,7 @@
   pl_clear (&s->pl);
   journal_free (s);
   free (s->load_after);
+  free (s->want_told);
   free (s->events);
   free (s);
 }
--- a/core/sched.h
+++ b/core/sched.h
@@ -131,6 +131,7 @@
   struct clb_res limit_seen; /* limit at the last change */
   bool frozen;            /* parts exceed the limit, or may: nothing new */
   bool restamp;           /* the row must say which limit is gone by */
+  bool told_want;         /* the row says that this domain is short */
   bool want;              /* work waits for more grant */
   struct clb_res wanted;
   uint64_t op;            /* outstanding store token */
@@ -254,6 +255,11 @@
   int64_t load_retry_ms;
   char *load_after;
   int64_t list_ms;      /* when the latest list was asked for */
+  uint64_t want_token;  /* reading what other domains are short of */
+  uint64_t want_put;    /* writing what this one is */
+  int64_t next_want_ms;
+  int64_t want_sent_ms;
+  char *want_told;      /* as last written */
   bool slots_known;     /* every entry has said which slots it uses */
   int64_t event_no;
   struct event *events; /* ring of the latest decisions */
