--- a/core/escrow.c
+++ b/core/escrow.c
@@ -16,6 +16,7 @@
   IDLE_MS = 3000,         /* unused part kept this long */
   WANT_PERIOD_MS = 1000,  /* between looks at what other domains want */
   WANT_TIMEOUT_MS = 3000,
+  WAITING_COUNTED = 256,  /* waiting tasks that a look goes through */
   KEY_SIZE = 256,
 };
 
@@ -77,14 +78,29 @@
   clb_res_add (&total, need, n);
   if (!team->frozen && clb_res_fits (&total, &team->granted))
     return true;
-  for (int k = 0; k < RES_N; k++)
-    if (clb_res_get (&total, k) > clb_res_get (&team->wanted, k))
-      clb_res_set (&team->wanted, k, clb_res_get (&total, k));
   team->want = true;
   team->idle_since_ms = s->now_ms;
   return false;
 }
 
+/* What the team would use if all its waiting work started. */
+static struct clb_res
+wanted_part (const struct team *team)
+{
+  struct clb_res sum = team->used;
+  struct task *t;
+  int counted = 0;
+
+  for (int class = 0; class < CLASS_N; class++)
+    TAILQ_FOREACH (t, &team->queue[class], queued)
+      {
+        if (counted++ >= WAITING_COUNTED)
+          return sum;
+        clb_res_add (&sum, &t->spec.need, t->spec.members);
+      }
+  return sum;
+}
+
 static struct clb_res
 base_part (const struct sched *s, const struct team *team)
 {
@@ -396,8 +412,14 @@
       team->next_op_ms = s->now_ms + READ_PERIOD_MS;
     }
   for (size_t i = 0; rep->err == CLB_ECONFLICT && i < rep->n_rows; i++)
-    if (strcmp (rep->rows[i].key, s->journal.epoch_key) == 0)
-      s->phase = SCHED_LOST;
+    {
+      if (strcmp (rep->rows[i].key, s->journal.epoch_key) == 0)
+        s->phase = SCHED_LOST;
+      if (strcmp (rep->rows[i].key, key) != 0)
+        continue;
+      take_row (s, team, &rep->rows[i]);
+      team->next_op_ms = s->now_ms;
+    }
   return true;
 }
 
@@ -465,6 +487,7 @@
   bool want;
 
   others_sum (s, team, &want);
+  team->wanted = wanted_part (team);
   team->frozen = over_limit (s, team);
   if (team->frozen)
     shrink (s, team);
@@ -497,7 +520,6 @@
   if (!team->op)
     team->next_op_ms = s->now_ms + GIVE_PERIOD_MS;
   team->want = false;
-  memset (&team->wanted, 0, sizeof team->wanted);
   s->dirty |= team->waiting > 0;
 }
 
--- /dev/null
+++ b/regress/unit/codec_test.c
@@ -0,0 +1,142 @@
+#include "msg.h"
+#include "unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MUTATIONS = 20000, /* damaged copies of each message */
+};
+
+static uint32_t rng = 1;
+
+static uint32_t
+next_random (uint32_t below)
+{
+  rng = rng * 1664525u + 1013904223u;
+  return (rng >> 8) % below;
+}
+
+static struct pmsg
+sample_call (void)
+{
+  struct pmsg m = { .kind = PM_CALL, .boot = 7 };
+
+  clb_copy (m.from, "a1", sizeof m.from);
+  m.u.call.no = 99;
+  m.u.call.verb = CALL_ACQUIRE;
+  clb_copy (m.u.call.id, "a.a1-7-99", sizeof m.u.call.id);
+  clb_copy (m.u.call.team, "red", sizeof m.u.call.team);
+  m.u.call.spec.need.cores = 4;
+  m.u.call.spec.members = 2;
+  m.u.call.idempotent = true;
+  return m;
+}
+
+static void
+test_round_trip (void)
+{
+  struct pmsg m = sample_call ();
+  struct pmsg back;
+  struct codec_err ce;
+  char *buf;
+  size_t len;
+
+  CU_ASSERT_EQUAL (pmsg_pack (&m, &buf, &len), 0);
+  CU_ASSERT_EQUAL (pmsg_unpack (buf, len, &back, &ce), 0);
+  CU_ASSERT_EQUAL (memcmp (&m, &back, sizeof m), 0);
+  free (buf);
+}
+
+/* No damage may crash, leak or be taken for something out of range. */
+static void
+test_damaged_peer_message (void)
+{
+  struct pmsg m = sample_call ();
+  struct pmsg back;
+  struct codec_err ce;
+  char *buf;
+  size_t len;
+
+  pmsg_pack (&m, &buf, &len);
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      char *bad = malloc (len);
+      memcpy (bad, buf, len);
+      for (uint32_t n = next_random (4) + 1; n > 0; n--)
+        bad[next_random ((uint32_t)len)] = (char)next_random (256);
+      size_t cut = next_random (8) == 0 ? next_random ((uint32_t)len) : len;
+      if (pmsg_unpack (bad, cut, &back, &ce) == 0)
+        {
+          CU_ASSERT (back.kind >= 0 && back.kind < PM_N);
+          pmsg_free (&back);
+        }
+      free (bad);
+    }
+  free (buf);
+}
+
+static void
+mutate_text (const struct desc *d, const char *text)
+{
+  size_t len = strlen (text);
+  struct codec_err ce;
+  void *s = calloc (1, d->size);
+
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      char *bad = malloc (len);
+      memcpy (bad, text, len);
+      for (uint32_t n = next_random (3) + 1; n > 0; n--)
+        bad[next_random ((uint32_t)len)] = (char)(next_random (94) + 32);
+      if (codec_parse (d, bad, len, i % 2 ? CODEC_STRICT : CODEC_LENIENT, s,
+                       &ce)
+          == 0)
+        codec_free (d, s);
+      else
+        CU_ASSERT (ce.err < 0 && *ce.path);
+      free (bad);
+    }
+  free (s);
+}
+
+static void
+test_damaged_text (void)
+{
+  mutate_text (&spec_desc,
+               "{\"request_id\":\"r1\",\"queue\":\"q\",\"need\":{\"cores\":1,"
+               "\"mem_mb\":2},\"members\":3,\"spread\":true}");
+  mutate_text (&journal_row_desc,
+               "{\"nonce\":\"n\",\"recs\":[{\"kind\":\"intent\",\"id\":\"a.1."
+               "1\",\"places\":[{\"worker\":\"w\",\"boot\":3}]}]}");
+  mutate_text (&store_rep_desc,
+               "{\"rows\":[{\"key\":\"k\",\"ver\":4,\"value\":\"v\"}]}");
+  mutate_text (&sync_rep_desc,
+               "{\"boot\":1,\"runs\":[{\"id\":\"a/0/0\",\"state\":\"ok\"}]}");
+  mutate_text (&inst_list_desc,
+               "{\"items\":[{\"id\":\"w\",\"kind\":\"worker\",\"domain\":"
+               "\"a\",\"addr\":\"x:1\",\"room\":{\"cores\":4}}]}");
+}
+
+static void
+test_strict_and_lenient (void)
+{
+  const char text[] = "{\"version\":1,\"hash\":\"h\",\"change_id\":\"c\","
+                      "\"later\":true}";
+  struct head_row h;
+  struct codec_err ce;
+
+  CU_ASSERT_EQUAL (codec_parse (&head_row_desc, text, sizeof text - 1,
+                                CODEC_LENIENT, &h, &ce),
+                   0);
+  CU_ASSERT_EQUAL (codec_parse (&head_row_desc, text, sizeof text - 1,
+                                CODEC_STRICT, &h, &ce),
+                   CLB_EFIELD);
+  CU_ASSERT_STRING_EQUAL (ce.path, "later");
+}
+
+UNIT_MAIN ("codec", { "round trip", test_round_trip },
+           { "damaged peer messages", test_damaged_peer_message },
+           { "damaged text", test_damaged_text },
+           { "unknown fields", test_strict_and_lenient })
