Deliberate faults, each to be caught by a named scenario

Cause: a checker that cannot fail proves nothing. Change: 23 small faults in copies of the core, built and run against a scenario; new scenarios for a mute worker, an intent that never reached the table, an accept told too early, a broken connection.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,10 @@
 	$(BUILD)/regress/platformd $(BUILD)/regress/backendd \
 	$(BUILD)/regress/scn-run
 
-.PHONY: all deps demo check check-run lint format bench soak clean
+print-flags:
+	@echo "$(CPPFLAGS) -std=gnu17 $(CFLAGS) $(SAN)"
+
+.PHONY: print-flags all deps demo check check-run lint format bench soak clean
 all: $(PROGRAMS) $(UNITS) $(BUILD)/bench/policy
 
 deps:
--- a/regress/scenarios/g02_two_places.lua
+++ b/regress/scenarios/g02_two_places.lua
@@ -124,3 +124,45 @@
   server("a-w2", {silent = false})
   settle(300000)
 end)
+
+scenario("a worker hears all and answers nothing, then is back", function()
+  begin{entries = 2, workers = 2}
+  some("a1", 6, 90000)
+  run(2000)
+  server("a-w1", {mute = true})
+  run(80000)
+  server("a-w1", {mute = false})
+  settle(300000)
+end)
+
+scenario("an intent that never reached the table", function()
+  begin{entries = 3, workers = 2}
+  local h = holder("a")
+  faults{slow = 300}
+  some(h, 2, 60000)
+  run(330) -- accepted; the intent is on its way
+  cut(h, "platform")
+  run(500)
+  server("a-w1", {silent = true})
+  kill(h)
+  faults{slow = 0}
+  run(9000)
+  server("a-w1", {silent = false})
+  settle(300000)
+end)
+
+scenario("a journal write that was on its way while the holder froze", function()
+  begin{entries = 3, workers = 2}
+  for round = 1, 4 do
+    local h = holder("a")
+    some(h, 3, 20000, "once")
+    run(4 + round)
+    freeze(h)
+    run(9000)
+    some(any_up(), 3, 20000, "once")
+    run(500)
+    thaw(h)
+    run(6000)
+  end
+  settle(300000)
+end)
--- a/regress/scenarios/g07_at_most_once.lua
+++ b/regress/scenarios/g07_at_most_once.lua
@@ -113,3 +113,13 @@
   end
   run(5000)
 end)
+
+scenario("connections to an executor break while it runs", function()
+  begin{executors = 2}
+  server("a-x1", {breaks = true})
+  for i = 1, 12 do
+    service{at = "a1", team = "red", id = "q" .. i, queue = i % 3 == 0 and "preview" or "print", ms = 400}
+    run(120)
+  end
+  run(9000)
+end)
--- a/regress/scenarios/nothing_lost.lua
+++ b/regress/scenarios/nothing_lost.lua
@@ -119,3 +119,19 @@
   run(30000)
   settle(600000)
 end)
+
+scenario("an accept is told only once it is recorded", function()
+  begin{entries = 3}
+  local h = holder("a")
+  faults{slow = 400}
+  for i = 1, 5 do
+    task{at = entries[i % 3 + 1], team = "red", id = "e" .. i}
+  end
+  run(100)
+  cut(h, "platform")
+  run(600)
+  kill(h)
+  faults{slow = 0}
+  run(15000)
+  settle()
+end)
--- a/regress/scn/verbs.c
+++ b/regress/scn/verbs.c
@@ -194,7 +194,7 @@
   return 0;
 }
 
-/* server(id, {fail_all=, silent=, refuses=, reboot=, slowness=, leaving=}) */
+/* server(id, {fail_all=, silent=, mute=, refuses=, reboot=, slowness=, leaving=}) */
 static int
 v_server (lua_State *L)
 {
@@ -205,6 +205,8 @@
   s->w.fail_all = field_bool (L, 2, "fail_all", s->w.fail_all);
   s->w.fence = field_bool (L, 2, "fence", s->w.fence);
   s->silent = field_bool (L, 2, "silent", s->silent);
+  s->mute = field_bool (L, 2, "mute", s->mute);
+  s->breaks = field_bool (L, 2, "breaks", s->breaks);
   s->refuses = field_bool (L, 2, "refuses", s->refuses);
   s->listed = field_bool (L, 2, "listed", s->listed);
   s->w.slowness = field_int (L, 2, "slowness", s->w.slowness);
@@ -310,23 +312,26 @@
   return 1;
 }
 
+/* holder(domain): the instance that holds it by the latest epoch */
 static int
 v_holder (lua_State *L)
 {
   const char *domain = luaL_checkstring (L, 1);
+  const struct wnode *best = NULL;
 
   for (int i = 0; i < world.n_nodes; i++)
     {
       struct wnode *n = &world.nodes[i];
       if (n->up && strcmp (n->set.domain, domain) == 0 && n->node.sched
           && n->node.sched->phase == SCHED_READY
-          && n->node.role.state == ROLE_HOLD)
-        {
-          lua_pushstring (L, n->set.id);
-          return 1;
-        }
+          && n->node.role.state == ROLE_HOLD
+          && (!best || n->node.role.epoch > best->node.role.epoch))
+        best = n;
     }
-  return 0;
+  if (!best)
+    return 0;
+  lua_pushstring (L, best->set.id);
+  return 1;
 }
 
 static int
--- a/regress/scn/world.c
+++ b/regress/scn/world.c
@@ -13,6 +13,8 @@
   TIMEOUT_MS = 2000,    /* the shell's, for store and sync */
   VERY_LATE_MS = 1900,  /* what is late arrives within this */
   SNAP_EVERY = 4,       /* so that short runs read snapshots back */
+  BREAK_MS = 30,        /* until a connection that breaks does */
+  NOBODY = -1,          /* generation of no process */
   SERVICE_MS = 20,      /* a service request that names no time */
 };
 
@@ -249,7 +251,7 @@
   heap_push (w, lost);
 }
 
-static void
+static struct event_item *
 served_at (struct world *w, struct wnode *n, int call, const char *server,
            int end, int64_t delay)
 {
@@ -259,6 +261,7 @@
   it->end = end;
   clb_copy (it->server, server, sizeof it->server);
   heap_push (w, it);
+  return it;
 }
 
 static void
@@ -414,6 +417,12 @@
   s->w.busy = s->open;
   if (fworker_sync (&s->w, w->now_ms, &req, &rep) == 0)
     {
+      if (s->mute)
+        {
+          codec_free (&sync_rep_desc, &rep);
+          codec_free (&sync_req_desc, &req);
+          return;
+        }
       back = item_new (w, ITEM_SYNC_REP, n, jitter (w, NEAR_MS));
       back->generation = it->generation;
       clb_copy (back->server, it->server, sizeof back->server);
@@ -453,8 +462,13 @@
     return;
   s->open++;
   check_served (w->check, s, it->call, true);
-  served_at (w, n, it->call, it->server,
-             s->w.fail_all ? FORWARD_ERROR : FORWARD_OK, run);
+  struct event_item *end
+      = served_at (w, n, it->call, it->server,
+                   s->w.fail_all ? FORWARD_ERROR : FORWARD_OK, run);
+  if (!s->breaks)
+    return;
+  end->generation = NOBODY;
+  served_at (w, n, it->call, it->server, FORWARD_FAILED, BREAK_MS);
 }
 
 static void
--- a/regress/scn/world.h
+++ b/regress/scn/world.h
@@ -39,6 +39,8 @@
   struct fworker w;
   bool listed;
   bool silent;  /* takes in nothing and answers nothing */
+  bool mute;    /* takes in all and answers nothing */
+  bool breaks;  /* executors: the connection breaks while it runs */
   bool refuses; /* executors: no connection can be opened */
   int64_t leaving_ms; /* since when, 0: not */
   int64_t open;       /* executors: requests being served */
