A lapsed holder stops nothing and answers nothing

Ruled out: starts by such a holder; tombstones and boot numbers stop those by themselves. Change: stops need the lease as starts do; a lapsed holder answers no call and is not taken for the holder by its own instance. Conclusion: the lease matters for stops more than for starts.

--- a/core/node.c
+++ b/core/node.c
@@ -87,13 +87,18 @@
   return p->heard_ms && n->now_ms - p->heard_ms < PEER_SILENT_MS;
 }
 
+static bool
+holds (const struct node *n)
+{
+  return n->sched && n->sched->phase == SCHED_READY && n->sched->may_start;
+}
+
 const char *
 node_holder (struct node *n, const char *domain)
 {
   const struct peer *best = NULL;
 
-  if (strcmp (domain, n->set.domain) == 0 && n->sched
-      && n->sched->phase == SCHED_READY)
+  if (strcmp (domain, n->set.domain) == 0 && holds (n))
     return n->set.id;
   for (int i = 0; i < n->n_peers; i++)
     {
@@ -117,7 +122,7 @@
   clb_copy (h->addr, n->set.peer_addr, sizeof h->addr);
   h->conf_version = n->head.version;
   h->conf_age_ms = n->now_ms - n->fresh_ms;
-  h->holder = n->sched && n->sched->phase == SCHED_READY;
+  h->holder = holds (n);
   h->epoch = n->sched ? n->sched->epoch : 0;
   h->stopping = n->stopping;
   h->known = role_member (&n->role, p->id, p->boot);
--- a/core/recon.c
+++ b/core/recon.c
@@ -96,10 +96,12 @@
       member_run_id (m, id);
       if (may_send_start (s, w, m))
         sync_add_start (req, m);
-      else if (m->state == MEMBER_STOP)
+      else if (m->state == MEMBER_STOP && s->may_start)
         run_id_push (&req->stops, &req->n_stops, id);
     }
-  for (size_t i = 0; i < w->n_strays; i++)
+  /* A run that a lapsed holder does not know may be its successor's. */
+  size_t n_strays = s->may_start ? w->n_strays : 0;
+  for (size_t i = 0; i < n_strays; i++)
     run_id_push (&req->stops, &req->n_stops, w->strays[i].id);
   w->n_strays = 0;
   req->acks = w->acks;
--- a/core/sched.c
+++ b/core/sched.c
@@ -923,7 +923,8 @@
 void
 sched_call (struct sched *s, const char *entry, const struct call *c)
 {
-  if (s->phase != SCHED_READY)
+  /* What a lapsed holder knows may be out of date. */
+  if (s->phase != SCHED_READY || !s->may_start)
     {
       reply_err (s, entry, c->no, CLB_ENOHOLDER, WHY_NONE);
       return;
--- a/regress/scenarios/g08_leaving.lua
+++ b/regress/scenarios/g08_leaving.lua
@@ -72,3 +72,20 @@
   server("a-w1", {leaving = false})
   settle()
 end)
+
+for after = 6, 24, 3 do
+  scenario("placed " .. after .. " ms before an outage, in which its worker leaves", function()
+    begin{entries = 2, workers = 2}
+    for i = 1, 3 do
+      task{at = "a1", team = "red", id = "q" .. i, cores = 6, ms = 1000}
+    end
+    run(after)
+    store("hangs")
+    run(200)
+    server("a-w1", {leaving = true})
+    run(9000 + after * 70)
+    store("up")
+    run(6000)
+    settle()
+  end)
+end
