--- /dev/null
+++ b/bench/policy.c
@@ -0,0 +1,5 @@
+int
+main (void)
+{
+  return 0;
+}
--- a/citronctl/citronctl.h
+++ b/citronctl/citronctl.h
@@ -15,12 +15,12 @@
   EXIT_DONE = 0,
   EXIT_TASK_FAILED = 1, /* the task ended, but not well */
   EXIT_BAD_USAGE = 64,
-  EXIT_BAD_DATA = 65,   /* the manifest or request is wrong */
+  EXIT_BAD_DATA = 65, /* the manifest or request is wrong */
   EXIT_NOT_FOUND = 66,
-  EXIT_NOT_RUN = 69,    /* refused; it has not run */
-  EXIT_UNKNOWN = 70,    /* it may have run */
+  EXIT_NOT_RUN = 69, /* refused; it has not run */
+  EXIT_UNKNOWN = 70, /* it may have run */
   EXIT_NO_READ = 74,
-  EXIT_CONFLICT = 75,   /* somebody else's change came first */
+  EXIT_CONFLICT = 75, /* somebody else's change came first */
   EXIT_DENIED = 77,
 };
 
@@ -30,9 +30,9 @@
   const char *key;
   const char *cacert;
   bool json;
-  const char *change;  /* id of an apply */
-  long base;           /* version that it is made from; -1: the current */
-  const char *id;      /* filter of watch */
+  const char *change; /* id of an apply */
+  long base;          /* version that it is made from; -1: the current */
+  const char *id;     /* filter of watch */
 };
 
 struct answer
@@ -51,7 +51,7 @@
  */
 void rpc (const struct options *opt, const char *method, const char *path,
           const char *body, size_t len, struct answer *a);
-/** rpc_stream() - Print a stream's lines until it ends.  An exit code. */
+/** rpc_stream() - Tell the lines of every server's stream until all end. */
 int rpc_stream (const struct options *opt, const char *path,
                 void (*line) (const char *text, size_t len));
 void rpc_free (struct answer *a);
--- a/citronctl/main.c
+++ b/citronctl/main.c
@@ -115,8 +115,8 @@
     printf ("%s\n", a->body ? a->body : "");
   else if (json_object_get (json, "error"))
     {
-      long long retry = json_integer_value (
-          json_object_get (json, "retry_after_ms"));
+      long long retry
+          = json_integer_value (json_object_get (json, "retry_after_ms"));
       fprintf (stderr, "citronctl: %s (%s) %s", text_of (json, "error"),
                text_of (json, "outcome"), text_of (json, "field"));
       if (retry)
@@ -239,7 +239,11 @@
   json_t *json = len ? json_loadb (text, len, 0, NULL) : NULL;
 
   if (!json)
-    return;
+    {
+      printf ("(watching)\n");
+      fflush (stdout);
+      return;
+    }
   if (json_object_get (json, "missed"))
     printf ("(missed %lld)\n",
             (long long)json_integer_value (json_object_get (json, "missed")));
@@ -304,9 +308,8 @@
   printf ("scheduler: epoch %lld, journal row %lld%s\n",
           (long long)json_integer_value (json_object_get (s, "epoch")),
           (long long)json_integer_value (json_object_get (s, "journal_row")),
-          json_is_true (json_object_get (s, "may_start"))
-              ? ""
-              : ", lease lapsed");
+          json_is_true (json_object_get (s, "may_start")) ? ""
+                                                          : ", lease lapsed");
   printf ("tasks:");
   json_object_foreach (json_object_get (s, "tasks"), key, item)
     printf (" %s %lld", key, (long long)json_integer_value (item));
@@ -326,12 +329,11 @@
       printf ("  %-16s %-9s", text_of (item, "id"), text_of (item, "state"));
       print_res ("used", json_object_get (item, "used"));
       print_res ("of", json_object_get (item, "room"));
-      printf ("%s%s\n",
-              json_is_true (json_object_get (item, "leaving")) ? " leaving"
-                                                               : "",
-              json_is_true (json_object_get (item, "quarantined"))
-                  ? " quarantined"
-                  : "");
+      printf (
+          "%s%s\n",
+          json_is_true (json_object_get (item, "leaving")) ? " leaving" : "",
+          json_is_true (json_object_get (item, "quarantined")) ? " quarantined"
+                                                               : "");
     }
 }
 
@@ -355,20 +357,19 @@
       rpc_free (&a);
       return code;
     }
-  printf ("%s in %s: config %lld (proved %lld ms ago), holder %s\n",
-          text_of (json, "id"), text_of (json, "domain"),
-          (long long)json_integer_value (
-              json_object_get (json, "config_version")),
-          (long long)json_integer_value (
-              json_object_get (json, "config_age_ms")),
-          text_of (json, "holder"));
+  printf (
+      "%s in %s: config %lld (proved %lld ms ago), holder %s\n",
+      text_of (json, "id"), text_of (json, "domain"),
+      (long long)json_integer_value (json_object_get (json, "config_version")),
+      (long long)json_integer_value (json_object_get (json, "config_age_ms")),
+      text_of (json, "holder"));
   json_array_foreach (json_object_get (json, "peers"), i, p)
-    printf ("  peer %s in %s: config %lld%s%s\n", text_of (p, "id"),
-            text_of (p, "domain"),
-            (long long)json_integer_value (
-                json_object_get (p, "config_version")),
-            json_is_true (json_object_get (p, "holder")) ? ", holder" : "",
-            json_is_true (json_object_get (p, "alive")) ? "" : ", silent");
+    printf (
+        "  peer %s in %s: config %lld%s%s\n", text_of (p, "id"),
+        text_of (p, "domain"),
+        (long long)json_integer_value (json_object_get (p, "config_version")),
+        json_is_true (json_object_get (p, "holder")) ? ", holder" : "",
+        json_is_true (json_object_get (p, "alive")) ? "" : ", silent");
   if (json_object_get (json, "scheduler"))
     print_sched (json_object_get (json, "scheduler"));
   json_decref (json);
@@ -403,10 +404,11 @@
 };
 
 static const struct command commands[VERB_N] = {
-  { "check", 1, 1 }, { "apply", 1, 1 },  { "diff", 1, 1 },
-  { "show", 0, 0 },  { "key", 1, 2 },    { "peerkeys", 0, 0 }, { "submit", 1, 1 },
-  { "status", 0, 1 }, { "wait", 1, 1 },  { "cancel", 1, 1 },
-  { "why", 1, 1 },   { "watch", 0, 0 },  { "counters", 0, 0 },
+  { "check", 1, 1 },    { "apply", 1, 1 },  { "diff", 1, 1 },
+  { "show", 0, 0 },     { "key", 1, 2 },    { "peerkeys", 0, 0 },
+  { "submit", 1, 1 },   { "status", 0, 1 }, { "wait", 1, 1 },
+  { "cancel", 1, 1 },   { "why", 1, 1 },    { "watch", 0, 0 },
+  { "counters", 0, 0 },
 };
 
 static int
@@ -475,8 +477,9 @@
   verb = verb_of (&cl);
   if (verb == VERB_N)
     {
-      fprintf (stderr, "citronctl: %s: no such command, or not so many "
-                       "arguments; see citronctl --help\n",
+      fprintf (stderr,
+               "citronctl: %s: no such command, or not so many "
+               "arguments; see citronctl --help\n",
                cl.args[0]);
       return EXIT_BAD_USAGE;
     }
--- a/citronctl/manifest.c
+++ b/citronctl/manifest.c
@@ -77,8 +77,8 @@
     printf ("{\"teams\":%zu,\"keys\":%zu,\"queues\":%zu}\n", c.n_teams,
             c.n_keys, c.n_queues);
   else
-    printf ("%s: %zu teams, %zu keys, %zu queues\n", path, c.n_teams,
-            c.n_keys, c.n_queues);
+    printf ("%s: %zu teams, %zu keys, %zu queues\n", path, c.n_teams, c.n_keys,
+            c.n_queues);
   conf_free (&c);
   free (text);
   return EXIT_DONE;
@@ -221,9 +221,9 @@
       n = diff_list (old, new, "teams", "name")
           + diff_list (old, new, "keys", "id")
           + diff_list (old, new, "queues", "name");
-      printf ("%d differences from version %lld\n", n,
-              (long long)json_integer_value (json_object_get (now,
-                                                              "version")));
+      printf (
+          "%d differences from version %lld\n", n,
+          (long long)json_integer_value (json_object_get (now, "version")));
       json_decref (new);
     }
   json_decref (now);
--- a/citronctl/rpc.c
+++ b/citronctl/rpc.c
@@ -8,6 +8,7 @@
 {
   CONNECT_MS = 3000,
   URL_SIZE = 512,
+  STREAMS_MAX = 16, /* instances watched at once */
 };
 
 static size_t
@@ -164,24 +165,73 @@
   return len;
 }
 
+static CURL *
+stream_open (const struct options *opt, const char *server, size_t len,
+             const char *path, struct curl_slist *list, struct stream *st)
+{
+  CURL *e = request (opt, "GET", server, len, path, list);
+
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_stream);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, st);
+  return e;
+}
+
+/* Runs all streams until the last has ended; the best exit code. */
+static int
+stream_run (CURLM *multi)
+{
+  struct answer a = { .sent = true };
+  CURLMsg *msg;
+  int running = 1;
+  int left;
+  int code = EXIT_NOT_RUN;
+
+  while (running)
+    {
+      curl_multi_perform (multi, &running);
+      while ((msg = curl_multi_info_read (multi, &left)))
+        {
+          curl_easy_getinfo (msg->easy_handle, CURLINFO_RESPONSE_CODE,
+                             &a.status);
+          if (a.status && code != EXIT_DONE)
+            code = rpc_exit (&a);
+        }
+      if (running)
+        curl_multi_poll (multi, NULL, 0, CONNECT_MS, NULL);
+    }
+  return code;
+}
+
 int
 rpc_stream (const struct options *opt, const char *path,
             void (*line) (const char *text, size_t len))
 {
-  struct stream st = { .line = line };
+  struct stream streams[STREAMS_MAX] = { 0 };
+  CURL *easy[STREAMS_MAX];
   struct curl_slist *list = headers (opt);
-  struct answer a = { .sent = true };
-  CURL *e = request (opt, "GET", opt->servers, strcspn (opt->servers, ","),
-                     path, list);
+  CURLM *multi = curl_multi_init ();
+  const char *server = opt->servers;
+  int n = 0;
+  int code;
 
-  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_stream);
-  curl_easy_setopt (e, CURLOPT_WRITEDATA, &st);
-  curl_easy_perform (e);
-  curl_easy_getinfo (e, CURLINFO_RESPONSE_CODE, &a.status);
-  if (st.len)
-    line (st.buf, st.len);
-  free (st.buf);
-  curl_easy_cleanup (e);
+  while (*server && n < STREAMS_MAX)
+    {
+      size_t len = strcspn (server, ",");
+      streams[n].line = line;
+      easy[n] = stream_open (opt, server, len, path, list, &streams[n]);
+      curl_multi_add_handle (multi, easy[n]);
+      n++;
+      server += len;
+      server += *server == ',';
+    }
+  code = stream_run (multi);
+  for (int i = 0; i < n; i++)
+    {
+      curl_multi_remove_handle (multi, easy[i]);
+      curl_easy_cleanup (easy[i]);
+      free (streams[i].buf);
+    }
+  curl_multi_cleanup (multi);
   curl_slist_free_all (list);
-  return a.status ? rpc_exit (&a) : EXIT_NOT_RUN;
+  return code;
 }
--- a/citronlbd/backend.c
+++ b/citronlbd/backend.c
@@ -26,9 +26,9 @@
   struct sync_call *c = arg;
   struct sync_rep rep;
   struct codec_err ce;
-  bool good = end == HTTPC_OK && status == 200
-              && !codec_parse (&sync_rep_desc, body, len, CODEC_LENIENT, &rep,
-                               &ce);
+  bool good
+      = end == HTTPC_OK && status == 200
+        && !codec_parse (&sync_rep_desc, body, len, CODEC_LENIENT, &rep, &ce);
 
   node_sync (&c->d->node, now_ms (), c->worker, c->seq, good ? &rep : NULL);
   if (good)
--- a/citronlbd/main.c
+++ b/citronlbd/main.c
@@ -12,7 +12,7 @@
 
 enum
 {
-  TICK_BUSY_MS = 2,  /* while records wait to be written */
+  TICK_BUSY_MS = 2, /* while records wait to be written */
   TICK_IDLE_MS = 20,
   /* Callers that came by an old list are answered this long. */
   LINGER_MS = 500,
--- a/citronlbd/options.c
+++ b/citronlbd/options.c
@@ -100,8 +100,7 @@
   return 0;
 }
 
-static void __attribute__ ((noreturn))
-bad (int key, const char *what)
+static void __attribute__ ((noreturn)) bad (int key, const char *what)
 {
   const struct setting *s = setting_of (key);
 
--- a/citronlbd/peers.c
+++ b/citronlbd/peers.c
@@ -13,10 +13,10 @@
 
 enum
 {
-  SEND_QUEUE = 10000,        /* messages kept for a peer that is away */
+  SEND_QUEUE = 10000, /* messages kept for a peer that is away */
   HEARTBEAT_MS = 500,
   HEARTBEAT_TIMEOUT_MS = 1500,
-  MESSAGE_MAX = 4 << 20,     /* bytes */
+  MESSAGE_MAX = 4 << 20, /* bytes */
   RECONNECT_MS = 100,
   RECONNECT_MAX_MS = 1000,
   IDLE_LINKS_MAX = 128,
--- a/citronlbd/platform.c
+++ b/citronlbd/platform.c
@@ -33,7 +33,8 @@
   struct codec_err ce;
 
   memset (rep, 0, sizeof *rep);
-  if (end == HTTPC_UNREACHED || (end == HTTPC_OK && status == STATUS_NO_EFFECT))
+  if (end == HTTPC_UNREACHED
+      || (end == HTTPC_OK && status == STATUS_NO_EFFECT))
     rep->err = CLB_EUNAVAIL;
   else if (end == HTTPC_FAILED || status != 200
            || codec_parse (&store_rep_desc, body, len, CODEC_LENIENT, rep,
--- a/core/clb.h
+++ b/core/clb.h
@@ -28,31 +28,31 @@
 enum clb_err
 {
   CLB_OK = 0,
-  CLB_EPARSE = -1,      /* text is not JSON, or msgpack is damaged */
-  CLB_EFIELD = -2,      /* unknown, missing, doubled or mistyped field */
-  CLB_ERANGE = -3,      /* value outside its range */
-  CLB_EREF = -4,        /* names a team or queue that does not exist */
-  CLB_EDUP = -5,        /* two entries with one name */
+  CLB_EPARSE = -1, /* text is not JSON, or msgpack is damaged */
+  CLB_EFIELD = -2, /* unknown, missing, doubled or mistyped field */
+  CLB_ERANGE = -3, /* value outside its range */
+  CLB_EREF = -4,   /* names a team or queue that does not exist */
+  CLB_EDUP = -5,   /* two entries with one name */
   CLB_ENOMEM = -6,
-  CLB_ECONFLICT = -7,   /* another writer was first */
-  CLB_EUNAVAIL = -8,    /* the platform refused or was not reached */
-  CLB_EUNKNOWN = -9,    /* sent, but the outcome cannot be learned */
-  CLB_EKEY = -10,       /* no key, or one that is not granted */
-  CLB_EDENIED = -11,    /* the key may not do this */
-  CLB_ESTALE = -12,     /* configuration not proved fresh */
-  CLB_EFULL = -13,      /* queue or journal backlog is full */
-  CLB_ENOHOLDER = -14,  /* no scheduler holds the domain */
+  CLB_ECONFLICT = -7,  /* another writer was first */
+  CLB_EUNAVAIL = -8,   /* the platform refused or was not reached */
+  CLB_EUNKNOWN = -9,   /* sent, but the outcome cannot be learned */
+  CLB_EKEY = -10,      /* no key, or one that is not granted */
+  CLB_EDENIED = -11,   /* the key may not do this */
+  CLB_ESTALE = -12,    /* configuration not proved fresh */
+  CLB_EFULL = -13,     /* queue or journal backlog is full */
+  CLB_ENOHOLDER = -14, /* no scheduler holds the domain */
   CLB_ENOTFOUND = -15,
-  CLB_ETIMEOUT = -16,   /* no room before the deadline */
-  CLB_ENOFIT = -17,     /* larger than any worker or limit */
-  CLB_ESTOPPING = -18,  /* this instance is shutting down */
-  CLB_EBACKEND = -19,   /* the backend server failed the request */
-  CLB_ETOOBIG = -20,    /* body or header over its limit */
-  CLB_EDONE = -21,      /* a non-idempotent request with this id exists */
-  CLB_ELEASE = -22,     /* lease lapsed before the work could start */
+  CLB_ETIMEOUT = -16,  /* no room before the deadline */
+  CLB_ENOFIT = -17,    /* larger than any worker or limit */
+  CLB_ESTOPPING = -18, /* this instance is shutting down */
+  CLB_EBACKEND = -19,  /* the backend server failed the request */
+  CLB_ETOOBIG = -20,   /* body or header over its limit */
+  CLB_EDONE = -21,     /* a non-idempotent request with this id exists */
+  CLB_ELEASE = -22,    /* lease lapsed before the work could start */
   CLB_ECANCELLED = -23,
-  CLB_EPROTO = -24,     /* peer or platform answered something unexpected */
-  CLB_EREACH = -25,     /* no backend server could be reached */
+  CLB_EPROTO = -24, /* peer or platform answered something unexpected */
+  CLB_EREACH = -25, /* no backend server could be reached */
   CLB_ERR_LAST = -26
 };
 
@@ -85,14 +85,14 @@
 
 enum task_state
 {
-  TASK_PENDING,   /* recorded, waiting for room */
-  TASK_STARTING,  /* intent recorded, not yet seen at the worker */
+  TASK_PENDING,  /* recorded, waiting for room */
+  TASK_STARTING, /* intent recorded, not yet seen at the worker */
   TASK_RUNNING,
-  TASK_STOPPING,  /* cancelled or retried, workers not yet clear of it */
+  TASK_STOPPING, /* cancelled or retried, workers not yet clear of it */
   TASK_DONE,
   TASK_FAILED,
   TASK_CANCELLED,
-  TASK_UNKNOWN,   /* may have run, cannot be learned */
+  TASK_UNKNOWN, /* may have run, cannot be learned */
   TASK_STATE_N
 };
 
@@ -111,7 +111,7 @@
   WHY_NONE,
   WHY_ACCEPTED,
   WHY_DUPLICATE,
-  WHY_BEST_FIT,   /* placed on the tightest worker that holds it */
+  WHY_BEST_FIT, /* placed on the tightest worker that holds it */
   WHY_SPREAD,
   WHY_NO_ROOM,
   WHY_TEAM_LIMIT,
@@ -125,7 +125,7 @@
   WHY_WORKER_REBOOTED,
   WHY_WORKER_QUARANTINED,
   WHY_WORKER_BACK,
-  WHY_START_UNSEEN,     /* start sent, worker proved never to have had it */
+  WHY_START_UNSEEN, /* start sent, worker proved never to have had it */
   WHY_TOO_MANY_FAILURES,
   WHY_CANCELLED,
   WHY_NOT_IDEMPOTENT,
@@ -133,7 +133,7 @@
   WHY_LEASE_LOST,
   WHY_HANDED_OVER,
   WHY_STORE_DOWN,
-  WHY_EXTENDED,         /* holder went on under its peers' promises */
+  WHY_EXTENDED, /* holder went on under its peers' promises */
   WHY_CONFIG,
   WHY_GRANT_RAISED,
   WHY_GRANT_LOWERED,
--- a/core/codec.c
+++ b/core/codec.c
@@ -14,8 +14,7 @@
 fail (struct codec_err *ce, int err, const char *path, const char *name)
 {
   ce->err = err;
-  snprintf (ce->path, sizeof ce->path, "%s%s%s", path, *path ? "." : "",
-            name);
+  snprintf (ce->path, sizeof ce->path, "%s%s%s", path, *path ? "." : "", name);
   return err;
 }
 
@@ -126,8 +125,8 @@
       err = read_enum (f, v, (int *)(void *)(base + f->off));
       break;
     case FLD_OBJ:
-      snprintf (sub_path, sizeof sub_path, "%.80s%s%s", path,
-                *path ? "." : "", f->name);
+      snprintf (sub_path, sizeof sub_path, "%.80s%s%s", path, *path ? "." : "",
+                f->name);
       return read_obj (f->sub, v, mode, base + f->off, ce, sub_path);
     case FLD_VEC:
       return read_vec (f, v, mode, base, ce, path);
@@ -195,8 +194,8 @@
   if (!json)
     {
       ce->err = CLB_EPARSE;
-      snprintf (ce->path, sizeof ce->path, "line %d column %d: %.80s",
-                je.line, je.column, je.text);
+      snprintf (ce->path, sizeof ce->path, "line %d column %d: %.80s", je.line,
+                je.column, je.text);
       return CLB_EPARSE;
     }
   int err = codec_read (d, json, mode, out, ce);
--- a/core/codec.h
+++ b/core/codec.h
@@ -72,6 +72,11 @@
   {                                                                           \
     .name = #f, .kind = FLD_ENUM, .off = offsetof (s, f), .names = (table)    \
   }
+#define FLD_NAMED_REQUIRED(s, f, table)                                       \
+  {                                                                           \
+    .name = #f, .kind = FLD_ENUM, .off = offsetof (s, f), .names = (table),   \
+    .required = true                                                          \
+  }
 #define FLD_STRUCT(s, f, d)                                                   \
   {                                                                           \
     .name = #f, .kind = FLD_OBJ, .off = offsetof (s, f), .sub = (d)           \
@@ -108,8 +113,8 @@
  * Return: 0, %CLB_EFIELD, %CLB_ERANGE or %CLB_ENOMEM.  After a failure @out
  * owns nothing.
  */
-int codec_read (const struct desc *d, const json_t *json,
-                enum codec_mode mode, void *out, struct codec_err *ce);
+int codec_read (const struct desc *d, const json_t *json, enum codec_mode mode,
+                void *out, struct codec_err *ce);
 
 /** codec_parse() - codec_read() from text; %CLB_EPARSE with line and column */
 int codec_parse (const struct desc *d, const char *text, size_t len,
@@ -125,11 +130,10 @@
 void codec_free (const struct desc *d, void *s);
 
 /** codec_pack() - As msgpack; the caller frees *@buf.  0 or %CLB_ENOMEM. */
-int codec_pack (const struct desc *d, const void *in, char **buf,
-                size_t *len);
+int codec_pack (const struct desc *d, const void *in, char **buf, size_t *len);
 
 /** codec_unpack() - From msgpack; damaged bytes give %CLB_EPARSE. */
-int codec_unpack (const struct desc *d, const char *buf, size_t len,
-                  void *out, struct codec_err *ce);
+int codec_unpack (const struct desc *d, const char *buf, size_t len, void *out,
+                  struct codec_err *ce);
 
 #endif
--- a/core/conf.c
+++ b/core/conf.c
@@ -47,7 +47,7 @@
   FLD_FLAG (struct conf_queue, open),
   FLD_CHARS (struct conf_queue, team, false),
   FLD_NAMED (struct conf_queue, lane, lane_names),
-  FLD_NAMED (struct conf_queue, class, task_class_names),
+  FLD_NAMED_REQUIRED (struct conf_queue, class, task_class_names),
   FLD_FLAG (struct conf_queue, idempotent),
   FLD_INT (struct conf_queue, max_waiting, 1, WAITING_MAX),
   FLD_INT (struct conf_queue, max_wait_ms, 1, WAIT_MS_MAX),
--- a/core/entry.c
+++ b/core/entry.c
@@ -7,15 +7,15 @@
 
 enum
 {
-  CALL_RETRY_MS = 1000,    /* a call without a reply is sent again */
-  PENDING_TICK_MS = 20,    /* between looks at the deadlines */
-  ABOUT_WAIT_MS = 5000,    /* for status, cancel and why */
+  CALL_RETRY_MS = 1000, /* a call without a reply is sent again */
+  PENDING_TICK_MS = 20, /* between looks at the deadlines */
+  ABOUT_WAIT_MS = 5000, /* for status, cancel and why */
   APPLY_WAIT_MS = 10000,
   RELEASE_WAIT_MS = 60000, /* a holder is told of an end this long */
   RELEASE_STOP_MS = 10000, /* likewise by an instance that is stopping */
   LONG_WAIT_MAX_MS = 300000,
-  REPLY_SLACK_MS = 2000,   /* a reply may come this much after its wait */
-  FORWARD_TRIES = 3,       /* executors tried for an idempotent request */
+  REPLY_SLACK_MS = 2000, /* a reply may come this much after its wait */
+  FORWARD_TRIES = 3,     /* executors tried for an idempotent request */
   RETRY_HINT_MS = 1000,
   QUERY_MAX = 128,
 };
@@ -72,9 +72,8 @@
 
   n->stats.errors[-err]++;
   json_object_set_new (json, "error", json_string (clb_err_name (err)));
-  json_object_set_new (
-      json, "outcome",
-      json_string (clb_outcome_name (clb_err_outcome (err))));
+  json_object_set_new (json, "outcome",
+                       json_string (clb_outcome_name (clb_err_outcome (err))));
   if (field && *field)
     json_object_set_new (json, "field", json_string (field));
   if (id && *id)
@@ -228,8 +227,8 @@
 }
 
 static int
-team_for (struct node *n, const struct request *rq,
-          const struct conf_queue *q, char team[CLB_NAME_MAX])
+team_for (struct node *n, const struct request *rq, const struct conf_queue *q,
+          char team[CLB_NAME_MAX])
 {
   int err;
 
@@ -250,7 +249,7 @@
 enum domain_fit
 {
   FIT_NO_HOLDER,
-  FIT_NEVER,  /* larger than what it has */
+  FIT_NEVER, /* larger than what it has */
   FIT_LATER,
   FIT_NOW,
 };
@@ -395,8 +394,9 @@
 
   if (rq->bearer)
     err = node_authorize (n, n->now_ms, rq->bearer, team);
-  if (!err && (len >= CLB_ID_MAX || !dot || dot >= id + len
-               || dot - id >= CLB_NAME_MAX))
+  if (!err
+      && (len >= CLB_ID_MAX || !dot || dot >= id + len
+          || dot - id >= CLB_NAME_MAX))
     err = CLB_ENOTFOUND;
   if (err)
     {
@@ -424,8 +424,7 @@
 {
   clb_copy (p->domain, domain, sizeof p->domain);
   snprintf (p->call.id, sizeof p->call.id, "%.30s.%.30s-%llx-%lld", domain,
-            n->set.id, (unsigned long long)n->set.boot,
-            (long long)p->call.no);
+            n->set.id, (unsigned long long)n->set.boot, (long long)p->call.no);
   p->step = STEP_ASKING;
   p->holder[0] = '\0';
   pending_send (n, p);
@@ -460,8 +459,7 @@
     err = CLB_ENOHOLDER;
   if (err)
     {
-      refuse (n, rq->call, err,
-              err == CLB_EREF ? "queue" : "X-Request-Id");
+      refuse (n, rq->call, err, err == CLB_EREF ? "queue" : "X-Request-Id");
       return;
     }
   spec.duration_ms = q->max_run_ms;
@@ -770,7 +768,7 @@
   if (row && row->value)
     codec_parse (&head_row_desc, row->value, strlen (row->value),
                  CODEC_LENIENT, &head, &ce);
-  if (head.version == p->head.version
+  if (row && head.version == p->head.version
       && strcmp (head.change_id, p->head.change_id) == 0)
     apply_done (n, p, row->ver);
   else if (head.version <= p->base_version)
@@ -876,10 +874,10 @@
       apply_conflict (n, p, n->head.version);
       return;
     }
-  p->manifest = strndup (rq->body, rq->body_len);
+  p->manifest = strndup (rq->body ? rq->body : "", rq->body_len);
   if (!p->manifest)
     abort ();
-  conf_text_hash (rq->body, rq->body_len, p->head.hash);
+  conf_text_hash (p->manifest, rq->body_len, p->head.hash);
   apply_object (n, p);
 }
 
--- a/core/escrow.c
+++ b/core/escrow.c
@@ -11,12 +11,12 @@
 
 enum
 {
-  READ_PERIOD_MS = 1000,  /* while parts exceed the limit, or are short */
-  GIVE_PERIOD_MS = 500,   /* between looks at what others want */
-  IDLE_MS = 3000,         /* unused part kept this long */
-  WANT_PERIOD_MS = 1000,  /* between looks at what other domains want */
+  READ_PERIOD_MS = 1000, /* while parts exceed the limit, or are short */
+  GIVE_PERIOD_MS = 500,  /* between looks at what others want */
+  IDLE_MS = 3000,        /* unused part kept this long */
+  WANT_PERIOD_MS = 1000, /* between looks at what other domains want */
   WANT_TIMEOUT_MS = 3000,
-  WAITING_COUNTED = 256,  /* waiting tasks that a look goes through */
+  WAITING_COUNTED = 256, /* waiting tasks that a look goes through */
   KEY_SIZE = 256,
 };
 
@@ -91,7 +91,7 @@
   struct task *t;
   int counted = 0;
 
-  for (int class = 0; class < CLASS_N; class++)
+  for (int class = 0; class < CLASS_N; class ++)
     TAILQ_FOREACH (t, &team->queue[class], queued)
       {
         if (counted++ >= WAITING_COUNTED)
@@ -201,9 +201,9 @@
   team->op_granted = *part;
   /* What is being given up may not be used any more, whatever the answer. */
   for (int k = 0; k < RES_N; k++)
-    clb_res_set (&team->granted, k,
-                 min64 (clb_res_get (&team->granted, k),
-                        clb_res_get (part, k)));
+    clb_res_set (
+        &team->granted, k,
+        min64 (clb_res_get (&team->granted, k), clb_res_get (part, k)));
   team->next_op_ms = s->now_ms + GIVE_PERIOD_MS;
 }
 
--- a/core/journal.c
+++ b/core/journal.c
@@ -12,8 +12,8 @@
   BACKLOG_RECORDS = 8192, /* then new work is refused */
   RETRY_MS = 200,         /* before a write is sent again */
   SNAP_RETRY_MS = 5000,
-  CUT_ROWS = 200,         /* journal rows deleted in one write */
-  KEY_SIZE = 256,         /* bytes of a row's key */
+  CUT_ROWS = 200, /* journal rows deleted in one write */
+  KEY_SIZE = 256, /* bytes of a row's key */
 };
 
 enum load_step
@@ -454,8 +454,7 @@
 /* Snapshots. */
 
 static void
-snap_add (struct journal_row *row, size_t *cap, const struct task *t,
-          int kind)
+snap_add (struct journal_row *row, size_t *cap, const struct task *t, int kind)
 {
   if (row->n_recs == *cap)
     {
--- a/core/msg.c
+++ b/core/msg.c
@@ -6,10 +6,10 @@
 
 enum
 {
-  BIG = INT32_MAX,            /* counts that only memory bounds */
-  MEMBERS_MAX = 1024,         /* of one gang */
+  BIG = INT32_MAX,                     /* counts that only memory bounds */
+  MEMBERS_MAX = 1024,                  /* of one gang */
   DURATION_MS_MAX = 20 * 86400 * 1000, /* 20 days */
-  ROW_TEXT_MAX = 16 << 20,    /* bytes of one row or object */
+  ROW_TEXT_MAX = 16 << 20,             /* bytes of one row or object */
   WHY_TEXT_MAX = 1 << 20,
 };
 
@@ -25,8 +25,8 @@
 static const char *const store_names[]
     = { "txn", "get", "list", "obj-put", "obj-get", "instances", NULL };
 static const char *const pmsg_names[]
-    = { "hello",    "call",     "reply", "handover", "promise-ask",
-        "promise",  "held-ask", "held",  NULL };
+    = { "hello",   "call",     "reply", "handover", "promise-ask",
+        "promise", "held-ask", "held",  NULL };
 
 static const struct fld spec_fields[] = {
   FLD_CHARS (struct spec, request_id, false),
@@ -319,12 +319,10 @@
 }
 
 int
-pmsg_unpack (const char *buf, size_t len, struct pmsg *m,
-             struct codec_err *ce)
+pmsg_unpack (const char *buf, size_t len, struct pmsg *m, struct codec_err *ce)
 {
   const struct fld head[] = PMSG_FIELDS (NULL);
-  const struct desc head_desc
-      = { "pmsg", sizeof *m, head, PMSG_HEAD_FIELDS };
+  const struct desc head_desc = { "pmsg", sizeof *m, head, PMSG_HEAD_FIELDS };
   int err = codec_unpack (&head_desc, buf, len, m, ce);
 
   if (err)
@@ -391,8 +389,7 @@
   op->conds = realloc (op->conds, (op->n_conds + 1) * sizeof *op->conds);
   if (!op->conds)
     abort ();
-  op->conds[op->n_conds++]
-      = (struct cond){ .key = strdup (key), .ver = ver };
+  op->conds[op->n_conds++] = (struct cond){ .key = strdup (key), .ver = ver };
 }
 
 void
--- a/core/msg.h
+++ b/core/msg.h
@@ -16,12 +16,12 @@
   char request_id[CLB_ID_MAX]; /* chosen by the caller */
   char queue[CLB_NAME_MAX];
   char name[CLB_NAME_MAX];
-  struct clb_res need;   /* of each member */
-  int64_t members;       /* 1 unless a gang; all start or none */
-  bool same_rack;        /* wish: members near each other */
-  bool spread;           /* wish: members on different racks */
-  int64_t duration_ms;   /* declared, 0 for a long-lived service */
-  int64_t deadline_ms;   /* not started by then: given up; 0 for never */
+  struct clb_res need; /* of each member */
+  int64_t members;     /* 1 unless a gang; all start or none */
+  bool same_rack;      /* wish: members near each other */
+  bool spread;         /* wish: members on different racks */
+  int64_t duration_ms; /* declared, 0 for a long-lived service */
+  int64_t deadline_ms; /* not started by then: given up; 0 for never */
 };
 extern const struct desc spec_desc;
 
@@ -57,7 +57,7 @@
   size_t n_places;
   int64_t attempt;
   int64_t failures;
-  int state; /* enum task_state, of REC_END */
+  int state;      /* enum task_state, of REC_END */
   int64_t reason; /* enum clb_reason */
 };
 extern const struct desc rec_desc;
@@ -221,9 +221,9 @@
 };
 enum store_kind
 {
-  STORE_TXN,       /* all conditions hold and all puts are done, or none */
-  STORE_GET,       /* one row */
-  STORE_LIST,      /* rows whose key starts with key, after `after` */
+  STORE_TXN,  /* all conditions hold and all puts are done, or none */
+  STORE_GET,  /* one row */
+  STORE_LIST, /* rows whose key starts with key, after `after` */
   STORE_OBJ_PUT,
   STORE_OBJ_GET,
   STORE_INSTANCES,
@@ -282,7 +282,7 @@
   bool open_only; /* no key: only tasks of open queues */
   int64_t max_waiting;
   int64_t wait_ms;
-  int64_t stamp; /* entry instance's clock when it sent or repeated this */
+  int64_t stamp;   /* entry instance's clock when it sent or repeated this */
   bool bad_server; /* CALL_RELEASE: the executor failed */
   int state;       /* CALL_RELEASE: enum task_state */
 };
@@ -292,8 +292,8 @@
   int64_t no;
   int64_t err;
   char id[CLB_ID_MAX];
-  int state; /* enum task_state */
-  int64_t reason; /* enum clb_reason */
+  int state;        /* enum task_state */
+  int64_t reason;   /* enum clb_reason */
   int64_t retry_ms; /* when to come back */
   int64_t stamp;    /* of the call that this answers */
   char executor[CLB_ID_MAX];
@@ -350,7 +350,7 @@
   PM_HANDOVER,    /* the lease row was handed back: claim it now */
   PM_PROMISE_ASK, /* holder to peer: do not claim for a while */
   PM_PROMISE,
-  PM_HELD_ASK,    /* new holder to entry: which slots do you use? */
+  PM_HELD_ASK, /* new holder to entry: which slots do you use? */
   PM_HELD,
   PM_N
 };
@@ -381,7 +381,7 @@
 
 enum out_kind
 {
-  OUT_ANSWER,  /* to a caller, final */
+  OUT_ANSWER, /* to a caller, final */
   OUT_PEER,
   OUT_STORE,
   OUT_SYNC,    /* to a worker */
--- a/core/node.c
+++ b/core/node.c
@@ -455,9 +455,9 @@
 static void
 sched_begin (struct node *n)
 {
-  n->sched = sched_new (n->set.domain, n->set.id, n->set.boot, n->role.epoch,
-                        n->role.epoch_ver, n->now_ms, n->conf, &n->out,
-                        &n->tokens);
+  n->sched
+      = sched_new (n->set.domain, n->set.id, n->set.boot, n->role.epoch,
+                   n->role.epoch_ver, n->now_ms, n->conf, &n->out, &n->tokens);
   if (n->set.snap_every)
     n->sched->snap_every = n->set.snap_every;
   if (n->list_known)
@@ -576,8 +576,8 @@
     object_answer (n, rep);
   else if (token == n->list_token)
     list_answer (n, rep);
-  else if (!entry_store (n, token, rep)
-           && !role_store (&n->role, token, rep) && n->sched)
+  else if (!entry_store (n, token, rep) && !role_store (&n->role, token, rep)
+           && n->sched)
     sched_store (n->sched, token, rep);
   node_step (n);
 }
--- a/core/node.h
+++ b/core/node.h
@@ -14,13 +14,13 @@
 enum
 {
   PEERS_MAX = 64,
-  PENDING_MAX = 4096,      /* callers' requests in hand */
-  FRESH_MS = 3000,         /* keyed work needs a proof this young */
+  PENDING_MAX = 4096, /* callers' requests in hand */
+  FRESH_MS = 3000,    /* keyed work needs a proof this young */
   HELLO_MS = 500,
-  PEER_SILENT_MS = 3000,   /* then it is not sent anything */
-  SUBMIT_WAIT_MS = 10000,  /* longest that a caller waits to be accepted */
+  PEER_SILENT_MS = 3000,    /* then it is not sent anything */
+  SUBMIT_WAIT_MS = 10000,   /* longest that a caller waits to be accepted */
   FORWARD_WITHIN_MS = 2000, /* a slot is used this soon after asking, or not */
-  BODY_MAX = 1 << 20,      /* bytes of a task request */
+  BODY_MAX = 1 << 20,       /* bytes of a task request */
 };
 
 enum method
@@ -35,10 +35,10 @@
 /** struct request - from a caller, all borrowed */
 struct request
 {
-  uint64_t call; /* chosen by the shell, not reused */
-  int method;    /* enum method */
-  const char *path;   /* "/v1/tasks/..." with the query */
-  const char *bearer; /* key, or NULL */
+  uint64_t call;          /* chosen by the shell, not reused */
+  int method;             /* enum method */
+  const char *path;       /* "/v1/tasks/..." with the query */
+  const char *bearer;     /* key, or NULL */
   const char *request_id; /* of a service request, or NULL */
   const char *body;
   size_t body_len;
@@ -59,7 +59,7 @@
   char id[CLB_ID_MAX];
   char domain[CLB_NAME_MAX];
   char peer_addr[CLB_ADDR_MAX];
-  int64_t boot; /* rises at every start; milliseconds */
+  int64_t boot;       /* rises at every start; milliseconds */
   int64_t snap_every; /* journal rows between snapshots; 0: the usual */
   /* An operator's key that works only until a manifest is accepted. */
   char first_salt[CLB_NAME_MAX];
@@ -76,15 +76,15 @@
   int64_t their_stamp; /* latest, echoed back */
   struct hello hello;
   bool listed;
-  bool held_told;      /* has said which slots it uses */
+  bool held_told; /* has said which slots it uses */
   int64_t held_asked_ms;
 };
 
 enum pending_step
 {
-  STEP_ASKING,    /* waits for a holder's reply */
-  STEP_FORWARDED, /* at an executor */
-  STEP_RELEASING, /* nobody waits; the holder must still hear of it */
+  STEP_ASKING,       /* waits for a holder's reply */
+  STEP_FORWARDED,    /* at an executor */
+  STEP_RELEASING,    /* nobody waits; the holder must still hear of it */
   STEP_APPLY_OBJECT, /* a manifest being written */
   STEP_APPLY_HEAD,
   STEP_APPLY_CHECK,
@@ -97,9 +97,9 @@
   RB_ENTRY (pending) by_call;
   uint64_t caller; /* the shell's number; 0 when nobody waits */
   struct call call;
-  int step; /* enum pending_step */
-  char domain[CLB_NAME_MAX];  /* where it is sent */
-  char holder[CLB_ID_MAX];    /* last sent to; empty: not sent */
+  int step;                  /* enum pending_step */
+  char domain[CLB_NAME_MAX]; /* where it is sent */
+  char holder[CLB_ID_MAX];   /* last sent to; empty: not sent */
   int64_t sent_ms;
   int64_t until_ms;
   int64_t began_ms;
@@ -138,14 +138,14 @@
 {
   struct settings set;
   int64_t now_ms;
-  struct outq out;  /* to be carried out by the shell */
+  struct outq out; /* to be carried out by the shell */
   uint64_t tokens;
   struct role role;
   struct sched *sched; /* NULL unless holder */
   struct conf *conf;
   struct head_row head;
   int64_t head_ver;
-  int64_t fresh_ms;      /* latest time at which conf was proved current */
+  int64_t fresh_ms; /* latest time at which conf was proved current */
   uint64_t head_token;
   int64_t head_sent_ms;
   int64_t next_head_ms;
@@ -226,8 +226,7 @@
 /* entry.c, used by node.c */
 void entry_tick (struct node *n);
 void entry_reply (struct node *n, const struct reply *r);
-bool entry_store (struct node *n, uint64_t token,
-                  const struct store_rep *rep);
+bool entry_store (struct node *n, uint64_t token, const struct store_rep *rep);
 void entry_answer (struct node *n, uint64_t call, int status, char *body,
                    int64_t retry_ms);
 void entry_held (struct node *n, struct held_list *out);
--- a/core/place.c
+++ b/core/place.c
@@ -5,9 +5,9 @@
 
 enum
 {
-  SCORE_ONE = 1024,           /* a whole worker left over */
-  SCORE_ACCEL_WASTE = 8192,   /* accelerators that the task cannot use */
-  SCORE_SAME_RACK = 16384,    /* another member's rack, unwished */
+  SCORE_ONE = 1024,         /* a whole worker left over */
+  SCORE_ACCEL_WASTE = 8192, /* accelerators that the task cannot use */
+  SCORE_SAME_RACK = 16384,  /* another member's rack, unwished */
   SCORE_AVOID = 1 << 24,
 };
 
@@ -241,8 +241,7 @@
       struct clb_res room = w->inst.room;
       if (!w->listed || !right_kind (w, spec))
         continue;
-      for (; held < spec->members && clb_res_fits (&spec->need, &room);
-           held++)
+      for (; held < spec->members && clb_res_fits (&spec->need, &room); held++)
         clb_res_add (&room, &spec->need, -1);
       if (held >= spec->members)
         return true;
@@ -254,11 +253,9 @@
 pl_pick (struct pl *pl, const struct spec *spec, const char *avoid,
          int64_t now_ms, struct worker **picked, int64_t *looked_at)
 {
-  struct search s = { .pl = pl,
-                      .spec = spec,
-                      .avoid = avoid,
-                      .now_ms = now_ms,
-                      .picked = picked };
+  struct search s = {
+    .pl = pl, .spec = spec, .avoid = avoid, .now_ms = now_ms, .picked = picked
+  };
   bool found = spec->same_rack && spec->members > 1 && pick_same_rack (&s);
 
   found = found || pick_all (&s, NULL);
--- a/core/place.h
+++ b/core/place.h
@@ -11,7 +11,7 @@
 
 enum worker_state
 {
-  WORKER_UNSEEN,    /* no report in this epoch: not placed on */
+  WORKER_UNSEEN, /* no report in this epoch: not placed on */
   WORKER_LIVE,
   WORKER_SILENT,    /* reports late: not placed on, leases renewed */
   WORKER_CONDEMNED, /* leases no longer renewed */
@@ -27,20 +27,20 @@
   struct inst inst;
   int state; /* enum worker_state */
   bool listed;
-  bool leaving;         /* by the list or by its own report */
-  struct clb_res used;  /* reserved for members placed here */
-  int64_t phantom;      /* busy slots that nobody here knows, in used */
+  bool leaving;        /* by the list or by its own report */
+  struct clb_res used; /* reserved for members placed here */
+  int64_t phantom;     /* busy slots that nobody here knows, in used */
   TAILQ_HEAD (, member) members;
   int64_t boot;
-  int64_t heard_ms;     /* sync answered, or the epoch's start */
-  bool heard;           /* answered in this epoch */
+  int64_t heard_ms; /* sync answered, or the epoch's start */
+  bool heard;       /* answered in this epoch */
   int64_t condemned_ms;
-  bool due;             /* something to send before the next period */
+  bool due; /* something to send before the next period */
   int64_t next_sync_ms;
   int64_t sync_sent_ms;
-  bool sync_out;        /* one is outstanding */
+  bool sync_out; /* one is outstanding */
   int64_t sync_seq;
-  struct run_id *acks;  /* ended runs to acknowledge */
+  struct run_id *acks; /* ended runs to acknowledge */
   size_t n_acks;
   struct run_id *strays; /* runs that nobody here knows: stop them */
   size_t n_strays;
--- a/core/recon.c
+++ b/core/recon.c
@@ -171,8 +171,8 @@
 static void
 run_failed (struct sched *s, struct worker *w, struct task *t)
 {
-  struct worker *first = *t->failed_on ? pl_worker (&s->pl, t->failed_on)
-                                       : NULL;
+  struct worker *first
+      = *t->failed_on ? pl_worker (&s->pl, t->failed_on) : NULL;
 
   if (!*t->failed_on || strcmp (t->failed_on, w->inst.id) == 0)
     worker_failed (s, w);
--- a/core/role.c
+++ b/core/role.c
@@ -6,12 +6,12 @@
 
 enum
 {
-  FOLLOW_POLL_MS = 1000,  /* between looks at the row */
-  OP_TIMEOUT_MS = 2500,   /* a store operation without an answer */
-  CLAIM_OPEN_MS = 6000,   /* a lost claim can take effect this long */
-  ASK_PERIOD_MS = 500,    /* between rounds of promises */
-  PROMISE_MS = 3000,      /* how long one promise binds */
-  PEER_GONE_MS = 30000,   /* silent and unlisted: no longer a member */
+  FOLLOW_POLL_MS = 1000, /* between looks at the row */
+  OP_TIMEOUT_MS = 2500,  /* a store operation without an answer */
+  CLAIM_OPEN_MS = 6000,  /* a lost claim can take effect this long */
+  ASK_PERIOD_MS = 500,   /* between rounds of promises */
+  PROMISE_MS = 3000,     /* how long one promise binds */
+  PEER_GONE_MS = 30000,  /* silent and unlisted: no longer a member */
   KEY_SIZE = 128,
 };
 
@@ -133,8 +133,7 @@
   if (p && p->boot == r->row.boot && r->now_ms - p->heard_ms < LEASE_MS)
     return true;
   /* A holder that counts this instance a member needs its promise. */
-  if (strcmp (r->known_by, r->row.holder) == 0
-      && r->known_by_boot == r->row.boot)
+  if (p && p->boot == r->row.boot && p->knows_me)
     return false;
   /* Another process under the holder's name: that holder is gone. */
   if (p && p->boot != r->row.boot)
@@ -330,14 +329,13 @@
       clb_copy (p->id, from, sizeof p->id);
     }
   if (p->boot != boot)
-    p->promised_until_ms = 0;
-  p->boot = boot;
-  p->heard_ms = r->now_ms;
-  if (h->holder && h->known)
     {
-      clb_copy (r->known_by, from, sizeof r->known_by);
-      r->known_by_boot = boot;
+      p->promised_until_ms = 0;
+      p->knows_me = false;
     }
+  p->boot = boot;
+  p->heard_ms = r->now_ms;
+  p->knows_me |= h->known;
 }
 
 void
@@ -393,8 +391,8 @@
 {
   struct promise answer = *p;
 
-  answer.given = r->state == ROLE_FOLLOW && !r->claim_open
-                 && p->epoch >= r->row.epoch;
+  answer.given
+      = r->state == ROLE_FOLLOW && !r->claim_open && p->epoch >= r->row.epoch;
   if (answer.given && r->now_ms + p->for_ms > r->promise_until_ms)
     r->promise_until_ms = r->now_ms + p->for_ms;
   (void)boot;
@@ -418,8 +416,7 @@
 drop_gone_peers (struct role *r)
 {
   for (int i = 0; i < r->n_peers; i++)
-    if (!r->peers[i].listed
-        && r->now_ms - r->peers[i].heard_ms > PEER_GONE_MS)
+    if (!r->peers[i].listed && r->now_ms - r->peers[i].heard_ms > PEER_GONE_MS)
       {
         r->peers[i] = r->peers[--r->n_peers];
         i--;
--- a/core/role.h
+++ b/core/role.h
@@ -33,8 +33,9 @@
   char id[CLB_ID_MAX];
   int64_t boot;
   int64_t heard_ms;
-  bool listed;       /* in the platform's list */
-  int64_t asked_ms;  /* latest promise asked of it */
+  bool listed;      /* in the platform's list */
+  bool knows_me;    /* it counts this instance a member */
+  int64_t asked_ms; /* latest promise asked of it */
   int64_t ask_no;
   int64_t promised_until_ms; /* it will not claim before */
 };
@@ -48,7 +49,7 @@
   int state; /* enum role_state */
   struct outq *out;
   uint64_t *tokens;
-  uint64_t token;       /* outstanding store operation */
+  uint64_t token; /* outstanding store operation */
   int64_t op_sent_ms;
   int64_t next_op_ms;
   struct lease_row row; /* as last seen */
@@ -60,13 +61,11 @@
   int64_t epoch_ver;
   int64_t claim_sent_ms;
   int64_t next_claim_ms;
-  bool claim_open;       /* a claim may still take effect */
+  bool claim_open; /* a claim may still take effect */
   bool stopping;
   bool handing_over;
   /* As a peer of the holder. */
   int64_t promise_until_ms;
-  char known_by[CLB_ID_MAX]; /* holder that counts this instance a member */
-  int64_t known_by_boot;
   bool list_known; /* the platform's list was read */
   /* As the holder. */
   struct role_peer peers[MEMBERS_OF_DOMAIN_MAX];
@@ -83,8 +82,7 @@
 /** role_tick() - Renew, claim, ask for promises. */
 void role_tick (struct role *r);
 /** role_store() - Whether @token was the role's, and handled. */
-bool role_store (struct role *r, uint64_t token,
-                 const struct store_rep *rep);
+bool role_store (struct role *r, uint64_t token, const struct store_rep *rep);
 /** role_heard() - A hello from an instance of this domain. */
 void role_heard (struct role *r, const char *from, int64_t boot,
                  const struct hello *h);
--- a/core/sched.c
+++ b/core/sched.c
@@ -6,16 +6,16 @@
 
 enum
 {
-  ASKER_MAX_MS = 600000,    /* longest wait for a task's end */
-  RETRY_HINT_MS = 1000,     /* when to come back for room */
-  BACKFILL_MAX = 16,        /* blocked tasks passed over per team and class */
-  BLOCKED_MAX = 16,         /* sizes remembered as not fitting in a round */
-  BACKOFF_BASE_MS = 500,    /* before the second attempt */
+  ASKER_MAX_MS = 600000, /* longest wait for a task's end */
+  RETRY_HINT_MS = 1000,  /* when to come back for room */
+  BACKFILL_MAX = 16,     /* blocked tasks passed over per team and class */
+  BLOCKED_MAX = 16,      /* sizes remembered as not fitting in a round */
+  BACKOFF_BASE_MS = 500, /* before the second attempt */
   BACKOFF_MAX_MS = 60000,
-  EXPIRE_PERIOD_MS = 50,    /* between looks at the deadlines */
-  NEVER_FITS_MS = 120000,   /* larger than every worker this long: ended */
-  ENDED_KEPT = 6000,       /* ended tasks that can still be asked about */
-  SHARE_ONE = 1 << 20,      /* a whole fleet, in share arithmetic */
+  EXPIRE_PERIOD_MS = 50,  /* between looks at the deadlines */
+  NEVER_FITS_MS = 120000, /* larger than every worker this long: ended */
+  ENDED_KEPT = 6000,      /* ended tasks that can still be asked about */
+  SHARE_ONE = 1 << 20,    /* a whole fleet, in share arithmetic */
 };
 
 static int
@@ -267,8 +267,7 @@
 }
 
 static void
-reply_err (struct sched *s, const char *entry, int64_t no, int err,
-           int reason)
+reply_err (struct sched *s, const char *entry, int64_t no, int err, int reason)
 {
   struct reply r = {
     .no = no,
@@ -746,8 +745,8 @@
 }
 
 static void
-reply_executor (struct sched *s, struct task *t, const char *entry,
-                int64_t no, int64_t stamp)
+reply_executor (struct sched *s, struct task *t, const char *entry, int64_t no,
+                int64_t stamp)
 {
   const struct worker *w = t->members[0].worker;
   struct reply r = reply_of (t, no);
@@ -1167,7 +1166,7 @@
   struct clb_res fleet = fleet_size (s);
 
   s->dirty = false;
-  for (int class = 0; class < CLASS_N; class++)
+  for (int class = 0; class < CLASS_N; class ++)
     place_class (s, &r, &fleet, class);
 }
 
--- a/core/sched.h
+++ b/core/sched.h
@@ -12,19 +12,19 @@
 
 enum
 {
-  TASK_LEASE_MS = 15000,    /* a worker runs a task this long unrenewed */
-  LIST_FRESH_MS = 3000,     /* no start goes out by an older list */
-  SNAP_EVERY_ROWS = 1000,   /* journal rows between snapshots */
-  SYNC_PERIOD_MS = 1000,    /* between syncs with one worker */
-  SYNC_TIMEOUT_MS = 2000,   /* then its connection is dropped */
-  WORKER_SILENT_MS = 3500,  /* without a report: not placed on */
+  TASK_LEASE_MS = 15000,     /* a worker runs a task this long unrenewed */
+  LIST_FRESH_MS = 3000,      /* no start goes out by an older list */
+  SNAP_EVERY_ROWS = 1000,    /* journal rows between snapshots */
+  SYNC_PERIOD_MS = 1000,     /* between syncs with one worker */
+  SYNC_TIMEOUT_MS = 2000,    /* then its connection is dropped */
+  WORKER_SILENT_MS = 3500,   /* without a report: not placed on */
   WORKER_CONDEMN_MS = 10000, /* without a report: leases not renewed */
   /* A lapsed scheduler renews its tasks' leases this long. */
   LAPSED_RENEW_MS = 60000,
-  TASK_FAILURES_MAX = 3,    /* then the task is at fault */
-  TASKS_MAX = 200000,       /* kept in memory, ended ones included */
-  SERVICE_GRACE_MS = 5000,  /* a slot not given back is free this much after
-                               its request's longest run */
+  TASK_FAILURES_MAX = 3,   /* then the task is at fault */
+  TASKS_MAX = 200000,      /* kept in memory, ended ones included */
+  SERVICE_GRACE_MS = 5000, /* a slot not given back is free this much after
+                              its request's longest run */
 };
 
 /** enum member_state - what is known of one member on its worker */
@@ -58,10 +58,10 @@
   char worker_id[CLB_ID_MAX];
   int64_t boot;
   int index;
-  int state;      /* enum member_state */
-  int end;        /* enum member_end */
-  bool seen;      /* it was reported running */
-  int64_t sent_seq; /* sync that carried its start */
+  int state;            /* enum member_state */
+  int end;              /* enum member_end */
+  bool seen;            /* it was reported running */
+  int64_t sent_seq;     /* sync that carried its start */
   int64_t reported_seq; /* latest sync whose report lists it */
 };
 
@@ -82,23 +82,23 @@
 {
   RB_ENTRY (task) by_id;
   RB_ENTRY (task) by_request;
-  TAILQ_ENTRY (task) queued;  /* in its team's queue while pending */
-  TAILQ_ENTRY (task) ended;   /* in order of ending */
+  TAILQ_ENTRY (task) queued; /* in its team's queue while pending */
+  TAILQ_ENTRY (task) ended;  /* in order of ending */
   char id[CLB_ID_MAX];
   struct team *team;
   struct spec spec;
   int class;
   int lane;
   bool idempotent;
-  bool recorded;   /* in the journal; else lost with the holder */
-  bool durable;    /* its accept is in the table */
+  bool recorded; /* in the journal; else lost with the holder */
+  bool durable;  /* its accept is in the table */
   bool in_queue;
   bool in_ended;
   bool cancelled;
   bool end_durable; /* its end is in the table */
-  bool settled;    /* its end or retry is in the journal */
+  bool settled;     /* its end or retry is in the journal */
   bool intent_durable;
-  int state;       /* enum task_state */
+  int state; /* enum task_state */
   int reason;
   int64_t attempt;
   int64_t failures;
@@ -109,7 +109,7 @@
   int64_t not_before_ms; /* of the next attempt */
   int64_t until_ms;      /* pending: given up then; 0 never */
   struct member *members;
-  int64_t n_members;     /* 0 unless placed */
+  int64_t n_members; /* 0 unless placed */
   struct asker_list askers;
 };
 RB_HEAD (task_tree, task);
@@ -122,20 +122,20 @@
   RB_ENTRY (team) by_name;
   char name[CLB_NAME_MAX];
   int64_t weight;
-  struct clb_res limit;   /* fleet-wide; negative: not in the manifest */
+  struct clb_res limit; /* fleet-wide; negative: not in the manifest */
   struct clb_res used;
   struct clb_res granted; /* this domain's part of the limit */
   struct grant_row row;   /* all domains' parts, as last read */
   int64_t row_ver;
   bool row_known;
   struct clb_res limit_seen; /* limit at the last change */
-  bool frozen;            /* parts exceed the limit, or may: nothing new */
-  bool restamp;           /* the row must say which limit is gone by */
-  bool told_want;         /* the row says that this domain is short */
-  bool want;              /* work waits for more grant */
+  bool frozen;               /* parts exceed the limit, or may: nothing new */
+  bool restamp;              /* the row must say which limit is gone by */
+  bool told_want;            /* the row says that this domain is short */
+  bool want;                 /* work waits for more grant */
   struct clb_res wanted;
-  uint64_t op;            /* outstanding store token */
-  int op_kind;            /* enum store_kind of that */
+  uint64_t op;               /* outstanding store token */
+  int op_kind;               /* enum store_kind of that */
   struct clb_res op_granted; /* what the outstanding write makes it */
   int64_t next_op_ms;
   int64_t idle_since_ms;
@@ -162,8 +162,8 @@
 struct effect
 {
   TAILQ_ENTRY (effect) link;
-  int kind; /* enum effect_kind */
-  char id[CLB_ID_MAX];     /* task, or run for EFFECT_ACK */
+  int kind;            /* enum effect_kind */
+  char id[CLB_ID_MAX]; /* task, or run for EFFECT_ACK */
   char worker[CLB_ID_MAX];
   int64_t attempt;
   char entry[CLB_ID_MAX];
@@ -205,7 +205,7 @@
 {
   SCHED_LOADING, /* reading snapshot, journal and grants */
   SCHED_READY,
-  SCHED_LOST,    /* another holder's epoch was seen */
+  SCHED_LOST, /* another holder's epoch was seen */
 };
 
 struct sched_stats
@@ -230,18 +230,18 @@
   int phase; /* enum sched_phase */
   int64_t now_ms;
   int64_t began_ms;
-  bool may_start;       /* the lease holds; set before each input */
-  bool conf_fresh;      /* the configuration is proved current */
-  int64_t lapsed_ms;    /* since when it does not, 0 while it does */
-  bool stopping;        /* handing over: nothing new is placed */
-  bool dirty;           /* room or queues changed since the last round */
+  bool may_start;    /* the lease holds; set before each input */
+  bool conf_fresh;   /* the configuration is proved current */
+  int64_t lapsed_ms; /* since when it does not, 0 while it does */
+  bool stopping;     /* handing over: nothing new is placed */
+  bool dirty;        /* room or queues changed since the last round */
   int64_t next_id;
   int64_t next_expire_ms;
-  int64_t snap_every;   /* journal rows between snapshots */
-  int domains;          /* failure domains that share the limits */
+  int64_t snap_every; /* journal rows between snapshots */
+  int domains;        /* failure domains that share the limits */
   const struct conf *conf;
   struct outq *out;
-  uint64_t *tokens;     /* source of store tokens, shared with the node */
+  uint64_t *tokens; /* source of store tokens, shared with the node */
   struct pl pl;
   struct task_tree tasks;
   struct request_tree requests;
@@ -254,13 +254,13 @@
   int load_step; /* enum load_step, in journal.c */
   int64_t load_retry_ms;
   char *load_after;
-  int64_t list_ms;      /* when the latest list was asked for */
-  uint64_t want_token;  /* reading what other domains are short of */
-  uint64_t want_put;    /* writing what this one is */
+  int64_t list_ms;     /* when the latest list was asked for */
+  uint64_t want_token; /* reading what other domains are short of */
+  uint64_t want_put;   /* writing what this one is */
   int64_t next_want_ms;
   int64_t want_sent_ms;
-  char *want_told;      /* as last written */
-  bool slots_known;     /* every entry has said which slots it uses */
+  char *want_told;  /* as last written */
+  bool slots_known; /* every entry has said which slots it uses */
   int64_t event_no;
   struct event *events; /* ring of the latest decisions */
 };
--- a/core/view.c
+++ b/core/view.c
@@ -169,8 +169,7 @@
   for (int i = 0; i < -CLB_ERR_LAST; i++)
     metric (f, "answers_total", "error", clb_err_name (-i), st->errors[i]);
   for (int i = 0; i <= FORWARD_CUT; i++)
-    metric (f, "forward_ends_total", "end", end_names[i],
-            st->forward_ends[i]);
+    metric (f, "forward_ends_total", "end", end_names[i], st->forward_ends[i]);
   metric (f, "call_retries_total", NULL, NULL, st->retries);
   metric (f, "late_replies_total", NULL, NULL, st->late_replies);
   metric (f, "stale_slots_total", NULL, NULL, st->stale_slots);
@@ -178,8 +177,7 @@
   metric (f, "hellos_total", NULL, NULL, st->hellos);
   metric (f, "requests_in_hand", NULL, NULL, (uint64_t)n->n_pending);
   metric (f, "config_version", NULL, NULL, (uint64_t)n->head.version);
-  metric (f, "config_age_ms", NULL, NULL,
-          (uint64_t)(n->now_ms - n->fresh_ms));
+  metric (f, "config_age_ms", NULL, NULL, (uint64_t)(n->now_ms - n->fresh_ms));
 }
 
 static void
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -10,9 +10,9 @@
 
 enum
 {
-  BACKLOG = 512,            /* connections not yet accepted */
+  BACKLOG = 512,              /* connections not yet accepted */
   REQUEST_TIMEOUT_MS = 10000, /* to send head and body of a request */
-  IDLE_TIMEOUT_MS = 60000,  /* HTTP/2 connection without a request */
+  IDLE_TIMEOUT_MS = 60000,    /* HTTP/2 connection without a request */
   ADDR_SIZE = 64,
   RETRY_SIZE = 24,
 };
@@ -25,8 +25,8 @@
   h2o_req_t *req;
   h2o_generator_t gen;
   uint64_t no;
-  char *text;    /* strings of struct hreq */
-  char *buf;     /* streamed bytes waiting */
+  char *text; /* strings of struct hreq */
+  char *buf;  /* streamed bytes waiting */
   size_t len;
   char *sending; /* streamed bytes handed to the server */
   size_t sending_len;
@@ -222,10 +222,9 @@
   l->req->res.status = status;
   l->req->res.reason = status < 300 ? "OK" : "Error";
   if (type)
-    h2o_add_header (&l->req->pool, &l->req->res.headers,
-                    H2O_TOKEN_CONTENT_TYPE, NULL,
-                    h2o_strdup (&l->req->pool, type, SIZE_MAX).base,
-                    strlen (type));
+    h2o_add_header (
+        &l->req->pool, &l->req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+        h2o_strdup (&l->req->pool, type, SIZE_MAX).base, strlen (type));
   h2o_start_response (l->req, &l->gen);
 }
 
@@ -273,10 +272,9 @@
   if (retry_ms > 0)
     {
       int n = snprintf (retry, sizeof retry, "%lld", (long long)seconds);
-      h2o_add_header_by_str (&l->req->pool, &l->req->res.headers,
-                             H2O_STRLIT ("retry-after"), 1, NULL,
-                             h2o_strdup (&l->req->pool, retry, SIZE_MAX).base,
-                             (size_t)n);
+      h2o_add_header_by_str (
+          &l->req->pool, &l->req->res.headers, H2O_STRLIT ("retry-after"), 1,
+          NULL, h2o_strdup (&l->req->pool, retry, SIZE_MAX).base, (size_t)n);
     }
   l->req->res.content_length = len;
   httpd_begin (d, no, status, type);
@@ -407,9 +405,8 @@
   d->global.max_request_entity_size = conf->body_max;
   d->global.http1.req_timeout = REQUEST_TIMEOUT_MS;
   d->global.http2.idle_timeout = IDLE_TIMEOUT_MS;
-  host = h2o_config_register_host (&d->global,
-                                   h2o_iovec_init (H2O_STRLIT ("default")),
-                                   65535);
+  host = h2o_config_register_host (
+      &d->global, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   path = h2o_config_register_path (host, "/", 0);
   handler = (struct handler *)h2o_create_handler (path, sizeof *handler);
   handler->super.on_req = on_req;
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -52,12 +52,10 @@
 size_t httpd_in_hand (const struct httpd *d);
 
 /** httpd_answer() - The whole answer; unknown numbers are passed over. */
-void httpd_answer (struct httpd *d, uint64_t no, int status,
-                   const char *type, const char *body, size_t len,
-                   int64_t retry_ms);
+void httpd_answer (struct httpd *d, uint64_t no, int status, const char *type,
+                   const char *body, size_t len, int64_t retry_ms);
 /** httpd_begin() - The head of a streamed answer. */
-void httpd_begin (struct httpd *d, uint64_t no, int status,
-                  const char *type);
+void httpd_begin (struct httpd *d, uint64_t no, int status, const char *type);
 /**
  * httpd_chunk() - More of a streamed answer; copied.
  *
--- a/regress/scenarios/lib.lua
+++ b/regress/scenarios/lib.lua
@@ -72,15 +72,15 @@
 -- The manifest that most scenarios start from; limits by team.
 function manifest(limits, keys)
   local m = {teams = {}, keys = {key_row("ops")}, queues = {
-    {name = "batch", max_waiting = 5000, idempotent = true},
-    {name = "once", max_waiting = 5000, idempotent = false},
+    {name = "batch", class = "normal", max_waiting = 5000, idempotent = true},
+    {name = "once", class = "normal", max_waiting = 5000, idempotent = false},
     {name = "urgent", class = "urgent", max_waiting = 5000, idempotent = true},
-    {name = "open", open = true, team = "red", max_waiting = 50, idempotent = true},
+    {name = "open", class = "normal", open = true, team = "red", max_waiting = 50, idempotent = true},
     {name = "preview", lane = "service", class = "watched", idempotent = true,
      max_waiting = 500, max_wait_ms = 3000, max_run_ms = 5000},
     {name = "print", lane = "service", class = "watched", idempotent = false,
      max_waiting = 500, max_wait_ms = 3000, max_run_ms = 5000},
-    {name = "desk", lane = "service", open = true, team = "red", idempotent = true,
+    {name = "desk", lane = "service", class = "normal", open = true, team = "red", idempotent = true,
      max_waiting = 500, max_wait_ms = 3000, max_run_ms = 5000},
   }}
   for team, l in pairs(limits) do
--- a/regress/scenarios/nothing_lost.lua
+++ b/regress/scenarios/nothing_lost.lua
@@ -135,3 +135,18 @@
   run(15000)
   settle()
 end)
+
+for _, after in ipairs{0, 20, 100} do
+  scenario("a holder freezes " .. after .. " ms after it took over, and stays listed", function()
+    begin{entries = 3}
+    kill(holder("a"))
+    faults{lag = 100000000}
+    within(20000, "a successor", function() return holder("a") end)
+    run(after)
+    local h = holder("a")
+    freeze(h)
+    within(20000, "the next one", function() return holder("a") ~= h end)
+    faults{lag = 0}
+    settle()
+  end)
+end
--- a/regress/scn/check.c
+++ b/regress/scn/check.c
@@ -12,8 +12,8 @@
 
 enum
 {
-  IN_FORCE_MS = 3500,  /* a change is in force everywhere within this */
-  LEAVING_MS = 4000,   /* after the list shows it, nothing new arrives */
+  IN_FORCE_MS = 3500, /* a change is in force everywhere within this */
+  LEAVING_MS = 4000,  /* after the list shows it, nothing new arrives */
   MEMBERS_MAX = 32,
   LIMITS_MAX = 1024,
   WITHDRAWN_MAX = 64,
@@ -27,7 +27,7 @@
   char name[CLB_ID_MAX];
   bool idempotent;
   int calls;
-  bool not_run; /* its only caller was told so */
+  bool not_run;        /* its only caller was told so */
   char id[CLB_ID_MAX]; /* once accepted */
   char state[CLB_NAME_MAX];
   int starts[MEMBERS_MAX];
@@ -104,8 +104,8 @@
   if (c->is_broken)
     return;
   c->is_broken = true;
-  n = snprintf (c->broken, sizeof c->broken, "at %lld ms: ",
-                (long long)c->w->now_ms);
+  n = snprintf (c->broken, sizeof c->broken,
+                "at %lld ms: ", (long long)c->w->now_ms);
   va_start (ap, fmt);
   vsnprintf (c->broken + n, sizeof c->broken - (size_t)n, fmt, ap);
   va_end (ap);
--- a/regress/scn/verbs.c
+++ b/regress/scn/verbs.c
@@ -157,10 +157,8 @@
 {
   if (world.n_cuts == CUTS_MAX)
     return luaL_error (L, "too many cuts");
-  clb_copy (world.cuts[world.n_cuts].a, luaL_checkstring (L, 1),
-            CLB_NAME_MAX);
-  clb_copy (world.cuts[world.n_cuts].b, luaL_checkstring (L, 2),
-            CLB_NAME_MAX);
+  clb_copy (world.cuts[world.n_cuts].a, luaL_checkstring (L, 1), CLB_NAME_MAX);
+  clb_copy (world.cuts[world.n_cuts].b, luaL_checkstring (L, 2), CLB_NAME_MAX);
   world.cuts[world.n_cuts++].one_way = lua_toboolean (L, 3);
   return 0;
 }
@@ -194,7 +192,8 @@
   return 0;
 }
 
-/* server(id, {fail_all=, silent=, mute=, refuses=, reboot=, slowness=, leaving=}) */
+/* server(id, {fail_all=, silent=, mute=, refuses=, reboot=, slowness=,
+ * leaving=}) */
 static int
 v_server (lua_State *L)
 {
@@ -242,11 +241,10 @@
     clb_copy (proto.key, key_id, sizeof proto.key);
   proto.idempotent = field_bool (L, 1, "idempotent", true);
   proto.service = field_bool (L, 1, "service", false);
-  lua_pushinteger (L, world_call (&world, &proto, m,
-                                  field_str (L, 1, "path"),
-                                  field_str (L, 1, "key"),
-                                  field_str (L, 1, "id"),
-                                  field_str (L, 1, "body")));
+  lua_pushinteger (L,
+                   world_call (&world, &proto, m, field_str (L, 1, "path"),
+                               field_str (L, 1, "key"), field_str (L, 1, "id"),
+                               field_str (L, 1, "body")));
   if (check_broken (world.check))
     return luaL_error (L, "broken: %s", check_broken (world.check));
   return 1;
@@ -369,13 +367,11 @@
 static int
 v_limit (lua_State *L)
 {
-  struct clb_res r = { field_int (L, 2, "cores", 0),
-                       field_int (L, 2, "mem_mb", 0),
-                       field_int (L, 2, "accels", 0),
-                       field_int (L, 2, "slots", 0) };
+  struct clb_res r
+      = { field_int (L, 2, "cores", 0), field_int (L, 2, "mem_mb", 0),
+          field_int (L, 2, "accels", 0), field_int (L, 2, "slots", 0) };
 
-  check_limit (world.check, luaL_checkstring (L, 1), &r,
-               lua_toboolean (L, 3));
+  check_limit (world.check, luaL_checkstring (L, 1), &r, lua_toboolean (L, 3));
   return 0;
 }
 
@@ -414,8 +410,7 @@
 static int
 v_told (lua_State *L)
 {
-  check_state (world.check, luaL_checkstring (L, 1),
-               luaL_checkstring (L, 2));
+  check_state (world.check, luaL_checkstring (L, 1), luaL_checkstring (L, 2));
   if (check_broken (world.check))
     return luaL_error (L, "broken: %s", check_broken (world.check));
   return 0;
--- a/regress/standin/fworker.h
+++ b/regress/standin/fworker.h
@@ -25,11 +25,11 @@
   int64_t boot;
   bool leaving;
   bool fail_all;
-  bool fence;        /* refuses a lower epoch than it has seen */
+  bool fence; /* refuses a lower epoch than it has seen */
   int64_t epoch;
   int64_t lease_until_ms;
-  int64_t slowness;  /* run times are multiplied by this; 0 counts as 1 */
-  int64_t busy;      /* executors: slots in use */
+  int64_t slowness; /* run times are multiplied by this; 0 counts as 1 */
+  int64_t busy;     /* executors: slots in use */
   struct frun_list runs;
   void *arg;
   /** watch - told of each start and end, with its state; may be NULL */
