Damaged peer messages cannot claim memory; handing over takes no new work

Changes: a walk over the heads refuses claims beyond the message; a holder that hands over leaves new work to its successor.

--- a/core/codec.c
+++ b/core/codec.c
@@ -376,7 +376,7 @@
         {
           const msgpack_object_kv *kv = &o->via.map.ptr[i];
           char key[CLB_NAME_MAX];
-          if (kv->key.type != MSGPACK_OBJECT_STR
+          if (kv->key.type != MSGPACK_OBJECT_STR || kv->key.via.str.size == 0
               || kv->key.via.str.size >= sizeof key)
             goto damaged;
           memcpy (key, kv->key.via.str.ptr, kv->key.via.str.size);
@@ -409,6 +409,78 @@
   return *buf ? 0 : CLB_ENOMEM;
 }
 
+/* Big-endian number of @n bytes. */
+static uint64_t
+read_count (const unsigned char *p, size_t n)
+{
+  uint64_t v = 0;
+
+  for (size_t i = 0; i < n; i++)
+    v = v << 8 | p[i];
+  return v;
+}
+
+/* struct token - one msgpack head: what follows it */
+struct token
+{
+  size_t head;    /* bytes of the head itself */
+  uint64_t bytes; /* of a string or number behind it */
+  uint64_t items; /* objects inside an array or map */
+};
+
+static bool
+read_token (const unsigned char *p, size_t left, struct token *t)
+{
+  static const unsigned char number[] = { 1, 2, 4, 8, 1, 2, 4, 8 };
+  unsigned char c = *p;
+
+  *t = (struct token){ .head = 1 };
+  if (c >= 0xcc && c <= 0xd3)
+    t->bytes = number[c - 0xcc];
+  else if ((c & 0xf0) == 0x80)
+    t->items = 2u * (c & 0x0f);
+  else if ((c & 0xf0) == 0x90)
+    t->items = c & 0x0f;
+  else if ((c & 0xe0) == 0xa0)
+    t->bytes = c & 0x1f;
+  else if (c >= 0xd9 && c <= 0xdf)
+    {
+      size_t n = c <= 0xdb ? (size_t)1 << (c - 0xd9)
+                           : (size_t)2 << ((c - 0xdc) & 1);
+      if (left <= n)
+        return false;
+      t->head += n;
+      uint64_t count = read_count (p + 1, n);
+      t->bytes = c <= 0xdb ? count : 0;
+      t->items = c <= 0xdb ? 0 : c <= 0xdd ? count : 2 * count;
+    }
+  else if (c >= 0xc1 && c <= 0xd8 && c != 0xc2 && c != 0xc3)
+    return false; /* kinds that no message of ours has */
+  return t->head + t->bytes <= left && t->items <= left;
+}
+
+/* The library makes room for as many items as a head claims, before it looks
+   whether they are there. */
+static bool
+claims_hold (const char *buf, size_t len)
+{
+  const unsigned char *p = (const unsigned char *)buf;
+  uint64_t open = 1;
+  struct token t;
+
+  while (open > 0)
+    {
+      if (len == 0 || !read_token (p, len, &t))
+        return false;
+      p += t.head + t.bytes;
+      len -= t.head + t.bytes;
+      open += t.items - 1;
+      if (open > len)
+        return false;
+    }
+  return true;
+}
+
 int
 codec_unpack (const struct desc *d, const char *buf, size_t len, void *out,
               struct codec_err *ce)
@@ -418,7 +490,8 @@
 
   memset (out, 0, d->size);
   msgpack_unpacked_init (&up);
-  if (msgpack_unpack_next (&up, buf, len, NULL) == MSGPACK_UNPACK_SUCCESS)
+  if (claims_hold (buf, len)
+      && msgpack_unpack_next (&up, buf, len, NULL) == MSGPACK_UNPACK_SUCCESS)
     json = unpack_json (&up.data, 0);
   msgpack_unpacked_destroy (&up);
   if (!json)
--- a/core/role.h
+++ b/core/role.h
@@ -55,7 +55,7 @@
   struct lease_row row; /* as last seen */
   int64_t row_ver;
   bool row_known;
-  bool read_again; /* as soon as the read under way is answered */
+  bool read_again;        /* as soon as the read under way is answered */
   int64_t still_since_ms; /* the row has not changed since */
   int64_t lease_until_ms; /* holder: by the table */
   int64_t epoch;
--- a/core/sched.c
+++ b/core/sched.c
@@ -929,8 +929,11 @@
 void
 sched_call (struct sched *s, const char *entry, const struct call *c)
 {
-  /* What a lapsed holder knows may be out of date. */
-  if (s->phase != SCHED_READY || !s->may_start)
+  bool new_work = c->verb == CALL_SUBMIT || c->verb == CALL_ACQUIRE;
+
+  /* What a lapsed holder knows may be out of date; one that hands over leaves
+     new work to its successor. */
+  if (s->phase != SCHED_READY || !s->may_start || (s->stopping && new_work))
     {
       reply_err (s, entry, c->no, CLB_ENOHOLDER, WHY_NONE);
       return;
