Urgent work makes room for itself on a full fleet

Cause: urgent work waited for room (urgent.lua, 'a full fleet makes room': not within 3600 ms). Change: the last; only idempotent single tasks of a lower class, each at most three times, one plan a worker at a time; a stopped task runs again without counting as failed. Checkpoint and throttle are not used: the sync interface does not carry them yet.

--- a/bench/load.c
+++ b/bench/load.c
@@ -101,7 +101,8 @@
 
   if (argc != 6 && argc != 7)
     {
-      fprintf (stderr, "usage: load url key requests in-flight label [body]\n");
+      fprintf (stderr,
+               "usage: load url key requests in-flight label [body]\n");
       return 64;
     }
   total = r.left = atoi (argv[3]);
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -39,7 +39,7 @@
   rng ^= rng << 13;
   rng ^= rng >> 7;
   rng ^= rng << 17;
-  return rng % below;
+  return below ? rng % below : 0;
 }
 
 static int64_t
@@ -192,14 +192,15 @@
       l->w = w;
       l->need = spec.need;
     }
+  const int median = DECISIONS / 2;
+  const int late = DECISIONS / 100 * 99;
   qsort (times, DECISIONS, sizeof *times, by_time);
   printf ("{\"figure\":\"placement\",\"way\":\"%s\",\"workers\":%d,"
           "\"running\":%d,\"placements_per_s\":%.0f,\"p50_us\":%.1f,"
           "\"p99_us\":%.1f,\"placed\":%d,\"of\":%d}\n",
           way_names[way], workers, running,
-          (double)DECISIONS * 1e9 / (double)total,
-          (double)times[DECISIONS / 2] / 1e3,
-          (double)times[DECISIONS / 100 * 99] / 1e3, placed, DECISIONS);
+          (double)DECISIONS * 1e9 / (double)total, (double)times[median] / 1e3,
+          (double)times[late] / 1e3, placed, DECISIONS);
   pl_clear (&pl);
   free (all);
   free (loads);
--- a/core/clb.c
+++ b/core/clb.c
@@ -83,6 +83,8 @@
   [WHY_ENTRY_LOST] = { "entry-lost", "the entry instance serving it is gone" },
   [WHY_GANG_MEMBER_FAILED]
   = { "member-failed", "another member of the gang failed" },
+  [WHY_GAVE_WAY] = { "gave-way", "stopped to make room for urgent work" },
+  [WHY_MAKES_ROOM] = { "makes-room", "the cheapest others are being stopped" },
   [WHY_FORWARDED] = { "forwarded", "sent to a domain that has room" },
 };
 
--- a/core/sched.c
+++ b/core/sched.c
@@ -581,6 +581,11 @@
 
   if (n->of[END_FAILED])
     t->failures++;
+  if (t->giving_way)
+    {
+      t->giving_way = false;
+      reason = WHY_GAVE_WAY;
+    }
   if (t->lane == LANE_SERVICE)
     settle_service (s, t, n);
   else if (t->cancelled && (!n->of[END_LOST] || t->idempotent))
@@ -1091,6 +1096,8 @@
         note_never_fits (s, t);
       else
         t->nofit_ms = 0;
+      if (reason == WHY_NO_ROOM && t->class == CLASS_URGENT)
+        urgent_make_room (s, t);
     }
   else
     task_start (s, t, picked, reason, looked_at);
--- a/core/sched.h
+++ b/core/sched.h
@@ -107,6 +107,9 @@
   int64_t accepted_ms;
   int64_t placed_ms;
   int64_t nofit_ms;      /* since when no worker could hold it, or 0 */
+  int64_t gave_way;      /* times that it was stopped for urgent work */
+  bool giving_way;       /* being stopped for that */
+  int64_t made_room_ms;  /* urgent: when it last had others stopped */
   int64_t not_before_ms; /* of the next attempt */
   int64_t until_ms;      /* pending: given up then; 0 never */
   struct member *members;
@@ -336,6 +339,9 @@
 void sched_reply (struct sched *s, const char *entry, const struct reply *r);
 struct rec rec_of (const struct task *t, int kind);
 
+/** urgent_make_room() - Have the cheapest running work stopped for @t. */
+void urgent_make_room (struct sched *s, struct task *t);
+
 void journal_init (struct sched *s, int64_t epoch_ver);
 void journal_free (struct sched *s);
 /** journal_add() - Append a record; takes over what @rec owns. */
