--- a/bench/policy.c
+++ b/bench/policy.c
@@ -103,6 +103,8 @@
     {
       struct worker *a = all[next_random ((uint64_t)n)];
       struct worker *b = all[next_random ((uint64_t)n)];
+      if (!a || !b)
+        return NULL;
       if (fits (a, need)
           && (!fits (b, need) || a->used.cores <= b->used.cores))
         return a;
@@ -111,7 +113,7 @@
   (void)pl;
   for (int i = 0; i < n; i++)
     {
-      if (!fits (all[i], need))
+      if (!all[i] || !fits (all[i], need))
         continue;
       if (way == WAY_FIRST_FIT)
         return all[i];
--- a/citronctl/main.c
+++ b/citronctl/main.c
@@ -106,7 +106,7 @@
 print_answer (const struct options *opt, const struct answer *a)
 {
   int code = rpc_exit (a);
-  json_t *json = a->body ? json_loadb (a->body, a->len, 0, NULL) : NULL;
+  json_auto_t *json = a->body ? json_loadb (a->body, a->len, 0, NULL) : NULL;
 
   if (a->status == 0)
     fprintf (stderr, "citronctl: no server reached (%s)\n",
@@ -126,7 +126,6 @@
   else
     printf ("%s %s: %s\n", text_of (json, "id"), text_of (json, "state"),
             text_of (json, "text"));
-  json_decref (json);
   return code;
 }
 
--- a/citronctl/manifest.c
+++ b/citronctl/manifest.c
@@ -146,14 +146,13 @@
 int
 cmd_show (const struct options *opt)
 {
-  json_t *now = NULL;
+  json_auto_t *now = NULL;
   int code = fetch (opt, &now);
 
   if (code)
     return code;
   json_dumpf (now, stdout, opt->json ? JSON_COMPACT : JSON_INDENT (2));
   printf ("\n");
-  json_decref (now);
   return EXIT_DONE;
 }
 
--- a/citronlbd/serve.c
+++ b/citronlbd/serve.c
@@ -154,7 +154,7 @@
 static char *
 event_line (const struct event *e)
 {
-  json_t *json = codec_write (&event_desc, e);
+  json_auto_t *json = codec_write (&event_desc, e);
   char *text;
 
   json_object_set_new (json, "reason",
@@ -162,7 +162,6 @@
   json_object_set_new (json, "text",
                        json_string (clb_reason_text (e->reason)));
   text = json_dumps (json, JSON_COMPACT);
-  json_decref (json);
   return text;
 }
 
--- a/core/clb.h
+++ b/core/clb.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 enum
 {
@@ -17,6 +18,15 @@
   CLB_DOMAINS_MAX = 8, /* failure domains in one cell */
 };
 
+/* A pointer declared with it is freed when its scope ends. */
+#define clb_auto __attribute__ ((cleanup (clb_free_at)))
+
+static inline void
+clb_free_at (void *pointer)
+{
+  free (*(void **)pointer);
+}
+
 #define CLB_COUNT(array) (sizeof (array) / sizeof ((array)[0]))
 
 /**
--- a/core/codec.c
+++ b/core/codec.c
@@ -188,7 +188,7 @@
              enum codec_mode mode, void *out, struct codec_err *ce)
 {
   json_error_t je;
-  json_t *json = json_loadb (text, len, JSON_REJECT_DUPLICATES, &je);
+  json_auto_t *json = json_loadb (text, len, JSON_REJECT_DUPLICATES, &je);
 
   memset (out, 0, d->size);
   if (!json)
@@ -199,7 +199,6 @@
       return CLB_EPARSE;
     }
   int err = codec_read (d, json, mode, out, ce);
-  json_decref (json);
   return err;
 }
 
@@ -269,10 +268,9 @@
 char *
 codec_text (const struct desc *d, const void *in)
 {
-  json_t *json = codec_write (d, in);
+  json_auto_t *json = codec_write (d, in);
   char *text = json_dumps (json, JSON_COMPACT);
 
-  json_decref (json);
   return text;
 }
 
@@ -398,12 +396,11 @@
 {
   msgpack_sbuffer sb;
   msgpack_packer pk;
-  json_t *json = codec_write (d, in);
+  json_auto_t *json = codec_write (d, in);
 
   msgpack_sbuffer_init (&sb);
   msgpack_packer_init (&pk, &sb, msgpack_sbuffer_write);
   pack_json (&pk, json);
-  json_decref (json);
   *len = sb.size;
   *buf = msgpack_sbuffer_release (&sb);
   return *buf ? 0 : CLB_ENOMEM;
@@ -486,7 +483,7 @@
               struct codec_err *ce)
 {
   msgpack_unpacked up;
-  json_t *json = NULL;
+  json_auto_t *json = NULL;
 
   memset (out, 0, d->size);
   msgpack_unpacked_init (&up);
@@ -497,6 +494,5 @@
   if (!json)
     return fail (ce, CLB_EPARSE, "", d->name);
   int err = codec_read (d, json, CODEC_LENIENT, out, ce);
-  json_decref (json);
   return err;
 }
--- a/core/escrow.c
+++ b/core/escrow.c
@@ -191,13 +191,12 @@
   team->told_want = want;
   team->row.conf_version = s->conf->version;
   grant_key (team, key);
-  char *text = codec_text (&grant_row_desc, &team->row);
+  clb_auto char *text = codec_text (&grant_row_desc, &team->row);
   o->u.store.token = team->op = ++*s->tokens;
   op->kind = team->op_kind = STORE_TXN;
   store_cond (op, s->journal.epoch_key, s->journal.epoch_ver);
   store_cond (op, key, team->row_ver);
   store_put (op, key, text);
-  free (text);
   team->op_granted = *part;
   /* What is being given up may not be used any more, whatever the answer. */
   for (int k = 0; k < RES_N; k++)
--- a/core/journal.c
+++ b/core/journal.c
@@ -250,14 +250,13 @@
   struct journal *j = &s->journal;
   char key[KEY_SIZE];
   struct store_op *op = store_op_new (s, STORE_TXN, &j->token);
-  char *text = codec_text (&journal_row_desc, &j->flight.row);
+  clb_auto char *text = codec_text (&journal_row_desc, &j->flight.row);
 
   row_key (s, j->seq, key);
   store_cond (op, j->epoch_key, j->epoch_ver);
   store_cond (op, key, 0);
   store_put (op, key, text);
   group_conds (s, op, &j->flight);
-  free (text);
   j->sent_ms = s->now_ms;
   j->retry_ms = 0;
 }
@@ -537,11 +536,10 @@
   char key[KEY_SIZE];
 
   snap_name (s, row.object);
-  char *text = codec_text (&snap_desc, &row);
+  clb_auto char *text = codec_text (&snap_desc, &row);
   snap_key (s, key);
   store_cond (op, j->epoch_key, j->epoch_ver);
   store_put (op, key, text);
-  free (text);
   for (int n = 0; n < CUT_ROWS && j->first_seq + n <= j->snap_to; n++)
     {
       row_key (s, j->first_seq + n, key);
--- a/core/role.c
+++ b/core/role.c
@@ -66,13 +66,12 @@
 write_row (struct role *r, const struct lease_row *row, bool claim)
 {
   struct store_op *op = op_new (r, STORE_TXN);
-  char *text = codec_text (&lease_row_desc, row);
+  clb_auto char *text = codec_text (&lease_row_desc, row);
   char key[KEY_SIZE];
 
   lease_key (r, key);
   store_cond (op, key, r->row_ver);
   store_put (op, key, text);
-  free (text);
   if (!claim)
     return;
   char number[32];
--- a/core/sched.c
+++ b/core/sched.c
@@ -233,7 +233,7 @@
 char *
 sched_why (struct sched *s, const char *id)
 {
-  json_t *list = json_array ();
+  json_auto_t *list = json_array ();
   int64_t first = s->event_no > EVENTS_KEPT ? s->event_no - EVENTS_KEPT : 0;
 
   for (int64_t n = first; n < s->event_no; n++)
@@ -249,7 +249,6 @@
       json_array_append_new (list, item);
     }
   char *text = json_dumps (list, JSON_COMPACT);
-  json_decref (list);
   return text;
 }
 
--- a/core/view.c
+++ b/core/view.c
@@ -129,7 +129,7 @@
 char *
 view_status (struct node *n)
 {
-  json_t *obj = json_object ();
+  json_auto_t *obj = json_object ();
   char *text;
 
   add_str (obj, "id", n->set.id);
@@ -144,7 +144,6 @@
   if (n->sched)
     json_object_set_new (obj, "scheduler", view_sched (n));
   text = json_dumps (obj, JSON_COMPACT);
-  json_decref (obj);
   return text;
 }
 
