--- /dev/null
+++ b/core/apply.c
@@ -0,0 +1,246 @@
+/* Manifests: checked, written, made current, or found to have been. */
+#include "node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CALL_RETRY_MS = 1000, /* a call without a reply is sent again */
+  APPLY_WAIT_MS = 10000,
+  QUERY_MAX = 128,
+};
+
+static void
+apply_object (struct node *n, struct pending *p)
+{
+  struct out *o = out_new (&n->out, OUT_STORE);
+  char name[CLB_ID_MAX] = "manifest-";
+
+  strcat (name, p->head.hash);
+  p->step = STEP_APPLY_OBJECT;
+  p->sent_ms = n->now_ms;
+  o->u.store.token = p->token = ++n->tokens;
+  o->u.store.op.kind = STORE_OBJ_PUT;
+  o->u.store.op.key = strdup (name);
+  o->u.store.op.value = strdup (p->manifest);
+}
+
+static void
+apply_head (struct node *n, struct pending *p)
+{
+  struct out *o = out_new (&n->out, OUT_STORE);
+  char *text = codec_text (&head_row_desc, &p->head);
+
+  p->step = STEP_APPLY_HEAD;
+  p->sent_ms = n->now_ms;
+  o->u.store.token = p->token = ++n->tokens;
+  o->u.store.op.kind = STORE_TXN;
+  store_cond (&o->u.store.op, "head", p->head_ver);
+  store_put (&o->u.store.op, "head", text);
+  free (text);
+}
+
+static void
+apply_check (struct node *n, struct pending *p)
+{
+  struct out *o = out_new (&n->out, OUT_STORE);
+
+  p->step = STEP_APPLY_CHECK;
+  p->sent_ms = n->now_ms;
+  o->u.store.token = p->token = ++n->tokens;
+  o->u.store.op.kind = STORE_GET;
+  o->u.store.op.key = strdup ("head");
+}
+
+static void
+apply_done (struct node *n, struct pending *p, int64_t ver)
+{
+  json_t *json = json_object ();
+
+  if (p->head.version > n->head.version)
+    {
+      node_take_conf (n, &p->head, ver, p->manifest);
+      n->fresh_ms = p->sent_ms > n->fresh_ms ? p->sent_ms : n->fresh_ms;
+    }
+  json_object_set_new (json, "version", json_integer (p->head.version));
+  json_object_set_new (json, "change_id", json_string (p->head.change_id));
+  entry_answer_json (n, p->caller, 200, json, 0);
+  n->stats.errors[0]++;
+  entry_pending_free (n, p);
+}
+
+static void
+apply_conflict (struct node *n, struct pending *p, int64_t version)
+{
+  char field[64];
+
+  snprintf (field, sizeof field, "base: version %lld is current",
+            (long long)version);
+  entry_answer_err (n, p->caller, CLB_ECONFLICT, field, NULL, 0);
+  n->next_head_ms = n->now_ms;
+  entry_pending_free (n, p);
+}
+
+/* What the head row says of this change. */
+static void
+apply_seen (struct node *n, struct pending *p, const struct row *row)
+{
+  struct head_row head = { .version = 0 };
+  struct codec_err ce;
+
+  if (row && row->value)
+    codec_parse (&head_row_desc, row->value, strlen (row->value),
+                 CODEC_LENIENT, &head, &ce);
+  if (row && head.version == p->head.version
+      && strcmp (head.change_id, p->head.change_id) == 0)
+    apply_done (n, p, row->ver);
+  else if (head.version <= p->base_version)
+    apply_head (n, p);
+  else if (head.version == p->head.version || !p->maybe_done)
+    apply_conflict (n, p, head.version);
+  else
+    entry_finish_err (n, p, CLB_EUNKNOWN,
+                      0); /* perhaps ours came in between */
+}
+
+static void
+apply_head_answer (struct node *n, struct pending *p,
+                   const struct store_rep *rep)
+{
+  if (rep->err == 0)
+    apply_done (n, p, rep->n_rows ? rep->rows[0].ver : 0);
+  else if (rep->err == CLB_ECONFLICT)
+    apply_seen (n, p, rep->n_rows ? &rep->rows[0] : NULL);
+  else if (rep->err == CLB_EUNAVAIL && !p->maybe_done)
+    entry_finish_err (n, p, CLB_EUNAVAIL, RETRY_HINT_MS);
+  else
+    p->maybe_done = true;
+}
+
+bool
+apply_store (struct node *n, uint64_t token, const struct store_rep *rep)
+{
+  struct pending *p;
+
+  RB_FOREACH (p, pending_tree, &n->pending)
+    if (p->token == token)
+      break;
+  if (!p)
+    return false;
+  p->token = 0;
+  switch (p->step)
+    {
+    case STEP_APPLY_OBJECT:
+      if (rep->err == 0)
+        apply_head (n, p);
+      break; /* else tried again: it is named by its content */
+    case STEP_APPLY_HEAD:
+      apply_head_answer (n, p, rep);
+      break;
+    default:
+      if (rep->err == 0 || rep->err == CLB_ENOTFOUND)
+        apply_seen (n, p, rep->n_rows ? &rep->rows[0] : NULL);
+      break;
+    }
+  return true;
+}
+
+/* Until a manifest is accepted one key from the settings may apply. */
+static int
+may_apply (struct node *n, const struct request *rq)
+{
+  char team[CLB_NAME_MAX] = "";
+  char hash[CONF_HASH_HEX];
+  int err;
+
+  if (n->head.version == 0 && *n->set.first_hash)
+    {
+      conf_key_hash (n->set.first_salt, rq->bearer ? rq->bearer : "", hash);
+      return strcmp (hash, n->set.first_hash) == 0 ? 0 : CLB_EKEY;
+    }
+  err = node_authorize (n, n->now_ms, rq->bearer, team);
+  return err ? err : *team ? CLB_EDENIED : 0;
+}
+
+void
+apply_request (struct node *n, const struct request *rq, const char *query)
+{
+  struct conf c;
+  struct codec_err ce = { .err = 0 };
+  struct pending *p;
+  const char *change = query ? strstr (query, "change=") : NULL;
+  int err = may_apply (n, rq);
+
+  if (!err && (!change || strlen (change) >= QUERY_MAX))
+    {
+      err = CLB_EFIELD;
+      clb_copy (ce.path, "change", sizeof ce.path);
+    }
+  if (!err)
+    err = conf_parse (rq->body ? rq->body : "", rq->body_len, &c, &ce);
+  if (err)
+    {
+      entry_refuse (n, rq->call, err, ce.path);
+      return;
+    }
+  conf_free (&c);
+  p = entry_pending_new (n, rq->call, CALL_N);
+  p->base_version = entry_query_number (query, "base=");
+  p->head_ver = n->head_ver;
+  p->head.version = p->base_version + 1;
+  change += strlen ("change=");
+  size_t len = strcspn (change, "&");
+  snprintf (p->head.change_id, sizeof p->head.change_id, "%.*s",
+            (int)(len < 64 ? len : 64), change);
+  p->until_ms = n->now_ms + APPLY_WAIT_MS;
+  if (p->base_version != n->head.version)
+    {
+      apply_conflict (n, p, n->head.version);
+      return;
+    }
+  p->manifest = strndup (rq->body ? rq->body : "", rq->body_len);
+  if (!p->manifest)
+    abort ();
+  conf_text_hash (p->manifest, rq->body_len, p->head.hash);
+  apply_object (n, p);
+}
+
+void
+apply_show (struct node *n, const struct request *rq)
+{
+  char team[CLB_NAME_MAX] = "";
+  int err = node_authorize (n, n->now_ms, rq->bearer, team);
+  json_t *json;
+
+  if (n->head.version == 0)
+    err = may_apply (n, rq);
+  if (err)
+    {
+      entry_refuse (n, rq->call, err, NULL);
+      return;
+    }
+  json = json_object ();
+  json_object_set_new (json, "version", json_integer (n->head.version));
+  json_object_set_new (json, "change_id", json_string (n->head.change_id));
+  json_object_set_new (json, "hash", json_string (n->head.hash));
+  if (!*team)
+    json_object_set_new (json, "manifest", codec_write (&conf_desc, n->conf));
+  entry_answer_json (n, rq->call, 200, json, 0);
+}
+
+/* An operation without an answer is tried again, or found out about. */
+void
+apply_tick (struct node *n, struct pending *p)
+{
+  if (n->now_ms - p->sent_ms < CALL_RETRY_MS)
+    return;
+  if (p->step == STEP_APPLY_OBJECT)
+    {
+      apply_object (n, p);
+      return;
+    }
+  p->maybe_done |= p->step == STEP_APPLY_HEAD;
+  apply_check (n, p);
+}
--- a/core/clb.h
+++ b/core/clb.h
@@ -12,10 +12,11 @@
 
 enum
 {
-  CLB_ID_MAX = 96,     /* bytes of a task, request or instance id with NUL */
-  CLB_NAME_MAX = 48,   /* bytes of a team, queue or domain name with NUL */
-  CLB_ADDR_MAX = 64,   /* bytes of "ip:port" with NUL */
-  CLB_DOMAINS_MAX = 8, /* failure domains in one cell */
+  CLB_ID_MAX = 96,      /* bytes of a task, request or instance id with NUL */
+  CLB_NAME_MAX = 48,    /* bytes of a team, queue or domain name with NUL */
+  CLB_ADDR_MAX = 64,    /* bytes of "ip:port" with NUL */
+  RETRY_HINT_MS = 1000, /* when a refused caller may come back */
+  CLB_DOMAINS_MAX = 8,  /* failure domains in one cell */
 };
 
 /* A pointer declared with it is freed when its scope ends. */
--- a/core/escrow.c
+++ b/core/escrow.c
@@ -17,7 +17,6 @@
   WANT_PERIOD_MS = 1000, /* between looks at what other domains want */
   WANT_TIMEOUT_MS = 3000,
   WAITING_COUNTED = 256, /* waiting tasks that a look goes through */
-  KEY_SIZE = 256,
 };
 
 static void
--- a/core/journal.c
+++ b/core/journal.c
@@ -10,19 +10,8 @@
   GROUP_WAIT_MS = 5,      /* a group stays open for more records */
   GROUP_RECORDS = 512,    /* or until it has this many */
   BACKLOG_RECORDS = 8192, /* then new work is refused */
-  RETRY_MS = 200,         /* before a write is sent again */
   SNAP_RETRY_MS = 5000,
   CUT_ROWS = 200, /* journal rows deleted in one write */
-  KEY_SIZE = 256, /* bytes of a row's key */
-};
-
-enum load_step
-{
-  LOAD_SNAP_ROW,
-  LOAD_SNAP_OBJ,
-  LOAD_ROWS,
-  LOAD_GRANTS,
-  LOAD_DONE,
 };
 
 enum snap_step
@@ -33,25 +22,14 @@
   SNAP_ROW,    /* row being pointed at it, older rows cut */
 };
 
-struct snap_row
-{
-  int64_t seq; /* last journal row that the object covers */
-  char object[CLB_ID_MAX];
-};
-static const struct fld snap_fields[] = {
-  FLD_INT (struct snap_row, seq, 0, INT64_MAX),
-  FLD_CHARS (struct snap_row, object, true),
-};
-static DESC (snap_desc, struct snap_row, snap_fields);
-
-static void
-row_key (const struct sched *s, int64_t seq, char out[KEY_SIZE])
+void
+journal_row_key (const struct sched *s, int64_t seq, char out[KEY_SIZE])
 {
   snprintf (out, KEY_SIZE, "journal/%s/%015lld", s->domain, (long long)seq);
 }
 
-static void
-snap_key (const struct sched *s, char out[KEY_SIZE])
+void
+journal_snap_key (const struct sched *s, char out[KEY_SIZE])
 {
   snprintf (out, KEY_SIZE, "snap/%s", s->domain);
 }
@@ -211,8 +189,8 @@
 
 /* Writing. */
 
-static struct store_op *
-store_op_new (struct sched *s, int kind, uint64_t *token)
+struct store_op *
+journal_op (struct sched *s, int kind, uint64_t *token)
 {
   struct out *o = out_new (s->out, OUT_STORE);
 
@@ -249,10 +227,10 @@
 {
   struct journal *j = &s->journal;
   char key[KEY_SIZE];
-  struct store_op *op = store_op_new (s, STORE_TXN, &j->token);
+  struct store_op *op = journal_op (s, STORE_TXN, &j->token);
   clb_auto char *text = codec_text (&journal_row_desc, &j->flight.row);
 
-  row_key (s, j->seq, key);
+  journal_row_key (s, j->seq, key);
   store_cond (op, j->epoch_key, j->epoch_ver);
   store_cond (op, key, 0);
   store_put (op, key, text);
@@ -404,7 +382,7 @@
   char key[KEY_SIZE];
   bool dropped = false;
 
-  row_key (s, j->seq, key);
+  journal_row_key (s, j->seq, key);
   /* An earlier try of this very write took effect and its answer was lost. */
   for (size_t i = 0; i < rep->n_rows; i++)
     if (strcmp (rep->rows[i].key, key) == 0 && is_own_row (s, &rep->rows[i]))
@@ -445,7 +423,7 @@
       break;
     default:
       s->stats.group_retries++;
-      j->retry_ms = s->now_ms + RETRY_MS;
+      j->retry_ms = s->now_ms + JOURNAL_RETRY_MS;
       break;
     }
 }
@@ -519,7 +497,7 @@
 
   if (j->in_flight && j->seq <= j->snap_to)
     return;
-  struct store_op *op = store_op_new (s, STORE_OBJ_PUT, &j->snap_token);
+  struct store_op *op = journal_op (s, STORE_OBJ_PUT, &j->snap_token);
   snap_name (s, name);
   op->key = strdup (name);
   op->value = j->snap_text;
@@ -532,17 +510,17 @@
 {
   struct journal *j = &s->journal;
   struct snap_row row = { .seq = j->snap_to };
-  struct store_op *op = store_op_new (s, STORE_TXN, &j->snap_token);
+  struct store_op *op = journal_op (s, STORE_TXN, &j->snap_token);
   char key[KEY_SIZE];
 
   snap_name (s, row.object);
-  clb_auto char *text = codec_text (&snap_desc, &row);
-  snap_key (s, key);
+  clb_auto char *text = codec_text (&snap_row_desc, &row);
+  journal_snap_key (s, key);
   store_cond (op, j->epoch_key, j->epoch_ver);
   store_put (op, key, text);
   for (int n = 0; n < CUT_ROWS && j->first_seq + n <= j->snap_to; n++)
     {
-      row_key (s, j->first_seq + n, key);
+      journal_row_key (s, j->first_seq + n, key);
       store_put (op, key, NULL);
     }
   j->snap_step = SNAP_ROW;
@@ -579,280 +557,6 @@
   snap_put_row (s);
 }
 
-/* Reading back. */
-
-static void
-load_ask (struct sched *s)
-{
-  char key[KEY_SIZE];
-  struct store_op *op;
-
-  switch (s->load_step)
-    {
-    case LOAD_SNAP_ROW:
-      op = store_op_new (s, STORE_GET, &s->load_token);
-      snap_key (s, key);
-      break;
-    case LOAD_SNAP_OBJ:
-      op = store_op_new (s, STORE_OBJ_GET, &s->load_token);
-      clb_copy (key, s->load_after, sizeof key);
-      break;
-    case LOAD_ROWS:
-      op = store_op_new (s, STORE_LIST, &s->load_token);
-      snprintf (key, sizeof key, "journal/%s/", s->domain);
-      op->after = s->load_after ? strdup (s->load_after) : NULL;
-      break;
-    default:
-      op = store_op_new (s, STORE_LIST, &s->load_token);
-      snprintf (key, sizeof key, "grant/");
-      op->after = s->load_after ? strdup (s->load_after) : NULL;
-      break;
-    }
-  op->key = strdup (key);
-  s->load_retry_ms = 0;
-}
-
-static void
-replay_accept (struct sched *s, const struct rec *r)
-{
-  struct task *t = sched_task (s, r->id);
-
-  if (t)
-    return;
-  t = task_new (s, r->id, r->team);
-  t->spec = r->spec;
-  t->class = r->class;
-  t->lane = r->lane;
-  t->idempotent = r->idempotent;
-  t->recorded = true;
-  t->durable = true;
-  t->reason = WHY_ACCEPTED;
-  RB_INSERT (request_tree, &s->requests, t);
-  if (t->lane == LANE_SERVICE)
-    t->until_ms = s->now_ms + t->spec.duration_ms + SERVICE_GRACE_MS;
-  else if (t->spec.deadline_ms > 0)
-    t->until_ms = s->now_ms + t->spec.deadline_ms;
-  task_enqueue (s, t);
-}
-
-static struct worker *
-replay_worker (struct sched *s, const struct place *p, int lane)
-{
-  struct worker *w = pl_worker (&s->pl, p->worker);
-  struct inst in
-      = { .kind = lane == LANE_SERVICE ? INST_EXECUTOR : INST_WORKER };
-
-  if (w)
-    return w;
-  clb_copy (in.id, p->worker, sizeof in.id);
-  clb_copy (in.domain, s->domain, sizeof in.domain);
-  w = pl_add (&s->pl, &in);
-  w->heard_ms = s->now_ms;
-  return w;
-}
-
-static void
-replay_intent (struct sched *s, struct task *t, const struct rec *r)
-{
-  struct worker **picked;
-
-  if (r->n_places != (size_t)t->spec.members)
-    return;
-  task_dequeue (t);
-  task_unplace (s, t);
-  picked = calloc (r->n_places, sizeof *picked);
-  if (!picked)
-    abort ();
-  for (size_t i = 0; i < r->n_places; i++)
-    {
-      picked[i] = replay_worker (s, &r->places[i], t->lane);
-      clb_res_add (&picked[i]->used, &t->spec.need, 1);
-    }
-  task_place (s, t, picked);
-  t->intent_durable = true;
-  t->attempt = r->attempt;
-  for (size_t i = 0; i < r->n_places; i++)
-    {
-      t->members[i].boot = r->places[i].boot;
-      t->members[i].state = MEMBER_SENT;
-    }
-  free (picked);
-}
-
-static void
-replay_end (struct sched *s, struct task *t, const struct rec *r)
-{
-  task_dequeue (t);
-  task_unplace (s, t);
-  t->state = r->state;
-  t->reason = r->reason;
-  t->settled = true;
-  t->end_durable = true;
-  t->until_ms = 0;
-  if (t->in_ended)
-    return;
-  TAILQ_INSERT_TAIL (&s->ended, t, ended);
-  t->in_ended = true;
-}
-
-void
-journal_replay (struct sched *s, const struct rec *r)
-{
-  struct task *t = sched_task (s, r->id);
-
-  if (r->kind == REC_ACCEPT)
-    {
-      replay_accept (s, r);
-      return;
-    }
-  if (!t)
-    return;
-  switch (r->kind)
-    {
-    case REC_INTENT:
-      replay_intent (s, t, r);
-      break;
-    case REC_RETRY:
-      task_unplace (s, t);
-      t->attempt = r->attempt;
-      t->failures = r->failures;
-      if (!t->in_queue)
-        task_enqueue (s, t);
-      break;
-    case REC_CANCEL:
-      t->cancelled = true;
-      t->state = TASK_STOPPING;
-      task_stop_members (s, t);
-      break;
-    case REC_END:
-      replay_end (s, t, r);
-      break;
-    case REC_FORGET:
-      task_free (s, t);
-      break;
-    }
-}
-
-/* 0, or %CLB_EPARSE when the text is not a journal row. */
-static int
-replay_text (struct sched *s, const char *text)
-{
-  struct journal_row row;
-  struct codec_err ce;
-  int err;
-
-  err = codec_parse (&journal_row_desc, text, strlen (text), CODEC_LENIENT,
-                     &row, &ce);
-  if (err)
-    return err;
-  for (size_t i = 0; i < row.n_recs; i++)
-    journal_replay (s, &row.recs[i]);
-  codec_free (&journal_row_desc, &row);
-  return 0;
-}
-
-static void
-load_snap_row (struct sched *s, const struct store_rep *rep)
-{
-  struct snap_row snap;
-  struct codec_err ce;
-  const char *text = rep->n_rows ? rep->rows[0].value : NULL;
-
-  s->load_step = LOAD_ROWS;
-  s->journal.first_seq = 1;
-  if (!text
-      || codec_parse (&snap_desc, text, strlen (text), CODEC_LENIENT, &snap,
-                      &ce))
-    return;
-  s->load_step = LOAD_SNAP_OBJ;
-  s->load_after = strdup (snap.object);
-  s->journal.snap_seq = snap.seq;
-  s->journal.seq = snap.seq + 1;
-  s->journal.first_seq = snap.seq + 1;
-}
-
-static void
-load_snap_obj (struct sched *s, const struct store_rep *rep)
-{
-  char key[KEY_SIZE];
-
-  if (rep->n_rows == 0 || !rep->rows[0].value
-      || replay_text (s, rep->rows[0].value))
-    s->stats.damaged_rows++;
-  row_key (s, s->journal.snap_seq, key);
-  free (s->load_after);
-  s->load_after = strdup (key);
-  s->load_step = LOAD_ROWS;
-}
-
-/* Remembers where a list goes on; true while there is more. */
-static bool
-load_more (struct sched *s, const struct store_rep *rep)
-{
-  free (s->load_after);
-  s->load_after = NULL;
-  if (!rep->more || rep->n_rows == 0)
-    return false;
-  s->load_after = strdup (rep->rows[rep->n_rows - 1].key);
-  return true;
-}
-
-static void
-load_rows (struct sched *s, const struct store_rep *rep)
-{
-  for (size_t i = 0; i < rep->n_rows; i++)
-    {
-      const struct row *row = &rep->rows[i];
-      const char *num = strrchr (row->key, '/');
-      if (!row->value || !num)
-        continue;
-      if (replay_text (s, row->value))
-        s->stats.damaged_rows++;
-      s->journal.seq = strtoll (num + 1, NULL, 10) + 1;
-    }
-  if (!load_more (s, rep))
-    s->load_step = LOAD_GRANTS;
-}
-
-static void
-load_grants (struct sched *s, const struct store_rep *rep)
-{
-  for (size_t i = 0; i < rep->n_rows; i++)
-    escrow_row (s, &rep->rows[i]);
-  if (load_more (s, rep))
-    return;
-  s->load_step = LOAD_DONE;
-  s->phase = SCHED_READY;
-  escrow_conf (s);
-  sched_event (s, WHY_TOOK_OVER, "", "", s->me, 0);
-}
-
-static void
-load_answer (struct sched *s, const struct store_rep *rep)
-{
-  s->load_token = 0;
-  if (rep->err && rep->err != CLB_ENOTFOUND)
-    {
-      s->load_retry_ms = s->now_ms + RETRY_MS;
-      return;
-    }
-  switch (s->load_step)
-    {
-    case LOAD_SNAP_ROW:
-      load_snap_row (s, rep);
-      break;
-    case LOAD_SNAP_OBJ:
-      load_snap_obj (s, rep);
-      break;
-    case LOAD_ROWS:
-      load_rows (s, rep);
-      break;
-    default:
-      load_grants (s, rep);
-      break;
-    }
-}
-
 bool
 journal_store (struct sched *s, uint64_t token, const struct store_rep *rep)
 {
--- a/core/node.c
+++ b/core/node.c
@@ -619,7 +619,7 @@
     object_answer (n, rep);
   else if (token == n->list_token)
     list_answer (n, rep);
-  else if (!entry_store (n, token, rep) && !role_store (&n->role, token, rep)
+  else if (!apply_store (n, token, rep) && !role_store (&n->role, token, rep)
            && n->sched)
     sched_store (n->sched, token, rep);
   node_step (n);
--- a/core/node.h
+++ b/core/node.h
@@ -225,10 +225,50 @@
 /** view_metrics() - Counters in Prometheus text; the caller frees. */
 char *view_metrics (struct node *n);
 
+/* entry.c, apply.c and service.c, used by each other */
+struct pending *entry_pending_by_caller (struct node *n, uint64_t caller);
+/** entry_pending_send() - To its domain's holder, if one is known. */
+void entry_pending_send (struct node *n, struct pending *p);
+/** entry_pending_release() - Tell the holder how it ended. */
+void entry_pending_release (struct node *n, struct pending *p, int state,
+                            bool bad);
+/** entry_pending_uncall() - Nobody waits for it any more. */
+void entry_pending_uncall (struct node *n, struct pending *p);
+/** entry_team_for() - The team that @rq's work on @q is charged to. */
+int entry_team_for (struct node *n, const struct request *rq,
+                    const struct conf_queue *q, char team[CLB_NAME_MAX]);
+/** entry_pick_domain() - Where @spec suits best; NULL without a holder. */
+const char *entry_pick_domain (struct node *n, const struct spec *spec);
+/** service_request() - A caller's request to the queue at @rest. */
+void service_request (struct node *n, const struct request *rq,
+                      const char *rest);
+/** service_forward() - A slot was granted: use it, if it is not too old. */
+void service_forward (struct node *n, struct pending *p,
+                      const struct reply *r);
+void entry_answer_json (struct node *n, uint64_t call, int status,
+                        json_t *json, int64_t retry_ms);
+void entry_answer_err (struct node *n, uint64_t call, int err,
+                       const char *field, const char *id, int64_t retry_ms);
+/** entry_refuse() - A refusal at once, with when to come back if it helps. */
+void entry_refuse (struct node *n, uint64_t call, int err, const char *field);
+/** entry_finish_err() - Answer the caller and forget the request. */
+void entry_finish_err (struct node *n, struct pending *p, int err,
+                       int64_t retry_ms);
+struct pending *entry_pending_new (struct node *n, uint64_t caller, int verb);
+void entry_pending_free (struct node *n, struct pending *p);
+/** entry_query_number() - The number behind "name=" in a query, or 0. */
+int64_t entry_query_number (const char *query, const char *name);
+/** apply_request() - An operator's new manifest. */
+void apply_request (struct node *n, const struct request *rq,
+                    const char *query);
+void apply_show (struct node *n, const struct request *rq);
+void apply_tick (struct node *n, struct pending *p);
+
 /* entry.c, used by node.c */
 void entry_tick (struct node *n);
 void entry_reply (struct node *n, const struct reply *r);
-bool entry_store (struct node *n, uint64_t token, const struct store_rep *rep);
+/** apply_store() - Whether @token was an apply's, and handled. */
+bool apply_store (struct node *n, uint64_t token, const struct store_rep *rep);
 void entry_answer (struct node *n, uint64_t call, int status, char *body,
                    int64_t retry_ms);
 void entry_held (struct node *n, struct held_list *out);
--- a/core/sched.h
+++ b/core/sched.h
@@ -14,6 +14,8 @@
 {
   TASK_LEASE_MS = 15000,     /* a worker runs a task this long unrenewed */
   LIST_FRESH_MS = 3000,      /* no start goes out by an older list */
+  KEY_SIZE = 256,            /* bytes of a table row's key */
+  JOURNAL_RETRY_MS = 200,    /* before a read or write is sent again */
   SNAP_EVERY_ROWS = 1000,    /* journal rows between snapshots */
   SYNC_PERIOD_MS = 2000,     /* between syncs with one worker, at most */
   SYNC_TIMEOUT_MS = 2000,    /* then its connection is dropped */
@@ -269,7 +271,7 @@
   struct event *events; /* ring of the latest decisions */
 };
 
-/* sched.c */
+/* sched.c, calls.c */
 
 /**
  * sched_new() - A scheduler that starts by loading the domain's journal.
@@ -338,10 +340,47 @@
 void sched_withdraw (struct sched *s, struct team *team);
 void sched_reply (struct sched *s, const char *entry, const struct reply *r);
 struct rec rec_of (const struct task *t, int kind);
+/** task_record() - Journal one step of a recorded task. */
+void task_record (struct sched *s, const struct task *t, int kind);
+void task_event (struct sched *s, const struct task *t, int reason,
+                 const char *where, int64_t looked_at);
+struct reply task_reply (const struct task *t, int64_t no);
+/** task_reply_now() - What may be told before the open group is durable. */
+struct reply task_reply_now (const struct task *t, int64_t no);
+/** task_reply_durable() - Answer @entry once the open group is durable. */
+void task_reply_durable (struct sched *s, const struct task *t,
+                         const char *entry, int64_t no);
+/** task_slot_until() - When a slot that nobody gives back is free again. */
+int64_t task_slot_until (const struct sched *s, const struct task *t);
+/** service_release() - A service request has ended in @state. */
+void service_release (struct sched *s, struct task *t, int state);
+/** service_reply() - Tell @entry which executor it may use. */
+void service_reply (struct sched *s, struct task *t, const char *entry,
+                    int64_t no, int64_t stamp);
+/** place_round() - Start all waiting work that can start now. */
+void place_round (struct sched *s);
 
 /** urgent_make_room() - Have the cheapest running work stopped for @t. */
 void urgent_make_room (struct sched *s, struct task *t);
 
+/* journal.c and load.c, used by each other */
+
+/** struct snap_row - where the latest snapshot lies */
+struct snap_row
+{
+  int64_t seq; /* last journal row that the object covers */
+  char object[CLB_ID_MAX];
+};
+extern const struct desc snap_row_desc;
+
+void journal_row_key (const struct sched *s, int64_t seq, char out[KEY_SIZE]);
+void journal_snap_key (const struct sched *s, char out[KEY_SIZE]);
+/** journal_op() - A new store operation and its token. */
+struct store_op *journal_op (struct sched *s, int kind, uint64_t *token);
+/** load_ask() - Read the next piece. */
+void load_ask (struct sched *s);
+void load_answer (struct sched *s, const struct store_rep *rep);
+
 void journal_init (struct sched *s, int64_t epoch_ver);
 void journal_free (struct sched *s);
 /** journal_add() - Append a record; takes over what @rec owns. */
--- /dev/null
+++ b/core/service.c
@@ -0,0 +1,191 @@
+/* Service requests: a slot from a holder, then on to an executor. */
+#include "node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  REPLY_SLACK_MS = 2000, /* a reply may come this much after its wait */
+  FORWARD_TRIES = 3,     /* executors tried for an idempotent request */
+};
+
+static void
+acquire (struct node *n, struct pending *p, const char *domain)
+{
+  clb_copy (p->domain, domain, sizeof p->domain);
+  snprintf (p->call.id, sizeof p->call.id, "%.30s.%.30s-%llx-%lld", domain,
+            n->set.id, (unsigned long long)n->set.boot, (long long)p->call.no);
+  p->step = STEP_ASKING;
+  p->holder[0] = '\0';
+  entry_pending_send (n, p);
+}
+
+void
+service_request (struct node *n, const struct request *rq, const char *rest)
+{
+  char name[CLB_NAME_MAX] = "";
+  const struct conf_queue *q;
+  char team[CLB_NAME_MAX];
+  const char *domain;
+  struct pending *p;
+  struct spec spec = { .members = 1, .need = { .slots = 1 } };
+  int err = 0;
+
+  n->stats.service_requests++;
+  size_t len = strcspn (rest, "?");
+  if (len < sizeof name)
+    memcpy (name, rest, len);
+  q = conf_queue (n->conf, name);
+  if (!q || q->lane != LANE_SERVICE)
+    err = n->head.version ? CLB_EREF : CLB_ESTALE;
+  else
+    err = entry_team_for (n, rq, q, team);
+  if (!err && !q->idempotent && (!rq->request_id || !*rq->request_id))
+    err = CLB_EFIELD;
+  if (!err && rq->request_id && strlen (rq->request_id) >= CLB_ID_MAX)
+    err = CLB_ERANGE;
+  domain = err ? NULL : entry_pick_domain (n, &spec);
+  if (!err && !domain)
+    err = CLB_ENOHOLDER;
+  if (err)
+    {
+      entry_refuse (n, rq->call, err,
+                    err == CLB_EREF ? "queue" : "X-Request-Id");
+      return;
+    }
+  spec.duration_ms = q->max_run_ms;
+  clb_copy (spec.queue, q->name, sizeof spec.queue);
+  p = entry_pending_new (n, rq->call, CALL_ACQUIRE);
+  if (rq->request_id)
+    clb_copy (spec.request_id, rq->request_id, sizeof spec.request_id);
+  p->call.spec = spec;
+  p->call.class = q->class;
+  p->call.lane = LANE_SERVICE;
+  p->call.idempotent = q->idempotent;
+  p->call.max_waiting = q->max_waiting;
+  p->call.wait_ms = q->max_wait_ms;
+  p->max_run_ms = q->max_run_ms;
+  clb_copy (p->call.team, team, sizeof p->call.team);
+  p->until_ms = n->now_ms + q->max_wait_ms + REPLY_SLACK_MS;
+  acquire (n, p, domain);
+}
+
+void
+service_forward (struct node *n, struct pending *p, const struct reply *r)
+{
+  struct out *o;
+
+  clb_copy (p->executor, r->executor, sizeof p->executor);
+  /* A holder may have given the slot to somebody else since. */
+  if (n->now_ms - r->stamp > FORWARD_WITHIN_MS)
+    {
+      n->stats.stale_slots++;
+      entry_answer_err (n, p->caller, CLB_ELEASE, NULL, NULL, RETRY_HINT_MS);
+      entry_pending_release (n, p, TASK_CANCELLED, false);
+      return;
+    }
+  p->step = STEP_FORWARDED;
+  p->sent_ms = r->stamp;
+  p->until_ms = n->now_ms + p->max_run_ms;
+  o = out_new (&n->out, OUT_FORWARD);
+  o->u.forward.call = p->caller;
+  clb_copy (o->u.forward.executor, r->executor, CLB_ID_MAX);
+  clb_copy (o->u.forward.addr, r->addr, CLB_ADDR_MAX);
+  clb_copy (o->u.forward.id, p->call.id, CLB_ID_MAX);
+  o->u.forward.max_run_ms = p->max_run_ms;
+}
+
+bool
+node_may_forward (const struct node *n, int64_t now_ms, uint64_t call)
+{
+  struct pending *p = entry_pending_by_caller ((struct node *)n, call);
+
+  return p && p->step == STEP_FORWARDED
+         && now_ms - p->sent_ms <= FORWARD_WITHIN_MS;
+}
+
+/* An idempotent request that no executor has answered goes to another. */
+static bool
+forward_again (struct node *n, struct pending *p)
+{
+  struct pending *again;
+  const char *domain;
+  int64_t left = p->began_ms + p->call.wait_ms - n->now_ms;
+
+  if (!p->caller || !p->call.idempotent || ++p->tries >= FORWARD_TRIES
+      || left <= 0)
+    return false;
+  domain = entry_pick_domain (n, &p->call.spec);
+  if (!domain)
+    return false;
+  uint64_t caller = p->caller;
+  entry_pending_uncall (n, p);
+  again = entry_pending_new (n, caller, CALL_ACQUIRE);
+  int64_t no = again->call.no;
+  again->call = p->call;
+  again->call.no = no;
+  again->tries = p->tries;
+  again->began_ms = p->began_ms;
+  again->max_run_ms = p->max_run_ms;
+  again->until_ms = n->now_ms + left + REPLY_SLACK_MS;
+  acquire (n, again, domain);
+  return true;
+}
+
+void
+node_forwarded (struct node *n, int64_t now_ms, uint64_t call, int end)
+{
+  struct pending *p = entry_pending_by_caller (n, call);
+
+  n->now_ms = now_ms;
+  n->stats.forward_ends[end]++;
+  if (!p || p->step != STEP_FORWARDED)
+    return;
+  switch (end)
+    {
+    case FORWARD_OK:
+      entry_pending_release (n, p, TASK_DONE, false);
+      break;
+    case FORWARD_ERROR:
+      entry_pending_release (n, p, TASK_FAILED, true);
+      break;
+    case FORWARD_UNREACHED:
+      if (!forward_again (n, p))
+        entry_answer_err (n, p->caller, CLB_EREACH, NULL, NULL, RETRY_HINT_MS);
+      entry_pending_release (n, p, TASK_CANCELLED, true);
+      break;
+    case FORWARD_FAILED:
+      if (!forward_again (n, p))
+        entry_answer_err (n, p->caller, CLB_EUNKNOWN, NULL, p->call.id, 0);
+      entry_pending_release (n, p, TASK_UNKNOWN, true);
+      break;
+    case FORWARD_CUT:
+      entry_answer_err (n, p->caller, CLB_EUNKNOWN, NULL, p->call.id, 0);
+      entry_pending_release (n, p, TASK_UNKNOWN, false);
+      break;
+    }
+}
+
+void
+entry_held (struct node *n, struct held_list *out)
+{
+  struct pending *p;
+  size_t cap = (size_t)n->n_pending;
+
+  out->n_items = 0;
+  out->items = calloc (cap ? cap : 1, sizeof *out->items);
+  if (!out->items)
+    abort ();
+  RB_FOREACH (p, pending_tree, &n->pending)
+    {
+      if (p->step != STEP_FORWARDED)
+        continue;
+      struct held *h = &out->items[out->n_items++];
+      clb_copy (h->id, p->call.id, sizeof h->id);
+      clb_copy (h->executor, p->executor, sizeof h->executor);
+      clb_copy (h->team, p->call.team, sizeof h->team);
+      h->run_ms = p->until_ms > n->now_ms ? p->until_ms - n->now_ms : 0;
+    }
+}
--- /dev/null
+++ b/core/task.c
@@ -0,0 +1,419 @@
+/* One task's life: placed, cleared member by member, retried or ended. */
+#include "sched.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BACKOFF_BASE_MS = 500, /* before the second attempt */
+  BACKOFF_MAX_MS = 60000,
+};
+
+void
+task_event (struct sched *s, const struct task *t, int reason,
+            const char *where, int64_t looked_at)
+{
+  sched_event (s, reason, t->id, t->team->name, where, looked_at);
+}
+
+struct task *
+task_new (struct sched *s, const char *id, const char *team)
+{
+  struct task *t = calloc (1, sizeof *t);
+
+  if (!t)
+    abort ();
+  clb_copy (t->id, id, sizeof t->id);
+  t->team = sched_team (s, team);
+  t->accepted_ms = s->now_ms;
+  TAILQ_INIT (&t->askers);
+  RB_INSERT (task_tree, &s->tasks, t);
+  s->n_tasks++;
+  return t;
+}
+
+void
+task_free (struct sched *s, struct task *t)
+{
+  struct asker *a;
+
+  task_dequeue (t);
+  task_unplace (s, t);
+  if (t->in_ended)
+    TAILQ_REMOVE (&s->ended, t, ended);
+  if (RB_FIND (request_tree, &s->requests, t) == t)
+    RB_REMOVE (request_tree, &s->requests, t);
+  while ((a = TAILQ_FIRST (&t->askers)))
+    {
+      TAILQ_REMOVE (&t->askers, a, link);
+      free (a);
+    }
+  RB_REMOVE (task_tree, &s->tasks, t);
+  s->n_tasks--;
+  free (t);
+}
+
+void
+task_enqueue (struct sched *s, struct task *t)
+{
+  t->state = TASK_PENDING;
+  TAILQ_INSERT_TAIL (&t->team->queue[t->class], t, queued);
+  t->team->waiting++;
+  t->in_queue = true;
+  s->dirty = true;
+}
+
+void
+task_dequeue (struct task *t)
+{
+  if (!t->in_queue)
+    return;
+  TAILQ_REMOVE (&t->team->queue[t->class], t, queued);
+  t->team->waiting--;
+  t->in_queue = false;
+}
+
+struct reply
+task_reply (const struct task *t, int64_t no)
+{
+  struct reply r = { .no = no, .state = t->state, .reason = t->reason };
+
+  clb_copy (r.id, t->id, sizeof r.id);
+  return r;
+}
+
+/* What may be told at once: an end that is not recorded is not yet told. */
+struct reply
+task_reply_now (const struct task *t, int64_t no)
+{
+  struct reply r = task_reply (t, no);
+
+  if (t->recorded && task_state_final (t->state) && !t->end_durable)
+    {
+      r.state = t->n_members ? TASK_RUNNING : TASK_PENDING;
+      r.reason = WHY_NONE;
+    }
+  return r;
+}
+
+/* When a slot that nobody gives back is free again. */
+int64_t
+task_slot_until (const struct sched *s, const struct task *t)
+{
+  return s->now_ms + t->spec.duration_ms + SERVICE_GRACE_MS;
+}
+
+/* Answers once the open group is durable. */
+void
+task_reply_durable (struct sched *s, const struct task *t, const char *entry,
+                    int64_t no)
+{
+  struct effect *e = journal_effect (s, EFFECT_REPLY, t->id);
+
+  clb_copy (e->entry, entry, sizeof e->entry);
+  e->reply = task_reply (t, no);
+}
+
+struct rec
+rec_of (const struct task *t, int kind)
+{
+  struct rec r = {
+    .kind = kind,
+    .attempt = t->attempt,
+    .failures = t->failures,
+    .state = t->state,
+    .reason = t->reason,
+  };
+
+  clb_copy (r.id, t->id, sizeof r.id);
+  if (kind == REC_ACCEPT)
+    {
+      clb_copy (r.team, t->team->name, sizeof r.team);
+      r.spec = t->spec;
+      r.class = t->class;
+      r.lane = t->lane;
+      r.idempotent = t->idempotent;
+    }
+  if (kind == REC_INTENT)
+    {
+      r.places = calloc ((size_t)t->n_members, sizeof *r.places);
+      if (!r.places)
+        abort ();
+      r.n_places = (size_t)t->n_members;
+      for (int64_t i = 0; i < t->n_members; i++)
+        {
+          clb_copy (r.places[i].worker, t->members[i].worker_id,
+                    sizeof r.places[i].worker);
+          r.places[i].boot = t->members[i].boot;
+        }
+    }
+  return r;
+}
+
+void
+task_record (struct sched *s, const struct task *t, int kind)
+{
+  if (!t->recorded)
+    return;
+  struct rec r = rec_of (t, kind);
+  journal_add (s, &r);
+}
+
+void
+member_run_id (const struct member *m, char out[CLB_ID_MAX])
+{
+  snprintf (out, CLB_ID_MAX, "%.60s/%lld/%d", m->task->id,
+            (long long)m->task->attempt, m->index);
+}
+
+void
+task_place (struct sched *s, struct task *t, struct worker **picked)
+{
+  t->n_members = t->spec.members;
+  t->members = calloc ((size_t)t->n_members, sizeof *t->members);
+  if (!t->members)
+    abort ();
+  for (int64_t i = 0; i < t->n_members; i++)
+    {
+      struct member *m = &t->members[i];
+      m->task = t;
+      m->index = (int)i;
+      m->worker = picked[i];
+      m->boot = picked[i]->boot;
+      clb_copy (m->worker_id, picked[i]->inst.id, sizeof m->worker_id);
+      TAILQ_INSERT_TAIL (&picked[i]->members, m, on_worker);
+    }
+  clb_res_add (&t->team->used, &t->spec.need, t->n_members);
+  t->team->idle_since_ms = s->now_ms;
+  t->state = TASK_STARTING;
+  t->placed_ms = s->now_ms;
+  t->settled = false;
+  t->intent_durable = false;
+}
+
+void
+member_clear (struct sched *s, struct member *m, int end)
+{
+  if (m->state == MEMBER_CLEAR)
+    return;
+  m->state = MEMBER_CLEAR;
+  m->end = end;
+  if (!m->worker)
+    return;
+  TAILQ_REMOVE (&m->worker->members, m, on_worker);
+  clb_res_add (&m->worker->used, &m->task->spec.need, -1);
+  clb_res_add (&m->task->team->used, &m->task->spec.need, -1);
+  m->task->team->idle_since_ms = s->now_ms;
+  m->worker = NULL;
+  s->dirty = true;
+}
+
+void
+task_unplace (struct sched *s, struct task *t)
+{
+  for (int64_t i = 0; i < t->n_members; i++)
+    member_clear (s, &t->members[i], END_NEVER);
+  free (t->members);
+  t->members = NULL;
+  t->n_members = 0;
+}
+
+void
+task_stop_members (struct sched *s, struct task *t)
+{
+  for (int64_t i = 0; i < t->n_members; i++)
+    {
+      struct member *m = &t->members[i];
+      if (m->state == MEMBER_INTENT)
+        member_clear (s, m, END_NEVER);
+      else if (m->state != MEMBER_CLEAR)
+        m->state = MEMBER_STOP;
+      if (m->worker)
+        m->worker->due = true;
+    }
+}
+
+void
+task_answer_askers (struct sched *s, struct task *t)
+{
+  struct asker *a;
+
+  while ((a = TAILQ_FIRST (&t->askers)))
+    {
+      TAILQ_REMOVE (&t->askers, a, link);
+      struct reply r = task_reply (t, a->no);
+      if (t->lane == LANE_SERVICE)
+        {
+          r.err = t->reason == WHY_DEADLINE ? CLB_ETIMEOUT : CLB_ECANCELLED;
+          r.retry_ms = RETRY_HINT_MS;
+        }
+      if (t->recorded)
+        {
+          struct effect *e = journal_effect (s, EFFECT_REPLY, t->id);
+          clb_copy (e->entry, a->entry, sizeof e->entry);
+          e->reply = r;
+        }
+      else
+        sched_reply (s, a->entry, &r);
+      free (a);
+    }
+}
+
+void
+task_ended (struct sched *s, struct task *t, int state, int reason)
+{
+  t->state = state;
+  t->reason = reason;
+  t->settled = true;
+  task_dequeue (t);
+  task_event (s, t, reason, "", 0);
+  task_record (s, t, REC_END);
+  task_answer_askers (s, t);
+  if (!t->recorded)
+    {
+      task_free (s, t);
+      return;
+    }
+  journal_effect (s, EFFECT_END, t->id);
+  TAILQ_INSERT_TAIL (&s->ended, t, ended);
+  t->in_ended = true;
+}
+
+static int64_t
+backoff_ms (const struct task *t)
+{
+  int64_t ms = BACKOFF_BASE_MS;
+
+  for (int64_t i = 1; i < t->failures && ms < BACKOFF_MAX_MS; i++)
+    ms *= 2;
+  return t->failures == 0 ? 0 : ms;
+}
+
+static void
+task_retry (struct sched *s, struct task *t, int reason)
+{
+  task_event (s, t, reason, "", 0);
+  t->reason = reason;
+  task_unplace (s, t);
+  t->attempt++;
+  t->not_before_ms = s->now_ms + backoff_ms (t);
+  task_record (s, t, REC_RETRY);
+  task_enqueue (s, t);
+}
+
+bool
+task_unsent (const struct task *t)
+{
+  for (int64_t i = 0; i < t->n_members; i++)
+    if (t->members[i].state != MEMBER_INTENT)
+      return false;
+  return t->n_members > 0 && t->lane == LANE_TASK;
+}
+
+void
+sched_withdraw (struct sched *s, struct team *team)
+{
+  struct task *t;
+  struct task *next;
+
+  RB_FOREACH_SAFE (t, task_tree, &s->tasks, next)
+    if (t->team == team && task_unsent (t))
+      task_retry (s, t, WHY_TEAM_LIMIT);
+}
+
+/* struct tally - how a placed task's members ended */
+struct tally
+{
+  int64_t of[END_LOST + 1];
+  int64_t open; /* not yet clear */
+};
+
+static struct tally
+tally_members (const struct task *t)
+{
+  struct tally n = { 0 };
+
+  for (int64_t i = 0; i < t->n_members; i++)
+    if (t->members[i].state == MEMBER_CLEAR)
+      n.of[t->members[i].end]++;
+    else
+      n.open++;
+  return n;
+}
+
+static int
+failure_reason (const struct tally *n)
+{
+  if (n->of[END_FAILED])
+    return WHY_ENDED_FAILED;
+  if (n->of[END_LOST])
+    return WHY_WORKER_LOST;
+  if (n->of[END_REFUSED])
+    return WHY_WORKER_REFUSED;
+  return n->of[END_STOPPED] ? WHY_GANG_MEMBER_FAILED : WHY_START_UNSEEN;
+}
+
+/* A service request is never tried again here: its entry instance asks. */
+static void
+settle_service (struct sched *s, struct task *t, const struct tally *n)
+{
+  if (n->of[END_FAILED])
+    task_ended (s, t, TASK_FAILED, WHY_ENDED_FAILED);
+  else if (n->of[END_LOST])
+    task_ended (s, t, TASK_UNKNOWN, WHY_ENTRY_LOST);
+  else
+    task_ended (s, t, TASK_CANCELLED, WHY_CANCELLED);
+}
+
+/* Every member is clear and at least one did not end well. */
+static void
+settle_failed (struct sched *s, struct task *t, const struct tally *n)
+{
+  bool ran = n->of[END_OK] || n->of[END_FAILED] || n->of[END_STOPPED]
+             || n->of[END_LOST];
+  int reason = failure_reason (n);
+
+  if (n->of[END_FAILED])
+    t->failures++;
+  if (t->giving_way)
+    {
+      t->giving_way = false;
+      reason = WHY_GAVE_WAY;
+    }
+  if (t->lane == LANE_SERVICE)
+    settle_service (s, t, n);
+  else if (t->cancelled && (!n->of[END_LOST] || t->idempotent))
+    task_ended (s, t, TASK_CANCELLED, WHY_CANCELLED);
+  else if (!ran)
+    task_retry (s, t, reason);
+  else if (!t->idempotent && n->of[END_FAILED] == 0)
+    task_ended (s, t, TASK_UNKNOWN, reason);
+  else if (!t->idempotent)
+    task_ended (s, t, TASK_FAILED, reason);
+  else if (t->failures >= TASK_FAILURES_MAX)
+    task_ended (s, t, TASK_FAILED, WHY_TOO_MANY_FAILURES);
+  else
+    task_retry (s, t, reason);
+}
+
+void
+task_settle (struct sched *s, struct task *t)
+{
+  struct tally n = tally_members (t);
+
+  if (t->settled || t->n_members == 0)
+    return;
+  if (n.of[END_OK] == t->n_members)
+    {
+      task_ended (s, t, TASK_DONE, WHY_ENDED_OK);
+      return;
+    }
+  /* A gang runs whole or not at all. */
+  if (n.of[END_OK] + n.open < t->n_members)
+    task_stop_members (s, t);
+  n = tally_members (t);
+  if (n.open == 0)
+    settle_failed (s, t, &n);
+}
--- a/regress/scenarios/g02_two_places.lua
+++ b/regress/scenarios/g02_two_places.lua
@@ -142,7 +142,7 @@
   some(h, 2, 60000)
   run(330) -- accepted; the intent is on its way
   cut(h, "platform")
-  run(500)
+  run(2200) -- longer than between two syncs
   server("a-w1", {silent = true})
   kill(h)
   faults{slow = 0}
--- a/regress/scenarios/g05_answers.lua
+++ b/regress/scenarios/g05_answers.lua
@@ -108,3 +108,29 @@
     end
   end)
 end
+
+scenario("what an earlier process of the same name waited for", function()
+  begin{domains = {"a", "b"}, entries = 2}
+  local early, late = {}, {}
+  for i = 1, 8 do
+    early[i] = task{at = "a1", team = "red", id = "early" .. i, ms = 5000}
+    late[i] = task{at = "a1", team = "red", id = "late" .. i, ms = 20000}
+  end
+  run(500)
+  local function wait_for(c)
+    return call{entry = "b1", method = "GET", key = key_of("red"),
+      path = "/v1/tasks/" .. answer(c).id .. "?wait_ms=60000"}
+  end
+  for i = 1, 8 do wait_for(early[i]) end
+  run(200)
+  kill("b1")
+  restart("b1")
+  run(2500)
+  local waits = {}
+  for i = 1, 8 do waits[i] = wait_for(late[i]) end
+  run(30000)
+  for i = 1, 8 do
+    expect(answer(waits[i]).id == answer(late[i]).id, "the answer is about the task asked for")
+    expect(answer(waits[i]).state == "done" and answer(waits[i]).took > 10000, "and comes at its end")
+  end
+end)
