Work that needs a record is refused at once while the table is away

Cause: a task handed in during an outage waited ten seconds and was then told 'outcome unknown', though it could have been refused at once as not run. Change: a holder whose latest table operation failed refuses new recorded work as platform-unavailable, not run, with when to come back.

--- a/core/calls.c
+++ b/core/calls.c
@@ -86,6 +86,9 @@
 {
   struct team *team = sched_team (s, c->team);
 
+  /* What needs a record could only be left waiting. */
+  if (!s->store_up && (c->verb == CALL_SUBMIT || !c->idempotent))
+    return CLB_EUNAVAIL;
   if (journal_full (s) || s->n_tasks >= TASKS_MAX)
     return CLB_EFULL;
   if (c->max_waiting > 0 && team->waiting >= c->max_waiting)
--- a/core/journal.c
+++ b/core/journal.c
@@ -514,6 +514,9 @@
   char key[KEY_SIZE];
 
   snap_name (s, row.object);
+  row.first = j->first_seq + CUT_ROWS;
+  if (row.first > j->snap_to)
+    row.first = j->snap_to + 1;
   clb_auto char *text = codec_text (&snap_row_desc, &row);
   journal_snap_key (s, key);
   store_cond (op, j->epoch_key, j->epoch_ver);
@@ -549,6 +552,7 @@
       j->first_seq += CUT_ROWS;
       if (j->first_seq > j->snap_to)
         {
+          /* Rows that an earlier holder had not yet cut are gone too. */
           j->first_seq = j->snap_to + 1;
           j->snap_step = SNAP_NONE;
           return;
--- a/core/load.c
+++ b/core/load.c
@@ -16,6 +16,7 @@
 
 static const struct fld snap_fields[] = {
   FLD_INT (struct snap_row, seq, 0, INT64_MAX),
+  FLD_INT (struct snap_row, first, 0, INT64_MAX),
   FLD_CHARS (struct snap_row, object, true),
 };
 DESC (snap_row_desc, struct snap_row, snap_fields);
@@ -207,7 +208,7 @@
   s->load_after = strdup (snap.object);
   s->journal.snap_seq = snap.seq;
   s->journal.seq = snap.seq + 1;
-  s->journal.first_seq = snap.seq + 1;
+  s->journal.first_seq = snap.first;
 }
 
 static void
--- a/core/node.c
+++ b/core/node.c
@@ -539,6 +539,7 @@
   s->now_ms = n->now_ms;
   s->may_start = n->now_ms < until;
   s->conf_fresh = node_fresh (n);
+  s->store_up = n->role.store_up;
   s->lapsed_ms = s->may_start ? 0 : until;
 }
 
--- a/core/sched.h
+++ b/core/sched.h
@@ -237,6 +237,7 @@
   int64_t now_ms;
   int64_t began_ms;
   bool may_start;    /* the lease holds; set before each input */
+  bool store_up;     /* the table answered the holder's latest operation */
   bool conf_fresh;   /* the configuration is proved current */
   int64_t lapsed_ms; /* since when it does not, 0 while it does */
   bool stopping;     /* handing over: nothing new is placed */
@@ -368,7 +369,8 @@
 /** struct snap_row - where the latest snapshot lies */
 struct snap_row
 {
-  int64_t seq; /* last journal row that the object covers */
+  int64_t seq;   /* last journal row that the object covers */
+  int64_t first; /* rows before this one are deleted */
   char object[CLB_ID_MAX];
 };
 extern const struct desc snap_row_desc;
--- a/regress/scenarios/g06_not_run.lua
+++ b/regress/scenarios/g06_not_run.lua
@@ -57,3 +57,28 @@
   for i = 1, 20 do if answer(calls[i]).status == 200 then good = good + 1 end end
   expect(good >= 12, "the other executor serves, " .. good .. " of 20")
 end)
+
+for _, mode in ipairs{"refuses", "hangs"} do
+  scenario("work that needs a record is refused at once while the table " .. mode, function()
+    begin{entries = 3}
+    store(mode)
+    run(4000)
+    for i = 1, 10 do
+      local t = task{at = entries[i % 3 + 1], team = "red", id = "n" .. i, queue = "once"}
+      local p = service{at = entries[i % 3 + 1], team = "red", id = "p" .. i, queue = "print"}
+      run(100)
+      for _, c in ipairs{t, p} do
+        local a = answer(c)
+        expect(a.error == "platform-unavailable" and a.outcome == "not-run",
+               "refused at once, not " .. tostring(a.error))
+        expect(a.retry_after_ms > 0, "with when to come back")
+      end
+    end
+    store("up")
+    run(4000)
+    local t = task{at = "a1", team = "red", id = "after", queue = "once"}
+    run(500)
+    expect(answer(t).status == 202, "and taken again after it")
+    settle()
+  end)
+end
--- a/regress/scn/world.c
+++ b/regress/scn/world.c
@@ -18,37 +18,6 @@
   SERVICE_MS = 20,     /* a service request that names no time */
 };
 
-enum item_kind
-{
-  ITEM_PEER,
-  ITEM_STORE_REQ,
-  ITEM_STORE_REP,
-  ITEM_SYNC_REQ,
-  ITEM_SYNC_REP,
-  ITEM_SERVE,
-  ITEM_SERVED,
-  ITEM_LIST,
-};
-
-/* struct event_item - a message on its way */
-struct event_item
-{
-  int64_t at_ms;
-  uint64_t seq;
-  int kind; /* enum item_kind */
-  int node; /* entry instance that it concerns */
-  int generation;
-  char from[CLB_NAME_MAX]; /* domain, for cuts */
-  char to[CLB_NAME_MAX];
-  char server[CLB_ID_MAX];
-  uint64_t token;
-  int64_t seq_no;
-  int call;
-  int end;
-  char *text;
-  size_t len;
-};
-
 uint64_t
 world_random (struct world *w, uint64_t below)
 {
@@ -64,59 +33,6 @@
   return per_cent > 0 && (int)world_random (w, 100) < per_cent;
 }
 
-/* The heap of what is on its way. */
-
-static bool
-before (const struct event_item *a, const struct event_item *b)
-{
-  return a->at_ms < b->at_ms || (a->at_ms == b->at_ms && a->seq < b->seq);
-}
-
-static void
-heap_push (struct world *w, struct event_item *it)
-{
-  size_t i = w->n_heap++;
-
-  if (w->n_heap > w->cap_heap)
-    {
-      w->cap_heap = 2 * w->cap_heap + 64;
-      w->heap = realloc (w->heap, w->cap_heap * sizeof (void *));
-      if (!w->heap)
-        abort ();
-    }
-  it->seq = ++w->seq;
-  w->heap[i] = it;
-  while (i > 0 && before (w->heap[i], w->heap[(i - 1) / 2]))
-    {
-      struct event_item *up = w->heap[(i - 1) / 2];
-      w->heap[(i - 1) / 2] = w->heap[i];
-      w->heap[i] = up;
-      i = (i - 1) / 2;
-    }
-}
-
-static struct event_item *
-heap_pop (struct world *w)
-{
-  struct event_item *top = w->heap[0];
-  size_t i = 0;
-
-  w->heap[0] = w->heap[--w->n_heap];
-  for (;;)
-    {
-      size_t small = i;
-      for (size_t c = 2 * i + 1; c <= 2 * i + 2 && c < w->n_heap; c++)
-        if (before (w->heap[c], w->heap[small]))
-          small = c;
-      if (small == i)
-        return top;
-      struct event_item *t = w->heap[i];
-      w->heap[i] = w->heap[small];
-      w->heap[small] = t;
-      i = small;
-    }
-}
-
 static void
 item_free (struct event_item *it)
 {
@@ -203,7 +119,7 @@
   clb_copy (it->to, to->set.domain, sizeof it->to);
   clb_copy (it->server, n->set.id, sizeof it->server);
   pmsg_pack (&o->u.peer.msg, &it->text, &it->len);
-  heap_push (w, it);
+  world_push (w, it);
 }
 
 static void
@@ -216,7 +132,7 @@
   it->call = from_shell;
   it->text = codec_text (&store_rep_desc, rep);
   it->len = strlen (it->text);
-  heap_push (w, it);
+  world_push (w, it);
 }
 
 static void
@@ -230,7 +146,7 @@
   it->token = o->u.store.token;
   it->text = codec_text (&store_op_desc, &o->u.store.op);
   it->len = strlen (it->text);
-  heap_push (w, it);
+  world_push (w, it);
   store_rep_at (w, n, it->token, &lost, true, TIMEOUT_MS);
 }
 
@@ -245,10 +161,10 @@
   it->seq_no = o->u.sync.req.seq;
   it->text = codec_text (&sync_req_desc, &o->u.sync.req);
   it->len = strlen (it->text);
-  heap_push (w, it);
+  world_push (w, it);
   clb_copy (lost->server, it->server, sizeof lost->server);
   lost->seq_no = it->seq_no;
-  heap_push (w, lost);
+  world_push (w, lost);
 }
 
 static struct event_item *
@@ -260,7 +176,7 @@
   it->call = call;
   it->end = end;
   clb_copy (it->server, server, sizeof it->server);
-  heap_push (w, it);
+  world_push (w, it);
   return it;
 }
 
@@ -280,7 +196,7 @@
   it = item_new (w, ITEM_SERVE, n, jitter (w, NEAR_MS));
   it->call = call;
   clb_copy (it->server, o->u.forward.executor, sizeof it->server);
-  heap_push (w, it);
+  world_push (w, it);
   served_at (w, n, call, o->u.forward.executor, FORWARD_FAILED,
              o->u.forward.max_run_ms);
 }
@@ -428,7 +344,7 @@
       back->seq_no = it->seq_no;
       back->text = codec_text (&sync_rep_desc, &rep);
       back->len = strlen (back->text);
-      heap_push (w, back);
+      world_push (w, back);
       codec_free (&sync_rep_desc, &rep);
     }
   codec_free (&sync_req_desc, &req);
@@ -634,10 +550,10 @@
       w->now_ms++;
       while (w->n_heap && w->heap[0]->at_ms <= w->now_ms)
         {
-          struct event_item *it = heap_pop (w);
+          struct event_item *it = world_pop (w);
           if (held_back (w, it))
             {
-              heap_push (w, it);
+              world_push (w, it);
               continue;
             }
           if (!is_lost (w, it))
@@ -673,7 +589,7 @@
   for (int i = 0; i < w->n_servers; i++)
     fworker_clear (&w->servers[i].w);
   while (w->n_heap)
-    item_free (heap_pop (w));
+    item_free (world_pop (w));
   for (int i = 0; i < w->n_calls; i++)
     free (w->calls[i].body);
   free (w->heap);
@@ -802,7 +718,7 @@
   it->kind = ITEM_LIST;
   it->at_ms = w->now_ms + w->list_lag_ms;
   it->text = codec_text (&inst_list_desc, &list);
-  heap_push (w, it);
+  world_push (w, it);
   free (list.items);
 }
 
--- a/regress/scn/world.h
+++ b/regress/scn/world.h
@@ -84,7 +84,36 @@
   bool maybe; /* asked for; whether it was accepted is not known */
 };
 
-struct event_item;
+enum item_kind
+{
+  ITEM_PEER,
+  ITEM_STORE_REQ,
+  ITEM_STORE_REP,
+  ITEM_SYNC_REQ,
+  ITEM_SYNC_REP,
+  ITEM_SERVE,
+  ITEM_SERVED,
+  ITEM_LIST,
+};
+
+/* struct event_item - a message on its way */
+struct event_item
+{
+  int64_t at_ms;
+  uint64_t seq;
+  int kind; /* enum item_kind */
+  int node; /* entry instance that it concerns */
+  int generation;
+  char from[CLB_NAME_MAX]; /* domain, for cuts */
+  char to[CLB_NAME_MAX];
+  char server[CLB_ID_MAX];
+  uint64_t token;
+  int64_t seq_no;
+  int call;
+  int end;
+  char *text;
+  size_t len;
+};
 
 struct world
 {
@@ -143,6 +172,10 @@
                 const char *path, const char *bearer, const char *request_id,
                 const char *body);
 
+/* heap.c */
+void world_push (struct world *w, struct event_item *it);
+struct event_item *world_pop (struct world *w);
+
 /* check.c */
 struct check *check_new (struct world *w);
 void check_free (struct check *c);
