--- a/bench/times.lua
+++ b/bench/times.lua
@@ -129,3 +129,41 @@
   end
 end
 for _, load in ipairs{70, 95, 120} do waits(load) end
+
+-- Shares of a full fleet by weight, over ten minutes in one domain.
+scenario("shares", function()
+  local teams = {red = {weight = 4}, blue = {weight = 2}, green = {weight = 1},
+                 black = {weight = 1}}
+  begin({entries = 2, workers = 10, executors = 0}, teams,
+        {"red", "blue", "green", "black"})
+  local got, n, seq = {}, 0, 0
+  for t in pairs(teams) do got[t] = 0 end
+  local t0 = now()
+  while now() - t0 < 600000 do
+    -- Each team keeps more waiting than the fleet could start.
+    if (now() - t0) % 2000 < 200 then
+      for _, t in ipairs{"red", "blue", "green", "black"} do
+        for _ = 1, 14 do
+          seq = seq + 1
+          if seq < 17000 then
+            task{at = entries[1], team = t, id = "s" .. seq, ms = 6000 + random(4000),
+                 cores = random(3)}
+          end
+        end
+      end
+    end
+    run(200)
+    if now() - t0 > 20000 then
+      n = n + 1
+      for t in pairs(teams) do got[t] = got[t] + used(t) end
+    end
+  end
+  local all, worst = 0, 0
+  for _, v in pairs(got) do all = all + v end
+  for t, v in pairs(got) do
+    local entitled = all * teams[t].weight / 8
+    worst = math.max(worst, math.abs(v - entitled) / entitled)
+  end
+  print_json{figure = "shares", teams = 4, worst_error_per_cent = math.floor(worst * 1000) // 10,
+             used_per_cent = math.floor(100 * all / n / 160)}
+end)
--- a/core/calls.c
+++ b/core/calls.c
@@ -110,23 +110,32 @@
   return t;
 }
 
-static void
-call_submit (struct sched *s, const char *entry, const struct call *c)
+/* True when the call has its answer: its request is known, or refused. */
+static bool
+answered_at_once (struct sched *s, const char *entry, const struct call *c,
+                  struct task *known)
 {
-  char id[CLB_ID_MAX];
-  struct task *t = find_request (s, c);
+  int err;
 
-  if (t)
+  if (known)
     {
-      answer_known (s, entry, c, t);
-      return;
+      answer_known (s, entry, c, known);
+      return true;
     }
-  int err = call_refused (s, c);
+  err = call_refused (s, c);
   if (err)
-    {
-      reply_err (s, entry, c->no, err, WHY_NO_ROOM);
-      return;
-    }
+    reply_err (s, entry, c->no, err, WHY_NO_ROOM);
+  return err != 0;
+}
+
+static void
+call_submit (struct sched *s, const char *entry, const struct call *c)
+{
+  char id[CLB_ID_MAX];
+  struct task *t;
+
+  if (answered_at_once (s, entry, c, find_request (s, c)))
+    return;
   snprintf (id, sizeof id, "%s.%lld.%lld", s->domain, (long long)s->epoch,
             (long long)++s->next_id);
   t = accept_recorded (s, id, c);
@@ -202,18 +211,10 @@
       acquire_again (s, entry, c, t);
       return;
     }
-  t = c->idempotent ? NULL : find_request (s, c);
-  if (t)
-    {
-      answer_known (s, entry, c, t);
-      return;
-    }
-  int err = call_refused (s, c);
-  if (err)
-    {
-      reply_err (s, entry, c->no, err, WHY_NO_ROOM);
-      return;
-    }
+  if (!c->idempotent)
+    t = find_request (s, c);
+  if (answered_at_once (s, entry, c, t))
+    return;
   if (!c->idempotent)
     t = accept_recorded (s, c->id, c);
   else
--- a/core/queue.c
+++ b/core/queue.c
@@ -47,6 +47,21 @@
   free (a);
 }
 
+const int64_t wait_bucket_ms[WAIT_BUCKETS]
+    = { 10, 100, 500, 1000, 3600, 10000, 60000, 600000, INT64_MAX };
+
+static void
+count_wait (struct sched *s, const struct task *t)
+{
+  int64_t ms = s->now_ms - t->accepted_ms;
+  int bucket = 0;
+
+  while (ms > wait_bucket_ms[bucket])
+    bucket++;
+  s->stats.waits[t->class][bucket]++;
+  s->stats.wait_sum_ms[t->class] += (uint64_t)ms;
+}
+
 static void
 task_start (struct sched *s, struct task *t, struct worker **picked,
             int reason, int64_t looked_at)
@@ -55,6 +70,8 @@
   task_place (s, t, picked);
   t->reason = reason;
   s->stats.placed++;
+  if (t->attempt == 0)
+    count_wait (s, t);
   for (int64_t i = 0; i < t->n_members; i++)
     task_event (s, t, reason, t->members[i].worker_id, looked_at);
   task_record (s, t, REC_INTENT);
--- a/core/sched.h
+++ b/core/sched.h
@@ -214,8 +214,18 @@
   SCHED_LOST, /* another holder's epoch was seen */
 };
 
+enum
+{
+  WAIT_BUCKETS = 9,
+};
+
+/* Upper ends of the wait histogram, in ms; the last is without end. */
+extern const int64_t wait_bucket_ms[WAIT_BUCKETS];
+
 struct sched_stats
 {
+  uint64_t waits[CLASS_N][WAIT_BUCKETS]; /* from accept to placement */
+  uint64_t wait_sum_ms[CLASS_N];
   uint64_t reasons[WHY_N];
   uint64_t groups;
   uint64_t records;
--- a/core/view.c
+++ b/core/view.c
@@ -179,6 +179,29 @@
   metric (f, "config_age_ms", NULL, NULL, (uint64_t)(n->now_ms - n->fresh_ms));
 }
 
+/* A Prometheus histogram for each class: buckets count what is below them. */
+static void
+metrics_waits (FILE *f, const struct sched_stats *st)
+{
+  for (int c = 0; c < CLASS_N; c++)
+    {
+      unsigned long long below = 0;
+      for (int b = 0; b < WAIT_BUCKETS; b++)
+        {
+          below += st->waits[c][b];
+          fprintf (f, "citronlb_wait_ms_bucket{class=\"%s\",le=\"",
+                   task_class_names[c]);
+          if (b == WAIT_BUCKETS - 1)
+            fprintf (f, "+Inf\"} %llu\n", below);
+          else
+            fprintf (f, "%lld\"} %llu\n", (long long)wait_bucket_ms[b], below);
+        }
+      metric (f, "wait_ms_sum", "class", task_class_names[c],
+              st->wait_sum_ms[c]);
+      metric (f, "wait_ms_count", "class", task_class_names[c], below);
+    }
+}
+
 static void
 metrics_sched (FILE *f, const struct node *n)
 {
@@ -191,6 +214,7 @@
   count_states (n, counts);
   for (int i = 0; i < TASK_STATE_N; i++)
     metric (f, "tasks", "state", task_state_names[i], (uint64_t)counts[i]);
+  metrics_waits (f, st);
   metric (f, "journal_groups_total", NULL, NULL, st->groups);
   metric (f, "journal_records_total", NULL, NULL, st->records);
   metric (f, "journal_retries_total", NULL, NULL, st->group_retries);
--- a/regress/process/real.sh
+++ b/regress/process/real.sh
@@ -140,7 +140,12 @@
 ctl watch >"$work/watch" 2>/dev/null &
 watcher=$!
 wait_for 20 test -s "$work/watch"
-watched=$(task watch-1 proofs 100 | ctl --json submit - | id_of)
+# Refused as not run until the holder has heard from the table again.
+accepted() {
+	watched=$(task watch-1 proofs 100 | ctl --json submit - | id_of)
+	[ -n "$watched" ] && [ "$watched" != null ]
+}
+wait_for 30 accepted 2>/dev/null
 ctl wait "$watched" >/dev/null
 check "watch shows the decisions as they happen" \
 	wait_for 10 grep -q "best-fit.*$watched" "$work/watch"
--- a/regress/scn/check.c
+++ b/regress/scn/check.c
@@ -429,3 +429,9 @@
     n += k->starts[i];
   return n;
 }
+
+int64_t
+check_used (struct check *c, const char *team)
+{
+  return usage_of (c, team)->used.cores;
+}
--- a/regress/scn/world.h
+++ b/regress/scn/world.h
@@ -194,5 +194,7 @@
 /** check_broken() - The first thing found wrong, or NULL. */
 const char *check_broken (const struct check *c);
 int check_starts (const struct check *c, const char *name);
+/** check_used() - Cores that a team has running, fleet-wide. */
+int64_t check_used (struct check *c, const char *team);
 
 #endif
