Changes of an instance's part are events; unused reasons and errors removed

Cause, read as a newcomer: five reasons and two errors were named and never used, while lease lost, handed over, going on under promises and the table going and coming back were visible to nobody.

--- a/citronlbd/log.c
+++ b/citronlbd/log.c
@@ -42,6 +42,9 @@
     case WHY_TOOK_OVER:
     case WHY_LEASE_LOST:
     case WHY_HANDED_OVER:
+    case WHY_EXTENDED:
+    case WHY_STORE_DOWN:
+    case WHY_STORE_BACK:
     case WHY_WORKER_QUARANTINED:
     case WHY_WORKER_BACK:
     case WHY_WORKER_LOST:
--- a/core/clb.c
+++ b/core/clb.c
@@ -30,13 +30,11 @@
   [-CLB_ETIMEOUT] = { "no-room-in-time", CLB_NOT_RUN, 503 },
   [-CLB_ENOFIT] = { "never-fits", CLB_NOT_RUN, 422 },
   [-CLB_ESTOPPING] = { "instance-stopping", CLB_NOT_RUN, 503 },
-  [-CLB_EBACKEND] = { "backend-failed", CLB_UNKNOWN, 502 },
   [-CLB_ETOOBIG] = { "too-large", CLB_NOT_RUN, 413 },
   [-CLB_EDONE] = { "already-recorded", CLB_RAN, 409 },
   [-CLB_ELEASE] = { "lease-lapsed", CLB_NOT_RUN, 503 },
   [-CLB_ECANCELLED] = { "cancelled", CLB_NOT_RUN, 409 },
   [-CLB_EREACH] = { "backend-unreachable", CLB_NOT_RUN, 503 },
-  [-CLB_EPROTO] = { "bad-answer", CLB_UNKNOWN, 502 },
 };
 
 struct reason_info
@@ -54,7 +52,6 @@
   [WHY_NO_ROOM] = { "no-room", "no worker has room now" },
   [WHY_TEAM_LIMIT] = { "team-limit", "the team is at its upper limit" },
   [WHY_NO_WORKER_FITS] = { "no-worker-fits", "larger than every worker" },
-  [WHY_LEASE_LAPSED] = { "lease-lapsed", "the domain's lease had lapsed" },
   [WHY_STARTED] = { "started", "the worker reports it running" },
   [WHY_ENDED_OK] = { "ended", "the worker reports success" },
   [WHY_ENDED_FAILED] = { "ended-failed", "the worker reports failure" },
@@ -69,12 +66,11 @@
   [WHY_TOO_MANY_FAILURES]
   = { "too-many-failures", "failed on several workers" },
   [WHY_CANCELLED] = { "cancelled", "its owner cancelled it" },
-  [WHY_NOT_IDEMPOTENT]
-  = { "not-idempotent", "it may have run and must not run twice" },
   [WHY_TOOK_OVER] = { "took-over", "took the domain's lease" },
   [WHY_LEASE_LOST] = { "lease-lost", "another instance took the lease" },
   [WHY_HANDED_OVER] = { "handed-over", "gave the lease back" },
   [WHY_STORE_DOWN] = { "store-down", "the table service does not answer" },
+  [WHY_STORE_BACK] = { "store-back", "the table service answers again" },
   [WHY_EXTENDED] = { "extended", "went on under its peers' promises" },
   [WHY_CONFIG] = { "config", "a newer configuration is in force" },
   [WHY_GRANT_RAISED] = { "grant-raised", "the domain took more of a limit" },
@@ -85,7 +81,6 @@
   = { "member-failed", "another member of the gang failed" },
   [WHY_GAVE_WAY] = { "gave-way", "stopped to make room for urgent work" },
   [WHY_MAKES_ROOM] = { "makes-room", "the cheapest others are being stopped" },
-  [WHY_FORWARDED] = { "forwarded", "sent to a domain that has room" },
 };
 
 const char *const task_state_names[TASK_STATE_N + 1]
@@ -98,7 +93,7 @@
 err_lookup (int err)
 {
   if (err > 0 || err <= CLB_ERR_LAST)
-    err = CLB_EPROTO;
+    err = CLB_EUNKNOWN;
   return &err_table[-err];
 }
 
--- a/core/clb.h
+++ b/core/clb.h
@@ -57,14 +57,12 @@
   CLB_ETIMEOUT = -16,  /* no room before the deadline */
   CLB_ENOFIT = -17,    /* larger than any worker or limit */
   CLB_ESTOPPING = -18, /* this instance is shutting down */
-  CLB_EBACKEND = -19,  /* the backend server failed the request */
-  CLB_ETOOBIG = -20,   /* body or header over its limit */
-  CLB_EDONE = -21,     /* a non-idempotent request with this id exists */
-  CLB_ELEASE = -22,    /* lease lapsed before the work could start */
-  CLB_ECANCELLED = -23,
-  CLB_EPROTO = -24, /* peer or platform answered something unexpected */
-  CLB_EREACH = -25, /* no backend server could be reached */
-  CLB_ERR_LAST = -26
+  CLB_ETOOBIG = -19,   /* body or header over its limit */
+  CLB_EDONE = -20,     /* a non-idempotent request with this id exists */
+  CLB_ELEASE = -21,    /* lease lapsed before the work could start */
+  CLB_ECANCELLED = -22,
+  CLB_EREACH = -23, /* no backend server could be reached */
+  CLB_ERR_LAST = -24
 };
 
 /** enum clb_outcome - what a refusal says about the request */
@@ -127,7 +125,6 @@
   WHY_NO_ROOM,
   WHY_TEAM_LIMIT,
   WHY_NO_WORKER_FITS,
-  WHY_LEASE_LAPSED,
   WHY_STARTED,
   WHY_ENDED_OK,
   WHY_ENDED_FAILED,
@@ -139,11 +136,11 @@
   WHY_START_UNSEEN, /* start sent, worker proved never to have had it */
   WHY_TOO_MANY_FAILURES,
   WHY_CANCELLED,
-  WHY_NOT_IDEMPOTENT,
   WHY_TOOK_OVER,
   WHY_LEASE_LOST,
   WHY_HANDED_OVER,
   WHY_STORE_DOWN,
+  WHY_STORE_BACK,
   WHY_EXTENDED, /* holder went on under its peers' promises */
   WHY_CONFIG,
   WHY_GRANT_RAISED,
@@ -151,7 +148,6 @@
   WHY_DEADLINE,
   WHY_ENTRY_LOST,
   WHY_GANG_MEMBER_FAILED,
-  WHY_FORWARDED,
   WHY_GAVE_WAY,   /* stopped to make room for urgent work */
   WHY_MAKES_ROOM, /* urgent work has others stopped */
   WHY_N
--- a/core/node.c
+++ b/core/node.c
@@ -518,6 +518,33 @@
   n->next_hello_ms = n->now_ms;
 }
 
+/* A change of this instance's part, for the log and for watchers. */
+static void
+node_event (struct node *n, int reason)
+{
+  struct out *o = out_new (&n->out, OUT_EVENT);
+
+  o->u.event.ms = n->now_ms;
+  o->u.event.reason = reason;
+  clb_copy (o->u.event.where, n->set.id, sizeof o->u.event.where);
+  n->stats.changes[reason]++;
+}
+
+static void
+extension_step (struct node *n, int64_t until)
+{
+  bool extended = n->now_ms < until && n->now_ms >= n->role.lease_until_ms;
+
+  if (extended && !n->extended)
+    node_event (n, WHY_EXTENDED);
+  n->extended = extended;
+  if (n->store_down != !n->role.store_up && n->role.state == ROLE_HOLD)
+    {
+      n->store_down = !n->role.store_up;
+      node_event (n, n->store_down ? WHY_STORE_DOWN : WHY_STORE_BACK);
+    }
+}
+
 static void
 role_step (struct node *n)
 {
@@ -529,13 +556,17 @@
     role_lost (&n->role);
   if (n->sched
       && (n->role.state != ROLE_HOLD || n->role.epoch != n->sched->epoch))
-    sched_end (n);
+    {
+      node_event (n, n->stopping ? WHY_HANDED_OVER : WHY_LEASE_LOST);
+      sched_end (n);
+    }
   if (!n->sched && n->role.state == ROLE_HOLD && !n->stopping)
     sched_begin (n);
   s = n->sched;
   if (!s)
     return;
   int64_t until = role_until (&n->role);
+  extension_step (n, until);
   s->now_ms = n->now_ms;
   s->may_start = n->now_ms < until;
   s->conf_fresh = node_fresh (n);
--- a/core/node.h
+++ b/core/node.h
@@ -132,6 +132,7 @@
   uint64_t forward_ends[FORWARD_CUT + 1];
   uint64_t store_errors;
   uint64_t hellos;
+  uint64_t changes[WHY_N]; /* of this instance's part, by reason */
 };
 
 struct node
@@ -163,6 +164,8 @@
   struct peer peers[PEERS_MAX];
   int n_peers;
   int64_t next_hello_ms;
+  bool extended;     /* goes on under its peers' promises */
+  bool store_down;   /* as last told */
   bool told_holds;   /* the last hello said that this instance schedules */
   struct pl_sum sum; /* this domain's, while holder, as last told */
   struct pending_tree pending;
--- a/core/queue.c
+++ b/core/queue.c
@@ -127,7 +127,6 @@
   picked = calloc ((size_t)t->spec.members, sizeof *picked);
   if (!picked)
     abort ();
-  s->stats.picks++;
   int reason = pl_pick (&s->pl, &t->spec, t->failed_on, s->now_ms, picked,
                         &looked_at);
   if (reason == WHY_NO_ROOM || reason == WHY_NO_WORKER_FITS)
--- a/core/role.h
+++ b/core/role.h
@@ -73,7 +73,6 @@
   int n_peers;
   int64_t ask_no;
   int64_t next_ask_ms;
-  uint64_t extensions;
   bool store_up;
 };
 
--- a/core/sched.h
+++ b/core/sched.h
@@ -233,7 +233,6 @@
   uint64_t syncs;
   uint64_t sync_failures;
   uint64_t placed;
-  uint64_t picks;
   uint64_t damaged_rows;
 };
 
--- a/core/view.c
+++ b/core/view.c
@@ -174,6 +174,10 @@
   metric (f, "stale_slots_total", NULL, NULL, st->stale_slots);
   metric (f, "store_errors_total", NULL, NULL, st->store_errors);
   metric (f, "hellos_total", NULL, NULL, st->hellos);
+  for (int i = 0; i < WHY_N; i++)
+    if (st->changes[i])
+      metric (f, "changes_total", "reason", clb_reason_name (i),
+              st->changes[i]);
   metric (f, "requests_in_hand", NULL, NULL, (uint64_t)n->n_pending);
   metric (f, "config_version", NULL, NULL, (uint64_t)n->head.version);
   metric (f, "config_age_ms", NULL, NULL, (uint64_t)(n->now_ms - n->fresh_ms));
