--- a/core/apply.c
+++ b/core/apply.c
@@ -9,7 +9,6 @@
 {
   CALL_RETRY_MS = 1000, /* a call without a reply is sent again */
   APPLY_WAIT_MS = 10000,
-  QUERY_MAX = 128,
 };
 
 static void
@@ -164,16 +163,35 @@
   return err ? err : *team ? CLB_EDENIED : 0;
 }
 
+/* The change's id out of the query; false without a good one. */
+static bool
+read_change (const char *query, char out[CLB_ID_MAX])
+{
+  const char name[] = "change=";
+  const char *at = query ? strstr (query, name) : NULL;
+  size_t len;
+
+  if (!at)
+    return false;
+  at += sizeof name - 1;
+  len = strcspn (at, "&");
+  if (len >= CLB_ID_MAX)
+    return false;
+  memcpy (out, at, len);
+  out[len] = '\0';
+  return entry_id_ok (out);
+}
+
 void
 apply_request (struct node *n, const struct request *rq, const char *query)
 {
   struct conf c;
   struct codec_err ce = { .err = 0 };
   struct pending *p;
-  const char *change = query ? strstr (query, "change=") : NULL;
+  char change[CLB_ID_MAX];
   int err = may_apply (n, rq);
 
-  if (!err && (!change || strlen (change) >= QUERY_MAX))
+  if (!err && !read_change (query, change))
     {
       err = CLB_EFIELD;
       clb_copy (ce.path, "change", sizeof ce.path);
@@ -190,10 +208,7 @@
   p->base_version = entry_query_number (query, "base=");
   p->head_ver = n->head_ver;
   p->head.version = p->base_version + 1;
-  change += strlen ("change=");
-  size_t len = strcspn (change, "&");
-  snprintf (p->head.change_id, sizeof p->head.change_id, "%.*s",
-            (int)(len < 64 ? len : 64), change);
+  clb_copy (p->head.change_id, change, sizeof p->head.change_id);
   p->until_ms = n->now_ms + APPLY_WAIT_MS;
   if (p->base_version != n->head.version)
     {
--- a/core/entry.c
+++ b/core/entry.c
@@ -300,6 +300,18 @@
 
 /* Tasks. */
 
+/* Ids become parts of table keys, so their bytes are few. */
+bool
+entry_id_ok (const char *id)
+{
+  size_t len = strlen (id);
+
+  return len > 0 && len < CLB_ID_MAX
+         && strspn (id, "abcdefghijklmnopqrstuvwxyz"
+                        "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:-")
+                == len;
+}
+
 static int
 check_spec (struct node *n, struct spec *spec, const char *team,
             const char **field)
@@ -311,10 +323,7 @@
   if (spec->members == 0)
     spec->members = 1;
   *field = "request_id";
-  if (strspn (spec->request_id, "abcdefghijklmnopqrstuvwxyz"
-                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:-")
-          != strlen (spec->request_id)
-      || !*spec->request_id)
+  if (!entry_id_ok (spec->request_id))
     return CLB_ERANGE;
   *field = "need.slots";
   if (spec->need.slots != 0)
--- a/core/node.h
+++ b/core/node.h
@@ -259,6 +259,8 @@
                        int64_t retry_ms);
 struct pending *entry_pending_new (struct node *n, uint64_t caller, int verb);
 void entry_pending_free (struct node *n, struct pending *p);
+/** entry_id_ok() - Whether an id that a caller chose can be kept. */
+bool entry_id_ok (const char *id);
 /** entry_query_number() - The number behind "name=" in a query, or 0. */
 int64_t entry_query_number (const char *query, const char *name);
 /** apply_request() - An operator's new manifest. */
--- a/core/service.c
+++ b/core/service.c
@@ -22,6 +22,14 @@
   entry_pending_send (n, p);
 }
 
+static const char *
+wrong_field (int err)
+{
+  if (err == CLB_EREF)
+    return "queue";
+  return err == CLB_EFIELD || err == CLB_ERANGE ? "X-Request-Id" : NULL;
+}
+
 void
 service_request (struct node *n, const struct request *rq, const char *rest)
 {
@@ -44,15 +52,14 @@
     err = entry_team_for (n, rq, q, team);
   if (!err && !q->idempotent && (!rq->request_id || !*rq->request_id))
     err = CLB_EFIELD;
-  if (!err && rq->request_id && strlen (rq->request_id) >= CLB_ID_MAX)
+  if (!err && rq->request_id && !entry_id_ok (rq->request_id))
     err = CLB_ERANGE;
   domain = err ? NULL : entry_pick_domain (n, &spec);
   if (!err && !domain)
     err = CLB_ENOHOLDER;
   if (err)
     {
-      entry_refuse (n, rq->call, err,
-                    err == CLB_EREF ? "queue" : "X-Request-Id");
+      entry_refuse (n, rq->call, err, wrong_field (err));
       return;
     }
   spec.duration_ms = q->max_run_ms;
