--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -12,7 +12,7 @@
 	wait 2>/dev/null || :
 	rm -rf "$work"
 }
-[ -n "${KEEP:-}" ] || trap clean_up EXIT
+trap clean_up EXIT
 trap 'exit 1' INT TERM
 
 # wait_for SECONDS COMMAND...: until it succeeds.
