A planned stop ends though the table stays away

Cause: three daemons of an early demonstration were still there an hour after SIGTERM: their platform was gone, and the hand-over waited for it for ever. Ways weighed: end at once (its tasks' leases run out in 15 s); never end. Change: it waits as long as a lapsed holder renews leases, 60 s, then ends; its callers are answered before.

--- a/core/node.c
+++ b/core/node.c
@@ -574,12 +574,18 @@
   s->lapsed_ms = s->may_start ? 0 : until;
 }
 
-/* Hands the domain over once nothing is on the way to the table. */
+/* Hands the domain over once nothing is on the way to the table.  A table
+   that stays away is waited for as long as a lapsed holder renews leases. */
 static void
 stop_tick (struct node *n)
 {
   if (!n->stopping || n->handed_over)
     return;
+  if (n->now_ms - n->stopping_ms >= LAPSED_RENEW_MS)
+    {
+      n->handed_over = true;
+      return;
+    }
   if (n->sched)
     {
       n->sched->stopping = true;
--- a/regress/scenarios/g09_graceful.lua
+++ b/regress/scenarios/g09_graceful.lua
@@ -83,3 +83,18 @@
   all_answered(calls)
   settle()
 end)
+
+scenario("a stop ends though the table stays away", function()
+  begin{entries = 2, executors = 2}
+  local h = holder("a")
+  local s = service{at = h, team = "red", id = "s1", ms = 3000}
+  run(100)
+  store("hangs")
+  stop(h)
+  run(5000)
+  all_answered{s}
+  run(75000)
+  expect(not running(h), "the process has ended")
+  store("up")
+  settle()
+end)
--- a/regress/scn/verbs.c
+++ b/regress/scn/verbs.c
@@ -152,6 +152,14 @@
   return 1;
 }
 
+/* running(id): whether its process is there at all */
+static int
+v_running (lua_State *L)
+{
+  lua_pushboolean (L, arg_node (L, 1)->up);
+  return 1;
+}
+
 static int
 v_cut (lua_State *L)
 {
@@ -473,37 +481,22 @@
 }
 
 static const luaL_Reg verbs[] = {
-  { "entry", v_entry },
-  { "worker", v_worker },
-  { "executor", v_executor },
-  { "run", v_run },
-  { "kill", v_kill },
-  { "restart", v_restart },
-  { "freeze", v_freeze },
-  { "thaw", v_thaw },
-  { "stop", v_stop },
-  { "up", v_up },
-  { "cut", v_cut },
-  { "heal", v_heal },
-  { "store", v_store },
-  { "faults", v_faults },
-  { "server", v_server },
-  { "call", v_call },
-  { "answer", v_answer },
-  { "holder", v_holder },
-  { "version", v_version },
-  { "now", v_now },
-  { "random", v_random },
-  { "starts", v_starts },
-  { "limit", v_limit },
-  { "withdrawn", v_withdrawn },
-  { "key_hash", v_key_hash },
-  { "accepted", v_accepted },
-  { "told", v_told },
-  { "reset", v_reset },
-  { "used", v_used },
-  { "report", v_report },
-  { NULL, NULL },
+  { "entry", v_entry },       { "worker", v_worker },
+  { "executor", v_executor }, { "run", v_run },
+  { "kill", v_kill },         { "restart", v_restart },
+  { "freeze", v_freeze },     { "thaw", v_thaw },
+  { "stop", v_stop },         { "up", v_up },
+  { "cut", v_cut },           { "heal", v_heal },
+  { "store", v_store },       { "faults", v_faults },
+  { "server", v_server },     { "call", v_call },
+  { "answer", v_answer },     { "holder", v_holder },
+  { "version", v_version },   { "now", v_now },
+  { "random", v_random },     { "starts", v_starts },
+  { "limit", v_limit },       { "withdrawn", v_withdrawn },
+  { "key_hash", v_key_hash }, { "accepted", v_accepted },
+  { "told", v_told },         { "reset", v_reset },
+  { "running", v_running },   { "used", v_used },
+  { "report", v_report },     { NULL, NULL },
 };
 
 static int
