--- a/Makefile
+++ b/Makefile
@@ -4,20 +4,22 @@
 SAN ?=
 CFLAGS ?= -O2 -g
 CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -iquote core -iquote net \
-	-iquote citronlbd -iquote regress/standin -iquote regress -I/usr/include/lua5.4
+	-iquote citronlbd -iquote platform -iquote regress/standin -iquote regress -I/usr/include/lua5.4
 ALL_CFLAGS = -std=gnu17 -Wall -Wextra -Werror $(CFLAGS) $(SAN) -MMD -MP
 CORE_LIBS = -ljansson -lmsgpackc -lcrypto -lbsd
 NET_LIBS = -lh2o -luv -lssl -lcrypto -lz -lcurl -lm
 
 CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
 NET = $(BUILD)/net/httpd.o $(BUILD)/net/httpc.o
+LINKS = $(BUILD)/net/links.o
+PLATFORM = $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 STANDIN = $(BUILD)/regress/standin/fstore.o $(BUILD)/regress/standin/fworker.o
 DAEMON = $(patsubst %.c,$(BUILD)/%.o,$(wildcard citronlbd/*.c))
 CTL = $(patsubst %.c,$(BUILD)/%.o,$(wildcard citronctl/*.c))
 UNIT_SRC = $(wildcard regress/unit/*.c)
 UNITS = $(patsubst regress/unit/%.c,$(BUILD)/regress/unit/%,$(UNIT_SRC))
 SOURCES = $(wildcard core/*.[ch] net/*.[ch] citronlbd/*.[ch] \
-	citronctl/*.[ch] regress/*.[ch] regress/*/*.[ch] bench/*.[ch])
+	platform/*.[ch] citronctl/*.[ch] regress/*.[ch] regress/*/*.[ch] bench/*.[ch])
 MANS = citronlbd/citronlbd.8 citronctl/citronctl.1 \
 	citronctl/citronlb.manifest.5
 
@@ -68,7 +70,7 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
 
-$(BUILD)/citronlbd/citronlbd: $(DAEMON) $(CORE) $(NET)
+$(BUILD)/citronlbd/citronlbd: $(DAEMON) $(PLATFORM) $(CORE) $(NET) $(LINKS)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS) -lzmq -llog4c
 
 $(BUILD)/citronctl/citronctl: $(CTL) $(CORE)
--- a/citronlbd/citronlbd.h
+++ b/citronlbd/citronlbd.h
@@ -9,11 +9,12 @@
 
 #include "httpc.h"
 #include "httpd.h"
+#include "links.h"
 #include "node.h"
 
 enum
 {
-  KEY_Z85_SIZE = 41, /* a CURVE key as text, with NUL */
+  KEY_Z85_SIZE = LINKS_KEY_SIZE,
   PERMITTED_MAX = 8, /* public keys that peers may show */
 };
 
@@ -31,6 +32,7 @@
   char peer_secret[KEY_Z85_SIZE];
   char permitted[PERMITTED_MAX][KEY_Z85_SIZE];
   int n_permitted;
+  const char *fleet;     /* settings of the fleet's platform, or NULL */
   const char *addr_file; /* where the bound addresses are written */
 };
 
@@ -43,7 +45,6 @@
 void options_read (int argc, char **argv, struct options *opt);
 
 struct daemon;
-struct peers;
 struct serve;
 
 /** struct daemon - the loop and its tasks */
@@ -57,7 +58,8 @@
   uv_signal_t sighup;
   struct node node;
   struct httpc *http; /* to platform, workers and executors */
-  struct peers *peers;
+  struct links *peers;
+  uint64_t damaged_messages; /* of peers, passed over */
   struct serve *serve;
   bool pumping;
   bool stopping;
@@ -70,11 +72,9 @@
 /* peers.c: links between entry instances */
 
 /** peers_new() - Binds; NULL with the errno's text on standard error. */
-struct peers *peers_new (struct daemon *d);
-const char *peers_addr (const struct peers *p);
-void peers_send (struct peers *p, const char *to, const char *addr,
+struct links *peers_new (struct daemon *d);
+void peers_send (struct daemon *d, const char *to, const char *addr,
                  const struct pmsg *m);
-void peers_free (struct peers *p);
 
 /* platform.c: table, objects, list */
 void platform_send (struct daemon *d, uint64_t token,
--- /dev/null
+++ b/citronlbd/fleetd.c
@@ -0,0 +1,395 @@
+#include "fleetd.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+#include <time.h>
+
+#include "links.h"
+#include "logline.h"
+#include "platform.h"
+
+enum
+{
+  TICK_LEADER_MS = 10,
+  TICK_FOLLOWER_MS = 25,
+  EXEC_CONNECTIONS = 4, /* to one executor: a question for ends, and starts */
+  EXEC_CONNECTIONS_KEPT = 1500,
+  STORE_CONNECTIONS = 24, /* three feeds, the journal, and callers' writes */
+  STORE_CONNECTIONS_KEPT = 32,
+  BODY_MAX = 256 << 10, /* bytes of a caller's request */
+  /* The platform sends new connections here until it has missed two looks at
+     the readiness, one a second. */
+  LINGER_MS = 3000,
+  KILL_MARGIN_MS = 500,
+};
+
+struct fleetd
+{
+  struct pf_settings set;
+  const char *path;
+  uv_loop_t *loop;
+  uv_timer_t timer;
+  uv_signal_t signals[3];
+  struct fleet fleet;
+  struct httpc *store_http;
+  struct httpc *exec_http;
+  struct pf_store store;
+  struct pf_orders orders;
+  struct links *links;
+  struct httpd *callers;
+  struct httpd *ready;
+  struct httpd *metrics;
+  bool pumping;
+  int64_t stop_ms; /* told to stop then; 0: not */
+  bool closed;
+};
+
+/* Goes on while the machine is suspended: a lease must not seem to last. */
+static int64_t
+boot_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_BOOTTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static int64_t
+wall_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
+log_line (const char *line)
+{
+  logline_write (wall_ms (), line);
+}
+
+static void
+send_mesh (struct fleetd *d, const char *addr, const struct mesh_msg *m)
+{
+  char *buf;
+  size_t len;
+
+  if (mesh_pack (m, &buf, &len))
+    return;
+  links_send (d->links, addr, addr, buf, len);
+  free (buf);
+}
+
+static void
+carry_out (struct fleetd *d, struct out *o)
+{
+  const char *body;
+
+  switch (o->kind)
+    {
+    case OUT_ANSWER:
+      body = o->u.answer.body ? o->u.answer.body : "{}";
+      httpd_answer (d->callers, o->u.answer.call, o->u.answer.status,
+                    "application/json", body, strlen (body),
+                    o->u.answer.retry_ms);
+      break;
+    case OUT_STORE:
+      pf_store_send (&d->store, o->u.store.token, &o->u.store.op);
+      break;
+    case OUT_ORDER:
+      pf_order_send (&d->orders, o->u.order);
+      o->u.order = NULL;
+      break;
+    case OUT_MESH:
+      send_mesh (d, o->u.mesh.addr, o->u.mesh.msg);
+      break;
+    case OUT_LINE:
+      log_line (o->u.line);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+pump (struct fleetd *d)
+{
+  struct out *o;
+
+  /* What is carried out may call back in here: the outer loop goes on. */
+  if (d->pumping)
+    return;
+  d->pumping = true;
+  while ((o = fleet_next_out (&d->fleet)))
+    {
+      carry_out (d, o);
+      out_free (o);
+    }
+  d->pumping = false;
+}
+
+static void
+on_store (void *arg, uint64_t token, const struct store_rep *rep)
+{
+  struct fleetd *d = arg;
+
+  fleet_store (&d->fleet, boot_ms (), token, rep);
+  pump (d);
+}
+
+static void
+on_order (void *arg, const struct order *o, const struct order_result *res)
+{
+  struct fleetd *d = arg;
+
+  fleet_order_result (&d->fleet, boot_ms (), o, res);
+  pump (d);
+}
+
+static void
+on_message (void *arg, const char *buf, size_t len)
+{
+  struct fleetd *d = arg;
+  struct mesh_msg m;
+  struct codec_err ce;
+
+  if (mesh_unpack (buf, len, &m, &ce))
+    {
+      log_line ("event=bad-message");
+      return;
+    }
+  fleet_mesh (&d->fleet, boot_ms (), &m);
+  mesh_clear (&m);
+}
+
+static void
+on_received (void *arg)
+{
+  pump (arg);
+}
+
+static void
+on_caller (void *arg, const struct hreq *rq)
+{
+  struct fleetd *d = arg;
+  struct fleet_request req;
+
+  pf_request (rq, &req);
+  fleet_request (&d->fleet, boot_ms (), wall_ms (), &req);
+  pump (d);
+}
+
+static void
+on_caller_gone (void *arg, uint64_t no)
+{
+  struct fleetd *d = arg;
+
+  fleet_caller_gone (&d->fleet, no);
+}
+
+static void
+on_ready (void *arg, const struct hreq *rq)
+{
+  struct fleetd *d = arg;
+  int status = 404;
+
+  if (pf_is_ready_path (rq->path))
+    status = fleet_ready (&d->fleet, boot_ms ()) ? 200 : 503;
+  httpd_answer (d->ready, rq->no, status, "text/plain", "", 0, 0);
+}
+
+static void
+on_metrics (void *arg, const struct hreq *rq)
+{
+  struct fleetd *d = arg;
+  char *text = fleet_metrics (&d->fleet);
+
+  httpd_answer (d->metrics, rq->no, 200, "text/plain; version=0.0.4", text,
+                strlen (text), 0);
+  free (text);
+}
+
+static void
+ignore_gone (void *arg, uint64_t no)
+{
+  (void)arg;
+  (void)no;
+}
+
+static struct httpd *
+serve (struct fleetd *d, const char *addr,
+       void (*on_request) (void *arg, const struct hreq *rq),
+       void (*on_gone) (void *arg, uint64_t no))
+{
+  struct httpd_conf conf = {
+    .addr = addr,
+    .body_max = BODY_MAX,
+    .arg = d,
+    .on_request = on_request,
+    .on_gone = on_gone,
+  };
+  int err;
+  struct httpd *h = httpd_new (d->loop, &conf, &err);
+
+  if (!h)
+    fprintf (stderr, "citronlbd: %s: %s\n", addr, uv_strerror (err));
+  return h;
+}
+
+/* Once callers no longer come here, or shortly before the kill. */
+static void
+stop_when_done (struct fleetd *d)
+{
+  int64_t since = boot_ms () - d->stop_ms;
+
+  if (!d->stop_ms || since < LINGER_MS)
+    return;
+  if (!d->closed)
+    {
+      d->closed = true;
+      httpd_stop (d->callers);
+    }
+  if (httpd_in_hand (d->callers) == 0
+      || since > d->set.grace_ms - KILL_MARGIN_MS)
+    uv_stop (d->loop);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct fleetd *d = t->data;
+  int64_t pause;
+
+  fleet_tick (&d->fleet, boot_ms (), wall_ms ());
+  pump (d);
+  logline_flush ();
+  pause = d->fleet.cell ? TICK_LEADER_MS : TICK_FOLLOWER_MS;
+  uv_timer_start (t, on_timer, (uint64_t)pause, 0);
+  stop_when_done (d);
+}
+
+static void
+reload (struct fleetd *d)
+{
+  struct pf_settings set;
+  struct codec_err ce;
+
+  if (pf_settings_read (d->path, &set, &ce))
+    {
+      log_line ("event=settings-refused");
+      return;
+    }
+  /* Addresses are those of the boot; the bounds may change. */
+  d->set.grace_ms = set.grace_ms;
+  d->fleet.set.revoke_ms = set.revoke_ms;
+  log_line ("event=settings-reloaded");
+}
+
+static void
+on_signal (uv_signal_t *sig, int signum)
+{
+  struct fleetd *d = sig->data;
+
+  if (signum == SIGHUP)
+    {
+      reload (d);
+      return;
+    }
+  if (d->stop_ms)
+    return;
+  d->stop_ms = boot_ms ();
+  log_line ("event=stopping");
+  fleet_stop (&d->fleet, d->stop_ms);
+  pump (d);
+}
+
+static void
+catch_signals (struct fleetd *d)
+{
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+  for (size_t i = 0; i < CLB_COUNT (numbers); i++)
+    {
+      uv_signal_init (d->loop, &d->signals[i]);
+      d->signals[i].data = d;
+      uv_signal_start (&d->signals[i], on_signal, numbers[i]);
+    }
+}
+
+static void
+start_core (struct fleetd *d)
+{
+  struct fleet_settings set = { .boot = wall_ms (),
+                                .revoke_ms = d->set.revoke_ms,
+                                .codec = pf_codec };
+
+  clb_copy (set.id, d->set.id, sizeof set.id);
+  clb_copy (set.zone, d->set.zone, sizeof set.zone);
+  clb_copy (set.mesh_addr, d->set.mesh_addr, sizeof set.mesh_addr);
+  fleet_init (&d->fleet, &set, boot_ms ());
+}
+
+static bool
+open_all (struct fleetd *d)
+{
+  struct links_conf links = { .loop = d->loop,
+                              .listen = d->set.mesh_addr,
+                              .arg = d,
+                              .on_message = on_message,
+                              .on_received = on_received };
+
+  d->store_http = httpc_new (d->loop);
+  httpc_limit (d->store_http, STORE_CONNECTIONS, STORE_CONNECTIONS_KEPT);
+  d->exec_http = httpc_new (d->loop);
+  httpc_limit (d->exec_http, EXEC_CONNECTIONS, EXEC_CONNECTIONS_KEPT);
+  d->store
+      = (struct pf_store){ d->store_http, d->set.store_addr, d, on_store };
+  d->orders
+      = (struct pf_orders){ d->exec_http, d->set.advice_addr, d, on_order };
+  d->links = links_new (&links);
+  d->callers = serve (d, d->set.callers_addr, on_caller, on_caller_gone);
+  d->ready = serve (d, d->set.ready_addr, on_ready, ignore_gone);
+  if (*d->set.metrics_addr)
+    d->metrics = serve (d, d->set.metrics_addr, on_metrics, ignore_gone);
+  return d->links && d->callers && d->ready
+         && (d->metrics || !*d->set.metrics_addr);
+}
+
+int
+fleetd_run (const char *settings)
+{
+  static struct fleetd d;
+  struct codec_err ce;
+  int err = pf_settings_read (settings, &d.set, &ce);
+
+  if (err)
+    {
+      fprintf (stderr, "citronlbd: %s: %s: %s\n", settings, clb_err_name (err),
+               ce.path);
+      return EX_CONFIG;
+    }
+  d.path = settings;
+  signal (SIGPIPE, SIG_IGN);
+  logline_open (d.set.id);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  d.loop = uv_default_loop ();
+  start_core (&d);
+  if (!open_all (&d))
+    return EX_UNAVAILABLE;
+  catch_signals (&d);
+  uv_timer_init (d.loop, &d.timer);
+  d.timer.data = &d;
+  uv_timer_start (&d.timer, on_timer, 0, 0);
+  log_line ("event=started");
+  uv_run (d.loop, UV_RUN_DEFAULT);
+  log_line ("event=stopped");
+  logline_flush ();
+  fleet_fini (&d.fleet);
+  links_free (d.links);
+  return EX_OK;
+}
--- /dev/null
+++ b/citronlbd/logline.c
@@ -0,0 +1,124 @@
+#include "logline.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <log4c.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+static char buffer[LOGLINE_BUFFER];
+static size_t buffered;
+static struct logline_stats stats;
+static int64_t second;
+static int in_second;
+static uint64_t told_dropped;
+static char node_name[96];
+static log4c_category_t *category;
+
+/* log4c's appender: into the buffer that logline_flush() empties. */
+static int
+append (log4c_appender_t *app, const log4c_logging_event_t *event)
+{
+  size_t len = strlen (event->evt_msg);
+
+  (void)app;
+  if (buffered + len + 1 > sizeof buffer)
+    {
+      stats.dropped++;
+      return 0;
+    }
+  memcpy (buffer + buffered, event->evt_msg, len);
+  buffer[buffered + len] = '\n';
+  buffered += len + 1;
+  stats.written++;
+  return 0;
+}
+
+static int
+open_nothing (log4c_appender_t *app)
+{
+  (void)app;
+  return 0;
+}
+
+static const log4c_appender_type_t line_type
+    = { "citronlb-line", open_nothing, append, open_nothing };
+
+void
+logline_open (const char *node)
+{
+  log4c_appender_t *app;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  snprintf (node_name, sizeof node_name, "%s", node);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  log4c_appender_type_set (&line_type);
+  if (log4c_init ())
+    return;
+  category = log4c_category_get ("citronlb.fleet");
+  app = log4c_appender_get ("citronlb-line");
+  log4c_appender_set_type (app, &line_type);
+  log4c_category_set_appender (category, app);
+  log4c_category_set_additivity (category, 0);
+  log4c_category_set_priority (category, LOG4C_PRIORITY_INFO);
+}
+
+static void
+put (int64_t now_ms, const char *line)
+{
+  if (category)
+    log4c_category_log (category, LOG4C_PRIORITY_INFO, "t=%lld node=%s %s",
+                        (long long)now_ms, node_name, line);
+}
+
+void
+logline_write (int64_t now_ms, const char *line)
+{
+  if (now_ms / 1000 != second)
+    {
+      char note[64];
+      second = now_ms / 1000;
+      in_second = 0;
+      if (stats.dropped != told_dropped)
+        {
+          snprintf (note, sizeof note, "event=log-dropped lines=%llu",
+                    (unsigned long long)(stats.dropped - told_dropped));
+          told_dropped = stats.dropped;
+          put (now_ms, note);
+        }
+    }
+  if (++in_second > LOGLINE_RATE)
+    stats.dropped++;
+  else
+    put (now_ms, line);
+}
+
+void
+logline_flush (void)
+{
+  while (buffered > 0)
+    {
+      ssize_t n = write (STDOUT_FILENO, buffer, buffered);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && errno == EAGAIN)
+        return;
+      if (n <= 0)
+        {
+          /* Nobody reads any more. */
+          stats.dropped++;
+          buffered = 0;
+          return;
+        }
+      memmove (buffer, buffer + n, buffered - (size_t)n);
+      buffered -= (size_t)n;
+    }
+}
+
+const struct logline_stats *
+logline_stats (void)
+{
+  return &stats;
+}
--- a/citronlbd/main.c
+++ b/citronlbd/main.c
@@ -1,5 +1,6 @@
 /* citronlbd - one entry instance of the cluster scheduler. */
 #include "citronlbd.h"
+#include "fleetd.h"
 
 #include <curl/curl.h>
 #include <signal.h>
@@ -33,7 +34,7 @@
   const struct peer *p = node_find_peer (&d->node, o->u.peer.to);
 
   if (p)
-    peers_send (d->peers, p->id, p->addr, &o->u.peer.msg);
+    peers_send (d, p->id, p->addr, &o->u.peer.msg);
 }
 
 static void
@@ -145,7 +146,7 @@
       fprintf (stderr, "citronlbd: %s: cannot be written\n", part);
       exit (EX_CANTCREAT);
     }
-  fprintf (f, "%s %s\n", serve_addr (d->serve), peers_addr (d->peers));
+  fprintf (f, "%s %s\n", serve_addr (d->serve), links_addr (d->peers));
   fclose (f);
   rename (part, d->opt.addr_file);
 }
@@ -165,6 +166,8 @@
   static struct daemon d;
 
   options_read (argc, argv, &d.opt);
+  if (d.opt.fleet)
+    return fleetd_run (d.opt.fleet);
   signal (SIGPIPE, SIG_IGN);
   log_open ();
   curl_global_init (CURL_GLOBAL_DEFAULT);
@@ -175,7 +178,7 @@
   d.peers = d.serve ? peers_new (&d) : NULL;
   if (!d.peers)
     return EX_UNAVAILABLE;
-  clb_copy (d.opt.node.peer_addr, peers_addr (d.peers), CLB_ADDR_MAX);
+  clb_copy (d.opt.node.peer_addr, links_addr (d.peers), CLB_ADDR_MAX);
   node_init (&d.node, &d.opt.node, now_ms ());
   write_addrs (&d);
   catch_signal (&d, &d.sigterm, SIGTERM);
@@ -185,10 +188,10 @@
   d.timer.data = &d;
   uv_timer_start (&d.timer, on_timer, 0, 0);
   log_state ("%s in %s: callers %s, peers %s", d.opt.node.id,
-             d.opt.node.domain, serve_addr (d.serve), peers_addr (d.peers));
+             d.opt.node.domain, serve_addr (d.serve), links_addr (d.peers));
   uv_run (d.loop, UV_RUN_DEFAULT);
   log_state ("stopped");
-  peers_free (d.peers);
+  links_free (d.peers);
   node_fini (&d.node);
   log_close ();
   return EX_OK;
--- a/citronlbd/options.c
+++ b/citronlbd/options.c
@@ -22,6 +22,7 @@
   OPT_INSECURE_PEERS,
   OPT_FIRST_KEY,
   OPT_ADDR_FILE,
+  OPT_FLEET,
 };
 
 /* struct setting - one flag and the variable that stands in for it */
@@ -35,7 +36,7 @@
 
 enum
 {
-  SETTINGS_N = 13,
+  SETTINGS_N = 14,
 };
 
 static struct setting settings[SETTINGS_N] = {
@@ -53,6 +54,7 @@
   { OPT_INSECURE_PEERS, "insecure-peers", "CITRONLB_INSECURE_PEERS", NULL },
   { OPT_FIRST_KEY, "first-key", "CITRONLB_FIRST_KEY", NULL },
   { OPT_ADDR_FILE, "addr-file", "CITRONLB_ADDR_FILE", NULL },
+  { OPT_FLEET, "fleet", "CITRONLB_CONFIG", NULL },
 };
 
 static const struct argp_option argp_options[] = {
@@ -74,6 +76,8 @@
     "Operator's key until a manifest is accepted", 0 },
   { "addr-file", OPT_ADDR_FILE, "FILE", 0,
     "Write the addresses listened on to this file", 0 },
+  { "fleet", OPT_FLEET, "FILE", 0,
+    "Run on the fleet's platform, with its settings in FILE", 0 },
   { 0 },
 };
 
@@ -237,6 +241,9 @@
     settings[i].value = getenv (settings[i].env);
   argp_err_exit_status = EX_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
+  opt->fleet = value_of (OPT_FLEET);
+  if (opt->fleet)
+    return;
   take_name (OPT_ID, opt->node.id, sizeof opt->node.id);
   take_name (OPT_DOMAIN, opt->node.domain, sizeof opt->node.domain);
   take_addr (OPT_LISTEN, opt->listen);
--- a/citronlbd/peers.c
+++ b/citronlbd/peers.c
@@ -1,327 +1,51 @@
-/*
- * Links between entry instances: ZeroMQ with CURVE.  One ROUTER socket takes
- * in, one DEALER socket for each peer sends.  A link that goes silent is
- * found by ZeroMQ's own heartbeats and opened anew.
- */
+/* Peer messages over the links between entry instances. */
 #include "citronlbd.h"
 
-#include <errno.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <zmq.h>
-
-enum
-{
-  SEND_QUEUE = 10000, /* messages kept for a peer that is away */
-  HEARTBEAT_MS = 1000,
-  HEARTBEAT_TIMEOUT_MS = 3000,
-  MESSAGE_MAX = 4 << 20, /* bytes */
-  RECONNECT_MS = 100,
-  RECONNECT_MAX_MS = 1000,
-  IDLE_LINKS_MAX = 128,
-};
-
-struct link
-{
-  char id[CLB_ID_MAX];
-  char addr[CLB_ADDR_MAX];
-  void *sock;
-};
-
-struct peers
-{
-  struct daemon *d;
-  void *ctx;
-  void *router;
-  void *zap; /* answers which public keys may connect */
-  uv_poll_t router_poll;
-  uv_poll_t zap_poll;
-  uv_prepare_t prepare;
-  struct link links[IDLE_LINKS_MAX];
-  int n_links;
-  char addr[CLB_ADDR_MAX + 8];
-  uint64_t damaged;
-};
-
-static void
-set_int (void *sock, int option, int value)
-{
-  zmq_setsockopt (sock, option, &value, sizeof value);
-}
-
-static void
-set_common (void *sock)
-{
-  set_int (sock, ZMQ_LINGER, 0);
-  set_int (sock, ZMQ_SNDHWM, SEND_QUEUE);
-  set_int (sock, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-  set_int (sock, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
-  set_int (sock, ZMQ_RECONNECT_IVL, RECONNECT_MS);
-  set_int (sock, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-  int64_t limit = MESSAGE_MAX;
-  zmq_setsockopt (sock, ZMQ_MAXMSGSIZE, &limit, sizeof limit);
-}
-
-/* Whether a public key, as 32 bytes, is one of the permitted. */
-static bool
-permitted (const struct options *opt, const void *raw, size_t len)
-{
-  char z85[KEY_Z85_SIZE];
-
-  if (len != 32 || !zmq_z85_encode (z85, raw, len))
-    return false;
-  for (int i = 0; i < opt->n_permitted; i++)
-    if (strcmp (opt->permitted[i], z85) == 0)
-      return true;
-  return false;
-}
-
-enum zap_frame
-{
-  ZAP_VERSION,
-  ZAP_REQUEST_ID,
-  ZAP_DOMAIN,
-  ZAP_ADDRESS,
-  ZAP_IDENTITY,
-  ZAP_MECHANISM,
-  ZAP_KEY,
-  ZAP_FRAMES
-};
 
 static void
-zap_answer (struct peers *p, const zmq_msg_t *id, bool yes)
-{
-  zmq_msg_t copy;
-
-  zmq_msg_init (&copy);
-  zmq_msg_copy (&copy, (zmq_msg_t *)id);
-  zmq_send (p->zap, "1.0", 3, ZMQ_SNDMORE);
-  zmq_msg_send (&copy, p->zap, ZMQ_SNDMORE);
-  zmq_send (p->zap, yes ? "200" : "400", 3, ZMQ_SNDMORE);
-  zmq_send (p->zap, "", 0, ZMQ_SNDMORE);
-  zmq_send (p->zap, "", 0, ZMQ_SNDMORE);
-  zmq_send (p->zap, "", 0, 0);
-}
-
-static bool
-zap_one (struct peers *p)
-{
-  zmq_msg_t frames[ZAP_FRAMES];
-  int n = 0;
-  int more = 1;
-  bool yes;
-
-  while (more && n < ZAP_FRAMES)
-    {
-      zmq_msg_init (&frames[n]);
-      if (zmq_msg_recv (&frames[n], p->zap, ZMQ_DONTWAIT) < 0)
-        break;
-      more = zmq_msg_more (&frames[n]);
-      n++;
-    }
-  if (n == 0)
-    return false;
-  yes = n == ZAP_FRAMES
-        && permitted (&p->d->opt, zmq_msg_data (&frames[ZAP_KEY]),
-                      zmq_msg_size (&frames[ZAP_KEY]));
-  if (n > ZAP_REQUEST_ID)
-    zap_answer (p, &frames[ZAP_REQUEST_ID], yes);
-  for (int i = 0; i < n; i++)
-    zmq_msg_close (&frames[i]);
-  return true;
-}
-
-static void
-take_message (struct peers *p, zmq_msg_t *msg)
+on_message (void *arg, const char *buf, size_t len)
 {
+  struct daemon *d = arg;
   struct pmsg m;
   struct codec_err ce;
 
-  if (pmsg_unpack (zmq_msg_data (msg), zmq_msg_size (msg), &m, &ce))
+  if (pmsg_unpack (buf, len, &m, &ce))
     {
-      p->damaged++;
+      d->damaged_messages++;
       return;
     }
-  node_peer (&p->d->node, now_ms (), &m);
+  node_peer (&d->node, now_ms (), &m);
   pmsg_free (&m);
 }
 
-/* A message is the sender's routing id, then the body. */
-static bool
-receive_one (struct peers *p)
-{
-  zmq_msg_t msg;
-  int more = 1;
-  int frame = 0;
-
-  while (more)
-    {
-      zmq_msg_init (&msg);
-      if (zmq_msg_recv (&msg, p->router, ZMQ_DONTWAIT) < 0)
-        {
-          zmq_msg_close (&msg);
-          return false;
-        }
-      more = zmq_msg_more (&msg);
-      if (frame == 1)
-        take_message (p, &msg);
-      frame++;
-      zmq_msg_close (&msg);
-    }
-  return true;
-}
-
 static void
-receive_all (struct peers *p)
+on_received (void *arg)
 {
-  bool any = false;
-
-  while (p->zap && zap_one (p))
-    continue;
-  while (receive_one (p))
-    any = true;
-  if (any)
-    pump (p->d);
+  pump (arg);
 }
 
-static void
-on_poll (uv_poll_t *poll, int status, int events)
-{
-  (void)status;
-  (void)events;
-  receive_all (poll->data);
-}
-
-/* ZeroMQ's descriptor tells only of changes: look before each wait too. */
-static void
-on_prepare (uv_prepare_t *prepare)
-{
-  receive_all (prepare->data);
-}
-
-static void
-watch_socket (struct peers *p, void *sock, uv_poll_t *poll)
-{
-  int fd = -1;
-  size_t size = sizeof fd;
-
-  zmq_getsockopt (sock, ZMQ_FD, &fd, &size);
-  uv_poll_init (p->d->loop, poll, fd);
-  poll->data = p;
-  uv_poll_start (poll, UV_READABLE, on_poll);
-}
-
-static int
-open_router (struct peers *p)
-{
-  const struct options *opt = &p->d->opt;
-  char url[CLB_ADDR_MAX + 8];
-  size_t size = sizeof p->addr;
-
-  p->router = zmq_socket (p->ctx, ZMQ_ROUTER);
-  set_common (p->router);
-  if (!opt->insecure_peers)
-    {
-      p->zap = zmq_socket (p->ctx, ZMQ_REP);
-      if (zmq_bind (p->zap, "inproc://zeromq.zap.01"))
-        return -1;
-      set_int (p->router, ZMQ_CURVE_SERVER, 1);
-      zmq_setsockopt (p->router, ZMQ_CURVE_SECRETKEY, opt->peer_secret,
-                      KEY_Z85_SIZE);
-      zmq_setsockopt (p->router, ZMQ_ZAP_DOMAIN, "peers", 5);
-    }
-  snprintf (url, sizeof url, "tcp://%s", opt->peer_listen);
-  if (zmq_bind (p->router, url))
-    return -1;
-  zmq_getsockopt (p->router, ZMQ_LAST_ENDPOINT, p->addr, &size);
-  memmove (p->addr, p->addr + strlen ("tcp://"),
-           strlen (p->addr + strlen ("tcp://")) + 1);
-  return 0;
-}
-
-struct peers *
+struct links *
 peers_new (struct daemon *d)
 {
-  struct peers *p = calloc (1, sizeof *p);
+  const struct options *opt = &d->opt;
+  struct links_conf conf = {
+    .loop = d->loop,
+    .listen = opt->peer_listen,
+    .public = opt->insecure_peers ? NULL : opt->peer_public,
+    .secret = opt->peer_secret,
+    .permitted = opt->permitted,
+    .n_permitted = opt->n_permitted,
+    .arg = d,
+    .on_message = on_message,
+    .on_received = on_received,
+  };
 
-  if (!p)
-    abort ();
-  p->d = d;
-  p->ctx = zmq_ctx_new ();
-  if (open_router (p))
-    {
-      fprintf (stderr, "citronlbd: %s: %s\n", d->opt.peer_listen,
-               zmq_strerror (errno));
-      return NULL;
-    }
-  watch_socket (p, p->router, &p->router_poll);
-  if (p->zap)
-    watch_socket (p, p->zap, &p->zap_poll);
-  uv_prepare_init (d->loop, &p->prepare);
-  p->prepare.data = p;
-  uv_prepare_start (&p->prepare, on_prepare);
-  return p;
-}
-
-const char *
-peers_addr (const struct peers *p)
-{
-  return p->addr;
-}
-
-static void
-link_open (struct peers *p, struct link *l, const char *addr)
-{
-  const struct options *opt = &p->d->opt;
-  char url[CLB_ADDR_MAX + 8];
-
-  if (l->sock)
-    zmq_close (l->sock);
-  clb_copy (l->addr, addr, sizeof l->addr);
-  l->sock = zmq_socket (p->ctx, ZMQ_DEALER);
-  set_common (l->sock);
-  if (!opt->insecure_peers)
-    {
-      zmq_setsockopt (l->sock, ZMQ_CURVE_SERVERKEY, opt->peer_public,
-                      KEY_Z85_SIZE);
-      zmq_setsockopt (l->sock, ZMQ_CURVE_PUBLICKEY, opt->peer_public,
-                      KEY_Z85_SIZE);
-      zmq_setsockopt (l->sock, ZMQ_CURVE_SECRETKEY, opt->peer_secret,
-                      KEY_Z85_SIZE);
-    }
-  snprintf (url, sizeof url, "tcp://%s", addr);
-  zmq_connect (l->sock, url);
-}
-
-static struct link *
-link_to (struct peers *p, const char *id, const char *addr)
-{
-  struct link *l;
-
-  for (int i = 0; i < p->n_links; i++)
-    if (strcmp (p->links[i].id, id) == 0)
-      {
-        if (strcmp (p->links[i].addr, addr) != 0)
-          link_open (p, &p->links[i], addr);
-        return &p->links[i];
-      }
-  if (p->n_links == IDLE_LINKS_MAX)
-    {
-      /* The oldest link is to an instance that was replaced long ago. */
-      zmq_close (p->links[0].sock);
-      memmove (p->links, p->links + 1, (IDLE_LINKS_MAX - 1) * sizeof *l);
-      p->n_links--;
-    }
-  l = &p->links[p->n_links++];
-  memset (l, 0, sizeof *l);
-  clb_copy (l->id, id, sizeof l->id);
-  link_open (p, l, addr);
-  return l;
+  return links_new (&conf);
 }
 
 void
-peers_send (struct peers *p, const char *to, const char *addr,
+peers_send (struct daemon *d, const char *to, const char *addr,
             const struct pmsg *m)
 {
   char *buf;
@@ -329,23 +53,6 @@
 
   if (!*addr || pmsg_pack (m, &buf, &len))
     return;
-  /* A full queue drops the message; its sender asks again. */
-  zmq_send (link_to (p, to, addr)->sock, buf, len, ZMQ_DONTWAIT);
+  links_send (d->peers, to, addr, buf, len);
   free (buf);
 }
-
-void
-peers_free (struct peers *p)
-{
-  uv_poll_stop (&p->router_poll);
-  uv_prepare_stop (&p->prepare);
-  if (p->zap)
-    uv_poll_stop (&p->zap_poll);
-  for (int i = 0; i < p->n_links; i++)
-    zmq_close (p->links[i].sock);
-  zmq_close (p->router);
-  if (p->zap)
-    zmq_close (p->zap);
-  zmq_ctx_term (p->ctx);
-  free (p);
-}
--- /dev/null
+++ b/core/cell.c
@@ -0,0 +1,786 @@
+#include "cell_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RUNS_A_TERM = 1000, /* run numbers that one leader's term may use up */
+};
+
+#define KEY_ROSTER "lead/roster"
+#define KEY_PROGRESS "prog/"
+
+int
+job_cmp (const struct job *a, const struct job *b)
+{
+  return strcmp (a->spec.id, b->spec.id);
+}
+
+int
+final_cmp (const struct final *a, const struct final *b)
+{
+  return strcmp (a->id, b->id);
+}
+
+int
+pending_order_cmp (const struct pending_order *a,
+                   const struct pending_order *b)
+{
+  return a->no < b->no ? -1 : a->no > b->no;
+}
+
+RB_GENERATE (job_tree, job, by_id, job_cmp)
+int
+early_cmp (const struct early_progress *a, const struct early_progress *b)
+{
+  return strcmp (a->id, b->id);
+}
+
+RB_GENERATE (early_tree, early_progress, by_id, early_cmp)
+RB_GENERATE (final_tree, final, by_id, final_cmp)
+RB_GENERATE (pending_order_tree, pending_order, by_no, pending_order_cmp)
+
+static void *
+zalloc (size_t n, size_t size)
+{
+  void *p = calloc (n ? n : 1, size);
+
+  if (!p)
+    abort ();
+  return p;
+}
+
+struct cell *
+cell_new (struct outq *out, uint64_t *tokens, int64_t now_ms, int64_t epoch,
+          int64_t wait_ms, struct cell_stats *stats)
+{
+  struct cell *c = zalloc (1, sizeof *c);
+
+  c->out = out;
+  c->tokens = tokens;
+  c->now_ms = now_ms;
+  c->epoch = epoch;
+  c->claimed_ms = now_ms;
+  c->wait_ms = now_ms + wait_ms;
+  c->stats = stats;
+  TAILQ_INIT (&c->queues);
+  RB_INIT (&c->jobs);
+  RB_INIT (&c->finals);
+  RB_INIT (&c->orders);
+  RB_INIT (&c->early);
+  TAILQ_INIT (&c->queue);
+  TAILQ_INIT (&c->execs);
+  TAILQ_INIT (&c->tenants);
+  return c;
+}
+
+static void
+job_free (struct cell *c, struct job *j)
+{
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      struct jstep *s = &j->steps[i];
+      for (int t = 0; t < s->n_tasks; t++)
+        free (s->tasks[t].saved);
+      free (s->tasks);
+      advice_forget (s);
+    }
+  free (j->steps);
+  RB_REMOVE (job_tree, &c->jobs, j);
+  TAILQ_REMOVE (&c->queue, j, link);
+  c->n_jobs--;
+  codec_free (&job_spec_desc, &j->spec);
+  free (j);
+}
+
+static void
+exec_free (struct exec *e)
+{
+  struct start *r;
+
+  while ((r = TAILQ_FIRST (&e->runs)))
+    {
+      TAILQ_REMOVE (&e->runs, r, on_exec);
+      free (r);
+    }
+  free (e);
+}
+
+static void
+early_free (struct early_progress *e)
+{
+  codec_free (&job_progress_desc, &e->progress);
+  free (e);
+}
+
+void
+cell_free (struct cell *c)
+{
+  struct job *j;
+  struct exec *e;
+  struct cell_tenant *t;
+  struct cell_queue *q;
+  struct early_progress *y, *next_y;
+  struct final *f, *next_f;
+  struct pending_order *p, *next_p;
+
+  if (!c)
+    return;
+  while ((e = TAILQ_FIRST (&c->execs)))
+    {
+      TAILQ_REMOVE (&c->execs, e, link);
+      exec_free (e);
+    }
+  while ((j = TAILQ_FIRST (&c->queue)))
+    job_free (c, j);
+  while ((t = TAILQ_FIRST (&c->tenants)))
+    {
+      TAILQ_REMOVE (&c->tenants, t, link);
+      free (t);
+    }
+  RB_FOREACH_SAFE (y, early_tree, &c->early, next_y)
+    {
+      RB_REMOVE (early_tree, &c->early, y);
+      early_free (y);
+    }
+  while ((q = TAILQ_FIRST (&c->queues)))
+    {
+      TAILQ_REMOVE (&c->queues, q, link);
+      free (q);
+    }
+  RB_FOREACH_SAFE (f, final_tree, &c->finals, next_f)
+    {
+      RB_REMOVE (final_tree, &c->finals, f);
+      free (f);
+    }
+  RB_FOREACH_SAFE (p, pending_order_tree, &c->orders, next_p)
+    {
+      RB_REMOVE (pending_order_tree, &c->orders, p);
+      free (p);
+    }
+  free (c->exec_table);
+  free (c->ready);
+  free (c);
+}
+
+void
+cell_conf (struct cell *c, const struct fconf *conf)
+{
+  c->conf = conf;
+  c->pass_due = true;
+}
+
+struct job *
+cell_find_job (const struct cell *c, const char *id)
+{
+  struct job key;
+
+  clb_copy (key.spec.id, id, sizeof key.spec.id);
+  return RB_FIND (job_tree, (struct job_tree *)&c->jobs, &key);
+}
+
+struct jtask *
+start_task (const struct start *r)
+{
+  return &r->job->steps[r->step].tasks[r->index];
+}
+
+struct cell_tenant *
+cell_tenant (struct cell *c, const char *name)
+{
+  struct cell_tenant *t;
+
+  TAILQ_FOREACH (t, &c->tenants, link)
+    if (strcmp (t->name, name) == 0)
+      return t;
+  t = zalloc (1, sizeof *t);
+  clb_copy (t->name, name, sizeof t->name);
+  t->owed_ms = c->now_ms;
+  t->owed = 1e9;
+  TAILQ_INSERT_TAIL (&c->tenants, t, link);
+  return t;
+}
+
+struct cell_queue *
+cell_queue (struct cell *c, const char *name)
+{
+  struct cell_queue *q;
+
+  TAILQ_FOREACH (q, &c->queues, link)
+    if (strcmp (q->name, name) == 0)
+      return q;
+  q = zalloc (1, sizeof *q);
+  clb_copy (q->name, name, sizeof q->name);
+  q->good_share = 0.5;
+  TAILQ_INSERT_TAIL (&c->queues, q, link);
+  return q;
+}
+
+void
+cell_touch (struct cell *c, struct job *j)
+{
+  j->dirty = true;
+  c->record_due = true;
+}
+
+struct order *
+cell_order (struct cell *c, int kind, const struct exec *e,
+            struct pending_order **pend)
+{
+  struct order *o = zalloc (1, sizeof *o);
+  struct pending_order *p = zalloc (1, sizeof *p);
+
+  o->kind = kind;
+  o->no = ++*c->tokens;
+  o->fence = c->epoch;
+  o->timeout_ms = CELL_CALL_MS;
+  if (e)
+    {
+      clb_copy (o->exec, e->rep.id, sizeof o->exec);
+      clb_copy (o->addr, e->rep.addr, sizeof o->addr);
+    }
+  p->no = o->no;
+  p->kind = kind;
+  RB_INSERT (pending_order_tree, &c->orders, p);
+  *pend = p;
+  out_new (c->out, OUT_ORDER)->u.order = o;
+  return o;
+}
+
+/* Steps whose predecessors are done may be placed. */
+static void
+find_ready (struct cell *c, struct job *j)
+{
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      uint64_t after = j->spec.steps[i].after;
+      bool ready = true;
+      for (size_t k = 0; k < i && ready; k++)
+        if (after >> k & 1 && j->steps[k].n_done < j->steps[k].n_tasks)
+          ready = false;
+      if (ready && !j->steps[i].ready)
+        {
+          j->steps[i].ready = true;
+          j->steps[i].ready_ms = c->now_ms;
+          c->pass_due = true;
+        }
+    }
+}
+
+/* Whether a client account sends more than it is owed; see docs/OPERATIONS.md.
+   The allowance is refilled by its weight, up to four seconds of it. */
+static bool
+beyond_owed (struct cell *c, const char *tenant)
+{
+  const struct fconf_tenant *ft
+      = c->conf ? fconf_tenant (c->conf, tenant) : NULL;
+  struct cell_tenant *t = cell_tenant (c, tenant);
+
+  if (!ft || ft->weight <= 0)
+    return false;
+  t->owed += ft->weight * (double)(c->now_ms - t->owed_ms) / 1000;
+  t->owed_ms = c->now_ms;
+  if (t->owed > 4 * ft->weight)
+    t->owed = 4 * ft->weight;
+  t->owed -= 1;
+  if (t->owed >= 0)
+    return false;
+  t->owed = 0;
+  return true;
+}
+
+static void
+add_final (struct cell *c, const char *id, int state)
+{
+  struct final *f = zalloc (1, sizeof *f);
+
+  clb_copy (f->id, id, sizeof f->id);
+  f->state = state;
+  if (RB_INSERT (final_tree, &c->finals, f))
+    free (f);
+}
+
+static void
+stop_all (struct cell *c, struct job *j)
+{
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    for (int t = 0; t < j->steps[i].n_tasks; t++)
+      if (j->steps[i].tasks[t].run)
+        start_stop (c, j->steps[i].tasks[t].run);
+}
+
+static void
+finish (struct cell *c, struct job *j, int state, const char *why)
+{
+  if (job_state_final (j->state))
+    return;
+  j->state = state;
+  c->stats->jobs_ended[state]++;
+  cell_touch (c, j);
+  out_line (c->out,
+            "event=job-%s job=%s queue=%s after_ms=%lld late_ms=%lld "
+            "why=%s",
+            job_state_names[state], j->spec.id, j->spec.queue,
+            (long long)(c->now_ms - j->come_ms),
+            (long long)(c->now_ms - j->due_ms), why);
+  if (state != JOB_COMPLETED)
+    stop_all (c, j);
+}
+
+/* Once recorded and with nothing running, only its state is kept. */
+static bool
+forget_job (struct cell *c, struct job *j)
+{
+  if (!j->recorded || j->n_runs > 0 || j->dirty || j->writing)
+    return false;
+  add_final (c, j->spec.id, j->state);
+  job_free (c, j);
+  return true;
+}
+
+void
+cell_cancel (struct cell *c, const char *id)
+{
+  struct job *j = cell_find_job (c, id);
+
+  if (j)
+    finish (c, j, JOB_CANCELLED, "cancelled");
+}
+
+static void
+mark_done (struct cell *c, struct job *j, int step, int index)
+{
+  struct jstep *s = &j->steps[step];
+  struct jtask *t = &s->tasks[index];
+
+  if (t->done)
+    return;
+  t->done = true;
+  s->n_done++;
+  cell_touch (c, j);
+  if (t->run && !j->spec.steps[step].gang)
+    start_stop (c, t->run);
+  if (s->n_done < s->n_tasks)
+    return;
+  j->n_left--;
+  find_ready (c, j);
+  if (j->n_left == 0)
+    finish (c, j, JOB_COMPLETED, "all-tasks-done");
+}
+
+/* The members of a gang end together: one that is done stands for all, and
+   the others' ends are on their way. */
+static void
+gang_done (struct cell *c, struct job *j, int step)
+{
+  for (int t = 0; t < j->steps[step].n_tasks; t++)
+    mark_done (c, j, step, t);
+}
+
+static void
+count_failure (struct cell *c, struct job *j, int step, int index, int64_t run)
+{
+  struct jstep *s = &j->steps[step];
+  struct jtask *t = &s->tasks[index];
+  bool gang = j->spec.steps[step].gang;
+  int32_t *last = gang ? &s->gang_failed_run : &t->failed_run;
+  int32_t *count = gang ? &s->gang_failures : &t->failures;
+
+  if (run <= *last)
+    return;
+  *last = (int32_t)run;
+  ++*count;
+  cell_touch (c, j);
+  if (*count >= j->spec.attempts)
+    finish (c, j, JOB_FAILED, "attempts-used-up");
+}
+
+void
+cell_task_ended (struct cell *c, struct job *j, int step, int index,
+                 int64_t run, int how)
+{
+  bool gang = j->spec.steps[step].gang;
+
+  c->pass_due = true;
+  if (how == END_DONE && gang)
+    gang_done (c, j, step);
+  else if (how == END_DONE)
+    mark_done (c, j, step, index);
+  else if (how == END_FAILED && !job_state_final (j->state))
+    count_failure (c, j, step, index, run);
+}
+
+void
+cell_keep_saved (struct job *j, int step, int index, const char *saved)
+{
+  struct jtask *t = &j->steps[step].tasks[index];
+
+  if (!*saved || (t->saved && strcmp (t->saved, saved) == 0))
+    return;
+  free (t->saved);
+  t->saved = strdup (saved);
+}
+
+/* Records. */
+
+static void
+take_marks (struct cell *c, struct job *j, const struct job_step_marks *m)
+{
+  if (m->step < 0 || m->step >= (int64_t)j->spec.n_steps)
+    return;
+  struct jstep *s = &j->steps[m->step];
+  for (size_t i = 0; i < m->n_marks; i++)
+    {
+      const struct job_mark *k = &m->marks[i];
+      if (k->index >= s->n_tasks)
+        continue;
+      struct jtask *t = &s->tasks[k->index];
+      t->failures = (int32_t)k->failures;
+      t->failed_run = (int32_t)k->failed_run;
+      if (j->spec.steps[m->step].gang)
+        {
+          s->gang_failures = t->failures;
+          s->gang_failed_run = t->failed_run;
+        }
+      if (k->done)
+        mark_done (c, j, (int)m->step, (int)k->index);
+    }
+}
+
+static void
+take_early (struct cell *c, struct job *j)
+{
+  struct early_progress key;
+  struct early_progress *e;
+
+  clb_copy (key.id, j->spec.id, sizeof key.id);
+  e = RB_FIND (early_tree, &c->early, &key);
+  if (!e)
+    return;
+  RB_REMOVE (early_tree, &c->early, e);
+  for (size_t i = 0; i < e->progress.n_steps; i++)
+    take_marks (c, j, &e->progress.steps[i]);
+  early_free (e);
+}
+
+void
+cell_job (struct cell *c, struct job_spec *spec, bool old, int64_t age_ms)
+{
+  struct job *j;
+
+  if (cell_find_job (c, spec->id) || cell_state (c, spec->id) >= 0)
+    {
+      codec_free (&job_spec_desc, spec);
+      return;
+    }
+  j = zalloc (1, sizeof *j);
+  j->spec = *spec;
+  memset (spec, 0, sizeof *spec);
+  j->old = old;
+  j->come_ms = c->now_ms - age_ms;
+  j->due_ms = j->come_ms + j->spec.target_ms
+              + (int64_t)(j->spec.slack * (double)job_chain_ms (&j->spec));
+  j->excess = !old && beyond_owed (c, j->spec.tenant);
+  j->steps = zalloc (j->spec.n_steps, sizeof *j->steps);
+  j->n_left = (int)j->spec.n_steps;
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      struct jstep *s = &j->steps[i];
+      s->n_tasks = (int)j->spec.steps[i].tasks;
+      s->tasks = zalloc ((size_t)s->n_tasks, sizeof *s->tasks);
+      for (int t = 0; t < s->n_tasks; t++)
+        s->tasks[t].next_run = old ? (int32_t)(c->epoch * RUNS_A_TERM) : 1;
+    }
+  RB_INSERT (job_tree, &c->jobs, j);
+  TAILQ_INSERT_TAIL (&c->queue, j, link);
+  c->n_jobs++;
+  c->stats->jobs_added++;
+  find_ready (c, j);
+  if (old)
+    take_early (c, j);
+  if (c->going)
+    out_line (c->out,
+              "event=job-taken job=%s queue=%s tenant=%s steps=%zu "
+              "due_in_ms=%lld excess=%d jobs=%d",
+              j->spec.id, j->spec.queue, j->spec.tenant, j->spec.n_steps,
+              (long long)(j->due_ms - c->now_ms), j->excess, c->n_jobs);
+}
+
+void
+cell_progress (struct cell *c, const char *id, struct job_progress *p)
+{
+  struct early_progress *e;
+
+  if (job_state_final (p->state))
+    {
+      add_final (c, id, p->state);
+      codec_free (&job_progress_desc, p);
+      return;
+    }
+  e = zalloc (1, sizeof *e);
+  clb_copy (e->id, id, sizeof e->id);
+  e->progress = *p;
+  memset (p, 0, sizeof *p);
+  if (RB_INSERT (early_tree, &c->early, e))
+    early_free (e);
+}
+
+static size_t
+fill_marks (const struct job *j, size_t step, struct job_mark *out)
+{
+  const struct jstep *s = &j->steps[step];
+  size_t n = 0;
+
+  for (int t = 0; t < s->n_tasks; t++)
+    {
+      const struct jtask *k = &s->tasks[t];
+      bool gang = j->spec.steps[step].gang && t == 0;
+      struct job_mark m
+          = { .index = t,
+              .done = k->done,
+              .failures = gang ? s->gang_failures : k->failures,
+              .failed_run = gang ? s->gang_failed_run : k->failed_run };
+      if (m.done || m.failures)
+        out[n++] = m;
+    }
+  return n;
+}
+
+static char *
+progress_text (const struct job *j)
+{
+  struct job_progress p = { .state = j->state };
+  char *text;
+
+  if (job_state_final (j->state))
+    return codec_text (&job_progress_desc, &p);
+  p.steps = zalloc (j->spec.n_steps, sizeof *p.steps);
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      struct job_step_marks *m = &p.steps[p.n_steps];
+      m->step = (int64_t)i;
+      m->marks = zalloc ((size_t)j->steps[i].n_tasks, sizeof *m->marks);
+      m->n_marks = fill_marks (j, i, m->marks);
+      if (m->n_marks)
+        p.n_steps++;
+      else
+        free (m->marks);
+    }
+  text = codec_text (&job_progress_desc, &p);
+  for (size_t i = 0; i < p.n_steps; i++)
+    free (p.steps[i].marks);
+  free (p.steps);
+  return text;
+}
+
+/* The roster is lines of "id addr". */
+static char *
+roster_text (const struct cell *c)
+{
+  const struct exec *e;
+  char *text = NULL;
+  size_t len = 0;
+  FILE *f = open_memstream (&text, &len);
+
+  if (!f)
+    abort ();
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (e->listed || !e->clear || e->used.millicores || e->used.mem_mb)
+      fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
+  fclose (f);
+  return text;
+}
+
+static void
+collect_roster (struct cell *c, struct store_op *op)
+{
+  clb_auto char *text = roster_text (c);
+  struct exec *e;
+
+  store_put (op, KEY_ROSTER, text);
+  c->roster_dirty = false;
+  c->roster_writing = true;
+  TAILQ_FOREACH (e, &c->execs, link)
+    e->in_write = strstr (text, e->rep.id) != NULL;
+}
+
+int
+cell_collect (struct cell *c, struct store_op *op, int most)
+{
+  struct job *j;
+  struct exec *e;
+  int n = 0;
+  bool all = true;
+
+  c->record_due = false;
+  if (c->roster_dirty)
+    {
+      collect_roster (c, op);
+      n++;
+    }
+  TAILQ_FOREACH (j, &c->queue, link)
+    {
+      char key[sizeof KEY_PROGRESS + JOB_ID_SIZE];
+      if (!j->dirty)
+        continue;
+      if (n >= most)
+        {
+          all = false;
+          c->record_due = true;
+          break;
+        }
+      clb_auto char *text = progress_text (j);
+      snprintf (key, sizeof key, KEY_PROGRESS "%s", j->spec.id);
+      store_put (op, key, text);
+      j->dirty = false;
+      j->writing = true;
+      n++;
+    }
+  /* An end may be forgotten once all it changed is recorded. */
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (all)
+      e->write_end = e->seen_end;
+  return n;
+}
+
+void
+cell_recorded (struct cell *c)
+{
+  struct job *j, *next;
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      if (c->roster_writing && e->in_write && !e->on_record)
+        {
+          e->on_record = true;
+          c->pass_due = true;
+        }
+    }
+  c->roster_writing = false;
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (e->write_end > e->recorded_end)
+      {
+        e->recorded_end = e->write_end;
+        e->next_hold_ms = c->now_ms;
+      }
+  TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
+    {
+      if (!j->writing)
+        continue;
+      j->writing = false;
+      j->recorded = job_state_final (j->state) && !j->dirty;
+      forget_job (c, j);
+    }
+}
+
+int
+cell_state (const struct cell *c, const char *id)
+{
+  struct final key;
+  struct final *f;
+  const struct job *j = cell_find_job (c, id);
+
+  if (j && j->state == JOB_CANCELLED)
+    return JOB_CANCELLED;
+  if (j && job_state_final (j->state) && !j->recorded)
+    return JOB_RUNNING; /* not told before it is durable */
+  if (j)
+    return job_state_final (j->state) ? j->state
+           : j->begun                 ? JOB_RUNNING
+                                      : JOB_PENDING;
+  clb_copy (key.id, id, sizeof key.id);
+  f = RB_FIND (final_tree, (struct final_tree *)&c->finals, &key);
+  return f ? f->state : -1;
+}
+
+int64_t
+cell_waiting (const struct cell *c, const char *queue)
+{
+  const struct job *j;
+  int64_t n = 0;
+
+  TAILQ_FOREACH (j, &c->queue, link)
+    if (!j->begun && !job_state_final (j->state)
+        && strcmp (j->spec.queue, queue) == 0)
+      n++;
+  return n;
+}
+
+void
+cell_go (struct cell *c)
+{
+  c->going = true;
+  c->pass_due = true;
+  out_line (c->out,
+            "event=scheduler-loaded epoch=%lld jobs=%d execs=%d "
+            "took_ms=%lld",
+            (long long)c->epoch, c->n_jobs, c->n_execs,
+            (long long)(c->now_ms - c->claimed_ms));
+}
+
+void
+cell_result (struct cell *c, int64_t now_ms, uint64_t order,
+             const struct order_result *res)
+{
+  struct pending_order key = { .no = order };
+  struct pending_order *p = RB_FIND (pending_order_tree, &c->orders, &key);
+
+  c->now_ms = now_ms;
+  if (!p)
+    return;
+  RB_REMOVE (pending_order_tree, &c->orders, p);
+  c->stats->outcomes[res->outcome]++;
+  switch (p->kind)
+    {
+    case ORDER_HOLD:
+      exec_hold_result (c, p->exec, res);
+      break;
+    case ORDER_ADVISE:
+      advice_result (c, p, res);
+      break;
+    default:
+      if (p->run)
+        start_result (c, p->run, p->kind, res);
+      break;
+    }
+  free (p);
+}
+
+/* Questions whose answer got lost between the instances. */
+static void
+sweep_questions (struct cell *c)
+{
+  struct pending_order *p, *next;
+  struct order_result lost = { .outcome = ORDER_LOST };
+
+  if (c->now_ms < c->next_sweep_ms)
+    return;
+  c->next_sweep_ms = c->now_ms + 50;
+  RB_FOREACH_SAFE (p, pending_order_tree, &c->orders, next)
+    if (p->kind == ORDER_ADVISE && c->now_ms >= p->until_ms)
+      cell_result (c, c->now_ms, p->no, &lost);
+}
+
+void
+cell_tick (struct cell *c, int64_t now_ms, bool may_order)
+{
+  struct exec *e;
+  struct job *j, *next;
+
+  c->now_ms = now_ms;
+  c->may_order = may_order;
+  if (!c->going || !may_order)
+    return;
+  TAILQ_FOREACH (e, &c->execs, link)
+    exec_tick (c, e);
+  exec_settle (c);
+  sweep_questions (c);
+  TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
+    if (job_state_final (j->state))
+      forget_job (c, j);
+  if (c->pass_due && now_ms >= c->next_pass_ms)
+    place_pass (c);
+}
--- /dev/null
+++ b/core/cell_advice.c
@@ -0,0 +1,316 @@
+/*
+ * Advice: which executors may run a step.  The answer does not change for a
+ * step, its tickets lapse.  A service of the platform decides, one question
+ * at a time for each instance, so questions are spread over the instances:
+ * long ones over one half of them, so that short ones wait for short ones.
+ *
+ * Load answered: three queues with 5.6, 50 and 310 ms a question, 55 jobs/s.
+ */
+#include "cell_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LONG_MS = 100,            /* questions of more go to the first half */
+  QUEUED_MAX_MS = 40,       /* a short question waits for others this long */
+  ADVISER_SILENT_MS = 1600, /* four hellos were lost */
+  ASK_SLACK_MS = 1500, /* beyond the expected time: links, slow instances */
+  ASK_PAUSE_MS = 30,   /* after a question that failed */
+  SPARE_FACTOR = 2,    /* executors asked about, times those needed */
+  SPARE_MIN = 4,
+};
+
+struct permit *
+permit_of (struct jstep *s, const struct exec *e)
+{
+  if (e->index >= s->n_permits)
+    {
+      int n = e->index + 16;
+      s->permits = realloc (s->permits, (size_t)n * sizeof *s->permits);
+      if (!s->permits)
+        abort ();
+      memset (s->permits + s->n_permits, 0,
+              (size_t)(n - s->n_permits) * sizeof *s->permits);
+      s->n_permits = n;
+    }
+  return &s->permits[e->index];
+}
+
+void
+advice_forget (struct jstep *s)
+{
+  for (int i = 0; i < s->n_permits; i++)
+    free (s->permits[i].ticket);
+  free (s->permits);
+  s->permits = NULL;
+  s->n_permits = 0;
+}
+
+bool
+permit_valid (const struct cell *c, const struct jstep *s,
+              const struct exec *e)
+{
+  const struct permit *p;
+
+  if (e->index >= s->n_permits)
+    return false;
+  p = &s->permits[e->index];
+  return p->state == PERMIT_GOOD && p->born_ms == e->born_ms
+         && p->until_ms > c->now_ms + CELL_TICKET_MARGIN_MS;
+}
+
+void
+cell_adviser (struct cell *c, const char *id, const char *addr)
+{
+  struct adviser *a = NULL;
+
+  for (int i = 0; i < c->n_advisers && !a; i++)
+    if (strcmp (c->advisers[i].id, id) == 0)
+      a = &c->advisers[i];
+  if (!a && c->n_advisers == CELL_ADVISERS_MAX)
+    return;
+  if (!a)
+    {
+      a = &c->advisers[c->n_advisers++];
+      memset (a, 0, sizeof *a);
+      clb_copy (a->id, id, sizeof a->id);
+      c->pass_due = true;
+    }
+  clb_copy (a->addr, addr, sizeof a->addr);
+  a->heard_ms = c->now_ms;
+}
+
+/* The instance that will be free first, of those for such questions. */
+static int
+pick_adviser (const struct cell *c, double cost_ms)
+{
+  int best = -1;
+  int half = (c->n_advisers + 1) / 2;
+  bool is_long = cost_ms > LONG_MS;
+
+  for (int i = 0; i < c->n_advisers; i++)
+    {
+      const struct adviser *a = &c->advisers[i];
+      bool here = !*a->addr;
+      if (!here && c->now_ms - a->heard_ms > ADVISER_SILENT_MS)
+        continue;
+      if (is_long && (i >= half || a->n_open))
+        continue;
+      if (a->n_open && a->busy_until_ms - c->now_ms > QUEUED_MAX_MS)
+        continue;
+      /* Short questions leave the first half free where they can. */
+      if (best < 0
+          || (is_long ? a->busy_until_ms < c->advisers[best].busy_until_ms
+                      : a->busy_until_ms <= c->advisers[best].busy_until_ms))
+        best = i;
+    }
+  return best;
+}
+
+struct candidate
+{
+  struct exec *e;
+  int fits;
+};
+
+static int
+by_room (const void *va, const void *vb)
+{
+  const struct candidate *a = va;
+  const struct candidate *b = vb;
+
+  if (a->fits != b->fits)
+    return b->fits - a->fits;
+  return a->e->index - b->e->index;
+}
+
+/* struct names - whom to ask about */
+struct names
+{
+  struct candidate list[ORDER_NAMES_MAX];
+  size_t n;
+  int good_fits; /* tasks that executors known as good have room for */
+  int unasked;   /* executors never asked about */
+};
+
+/* Executors known as good, with room, whose tickets have lapsed. */
+static void
+add_lapsed (struct cell *c, struct job *j, int step, struct names *out)
+{
+  struct jstep *s = &j->steps[step];
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      struct permit *p;
+      int fits;
+      if (!exec_usable (c, e, j, step))
+        continue;
+      p = permit_of (s, e);
+      if (p->state == PERMIT_GOOD && p->born_ms != e->born_ms)
+        p->state = PERMIT_UNKNOWN;
+      out->unasked += p->state == PERMIT_UNKNOWN;
+      if (p->state != PERMIT_GOOD)
+        continue;
+      fits = exec_fits (e, j, step, s->n_tasks);
+      out->good_fits += fits;
+      if (fits > 0 && !permit_valid (c, s, e) && out->n < ORDER_NAMES_MAX)
+        out->list[out->n++] = (struct candidate){ e, fits };
+    }
+}
+
+/* Executors never asked about, those with most room first. */
+static void
+add_unasked (struct cell *c, struct job *j, int step, struct names *out,
+             int want)
+{
+  struct jstep *s = &j->steps[step];
+  struct candidate *all = calloc ((size_t)c->n_execs + 1, sizeof *all);
+  double share = cell_queue (c, j->spec.queue)->good_share;
+  double found = 0;
+  size_t n = 0;
+  struct exec *e;
+
+  if (!all)
+    abort ();
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (exec_usable (c, e, j, step)
+        && permit_of (s, e)->state == PERMIT_UNKNOWN)
+      all[n++] = (struct candidate){ e, exec_fits (e, j, step, s->n_tasks) };
+  qsort (all, n, sizeof *all, by_room);
+  for (size_t i = 0; i < n && out->n < ORDER_NAMES_MAX
+                     && (found < want || i < SPARE_MIN / share);
+       i++)
+    {
+      out->list[out->n++] = all[i];
+      found += share * (all[i].fits > 0 ? all[i].fits : 0.5);
+    }
+  free (all);
+}
+
+static void
+send_question (struct cell *c, struct job *j, int step,
+               const struct names *names, int adviser, double cost_ms)
+{
+  struct adviser *a = &c->advisers[adviser];
+  struct jstep *s = &j->steps[step];
+  struct pending_order *pend;
+  struct order *o = cell_order (c, ORDER_ADVISE, NULL, &pend);
+  int64_t begin = a->busy_until_ms > c->now_ms ? a->busy_until_ms : c->now_ms;
+
+  clb_copy (o->task.job, j->spec.id, sizeof o->task.job);
+  o->task.step = step;
+  o->names = calloc (names->n, sizeof *o->names);
+  if (!o->names)
+    abort ();
+  for (size_t i = 0; i < names->n; i++)
+    {
+      clb_copy (o->names[i], names->list[i].e->rep.id, CLB_ID_MAX);
+      struct permit *p = permit_of (s, names->list[i].e);
+      if (p->state == PERMIT_UNKNOWN)
+        p->state = PERMIT_ASKED;
+    }
+  o->n_names = names->n;
+  a->busy_until_ms = begin + (int64_t)cost_ms;
+  a->n_open++;
+  o->timeout_ms = a->busy_until_ms - c->now_ms + ASK_SLACK_MS;
+  /* The instance that asks; this one where it is empty. */
+  clb_copy (o->addr, a->addr, sizeof o->addr);
+  clb_copy (pend->job, j->spec.id, sizeof pend->job);
+  pend->step = step;
+  pend->adviser = adviser;
+  pend->until_ms = c->now_ms + o->timeout_ms + QUEUED_MAX_MS;
+  pend->n_names = names->n;
+  s->ask = o->no;
+  c->stats->questions++;
+}
+
+void
+advice_want (struct cell *c, struct job *j, int step)
+{
+  struct jstep *s = &j->steps[step];
+  const struct job_advice *adv = &j->spec.advice;
+  struct names names = { .n = 0 };
+  int waiting = s->n_tasks - s->n_done - s->n_running;
+  int adviser;
+  double cost;
+
+  if (s->ask || c->now_ms < s->ask_next_ms || waiting <= 0)
+    return;
+  add_lapsed (c, j, step, &names);
+  if (names.good_fits < waiting && names.unasked > 0)
+    add_unasked (c, j, step, &names,
+                 SPARE_FACTOR * (waiting - names.good_fits));
+  /* A gang needs room for all: until then its tickets would lapse unused. */
+  else if (j->spec.steps[step].gang && names.good_fits < waiting)
+    return;
+  if (names.n == 0)
+    return;
+  cost = adv->base_ms + adv->each_ms * (double)names.n;
+  adviser = pick_adviser (c, cost);
+  if (adviser < 0)
+    return;
+  send_question (c, j, step, &names, adviser, cost);
+}
+
+static void
+take_good (struct cell *c, struct jstep *s, const struct order_result *res,
+           int64_t valid_ms)
+{
+  for (size_t i = 0; i < res->n_good; i++)
+    {
+      struct exec *e = exec_find (c, res->good[i].exec);
+      struct permit *p;
+      if (!e)
+        continue;
+      p = permit_of (s, e);
+      p->state = PERMIT_GOOD;
+      p->born_ms = e->born_ms;
+      p->until_ms = c->now_ms + valid_ms;
+      free (p->ticket);
+      p->ticket = strdup (res->good[i].ticket);
+    }
+}
+
+void
+advice_result (struct cell *c, const struct pending_order *pend,
+               const struct order_result *res)
+{
+  struct job *j = cell_find_job (c, pend->job);
+  struct adviser *a = &c->advisers[pend->adviser];
+  struct jstep *s;
+  bool good = res->outcome == ORDER_DONE;
+
+  if (--a->n_open == 0)
+    a->busy_until_ms = c->now_ms;
+  c->pass_due = true;
+  if (!good)
+    c->stats->questions_failed++;
+  if (!j || j->steps[pend->step].ask != pend->no)
+    return;
+  s = &j->steps[pend->step];
+  s->ask = 0;
+  if (!good)
+    s->ask_next_ms = c->now_ms + ASK_PAUSE_MS;
+  if (good)
+    take_good (c, s, res,
+               res->valid_ms ? res->valid_ms : j->spec.advice.valid_ms);
+  for (int i = 0; i < s->n_permits; i++)
+    if (s->permits[i].state == PERMIT_ASKED)
+      s->permits[i].state = good ? PERMIT_BAD : PERMIT_UNKNOWN;
+  if (good && pend->n_names)
+    {
+      struct cell_queue *q = cell_queue (c, j->spec.queue);
+      double share = (double)res->n_good / (double)pend->n_names;
+      q->good_share += 0.05 * (share - q->good_share);
+      if (q->good_share < 0.1)
+        q->good_share = 0.1;
+    }
+  out_line (c->out,
+            "event=advice job=%s step=%d by=%s outcome=%s asked=%zu "
+            "good=%zu",
+            pend->job, pend->step, *a->id ? a->id : "self",
+            order_outcome_names[res->outcome], pend->n_names, res->n_good);
+}
--- /dev/null
+++ b/core/cell_impl.h
@@ -0,0 +1,64 @@
+/* Parts of the fleet's scheduler that its files share. */
+#ifndef CELL_IMPL_H
+#define CELL_IMPL_H
+
+#include "cell.h"
+
+/* cell.c */
+struct job *cell_find_job (const struct cell *c, const char *id);
+struct jtask *start_task (const struct start *r);
+struct cell_tenant *cell_tenant (struct cell *c, const char *name);
+struct cell_queue *cell_queue (struct cell *c, const char *name);
+void cell_touch (struct cell *c, struct job *j);
+/** cell_task_ended() - A task's run has ended; @r may be NULL if unknown. */
+void cell_task_ended (struct cell *c, struct job *j, int step, int index,
+                      int64_t run, int how);
+void cell_keep_saved (struct job *j, int step, int index, const char *saved);
+/**
+ * cell_order() - A new order in the queue, with its number and fence.
+ * @pend: what its result will be matched to, borrowed
+ */
+struct order *cell_order (struct cell *c, int kind, const struct exec *e,
+                          struct pending_order **pend);
+
+/* cell_start.c */
+struct start *start_new (struct cell *c, struct job *j, int step, int index,
+                         struct exec *e, int64_t no, int state);
+/** start_end() - Frees @r and its room; the task may be started again. */
+void start_end (struct cell *c, struct start *r, int how);
+void start_stop (struct cell *c, struct start *r);
+void start_send (struct cell *c, struct start *r);
+void start_result (struct cell *c, struct start *r, int kind,
+                   const struct order_result *res);
+void start_tick (struct cell *c, struct start *r);
+
+/* cell_exec.c */
+struct exec *exec_find (const struct cell *c, const char *id);
+/** exec_clock() - What its clock shows now, by the last answer. */
+int64_t exec_clock (const struct cell *c, const struct exec *e);
+void exec_tick (struct cell *c, struct exec *e);
+void exec_hold_result (struct cell *c, struct exec *e,
+                       const struct order_result *res);
+void exec_failed_run (struct cell *c, struct exec *e);
+void exec_settle (struct cell *c);
+
+/** exec_usable() - Whether it may be given a task of @s now. */
+bool exec_usable (const struct cell *c, const struct exec *e,
+                  const struct job *j, int step);
+/** exec_fits() - How many tasks of @s it has room for, at most @most. */
+int exec_fits (const struct exec *e, const struct job *j, int step, int most);
+
+/* cell_place.c */
+void place_pass (struct cell *c);
+
+/* cell_advice.c */
+bool permit_valid (const struct cell *c, const struct jstep *s,
+                   const struct exec *e);
+struct permit *permit_of (struct jstep *s, const struct exec *e);
+/** advice_want() - Ask about executors, if that is due and one is free. */
+void advice_want (struct cell *c, struct job *j, int step);
+void advice_result (struct cell *c, const struct pending_order *p,
+                    const struct order_result *res);
+void advice_forget (struct jstep *s);
+
+#endif
--- /dev/null
+++ b/core/cell_place.c
@@ -0,0 +1,281 @@
+/*
+ * Which job goes first, and on which executors its tasks go.
+ */
+#include "cell_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PASS_GAP_MS = 4, /* events of this long are placed together */
+};
+
+/* Whether the client account of @j may have one more such task running.  What
+   executors that were not heard may run counts as its own. */
+static bool
+within_limit (struct cell *c, const struct job *j, int step, int n)
+{
+  const struct fconf_tenant *ft
+      = c->conf ? fconf_tenant (c->conf, j->spec.tenant) : NULL;
+  const struct cell_tenant *t = cell_tenant (c, j->spec.tenant);
+  const struct job_need *need = &j->spec.steps[step].need;
+  struct job_need unknown = { 0 };
+  struct exec *e;
+
+  if (!ft)
+    return true;
+  if (!c->settled)
+    TAILQ_FOREACH (e, &c->execs, link)
+      if (!e->clear)
+        {
+          unknown.millicores += e->rep.room.millicores;
+          unknown.mem_mb += e->rep.room.mem_mb;
+          unknown.accels += e->rep.room.accels;
+        }
+#define OVER(f)                                                               \
+  (ft->limit.f && t->used.f + unknown.f + n * need->f > ft->limit.f)
+  return !OVER (millicores) && !OVER (mem_mb) && !OVER (accels);
+#undef OVER
+}
+
+static bool
+permitted (const struct cell *c, const struct job *j, int step,
+           const struct exec *e)
+{
+  return j->spec.advice.base_ms <= 0 || permit_valid (c, &j->steps[step], e);
+}
+
+/* The usable executor on which least room is left over; those near the data
+   go before all others. */
+static struct exec *
+best_fit (struct cell *c, const struct job *j, int step)
+{
+  const struct job_step *s = &j->spec.steps[step];
+  struct exec *best = NULL;
+  int64_t best_left = 0;
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      int64_t left;
+      if (!exec_usable (c, e, j, step) || !permitted (c, j, step, e)
+          || exec_fits (e, j, step, 1) < 1)
+        continue;
+      left = e->rep.room.millicores - e->used.millicores;
+      if (*s->data_rack && strcmp (s->data_rack, e->rep.rack) != 0)
+        left += INT32_MAX;
+      if (!best || left < best_left)
+        {
+          best = e;
+          best_left = left;
+        }
+    }
+  return best;
+}
+
+static bool
+place_singles (struct cell *c, struct job *j, int step)
+{
+  struct jstep *s = &j->steps[step];
+
+  for (int i = 0; i < s->n_tasks; i++)
+    {
+      struct jtask *t = &s->tasks[i];
+      struct exec *e;
+      if (t->done || t->run)
+        continue;
+      if (!within_limit (c, j, step, 1))
+        return true;
+      e = best_fit (c, j, step);
+      if (!e)
+        return false;
+      start_send (c, start_new (c, j, step, i, e, t->next_run, START_SENT));
+    }
+  return true;
+}
+
+struct seat
+{
+  struct exec *e;
+  int fits;
+};
+
+static int
+most_fits_first (const void *va, const void *vb)
+{
+  const struct seat *a = va;
+  const struct seat *b = vb;
+
+  if (a->fits != b->fits)
+    return b->fits - a->fits;
+  return a->e->index - b->e->index;
+}
+
+/* Executors for a whole gang, as few as will do; 0 if there is no room. */
+static size_t
+gang_seats (struct cell *c, const struct job *j, int step, const char *rack,
+            struct seat *seats)
+{
+  int want = j->steps[step].n_tasks;
+  int found = 0;
+  size_t n = 0;
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      int fits;
+      if ((rack && strcmp (rack, e->rep.rack) != 0)
+          || !exec_usable (c, e, j, step) || !permitted (c, j, step, e))
+        continue;
+      fits = exec_fits (e, j, step, want);
+      if (fits < 1)
+        continue;
+      seats[n++] = (struct seat){ e, fits };
+      found += fits;
+    }
+  if (found < want)
+    return 0;
+  qsort (seats, n, sizeof *seats, most_fits_first);
+  return n;
+}
+
+/* A gang that runs better in one rack gets one, if any rack has room. */
+static size_t
+choose_seats (struct cell *c, const struct job *j, int step,
+              struct seat *seats)
+{
+  const struct job_step *s = &j->spec.steps[step];
+  struct exec *e;
+  size_t n;
+
+  if (*s->data_rack && (n = gang_seats (c, j, step, s->data_rack, seats)))
+    return n;
+  if (s->same_rack)
+    TAILQ_FOREACH (e, &c->execs, link)
+      if ((n = gang_seats (c, j, step, e->rep.rack, seats)))
+        return n;
+  return gang_seats (c, j, step, NULL, seats);
+}
+
+static bool
+place_gang (struct cell *c, struct job *j, int step)
+{
+  struct jstep *s = &j->steps[step];
+  struct seat *seats;
+  int64_t no = 0;
+  size_t n;
+  size_t at = 0;
+
+  if (s->n_running > 0)
+    return true; /* the rest of an earlier run ends first */
+  if (!within_limit (c, j, step, s->n_tasks))
+    return true;
+  seats = calloc ((size_t)c->n_execs + 1, sizeof *seats);
+  if (!seats)
+    abort ();
+  n = choose_seats (c, j, step, seats);
+  for (int i = 0; i < s->n_tasks && n; i++)
+    if (s->tasks[i].next_run > no)
+      no = s->tasks[i].next_run;
+  /* All members resume from the same checkpoint. */
+  for (int i = 1; i < s->n_tasks && n; i++)
+    if (s->tasks[0].saved)
+      cell_keep_saved (j, step, i, s->tasks[0].saved);
+  for (int i = 0; i < s->n_tasks && n; i++)
+    {
+      while (seats[at].fits == 0)
+        at++;
+      seats[at].fits--;
+      start_send (c, start_new (c, j, step, i, seats[at].e, no, START_SENT));
+    }
+  free (seats);
+  return n > 0;
+}
+
+static void
+place_job (struct cell *c, struct job *j)
+{
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      struct jstep *s = &j->steps[i];
+      bool placed;
+      if (!s->ready || s->n_done + s->n_running >= s->n_tasks)
+        continue;
+      placed = j->spec.steps[i].gang ? place_gang (c, j, (int)i)
+                                     : place_singles (c, j, (int)i);
+      if (!placed && j->spec.advice.base_ms > 0)
+        advice_want (c, j, (int)i);
+    }
+}
+
+/* 0: on time if started now.  1: late.  2: too late to be worth anything, or
+   beyond what its client account is owed. */
+static int
+group_of (const struct cell *c, const struct job *j)
+{
+  int64_t objective = j->due_ms - j->come_ms;
+  int64_t left = job_chain_ms (&j->spec);
+
+  if (j->excess || c->now_ms + left > j->due_ms + 2 * objective)
+    return 2;
+  return c->now_ms + left > j->due_ms ? 1 : 0;
+}
+
+static const struct cell *sort_cell;
+
+static int
+by_urgency (const void *va, const void *vb)
+{
+  const struct job *a = *(struct job *const *)va;
+  const struct job *b = *(struct job *const *)vb;
+  int ga = group_of (sort_cell, a);
+  int gb = group_of (sort_cell, b);
+
+  if (ga != gb)
+    return ga - gb;
+  if ((a->spec.priority == 0) != (b->spec.priority == 0))
+    return a->spec.priority == 0 ? -1 : 1;
+  if (a->due_ms != b->due_ms)
+    return a->due_ms < b->due_ms ? -1 : 1;
+  return strcmp (a->spec.id, b->spec.id);
+}
+
+static bool
+wants_room (const struct cell *c, const struct job *j)
+{
+  if (job_state_final (j->state) || (j->old && !c->settled))
+    return false;
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      const struct jstep *s = &j->steps[i];
+      if (s->ready && s->n_done + s->n_running < s->n_tasks)
+        return true;
+    }
+  return false;
+}
+
+void
+place_pass (struct cell *c)
+{
+  struct job *j;
+  int n = 0;
+
+  c->pass_due = false;
+  c->next_pass_ms = c->now_ms + PASS_GAP_MS;
+  if (c->n_jobs > c->ready_cap)
+    {
+      c->ready_cap = c->n_jobs + 64;
+      c->ready
+          = realloc (c->ready, (size_t)c->ready_cap * sizeof (struct job *));
+      if (!c->ready)
+        abort ();
+    }
+  TAILQ_FOREACH (j, &c->queue, link)
+    if (wants_room (c, j))
+      c->ready[n++] = j;
+  sort_cell = c;
+  qsort (c->ready, (size_t)n, sizeof (struct job *), by_urgency);
+  for (int i = 0; i < n; i++)
+    place_job (c, c->ready[i]);
+}
--- a/core/codec.c
+++ b/core/codec.c
@@ -47,6 +47,35 @@
   return *out < f->min || *out > f->max ? CLB_ERANGE : 0;
 }
 
+static int
+read_f64 (const struct fld *f, const json_t *v, double *out)
+{
+  if (!json_is_number (v))
+    return CLB_EFIELD;
+  *out = json_number_value (v);
+  return *out < (double)f->min || *out > (double)f->max ? CLB_ERANGE : 0;
+}
+
+static int
+read_set (const json_t *v, uint64_t *out)
+{
+  size_t i;
+  json_t *item;
+
+  if (!json_is_array (v))
+    return CLB_EFIELD;
+  json_array_foreach (v, i, item)
+    {
+      json_int_t n = json_integer_value (item);
+      if (!json_is_integer (item))
+        return CLB_EFIELD;
+      if (n < 0 || n > 63)
+        return CLB_ERANGE;
+      *out |= UINT64_C (1) << n;
+    }
+  return 0;
+}
+
 static int
 read_chars (const struct fld *f, const json_t *v, char *out)
 {
@@ -110,6 +139,12 @@
     case FLD_I64:
       err = read_i64 (f, v, (int64_t *)(void *)(base + f->off));
       break;
+    case FLD_F64:
+      err = read_f64 (f, v, (double *)(void *)(base + f->off));
+      break;
+    case FLD_SET:
+      err = read_set (v, (uint64_t *)(void *)(base + f->off));
+      break;
     case FLD_BOOL:
       if (!json_is_boolean (v))
         err = CLB_EFIELD;
@@ -219,12 +254,25 @@
   return array;
 }
 
+static json_t *
+write_set (uint64_t set)
+{
+  json_t *array = json_array ();
+
+  for (int i = 0; i < 64; i++)
+    if (set >> i & 1)
+      json_array_append_new (array, json_integer (i));
+  return array;
+}
+
 /* NULL where the field holds its zero value. */
 static json_t *
 write_fld (const struct fld *f, const char *base)
 {
   const char *p = base + f->off;
   const char *text;
+  double real;
+  uint64_t set;
   int64_t n;
   int e;
 
@@ -233,6 +281,12 @@
     case FLD_I64:
       memcpy (&n, p, sizeof n);
       return n ? json_integer (n) : NULL;
+    case FLD_F64:
+      memcpy (&real, p, sizeof real);
+      return real != 0 ? json_real (real) : NULL;
+    case FLD_SET:
+      memcpy (&set, p, sizeof set);
+      return set ? write_set (set) : NULL;
     case FLD_BOOL:
       return *(const bool *)p ? json_true () : NULL;
     case FLD_STR:
@@ -335,6 +389,8 @@
       msgpack_pack_true (pk);
       break;
     case JSON_REAL:
+      msgpack_pack_double (pk, json_real_value (v));
+      break;
     case JSON_FALSE:
     case JSON_NULL:
       msgpack_pack_false (pk);
@@ -359,6 +415,8 @@
       return json_integer ((json_int_t)o->via.u64);
     case MSGPACK_OBJECT_NEGATIVE_INTEGER:
       return json_integer (o->via.i64);
+    case MSGPACK_OBJECT_FLOAT64:
+      return json_real (o->via.f64);
     case MSGPACK_OBJECT_STR:
       return json_stringn (o->via.str.ptr, o->via.str.size);
     case MSGPACK_OBJECT_ARRAY:
@@ -428,12 +486,12 @@
 static bool
 read_token (const unsigned char *p, size_t left, struct token *t)
 {
-  static const unsigned char number[] = { 1, 2, 4, 8, 1, 2, 4, 8 };
+  static const unsigned char number[] = { 4, 8, 1, 2, 4, 8, 1, 2, 4, 8 };
   unsigned char c = *p;
 
   *t = (struct token){ .head = 1 };
-  if (c >= 0xcc && c <= 0xd3)
-    t->bytes = number[c - 0xcc];
+  if (c >= 0xca && c <= 0xd3)
+    t->bytes = number[c - 0xca];
   else if ((c & 0xf0) == 0x80)
     t->items = 2u * (c & 0x0f);
   else if ((c & 0xf0) == 0x90)
--- a/core/codec.h
+++ b/core/codec.h
@@ -13,6 +13,8 @@
 enum fld_kind
 {
   FLD_I64,  /* int64_t within min..max */
+  FLD_F64,  /* double within min..max; whole numbers are taken too */
+  FLD_SET,  /* uint64_t of bits, written as an array of numbers 0 to 63 */
   FLD_BOOL, /* bool */
   FLD_STR,  /* char array of size bytes */
   FLD_TEXT, /* char *, owned by the struct */
@@ -55,6 +57,43 @@
     .name = #f, .kind = FLD_I64, .off = FLD_OFF64 (s, f), .min = (lo),        \
     .max = (hi)                                                               \
   }
+/* The same kinds, where the name on the wire is not the member's. */
+#define FLD_INT_AS(wire, s, f, lo, hi)                                        \
+  {                                                                           \
+    .name = (wire), .kind = FLD_I64, .off = FLD_OFF64 (s, f), .min = (lo),    \
+    .max = (hi)                                                               \
+  }
+#define FLD_REAL_AS(wire, s, f, lo, hi)                                       \
+  {                                                                           \
+    .name = (wire), .kind = FLD_F64, .off = offsetof (s, f), .min = (lo),     \
+    .max = (hi)                                                               \
+  }
+#define FLD_SET_AS(wire, s, f)                                                \
+  {                                                                           \
+    .name = (wire), .kind = FLD_SET, .off = FLD_OFF64 (s, f)                  \
+  }
+#define FLD_FLAG_AS(wire, s, f)                                               \
+  {                                                                           \
+    .name = (wire), .kind = FLD_BOOL, .off = offsetof (s, f)                  \
+  }
+#define FLD_CHARS_AS(wire, s, f, req)                                         \
+  {                                                                           \
+    .name = (wire), .kind = FLD_STR, .off = offsetof (s, f),                  \
+    .size = sizeof (((s *)0)->f), .required = (req)                           \
+  }
+#define FLD_STRING_AS(wire, s, f, limit)                                      \
+  {                                                                           \
+    .name = (wire), .kind = FLD_TEXT, .off = offsetof (s, f), .max = (limit)  \
+  }
+#define FLD_STRUCT_AS(wire, s, f, d)                                          \
+  {                                                                           \
+    .name = (wire), .kind = FLD_OBJ, .off = offsetof (s, f), .sub = (d)       \
+  }
+#define FLD_ARRAY_AS(wire, s, f, n, d, limit)                                 \
+  {                                                                           \
+    .name = (wire), .kind = FLD_VEC, .off = offsetof (s, f),                  \
+    .off2 = offsetof (s, n), .sub = (d), .max = (limit)                       \
+  }
 #define FLD_FLAG(s, f)                                                        \
   {                                                                           \
     .name = #f, .kind = FLD_BOOL, .off = offsetof (s, f)                      \
--- /dev/null
+++ b/core/fleet.h
@@ -0,0 +1,213 @@
+/**
+ * DOC: One instance on the fleet's platform: it takes callers' requests,
+ * keeps the configuration, and schedules while it leads.
+ *
+ * It does no input or output.  Whoever runs it feeds inputs with the present
+ * time and carries out what is left in @out.  Times are of a clock that goes
+ * on while the machine is suspended.
+ */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include "cell.h"
+#include "follow.h"
+#include "lead.h"
+#include "mesh.h"
+
+enum
+{
+  FLEET_JOB_PARTS = 8, /* of the table of jobs: each takes 300 writes/s */
+  FLEET_FEED_WAIT_MS = 1000, /* so often is the configuration proved fresh */
+  FLEET_HELLO_MS = 400,
+  FLEET_ASK_MS = 250,      /* a leader that doesn't answer by then is passed
+                              over and the table is read */
+  FLEET_GIVE_UP_MS = 150,  /* before the caller does */
+  FLEET_WAIT_MS = 2500,    /* callers that don't say how long they wait */
+  FLEET_RETRY_MS = 120,    /* after the table refused a call */
+  FLEET_REFUSED_TRIES = 3, /* then the caller is refused */
+  FLEET_STALE_MARGIN_MS = 500, /* keyed work stops so long before a withdrawn
+                                  key must not work any more */
+  FLEET_READY_MS = 2500,       /* not ready once the table is silent so long */
+  FLEET_WRITE_GAP_MS = 8,      /* records of this long share a write */
+  FLEET_WATCHERS = 3,          /* followers that look at the lease often */
+  FLEET_COME_BACK_MS = 1000,   /* Retry-After where nothing better is known */
+  FLEET_REQUESTS_MAX = 2000,   /* in hand; more are refused */
+};
+
+/** enum fleet_verb - what a caller asks */
+enum fleet_verb
+{
+  FLEET_SUBMIT,
+  FLEET_STATE,
+  FLEET_CANCEL,
+  FLEET_OTHER,
+};
+
+/** struct fleet_request - from a caller, all borrowed */
+struct fleet_request
+{
+  uint64_t call; /* chosen by the shell, not reused */
+  int verb;      /* enum fleet_verb */
+  const char *host;
+  const char *path;
+  const char *key;   /* or NULL */
+  int64_t within_ms; /* the caller waits so long; 0: not said */
+  const char *body;
+  size_t body_len;
+};
+
+/** struct fleet_codec - translates the platform's documents */
+struct fleet_codec
+{
+  /** conf - 0 and a configuration that the caller frees, or an error */
+  int (*conf) (const char *text, struct fconf **out, struct codec_err *ce);
+  /** exec - 0, or an error for what is no executor to be used */
+  int (*exec) (const char *id, const char *text, struct exec_report *out);
+  /** job - 0, or an error; @out is then empty */
+  int (*job) (const char *text, size_t len, struct job_spec *out,
+              struct codec_err *ce);
+};
+
+struct fleet_settings
+{
+  char id[CLB_ID_MAX];
+  char zone[CLB_NAME_MAX];
+  char mesh_addr[CLB_ADDR_MAX];
+  int64_t boot;      /* wall clock of the start, milliseconds */
+  int64_t revoke_ms; /* a withdrawn key works no longer than this */
+  struct fleet_codec codec;
+};
+
+enum caller_step
+{
+  CALLER_WRITING, /* the job or its cancellation */
+  CALLER_ASKING,  /* the leader */
+  CALLER_READ_STATE,
+  CALLER_READ_JOB,
+};
+
+/** struct caller - a request in hand */
+struct caller
+{
+  RB_ENTRY (caller) by_no;
+  uint64_t call;
+  int verb;
+  int step;       /* enum caller_step */
+  uint64_t token; /* of the call to the table, or the question's number */
+  char id[JOB_ID_SIZE];
+  char queue[CLB_NAME_MAX];
+  char tenant[CLB_NAME_MAX];
+  char *record; /* the job, to be written */
+  int64_t came_ms;
+  int64_t until_ms;
+  int64_t next_ms; /* the call is sent again then; 0: one is under way */
+  int64_t asked_ms;
+  int tries;
+  bool maybe; /* a write's answer was lost: it may take effect */
+};
+RB_HEAD (caller_tree_f, caller);
+
+/** enum fleet_answer - what callers were told, one counter each */
+enum fleet_answer
+{
+  ANSWER_ACCEPTED,
+  ANSWER_DUPLICATE,
+  ANSWER_STATE,
+  ANSWER_CANCELLED,
+  ANSWER_WAITING,
+  ANSWER_NO_CONFIG,
+  ANSWER_STALE,
+  ANSWER_NO_QUEUE,
+  ANSWER_BAD_KEY,
+  ANSWER_BAD_JOB,
+  ANSWER_NO_JOB,
+  ANSWER_STORE_REFUSED,
+  ANSWER_UNKNOWN,
+  ANSWER_NO_LEADER,
+  ANSWER_TOO_MANY,
+  ANSWER_N
+};
+extern const char *const fleet_answer_names[ANSWER_N + 1];
+
+struct fleet_stats
+{
+  uint64_t answers[ANSWER_N];
+  uint64_t store_errors;
+  uint64_t terms; /* times that this instance began to lead */
+  uint64_t asks;  /* questions to the leader */
+  uint64_t asks_lost;
+  uint64_t retries;  /* calls to the table for callers, sent again */
+  uint64_t bad_rows; /* of the platform's tables */
+  struct cell_stats cell;
+};
+
+struct fleet
+{
+  struct fleet_settings set;
+  int64_t now_ms;
+  int64_t wall_ms; /* wall clock, as last told */
+  struct outq out;
+  uint64_t tokens;
+  struct lead lead;
+  struct cell *cell; /* NULL unless leading */
+  struct fconf *conf;
+  struct follow conf_feed;
+  struct follow exec_feed;
+  struct follow job_feed;
+  bool store_lost; /* the configuration's feed has failed */
+  int load_step;
+  uint64_t load_token;
+  char *load_after;
+  int64_t load_next_ms;
+  int64_t next_write_ms;
+  struct caller_tree_f callers;
+  int n_callers;
+  int64_t next_hello_ms;
+  int64_t leader_heard_ms;
+  bool stopping;
+  struct fleet_stats stats;
+};
+
+RB_PROTOTYPE (caller_tree_f, caller, by_no, caller_cmp)
+int caller_cmp (const struct caller *a, const struct caller *b);
+
+void fleet_init (struct fleet *f, const struct fleet_settings *set,
+                 int64_t now_ms);
+void fleet_fini (struct fleet *f);
+
+/* Inputs. */
+void fleet_request (struct fleet *f, int64_t now_ms, int64_t wall_ms,
+                    const struct fleet_request *rq);
+void fleet_caller_gone (struct fleet *f, uint64_t call);
+void fleet_store (struct fleet *f, int64_t now_ms, uint64_t token,
+                  const struct store_rep *rep);
+void fleet_order_result (struct fleet *f, int64_t now_ms,
+                         const struct order *o,
+                         const struct order_result *res);
+void fleet_mesh (struct fleet *f, int64_t now_ms, const struct mesh_msg *m);
+void fleet_tick (struct fleet *f, int64_t now_ms, int64_t wall_ms);
+struct out *fleet_next_out (struct fleet *f);
+
+/** fleet_stop() - Begin a graceful shutdown: hand the lead over. */
+void fleet_stop (struct fleet *f, int64_t now_ms);
+/** fleet_idle() - Whether no caller's request is in hand. */
+bool fleet_idle (const struct fleet *f);
+/** fleet_ready() - Whether new callers should come here. */
+bool fleet_ready (const struct fleet *f, int64_t now_ms);
+/** fleet_metrics() - Counters in Prometheus text; the caller frees. */
+char *fleet_metrics (struct fleet *f);
+
+/* gate.c, used by fleet.c */
+void gate_tick (struct fleet *f);
+bool gate_store (struct fleet *f, uint64_t token, const struct store_rep *rep);
+void gate_mesh (struct fleet *f, const struct mesh_msg *m);
+void gate_fini (struct fleet *f);
+
+/* fleet.c, used by gate.c */
+void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
+/** fleet_leader_addr() - NULL if none is heard or it is this instance. */
+const char *fleet_leader_addr (const struct fleet *f);
+/** fleet_job_part() - Part of the table of jobs that @id lies in. */
+int fleet_job_part (const char *id);
+
+#endif
--- /dev/null
+++ b/core/gate.c
@@ -0,0 +1,539 @@
+/*
+ * Callers' requests: a job is accepted once it lies in the platform's table,
+ * under its id, whichever instance it comes to.  States and counts are asked
+ * of the leader; the table is read where it does not answer.
+ */
+#include "fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RECORD_MAX = 60000, /* bytes of a job's row */
+};
+
+const char *const fleet_answer_names[]
+    = { "accepted", "duplicate", "state",    "cancelled",
+        "waiting",  "no-config", "stale",    "no-queue",
+        "bad-key",  "bad-job",   "no-job",   "refused",
+        "unknown",  "no-leader", "too-many", NULL };
+
+/* Statuses by enum fleet_answer.  A 503 says that nothing was accepted, a 504
+   that it is not known. */
+static const int answer_status[ANSWER_N]
+    = { 200, 200, 200, 200, 200, 503, 503, 404,
+        401, 400, 410, 503, 504, 503, 503 };
+
+int
+caller_cmp (const struct caller *a, const struct caller *b)
+{
+  return a->call < b->call ? -1 : a->call > b->call;
+}
+
+RB_GENERATE (caller_tree_f, caller, by_no, caller_cmp)
+
+int
+fleet_job_part (const char *id)
+{
+  return (id[JOB_ID_SIZE - 2] & 0x0f) % FLEET_JOB_PARTS;
+}
+
+static void
+job_key (const char *id, const char *suffix, char out[CLB_NAME_MAX])
+{
+  snprintf (out, CLB_NAME_MAX, "job:%d/%s%s", fleet_job_part (id), id, suffix);
+}
+
+static void
+answer (struct fleet *f, uint64_t call, int what, char *body)
+{
+  struct out *o = out_new (&f->out, OUT_ANSWER);
+  int status = answer_status[what];
+
+  f->stats.answers[what]++;
+  o->u.answer.call = call;
+  o->u.answer.status = status;
+  o->u.answer.body = body;
+  if (status == 503)
+    o->u.answer.retry_ms = FLEET_COME_BACK_MS;
+}
+
+static char *
+text_body (const char *key, const char *value)
+{
+  char *text;
+
+  if (asprintf (&text, "{\"%s\":\"%s\"}", key, value) < 0)
+    abort ();
+  return text;
+}
+
+static void
+caller_free (struct fleet *f, struct caller *c)
+{
+  RB_REMOVE (caller_tree_f, &f->callers, c);
+  f->n_callers--;
+  free (c->record);
+  free (c);
+}
+
+static void
+finish (struct fleet *f, struct caller *c, int what, char *body)
+{
+  out_line (&f->out,
+            "event=answer call=%llu verb=%d job=%s queue=%s tenant=%s "
+            "answer=%s status=%d tries=%d took_ms=%lld conf=%lld "
+            "conf_age_ms=%lld leader=%s",
+            (unsigned long long)c->call, c->verb, c->id, c->queue, c->tenant,
+            fleet_answer_names[what], answer_status[what], c->tries,
+            (long long)(f->now_ms - c->came_ms),
+            f->conf ? (long long)f->conf->version : 0,
+            (long long)(f->now_ms - f->conf_feed.fresh_ms), f->lead.holder);
+  answer (f, c->call, what, body);
+  caller_free (f, c);
+}
+
+/* A refusal before anything was begun. */
+static void
+refuse (struct fleet *f, const struct fleet_request *rq, int what,
+        const char *detail)
+{
+  out_line (&f->out,
+            "event=refused call=%llu path=%.60s answer=%s status=%d "
+            "conf=%lld conf_age_ms=%lld detail=\"%.80s\"",
+            (unsigned long long)rq->call, rq->path, fleet_answer_names[what],
+            answer_status[what], f->conf ? (long long)f->conf->version : 0,
+            (long long)(f->now_ms - f->conf_feed.fresh_ms), detail);
+  answer (f, rq->call, what, text_body ("error", fleet_answer_names[what]));
+}
+
+static struct store_op *
+store_call (struct fleet *f, struct caller *c, int kind)
+{
+  struct out *o = out_new (&f->out, OUT_STORE);
+
+  c->token = ++f->tokens;
+  c->next_ms = 0;
+  c->tries++;
+  o->u.store.token = c->token;
+  o->u.store.op.kind = kind;
+  return &o->u.store.op;
+}
+
+/* The first record of an id wins, wherever it was handed in. */
+static void
+send_submit (struct fleet *f, struct caller *c)
+{
+  struct store_op *op = store_call (f, c, STORE_TXN);
+  char key[CLB_NAME_MAX];
+
+  c->step = CALLER_WRITING;
+  job_key (c->id, "", key);
+  store_cond (op, key, 0);
+  store_put (op, key, c->record);
+}
+
+static void
+send_cancel (struct fleet *f, struct caller *c)
+{
+  struct store_op *op = store_call (f, c, STORE_TXN);
+  char key[CLB_NAME_MAX];
+
+  c->step = CALLER_WRITING;
+  job_key (c->id, ".cancel", key);
+  store_put (op, key, "{}");
+}
+
+static void
+read_row (struct fleet *f, struct caller *c, int step)
+{
+  struct store_op *op = store_call (f, c, STORE_GET);
+  char key[CLB_NAME_MAX];
+
+  c->step = step;
+  if (step == CALLER_READ_STATE)
+    snprintf (key, sizeof key, "prog/%s", c->id);
+  else
+    job_key (c->id, "", key);
+  op->key = strdup (key);
+}
+
+static void
+ask_leader (struct fleet *f, struct caller *c, int kind, const char *what)
+{
+  const char *addr = fleet_leader_addr (f);
+  struct mesh_msg *m;
+
+  if (!addr)
+    {
+      if (kind == MESH_STATE_ASK)
+        read_row (f, c, CALLER_READ_STATE);
+      else
+        finish (f, c, ANSWER_NO_LEADER, NULL);
+      return;
+    }
+  m = calloc (1, sizeof *m);
+  if (!m)
+    abort ();
+  m->kind = kind;
+  m->no = (int64_t)c->call;
+  clb_copy (m->id, what, sizeof m->id);
+  c->step = CALLER_ASKING;
+  c->asked_ms = f->now_ms;
+  c->tries++;
+  f->stats.asks++;
+  fleet_send (f, addr, m);
+}
+
+static void
+begin_submit (struct fleet *f, struct caller *c,
+              const struct fleet_request *rq, const struct fconf_queue *q)
+{
+  struct job_spec spec;
+  struct codec_err ce = { 0 };
+  int err = f->set.codec.job (rq->body, rq->body_len, &spec, &ce);
+
+  if (!err)
+    err = job_check (&spec, &ce);
+  if (err)
+    {
+      codec_free (&job_spec_desc, &spec);
+      refuse (f, rq, ANSWER_BAD_JOB, ce.path);
+      caller_free (f, c);
+      return;
+    }
+  clb_copy (spec.id, c->id, sizeof spec.id);
+  clb_copy (spec.queue, c->queue, sizeof spec.queue);
+  clb_copy (spec.tenant, c->tenant, sizeof spec.tenant);
+  clb_copy (spec.service, q->service, sizeof spec.service);
+  spec.priority = q->priority;
+  spec.attempts = q->attempts > 0 ? q->attempts : 1;
+  spec.slack = q->slack;
+  spec.target_ms = q->target_ms;
+  spec.advice = q->advice;
+  spec.accepted_ms = f->wall_ms;
+  c->record = codec_text (&job_spec_desc, &spec);
+  codec_free (&job_spec_desc, &spec);
+  if (strlen (c->record) > RECORD_MAX)
+    {
+      refuse (f, rq, ANSWER_BAD_JOB, "too large");
+      caller_free (f, c);
+      return;
+    }
+  send_submit (f, c);
+}
+
+static void
+begin_state (struct fleet *f, struct caller *c)
+{
+  int state = f->cell && f->cell->going ? cell_state (f->cell, c->id) : -1;
+
+  if (state >= 0)
+    finish (f, c, ANSWER_STATE, text_body ("state", job_state_names[state]));
+  else
+    ask_leader (f, c, MESH_STATE_ASK, c->id);
+}
+
+static char *
+count_body (int64_t n)
+{
+  char *text;
+
+  if (asprintf (&text, "{\"waiting\":%lld}", (long long)n) < 0)
+    abort ();
+  return text;
+}
+
+static void
+begin_count (struct fleet *f, struct caller *c)
+{
+  if (f->cell && f->cell->going && lead_may_admit (&f->lead, f->now_ms))
+    finish (f, c, ANSWER_WAITING,
+            count_body (cell_waiting (f->cell, c->queue)));
+  else
+    ask_leader (f, c, MESH_WAITING_ASK, c->queue);
+}
+
+/* Whether a key may be taken at its word: the configuration is proved young
+   enough for a key withdrawn meanwhile. */
+static bool
+keys_fresh (const struct fleet *f)
+{
+  return f->now_ms - f->conf_feed.fresh_ms
+         < f->set.revoke_ms - FLEET_STALE_MARGIN_MS;
+}
+
+static struct caller *
+caller_new (struct fleet *f, const struct fleet_request *rq,
+            const struct fconf_queue *q, const struct fconf_tenant *t)
+{
+  struct caller *c = calloc (1, sizeof *c);
+  int64_t within = rq->within_ms > 0 ? rq->within_ms : FLEET_WAIT_MS;
+
+  if (!c)
+    abort ();
+  c->call = rq->call;
+  c->verb = rq->verb;
+  c->came_ms = f->now_ms;
+  if (q->timeout_ms > 0 && within > q->timeout_ms)
+    within = q->timeout_ms;
+  c->until_ms = f->now_ms + within - FLEET_GIVE_UP_MS;
+  clb_copy (c->queue, q->name, sizeof c->queue);
+  if (t)
+    clb_copy (c->tenant, t->name, sizeof c->tenant);
+  RB_INSERT (caller_tree_f, &f->callers, c);
+  f->n_callers++;
+  return c;
+}
+
+void
+fleet_request (struct fleet *f, int64_t now_ms, int64_t wall_ms,
+               const struct fleet_request *rq)
+{
+  const struct fconf_queue *q;
+  const struct fconf_tenant *t = NULL;
+  const char *rest;
+  struct caller *c;
+
+  f->now_ms = now_ms;
+  f->wall_ms = wall_ms;
+  if (!f->conf)
+    return refuse (f, rq, ANSWER_NO_CONFIG, "");
+  q = fconf_queue_for (f->conf, rq->host, rq->path);
+  if (!q)
+    return refuse (f, rq, ANSWER_NO_QUEUE, rq->host);
+  if (rq->key)
+    t = fconf_tenant_of_key (f->conf, rq->key);
+  if (!q->open && !t)
+    return refuse (f, rq, keys_fresh (f) ? ANSWER_BAD_KEY : ANSWER_STALE, "");
+  if (!q->open && !keys_fresh (f))
+    return refuse (f, rq, ANSWER_STALE, "");
+  if (f->n_callers >= FLEET_REQUESTS_MAX)
+    return refuse (f, rq, ANSWER_TOO_MANY, "");
+  rest = rq->path + strlen (q->prefix);
+  if (!*rest ? rq->verb != FLEET_STATE : !job_id_ok (rest))
+    return refuse (f, rq, ANSWER_BAD_JOB, "not an id");
+  if (rq->verb == FLEET_OTHER)
+    return refuse (f, rq, ANSWER_BAD_JOB, "method");
+  c = caller_new (f, rq, q, t);
+  clb_copy (c->id, rest, sizeof c->id);
+  if (rq->verb == FLEET_SUBMIT)
+    begin_submit (f, c, rq, q);
+  else if (rq->verb == FLEET_CANCEL)
+    read_row (f, c, CALLER_READ_JOB);
+  else if (*rest)
+    begin_state (f, c);
+  else
+    begin_count (f, c);
+}
+
+void
+fleet_caller_gone (struct fleet *f, uint64_t call)
+{
+  struct caller key = { .call = call };
+  struct caller *c = RB_FIND (caller_tree_f, &f->callers, &key);
+
+  /* A write under way goes on; it is just not told to anybody. */
+  if (c)
+    caller_free (f, c);
+}
+
+static void
+send_again (struct fleet *f, struct caller *c)
+{
+  f->stats.retries++;
+  if (c->step != CALLER_WRITING)
+    read_row (f, c, c->step);
+  else if (c->verb == FLEET_SUBMIT)
+    send_submit (f, c);
+  else
+    send_cancel (f, c);
+}
+
+static void
+store_failed (struct fleet *f, struct caller *c, int64_t err)
+{
+  bool writing = c->step == CALLER_WRITING;
+
+  f->stats.store_errors++;
+  c->token = 0;
+  if (writing && err != CLB_EUNAVAIL)
+    c->maybe = true;
+  if (!c->maybe && c->tries >= FLEET_REFUSED_TRIES)
+    {
+      finish (f, c, ANSWER_STORE_REFUSED, NULL);
+      return;
+    }
+  c->next_ms = f->now_ms + (err == CLB_EUNAVAIL ? FLEET_RETRY_MS : 1);
+}
+
+static void
+write_done (struct fleet *f, struct caller *c, const struct store_rep *rep)
+{
+  if (c->verb == FLEET_CANCEL)
+    finish (f, c, ANSWER_CANCELLED, NULL);
+  else
+    finish (f, c, rep->err ? ANSWER_DUPLICATE : ANSWER_ACCEPTED, NULL);
+}
+
+static void
+state_read (struct fleet *f, struct caller *c, const struct store_rep *rep)
+{
+  struct job_progress p = { 0 };
+  struct codec_err ce;
+  const char *value = rep->n_rows ? rep->rows[0].value : NULL;
+
+  if (rep->err || !value
+      || codec_parse (&job_progress_desc, value, strlen (value), CODEC_LENIENT,
+                      &p, &ce))
+    {
+      read_row (f, c, CALLER_READ_JOB);
+      return;
+    }
+  finish (f, c, ANSWER_STATE, text_body ("state", job_state_names[p.state]));
+  codec_free (&job_progress_desc, &p);
+}
+
+static void
+job_read (struct fleet *f, struct caller *c, const struct store_rep *rep)
+{
+  if (rep->err)
+    finish (f, c, ANSWER_NO_JOB, NULL);
+  else if (c->verb == FLEET_CANCEL)
+    send_cancel (f, c);
+  else
+    finish (f, c, ANSWER_STATE,
+            text_body ("state", job_state_names[JOB_PENDING]));
+}
+
+bool
+gate_store (struct fleet *f, uint64_t token, const struct store_rep *rep)
+{
+  struct caller *c;
+
+  RB_FOREACH (c, caller_tree_f, &f->callers)
+    if (c->token == token)
+      break;
+  if (!c)
+    return false;
+  if (rep->err && rep->err != CLB_ECONFLICT && rep->err != CLB_ENOTFOUND)
+    store_failed (f, c, rep->err);
+  else if (c->step == CALLER_WRITING)
+    write_done (f, c, rep);
+  else if (c->step == CALLER_READ_STATE)
+    state_read (f, c, rep);
+  else
+    job_read (f, c, rep);
+  return true;
+}
+
+/* Questions from others, and replies to our own. */
+
+static void
+reply_state (struct fleet *f, const struct mesh_msg *m)
+{
+  struct mesh_msg *r = calloc (1, sizeof *r);
+  int state;
+
+  if (!r)
+    abort ();
+  state = f->cell && f->cell->going && lead_may_admit (&f->lead, f->now_ms)
+              ? cell_state (f->cell, m->id)
+              : -1;
+  r->kind = MESH_STATE;
+  r->no = m->no;
+  r->known = state >= 0;
+  r->state = state >= 0 ? state : 0;
+  fleet_send (f, m->addr, r);
+}
+
+static void
+reply_waiting (struct fleet *f, const struct mesh_msg *m)
+{
+  struct mesh_msg *r;
+
+  if (!f->cell || !f->cell->going || !lead_may_admit (&f->lead, f->now_ms))
+    return;
+  r = calloc (1, sizeof *r);
+  if (!r)
+    abort ();
+  r->kind = MESH_WAITING;
+  r->no = m->no;
+  r->count = cell_waiting (f->cell, m->id);
+  fleet_send (f, m->addr, r);
+}
+
+static void
+take_reply (struct fleet *f, const struct mesh_msg *m)
+{
+  struct caller key = { .call = (uint64_t)m->no };
+  struct caller *c = RB_FIND (caller_tree_f, &f->callers, &key);
+
+  if (!c || c->step != CALLER_ASKING)
+    return;
+  if (m->kind == MESH_WAITING)
+    finish (f, c, ANSWER_WAITING, count_body (m->count));
+  else if (m->known)
+    finish (f, c, ANSWER_STATE,
+            text_body ("state", job_state_names[m->state]));
+  else
+    read_row (f, c, CALLER_READ_STATE);
+}
+
+void
+gate_mesh (struct fleet *f, const struct mesh_msg *m)
+{
+  switch (m->kind)
+    {
+    case MESH_STATE_ASK:
+      reply_state (f, m);
+      break;
+    case MESH_WAITING_ASK:
+      reply_waiting (f, m);
+      break;
+    default:
+      take_reply (f, m);
+      break;
+    }
+}
+
+static void
+caller_tick (struct fleet *f, struct caller *c)
+{
+  if (f->now_ms >= c->until_ms)
+    {
+      bool wrote = c->step == CALLER_WRITING && (c->maybe || c->token);
+      finish (f, c, wrote ? ANSWER_UNKNOWN : ANSWER_STORE_REFUSED, NULL);
+    }
+  else if (c->step == CALLER_ASKING && !c->token
+           && f->now_ms - c->asked_ms >= FLEET_ASK_MS)
+    {
+      f->stats.asks_lost++;
+      if (*c->id)
+        read_row (f, c, CALLER_READ_STATE);
+      else
+        finish (f, c, ANSWER_NO_LEADER, NULL);
+    }
+  else if (c->next_ms && f->now_ms >= c->next_ms)
+    send_again (f, c);
+}
+
+void
+gate_tick (struct fleet *f)
+{
+  struct caller *c, *next;
+
+  RB_FOREACH_SAFE (c, caller_tree_f, &f->callers, next)
+    caller_tick (f, c);
+}
+
+void
+gate_fini (struct fleet *f)
+{
+  struct caller *c, *next;
+
+  RB_FOREACH_SAFE (c, caller_tree_f, &f->callers, next)
+    caller_free (f, c);
+}
--- /dev/null
+++ b/core/job.c
@@ -0,0 +1,163 @@
+#include "job.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  DAY_MS = 86400000,
+  MEM_MB_MAX = 1 << 30,
+  MILLICORES_MAX = 1 << 30,
+  ACCELS_MAX = 1 << 20,
+};
+
+const char *const job_state_names[]
+    = { "pending", "running", "completed", "failed", "cancelled", NULL };
+
+static const struct fld need_fields[] = {
+  FLD_INT (struct job_need, millicores, 0, MILLICORES_MAX),
+  FLD_INT (struct job_need, mem_mb, 0, MEM_MB_MAX),
+  FLD_INT (struct job_need, accels, 0, ACCELS_MAX),
+};
+static DESC (need_desc, struct job_need, need_fields);
+
+static const struct fld step_fields[] = {
+  FLD_INT (struct job_step, tasks, 0, JOB_TASKS_MAX),
+  FLD_STRUCT (struct job_step, need, &need_desc),
+  FLD_INT (struct job_step, estimate_ms, 0, DAY_MS),
+  FLD_SET_AS ("after", struct job_step, after),
+  FLD_FLAG (struct job_step, gang),
+  FLD_FLAG (struct job_step, same_rack),
+  FLD_FLAG (struct job_step, checkpoints),
+  FLD_FLAG (struct job_step, duplicates),
+  FLD_FLAG (struct job_step, fills),
+  FLD_FLAG (struct job_step, lasting),
+  FLD_INT (struct job_step, max_per_exec, 0, JOB_TASKS_MAX),
+  FLD_INT (struct job_step, target_ms, 0, DAY_MS),
+  FLD_INT (struct job_step, away_max, 0, JOB_TASKS_MAX),
+  FLD_CHARS (struct job_step, label, false),
+  FLD_CHARS (struct job_step, data_rack, false),
+  FLD_CHARS (struct job_step, image, false),
+};
+DESC (job_step_desc, struct job_step, step_fields);
+
+static const struct fld advice_fields[] = {
+  FLD_REAL_AS ("base_ms", struct job_advice, base_ms, 0, DAY_MS),
+  FLD_REAL_AS ("each_ms", struct job_advice, each_ms, 0, DAY_MS),
+  FLD_INT (struct job_advice, valid_ms, 0, DAY_MS),
+};
+static DESC (advice_desc, struct job_advice, advice_fields);
+
+static const struct fld spec_fields[] = {
+  FLD_CHARS (struct job_spec, id, true),
+  FLD_CHARS (struct job_spec, queue, true),
+  FLD_CHARS (struct job_spec, tenant, false),
+  FLD_CHARS (struct job_spec, service, true),
+  FLD_INT (struct job_spec, priority, 0, INT32_MAX),
+  FLD_INT (struct job_spec, attempts, 0, INT32_MAX),
+  FLD_REAL_AS ("slack", struct job_spec, slack, 0, DAY_MS),
+  FLD_INT (struct job_spec, target_ms, 0, DAY_MS),
+  FLD_STRUCT (struct job_spec, advice, &advice_desc),
+  FLD_INT (struct job_spec, accepted_ms, 0, INT64_MAX),
+  FLD_STRING (struct job_spec, text, JOB_TEXT_MAX),
+  FLD_ARRAY (struct job_spec, steps, n_steps, &job_step_desc, JOB_STEPS_MAX),
+};
+DESC (job_spec_desc, struct job_spec, spec_fields);
+
+static const struct fld mark_fields[] = {
+  FLD_INT (struct job_mark, index, 0, JOB_TASKS_MAX),
+  FLD_FLAG (struct job_mark, done),
+  FLD_INT (struct job_mark, failures, 0, INT32_MAX),
+  FLD_INT (struct job_mark, failed_run, 0, INT64_MAX),
+};
+static DESC (mark_desc, struct job_mark, mark_fields);
+
+static const struct fld step_marks_fields[] = {
+  FLD_INT (struct job_step_marks, step, 0, JOB_STEPS_MAX),
+  FLD_ARRAY (struct job_step_marks, marks, n_marks, &mark_desc, JOB_TASKS_MAX),
+};
+static DESC (step_marks_desc, struct job_step_marks, step_marks_fields);
+
+static const struct fld progress_fields[] = {
+  FLD_NAMED (struct job_progress, state, job_state_names),
+  FLD_ARRAY (struct job_progress, steps, n_steps, &step_marks_desc,
+             JOB_STEPS_MAX),
+};
+DESC (job_progress_desc, struct job_progress, progress_fields);
+
+bool
+job_id_ok (const char *id)
+{
+  return strlen (id) == JOB_ID_SIZE - 1
+         && strspn (id, "0123456789abcdefABCDEF") == JOB_ID_SIZE - 1;
+}
+
+static int
+refuse (struct codec_err *ce, int err, size_t step, const char *what)
+{
+  ce->err = err;
+  snprintf (ce->path, sizeof ce->path, "steps[%zu].%s", step, what);
+  return err;
+}
+
+static int
+check_step (const struct job_spec *spec, size_t i, struct codec_err *ce)
+{
+  const struct job_step *s = &spec->steps[i];
+
+  if (s->tasks < 1)
+    return refuse (ce, CLB_ERANGE, i, "tasks");
+  if (i < 64 && s->after >> i)
+    return refuse (ce, CLB_EREF, i, "after");
+  if (s->lasting || s->target_ms)
+    return refuse (ce, CLB_EFIELD, i, "lasting (not supported)");
+  return 0;
+}
+
+int
+job_check (const struct job_spec *spec, struct codec_err *ce)
+{
+  int64_t tasks = 0;
+
+  if (spec->n_steps == 0)
+    {
+      ce->err = CLB_ERANGE;
+      clb_copy (ce->path, "steps", sizeof ce->path);
+      return CLB_ERANGE;
+    }
+  if (spec->repeat)
+    {
+      ce->err = CLB_EFIELD;
+      clb_copy (ce->path, "repeat (not supported)", sizeof ce->path);
+      return CLB_EFIELD;
+    }
+  for (size_t i = 0; i < spec->n_steps; i++)
+    {
+      int err = check_step (spec, i, ce);
+      if (err)
+        return err;
+      tasks += spec->steps[i].tasks;
+    }
+  if (tasks > JOB_FLEET_TASKS_MAX)
+    return refuse (ce, CLB_ETOOBIG, 0, "tasks");
+  return 0;
+}
+
+int64_t
+job_chain_ms (const struct job_spec *spec)
+{
+  int64_t ends[JOB_STEPS_MAX] = { 0 };
+  int64_t longest = 0;
+
+  for (size_t i = 0; i < spec->n_steps && i < JOB_STEPS_MAX; i++)
+    {
+      int64_t begin = 0;
+      for (size_t j = 0; j < i; j++)
+        if (spec->steps[i].after >> j & 1 && ends[j] > begin)
+          begin = ends[j];
+      ends[i] = begin + spec->steps[i].estimate_ms;
+      if (ends[i] > longest)
+        longest = ends[i];
+    }
+  return longest;
+}
--- /dev/null
+++ b/core/mesh.c
@@ -0,0 +1,68 @@
+#include "mesh.h"
+
+#include <stdlib.h>
+
+enum
+{
+  DELAY_MAX_MS = 86400000,
+};
+
+static const char *const kind_names[]
+    = { "hello",   "leader",     "state-ask", "state", "waiting-ask",
+        "waiting", "advise-ask", "advice",    NULL };
+
+static const struct fld name_fields[] = {
+  FLD_CHARS (struct mesh_name, exec, true),
+  FLD_CHARS (struct mesh_name, ticket, false),
+};
+static DESC (name_desc, struct mesh_name, name_fields);
+
+static const struct fld mesh_fields[] = {
+  FLD_NAMED_REQUIRED (struct mesh_msg, kind, kind_names),
+  FLD_CHARS (struct mesh_msg, from, true),
+  FLD_CHARS (struct mesh_msg, addr, true),
+  FLD_INT (struct mesh_msg, no, 0, INT64_MAX),
+  FLD_INT (struct mesh_msg, epoch, 0, INT64_MAX),
+  FLD_CHARS (struct mesh_msg, id, false),
+  FLD_INT (struct mesh_msg, count, 0, INT64_MAX),
+  FLD_FLAG (struct mesh_msg, known),
+  FLD_INT (struct mesh_msg, state, 0, JOB_STATE_N - 1),
+  FLD_INT (struct mesh_msg, occurrence, 0, INT64_MAX),
+  FLD_INT (struct mesh_msg, step, 0, JOB_STEPS_MAX - 1),
+  FLD_INT (struct mesh_msg, outcome, 0, ORDER_OUTCOME_N - 1),
+  FLD_INT (struct mesh_msg, valid_ms, 0, DELAY_MAX_MS),
+  FLD_INT (struct mesh_msg, conf_version, 0, INT64_MAX),
+  FLD_INT (struct mesh_msg, conf_age_ms, 0, INT64_MAX),
+  FLD_INT (struct mesh_msg, delay_ms, 0, DELAY_MAX_MS),
+  FLD_FLAG (struct mesh_msg, watch),
+  FLD_ARRAY (struct mesh_msg, names, n_names, &name_desc, ORDER_NAMES_MAX),
+};
+static DESC (mesh_desc, struct mesh_msg, mesh_fields);
+
+int
+mesh_pack (const struct mesh_msg *m, char **buf, size_t *len)
+{
+  return codec_pack (&mesh_desc, m, buf, len);
+}
+
+int
+mesh_unpack (const char *buf, size_t len, struct mesh_msg *m,
+             struct codec_err *ce)
+{
+  return codec_unpack (&mesh_desc, buf, len, m, ce);
+}
+
+void
+mesh_clear (struct mesh_msg *m)
+{
+  codec_free (&mesh_desc, m);
+}
+
+void
+mesh_free (struct mesh_msg *m)
+{
+  if (!m)
+    return;
+  mesh_clear (m);
+  free (m);
+}
--- /dev/null
+++ b/core/mesh.h
@@ -0,0 +1,62 @@
+/**
+ * DOC: Messages between the instances on the fleet.  All are hints or
+ * questions: nothing that must last depends on their arrival.
+ */
+#ifndef MESH_H
+#define MESH_H
+
+#include "order.h"
+
+enum mesh_kind
+{
+  MESH_HELLO,  /* follower to leader: here I am */
+  MESH_LEADER, /* leader's reply: term, and how fresh its configuration is */
+  MESH_STATE_ASK,
+  MESH_STATE, /* a job's state */
+  MESH_WAITING_ASK,
+  MESH_WAITING, /* how many jobs of a queue have not begun */
+  MESH_ADVISE_ASK,
+  MESH_ADVICE,
+  MESH_KIND_N
+};
+
+/** struct mesh_name - an executor, with its ticket in a reply */
+struct mesh_name
+{
+  char exec[CLB_ID_MAX];
+  char ticket[ORDER_TICKET_SIZE];
+};
+
+/** struct mesh_msg - one message of any kind; unused fields are zero */
+struct mesh_msg
+{
+  int kind; /* enum mesh_kind */
+  char from[CLB_ID_MAX];
+  char addr[CLB_ADDR_MAX]; /* of the sender */
+  int64_t no;              /* of a question, echoed in its reply */
+  int64_t epoch;           /* the leader's term */
+  char id[CLB_ID_MAX];     /* a job, or a queue's name */
+  int64_t count;
+  bool known;    /* the leader knows the job */
+  int64_t state; /* enum job_state */
+  int64_t occurrence;
+  int64_t step;
+  int64_t outcome; /* enum order_outcome */
+  int64_t valid_ms;
+  int64_t conf_version;
+  int64_t conf_age_ms; /* since the configuration was proved current */
+  int64_t delay_ms;    /* expected wait of new work for room */
+  bool watch;          /* the leader wants this follower to watch its lease */
+  struct mesh_name *names;
+  size_t n_names;
+};
+
+/** mesh_pack() - As msgpack that the caller frees.  0 or %CLB_ENOMEM. */
+int mesh_pack (const struct mesh_msg *m, char **buf, size_t *len);
+/** mesh_unpack() - %CLB_EPARSE, %CLB_EFIELD or %CLB_ERANGE if damaged. */
+int mesh_unpack (const char *buf, size_t len, struct mesh_msg *m,
+                 struct codec_err *ce);
+void mesh_clear (struct mesh_msg *m);
+void mesh_free (struct mesh_msg *m);
+
+#endif
--- a/core/msg.c
+++ b/core/msg.c
@@ -1,5 +1,8 @@
 #include "msg.h"
+#include "mesh.h"
+#include "order.h"
 
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,8 +25,9 @@
 static const char *const lane_names[] = { "task", "service", NULL };
 static const char *const verb_names[]
     = { "submit", "status", "cancel", "why", "acquire", "release", NULL };
-static const char *const store_names[]
-    = { "txn", "get", "list", "obj-put", "obj-get", "instances", NULL };
+static const char *const store_names[] = { "txn",     "get",     "list",
+                                           "obj-put", "obj-get", "instances",
+                                           "feed",    NULL };
 static const char *const pmsg_names[]
     = { "hello",   "call",     "reply", "handover", "promise-ask",
         "promise", "held-ask", "held",  NULL };
@@ -174,6 +178,8 @@
   FLD_STRING (struct store_op, value, ROW_TEXT_MAX),
   FLD_ARRAY (struct store_op, conds, n_conds, &cond_desc, BIG),
   FLD_ARRAY (struct store_op, puts, n_puts, &put_desc, BIG),
+  FLD_INT (struct store_op, since, 0, INT64_MAX),
+  FLD_INT (struct store_op, wait_ms, 0, DURATION_MS_MAX),
 };
 DESC (store_op_desc, struct store_op, store_op_fields);
 
@@ -187,6 +193,7 @@
   FLD_INT (struct store_rep, err, CLB_ERR_LAST, 0),
   FLD_ARRAY (struct store_rep, rows, n_rows, &row_desc, BIG),
   FLD_FLAG (struct store_rep, more),
+  FLD_INT (struct store_rep, ver, 0, INT64_MAX),
 };
 DESC (store_rep_desc, struct store_rep, store_rep_fields);
 
@@ -378,12 +385,34 @@
     case OUT_SYNC:
       codec_free (&sync_req_desc, &o->u.sync.req);
       break;
+    case OUT_ORDER:
+      order_free (o->u.order);
+      break;
+    case OUT_MESH:
+      mesh_free (o->u.mesh.msg);
+      break;
+    case OUT_LINE:
+      free (o->u.line);
+      break;
     default:
       break;
     }
   free (o);
 }
 
+void
+out_line (struct outq *q, const char *fmt, ...)
+{
+  va_list ap;
+  char *text;
+
+  va_start (ap, fmt);
+  if (vasprintf (&text, fmt, ap) < 0)
+    abort ();
+  va_end (ap);
+  out_new (q, OUT_LINE)->u.line = text;
+}
+
 void
 store_cond (struct store_op *op, const char *key, int64_t ver)
 {
--- a/core/msg.h
+++ b/core/msg.h
@@ -217,7 +217,7 @@
 {
   char *key;
   int64_t ver;
-  char *value;
+  char *value; /* NULL in a feed: the row was deleted */
 };
 enum store_kind
 {
@@ -227,6 +227,7 @@
   STORE_OBJ_PUT,
   STORE_OBJ_GET,
   STORE_INSTANCES, /* the list, unless it is still of version `after` */
+  STORE_FEED,      /* changes of the table `key` since version `since` */
 };
 struct store_op
 {
@@ -238,12 +239,15 @@
   size_t n_conds;
   struct put *puts;
   size_t n_puts;
+  int64_t since;   /* of a feed: the version that was read up to */
+  int64_t wait_ms; /* of a feed: the answer may wait so long for a change */
 };
 extern const struct desc store_op_desc;
 
 /**
  * struct store_rep - answer to a store operation
- * @err: 0; %CLB_ECONFLICT with the rows that did not match; %CLB_ENOTFOUND;
+ * @err: 0; %CLB_ECONFLICT with the rows that did not match; %CLB_ENOTFOUND,
+ *       of a feed: its history is gone, list the table again;
  *       %CLB_EUNAVAIL when it certainly had no effect; %CLB_EUNKNOWN when it
  *       may have had one
  */
@@ -252,7 +256,8 @@
   int64_t err;
   struct row *rows;
   size_t n_rows;
-  bool more; /* of a list: ask again after the last key */
+  bool more;   /* of a list: ask again after the last key */
+  int64_t ver; /* newest version that the answer takes in; 0: not told */
 };
 extern const struct desc store_rep_desc;
 
@@ -388,8 +393,14 @@
   OUT_SYNC,    /* to a worker */
   OUT_FORWARD, /* service request body to an executor */
   OUT_EVENT,   /* a decision, for watchers */
+  OUT_ORDER,   /* to an executor of the fleet or its advice service */
+  OUT_MESH,    /* to another instance on the fleet */
+  OUT_LINE,    /* one line for the log */
 };
 
+struct order;
+struct mesh_msg;
+
 struct event
 {
   int64_t no;
@@ -440,6 +451,13 @@
       int64_t max_run_ms;
     } forward;
     struct event event;
+    struct order *order; /* freed by out_free() */
+    struct
+    {
+      char addr[CLB_ADDR_MAX];
+      struct mesh_msg *msg; /* freed by out_free() */
+    } mesh;
+    char *line; /* without its end */
   } u;
 };
 TAILQ_HEAD (outq, out);
@@ -450,6 +468,10 @@
 struct out *out_take (struct outq *q);
 void out_free (struct out *o);
 
+/** out_line() - A line for the log, formatted; see docs/OPERATIONS.md. */
+void out_line (struct outq *q, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
 /* Helpers to fill store operations; they copy their arguments. */
 void store_cond (struct store_op *op, const char *key, int64_t ver);
 void store_put (struct store_op *op, const char *key, const char *value);
--- /dev/null
+++ b/core/order.c
@@ -0,0 +1,32 @@
+#include "order.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const char *const order_names[] = { "start", "stop", "hold", "advise", NULL };
+const char *const order_outcome_names[]
+    = { "done", "refused", "busy", "wrong-boot", "unreached", "lost", NULL };
+const char *const order_refusal_names[]
+    = { "other", "fence", "old", "late", "room", "ticket", NULL };
+const char *const end_names[]
+    = { "done",  "failed", "stopped", "lapsed", "broken",
+        "alone", "gone",   "never",   NULL };
+
+void
+order_free (struct order *o)
+{
+  if (!o)
+    return;
+  free (o->text);
+  free (o->names);
+  free (o);
+}
+
+void
+order_result_clear (struct order_result *r)
+{
+  free (r->runs);
+  free (r->ends);
+  free (r->good);
+  memset (r, 0, sizeof *r);
+}
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -220,6 +220,13 @@
   return c;
 }
 
+void
+httpc_limit (struct httpc *c, long each, long kept)
+{
+  curl_multi_setopt (c->multi, CURLMOPT_MAX_HOST_CONNECTIONS, each);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, kept);
+}
+
 static size_t
 on_body (char *data, size_t size, size_t n, void *arg)
 {
@@ -287,6 +294,8 @@
   RB_INSERT (xfer_tree, &c->xfers, x);
   add_header (x, "Content-Type", rq->type);
   add_header (x, "X-Request-Id", rq->request_id);
+  if (rq->header)
+    x->headers = curl_slist_append (x->headers, rq->header);
   x->headers = curl_slist_append (x->headers, "Expect:");
   curl_easy_setopt (e, CURLOPT_PRIVATE, x);
   curl_easy_setopt (e, CURLOPT_URL, rq->url);
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -26,6 +26,7 @@
   const char *url;
   const char *type;       /* Content-Type, or NULL */
   const char *request_id; /* X-Request-Id, or NULL */
+  const char *header;     /* another one, "Name: value", or NULL */
   const char *body;
   size_t body_len;
   int64_t timeout_ms;
@@ -42,6 +43,12 @@
 };
 
 struct httpc *httpc_new (uv_loop_t *loop);
+/**
+ * httpc_limit() - Bound the connections.
+ * @each: to one server; more requests wait in line, within their time-out
+ * @kept: idle ones, for all servers together
+ */
+void httpc_limit (struct httpc *c, long each, long kept);
 /** httpc_send() - Return: a number for httpc_resume() and httpc_abort(). */
 uint64_t httpc_send (struct httpc *c, const struct httpc_req *rq);
 void httpc_resume (struct httpc *c, uint64_t no);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -120,7 +120,7 @@
 fill_request (struct live *l, struct hreq *rq)
 {
   h2o_req_t *req = l->req;
-  size_t size = req->method.len + req->path.len + 8;
+  size_t size = req->method.len + req->path.len + req->authority.len + 8;
   const char prefix[] = "Bearer ";
 
   for (size_t i = 0; i < req->headers.size; i++)
@@ -137,10 +137,26 @@
     rq->bearer += sizeof prefix - 1;
   rq->request_id = copy_header (&at, req, "x-request-id");
   rq->type = copy_header (&at, req, "content-type");
+  rq->host = copy_text (&at, req->authority.base, req->authority.len);
+  ((char *)rq->host)[strcspn (rq->host, ":")] = '\0';
+  rq->impl = req;
   rq->body = req->entity.base;
   rq->body_len = req->entity.len;
 }
 
+const char *
+hreq_header (const struct hreq *rq, const char *name)
+{
+  h2o_req_t *req = rq->impl;
+  ssize_t i = h2o_find_header_by_str (&req->headers, name, strlen (name), -1);
+  h2o_iovec_t v;
+
+  if (i < 0)
+    return NULL;
+  v = req->headers.entries[i].value;
+  return h2o_strdup (&req->pool, v.base, v.len).base;
+}
+
 static void flush_stream (struct live *l);
 
 static void
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -20,10 +20,20 @@
   const char *bearer;     /* of the Authorization header, or NULL */
   const char *request_id; /* X-Request-Id, or NULL */
   const char *type;       /* Content-Type, or NULL */
+  const char *host;       /* without the port; may be empty */
   const char *body;       /* not terminated */
   size_t body_len;
+  void *impl;
 };
 
+/**
+ * hreq_header() - Another header of the request, or NULL.
+ * @name: in lower case
+ *
+ * Return: valid as long as @rq; call it only from on_request.
+ */
+const char *hreq_header (const struct hreq *rq, const char *name);
+
 struct httpd_conf
 {
   const char *addr; /* "ip:port"; port 0 takes a free one */
