Failed runs are kept by number; a pass promises room before it asks

A backlog of 700 jobs had each pass weigh every job against every executor and ask for advice that lapsed. Change: the numbers of failed runs are recorded; sort keys once a pass; a pass stops when no room is left that is not promised to earlier work; the lead is handed over by a write after the one in flight.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -25,6 +25,7 @@
      the readiness, one a second. */
   LINGER_MS = 3000,
   KILL_MARGIN_MS = 500,
+  LOAD_EVERY_MS = 1000,
 };
 
 struct fleetd
@@ -46,6 +47,8 @@
   bool pumping;
   int64_t stop_ms; /* told to stop then; 0: not */
   bool closed;
+  int64_t load_ms; /* the last line about the load */
+  int64_t load_cpu_ms;
 };
 
 /* Goes on while the machine is suspended: a lease must not seem to last. */
@@ -259,6 +262,40 @@
     uv_stop (d->loop);
 }
 
+static int64_t
+cpu_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+/* What the instance was busy with in the last second. */
+static void
+log_load (struct fleetd *d)
+{
+  const struct fleet *f = &d->fleet;
+  const struct cell_stats *s = &f->stats.cell;
+  char line[256];
+  int64_t now = boot_ms ();
+  int64_t cpu = cpu_ms ();
+
+  if (now - d->load_ms < LOAD_EVERY_MS)
+    return;
+  snprintf (line, sizeof line,
+            "event=load over_ms=%lld cpu_ms=%lld callers=%d leading=%d "
+            "jobs=%d starts=%llu questions=%llu passes=%llu dropped_lines=%llu",
+            (long long)(now - d->load_ms), (long long)(cpu - d->load_cpu_ms),
+            f->n_callers, f->lead.state == LEAD_HOLD,
+            f->cell ? f->cell->n_jobs : 0, (unsigned long long)s->starts,
+            (unsigned long long)s->questions, (unsigned long long)s->passes,
+            (unsigned long long)logline_stats ()->dropped);
+  log_line (line);
+  d->load_ms = now;
+  d->load_cpu_ms = cpu;
+}
+
 static void
 on_timer (uv_timer_t *t)
 {
@@ -267,6 +304,7 @@
 
   fleet_tick (&d->fleet, boot_ms (), wall_ms ());
   pump (d);
+  log_load (d);
   logline_flush ();
   pause = d->fleet.cell ? TICK_LEADER_MS : TICK_FOLLOWER_MS;
   uv_timer_start (t, on_timer, (uint64_t)pause, 0);
--- a/core/cell.c
+++ b/core/cell.c
@@ -83,7 +83,10 @@
     {
       struct jstep *s = &j->steps[i];
       for (int t = 0; t < s->n_tasks; t++)
-        free (s->tasks[t].saved);
+        {
+          free (s->tasks[t].saved);
+          free (s->tasks[t].failed);
+        }
       free (s->tasks);
       advice_forget (s);
     }
@@ -379,21 +382,33 @@
     mark_done (c, j, step, t);
 }
 
+/* A run may be told of twice, by an executor and by the record. */
+static bool
+add_failed (struct jtask *t, int64_t run)
+{
+  for (int i = 0; i < t->n_failed; i++)
+    if (t->failed[i].no == run)
+      return false;
+  if (t->n_failed == JOB_FAILURES_MAX)
+    return false;
+  t->failed = realloc (t->failed, (size_t)(t->n_failed + 1)
+                                      * sizeof *t->failed);
+  if (!t->failed)
+    abort ();
+  t->failed[t->n_failed++].no = run;
+  return true;
+}
+
 static void
 count_failure (struct cell *c, struct job *j, int step, int index, int64_t run)
 {
-  struct jstep *s = &j->steps[step];
-  struct jtask *t = &s->tasks[index];
   bool gang = j->spec.steps[step].gang;
-  int32_t *last = gang ? &s->gang_failed_run : &t->failed_run;
-  int32_t *count = gang ? &s->gang_failures : &t->failures;
+  struct jtask *t = &j->steps[step].tasks[gang ? 0 : index];
 
-  if (run <= *last)
+  if (!add_failed (t, run))
     return;
-  *last = (int32_t)run;
-  ++*count;
   cell_touch (c, j);
-  if (*count >= j->spec.attempts)
+  if (t->n_failed >= j->spec.attempts)
     finish (c, j, JOB_FAILED, "attempts-used-up");
 }
 
@@ -437,13 +452,8 @@
       if (k->index >= s->n_tasks)
         continue;
       struct jtask *t = &s->tasks[k->index];
-      t->failures = (int32_t)k->failures;
-      t->failed_run = (int32_t)k->failed_run;
-      if (j->spec.steps[m->step].gang)
-        {
-          s->gang_failures = t->failures;
-          s->gang_failed_run = t->failed_run;
-        }
+      for (size_t r = 0; r < k->n_failed; r++)
+        add_failed (t, k->failed[r].no);
       if (k->done)
         mark_done (c, j, (int)m->step, (int)k->index);
     }
@@ -480,8 +490,9 @@
   memset (spec, 0, sizeof *spec);
   j->old = old;
   j->come_ms = c->now_ms - age_ms;
+  j->chain_ms = job_chain_ms (&j->spec);
   j->due_ms = j->come_ms + j->spec.target_ms
-              + (int64_t)(j->spec.slack * (double)job_chain_ms (&j->spec));
+              + (int64_t)(j->spec.slack * (double)j->chain_ms);
   j->excess = !old && beyond_owed (c, j->spec.tenant);
   j->steps = zalloc (j->spec.n_steps, sizeof *j->steps);
   j->n_left = (int)j->spec.n_steps;
@@ -536,13 +547,11 @@
   for (int t = 0; t < s->n_tasks; t++)
     {
       const struct jtask *k = &s->tasks[t];
-      bool gang = j->spec.steps[step].gang && t == 0;
-      struct job_mark m
-          = { .index = t,
-              .done = k->done,
-              .failures = gang ? s->gang_failures : k->failures,
-              .failed_run = gang ? s->gang_failed_run : k->failed_run };
-      if (m.done || m.failures)
+      struct job_mark m = { .index = t,
+                            .done = k->done,
+                            .failed = k->failed,
+                            .n_failed = (size_t)k->n_failed };
+      if (m.done || m.n_failed)
         out[n++] = m;
     }
   return n;
--- a/core/cell.h
+++ b/core/cell.h
@@ -79,10 +79,10 @@
 struct jtask
 {
   struct start *run; /* NULL: not started */
-  char *saved;       /* latest checkpoint, or NULL */
+  char *saved; /* latest checkpoint, or NULL */
+  struct job_run *failed; /* runs that have failed; of a gang, at its first */
+  int32_t n_failed;
   int32_t next_run;
-  int32_t failures;
-  int32_t failed_run;
   bool done;
 };
 
@@ -111,8 +111,6 @@
   int n_running; /* with a run */
   bool ready;
   int64_t ready_ms;
-  int32_t gang_failures;
-  int32_t gang_failed_run;
   struct permit *permits; /* by the executor's index */
   int n_permits;
   uint64_t ask; /* outstanding question; 0: none */
@@ -131,6 +129,8 @@
   int n_left;      /* steps not done */
   int64_t come_ms; /* when it was accepted, on the local clock */
   int64_t due_ms;  /* of the objective */
+  int64_t chain_ms; /* longest chain of estimates */
+  int group;       /* in the placing pass under way; 0 goes first */
   bool old;        /* accepted before this leader's claim */
   bool excess;     /* beyond what its client account is owed */
   bool begun;      /* a task has started */
@@ -156,6 +156,9 @@
   bool in_write;       /* in the roster of the write in flight */
   struct startq runs;
   struct job_need used;
+  struct job_need promised; /* in the pass under way, to work that goes
+                               first and waits for advice */
+  bool open; /* may be given tasks, in the pass under way */
   int strays; /* runs that it lists and nobody wants */
   int64_t born_ms;
   int64_t clock_ms;     /* its clock ... */
@@ -241,6 +244,7 @@
 /** struct cell_stats - counters since the process began */
 struct cell_stats
 {
+  uint64_t passes; /* of placing */
   uint64_t starts;
   uint64_t ends[END_N];
   uint64_t refusals[REFUSED_N];
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -146,7 +146,7 @@
     {
       struct permit *p;
       int fits;
-      if (!exec_usable (c, e, j, step))
+      if (!exec_usable (e, j, step))
         continue;
       p = permit_of (s, e);
       if (p->state == PERMIT_GOOD && p->born_ms != e->born_ms)
@@ -176,7 +176,7 @@
   if (!all)
     abort ();
   TAILQ_FOREACH (e, &c->execs, link)
-    if (exec_usable (c, e, j, step)
+    if (exec_usable (e, j, step)
         && permit_of (s, e)->state == PERMIT_UNKNOWN)
       all[n++] = (struct candidate){ e, exec_fits (e, j, step, s->n_tasks) };
   qsort (all, n, sizeof *all, by_room);
@@ -227,6 +227,48 @@
   c->stats->questions++;
 }
 
+/* Room on @e for some of the step's tasks is not for work behind it. */
+static int
+promise (struct exec *e, const struct job *j, int step, int most)
+{
+  const struct job_step *s = &j->spec.steps[step];
+  int n = exec_fits (e, j, step, most);
+
+  if (!s->fills)
+    e->promised.millicores += n * s->need.millicores;
+  e->promised.mem_mb += n * s->need.mem_mb;
+  e->promised.accels += n * s->need.accels;
+  return n;
+}
+
+static void
+promise_names (const struct job *j, int step, const struct names *names,
+               int waiting)
+{
+  for (size_t i = 0; i < names->n && waiting > 0; i++)
+    waiting -= promise (names->list[i].e, j, step, waiting);
+}
+
+/* A question is under way: its executors' room stays promised. */
+static void
+promise_asked (struct cell *c, struct job *j, int step, int waiting)
+{
+  struct jstep *s = &j->steps[step];
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      const struct permit *p;
+      if (waiting <= 0)
+        return;
+      if (e->index >= s->n_permits || !exec_usable (e, j, step))
+        continue;
+      p = &s->permits[e->index];
+      if (p->state == PERMIT_ASKED || p->state == PERMIT_GOOD)
+        waiting -= promise (e, j, step, waiting);
+    }
+}
+
 void
 advice_want (struct cell *c, struct job *j, int step)
 {
@@ -234,25 +276,31 @@
   const struct job_advice *adv = &j->spec.advice;
   struct names names = { .n = 0 };
   int waiting = s->n_tasks - s->n_done - s->n_running;
+  bool gang = j->spec.steps[step].gang;
   int adviser;
   double cost;
 
-  if (s->ask || c->now_ms < s->ask_next_ms || waiting <= 0)
+  if (s->ask)
+    {
+      promise_asked (c, j, step, waiting);
+      return;
+    }
+  if (c->now_ms < s->ask_next_ms || waiting <= 0)
     return;
   add_lapsed (c, j, step, &names);
   if (names.good_fits < waiting && names.unasked > 0)
     add_unasked (c, j, step, &names,
                  SPARE_FACTOR * (waiting - names.good_fits));
   /* A gang needs room for all: until then its tickets would lapse unused. */
-  else if (j->spec.steps[step].gang && names.good_fits < waiting)
+  else if (gang && names.good_fits < waiting)
     return;
   if (names.n == 0)
     return;
   cost = adv->base_ms + adv->each_ms * (double)names.n;
   adviser = pick_adviser (c, cost);
-  if (adviser < 0)
-    return;
-  send_question (c, j, step, &names, adviser, cost);
+  promise_names (j, step, &names, waiting);
+  if (adviser >= 0)
+    send_question (c, j, step, &names, adviser, cost);
 }
 
 static void
--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -3,6 +3,7 @@
  */
 #include "cell_impl.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -310,7 +311,7 @@
   if (!j || job_state_final (j->state))
     return NULL;
   t = &j->steps[row->task.step].tasks[row->task.index];
-  if (t->done || t->run || row->run < t->failed_run)
+  if (t->done || t->run)
     return NULL;
   out_line (c->out,
             "event=run-adopted job=%s step=%lld task=%lld run=%lld "
@@ -476,21 +477,23 @@
 }
 
 bool
-exec_usable (const struct cell *c, const struct exec *e, const struct job *j,
-             int step)
+exec_open (const struct cell *c, const struct exec *e)
+{
+  return still_there (c, e) && e->heard && !e->silent && e->on_record
+         && !e->strays && !e->rep.draining && c->now_ms >= e->aside_until_ms;
+}
+
+bool
+exec_usable (const struct exec *e, const struct job *j, int step)
 {
   const struct job_step *s = &j->spec.steps[step];
   char label[JOB_LABEL_SIZE + 2];
 
-  if (!still_there (c, e) || !e->heard || e->silent || !e->on_record
-      || e->strays || e->rep.draining || c->now_ms < e->aside_until_ms
-      || strcmp (e->rep.service, j->spec.service) != 0)
+  if (!e->open || strcmp (e->rep.service, j->spec.service) != 0)
     return false;
   if (!*s->label)
     return true;
-  label[0] = ',';
-  clb_copy (label + 1, s->label, sizeof label - 2);
-  strcat (label, ",");
+  snprintf (label, sizeof label, ",%s,", s->label);
   return strstr (e->rep.labels, label) != NULL;
 }
 
@@ -509,12 +512,15 @@
   int64_t k;
 
   if (!s->fills
-      && (k = fit (room->millicores, e->used.millicores, s->need.millicores))
+      && (k = fit (room->millicores, e->used.millicores + e->promised.millicores,
+                  s->need.millicores))
              < n)
     n = k;
-  if ((k = fit (room->mem_mb, e->used.mem_mb, s->need.mem_mb)) < n)
+  if ((k = fit (room->mem_mb, e->used.mem_mb + e->promised.mem_mb,
+                s->need.mem_mb)) < n)
     n = k;
-  if ((k = fit (room->accels, e->used.accels, s->need.accels)) < n)
+  if ((k = fit (room->accels, e->used.accels + e->promised.accels,
+                s->need.accels)) < n)
     n = k;
   if (s->max_per_exec && n > 0)
     {
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -42,10 +42,11 @@
 void exec_failed_run (struct cell *c, struct exec *e);
 void exec_settle (struct cell *c);
 
-/** exec_usable() - Whether it may be given a task of @s now. */
-bool exec_usable (const struct cell *c, const struct exec *e,
-                  const struct job *j, int step);
-/** exec_fits() - How many tasks of @s it has room for, at most @most. */
+/** exec_open() - Whether it may be given tasks at all now. */
+bool exec_open (const struct cell *c, const struct exec *e);
+/** exec_usable() - Whether it is open to tasks of the step. */
+bool exec_usable (const struct exec *e, const struct job *j, int step);
+/** exec_fits() - How many such tasks it has room for, at most @most. */
 int exec_fits (const struct exec *e, const struct job *j, int step, int most);
 
 /* cell_place.c */
@@ -55,7 +56,10 @@
 bool permit_valid (const struct cell *c, const struct jstep *s,
                    const struct exec *e);
 struct permit *permit_of (struct jstep *s, const struct exec *e);
-/** advice_want() - Ask about executors, if that is due and one is free. */
+/**
+ * advice_want() - Ask about executors, if that is due and one is free; what
+ * room the step may get is promised to it in this pass.
+ */
 void advice_want (struct cell *c, struct job *j, int step);
 void advice_result (struct cell *c, const struct pending_order *p,
                     const struct order_result *res);
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -9,6 +9,8 @@
 enum
 {
   PASS_GAP_MS = 4, /* events of this long are placed together */
+  LOOK_EVERY = 8,  /* jobs between looks whether any room is left */
+  ROOM_MIN_MILLICORES = 100, /* less is no room for any task seen */
 };
 
 /* Whether the client account of @j may have one more such task running.  What
@@ -59,7 +61,7 @@
   TAILQ_FOREACH (e, &c->execs, link)
     {
       int64_t left;
-      if (!exec_usable (c, e, j, step) || !permitted (c, j, step, e)
+      if (!exec_usable (e, j, step) || !permitted (c, j, step, e)
           || exec_fits (e, j, step, 1) < 1)
         continue;
       left = e->rep.room.millicores - e->used.millicores;
@@ -126,7 +128,7 @@
     {
       int fits;
       if ((rack && strcmp (rack, e->rep.rack) != 0)
-          || !exec_usable (c, e, j, step) || !permitted (c, j, step, e))
+          || !exec_usable (e, j, step) || !permitted (c, j, step, e))
         continue;
       fits = exec_fits (e, j, step, want);
       if (fits < 1)
@@ -215,25 +217,21 @@
 group_of (const struct cell *c, const struct job *j)
 {
   int64_t objective = j->due_ms - j->come_ms;
-  int64_t left = job_chain_ms (&j->spec);
+  int64_t left = j->chain_ms;
 
   if (j->excess || c->now_ms + left > j->due_ms + 2 * objective)
     return 2;
   return c->now_ms + left > j->due_ms ? 1 : 0;
 }
 
-static const struct cell *sort_cell;
-
 static int
 by_urgency (const void *va, const void *vb)
 {
   const struct job *a = *(struct job *const *)va;
   const struct job *b = *(struct job *const *)vb;
-  int ga = group_of (sort_cell, a);
-  int gb = group_of (sort_cell, b);
 
-  if (ga != gb)
-    return ga - gb;
+  if (a->group != b->group)
+    return a->group - b->group;
   if ((a->spec.priority == 0) != (b->spec.priority == 0))
     return a->spec.priority == 0 ? -1 : 1;
   if (a->due_ms != b->due_ms)
@@ -255,6 +253,33 @@
   return false;
 }
 
+static void
+open_execs (struct cell *c)
+{
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      e->open = exec_open (c, e);
+      e->promised = (struct job_need){ 0 };
+    }
+}
+
+/* Whether an executor has room that is not promised yet. */
+static bool
+some_room (const struct cell *c)
+{
+  const struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (e->open
+        && e->rep.room.millicores - e->used.millicores
+                   - e->promised.millicores
+               >= ROOM_MIN_MILLICORES)
+      return true;
+  return false;
+}
+
 void
 place_pass (struct cell *c)
 {
@@ -262,6 +287,7 @@
   int n = 0;
 
   c->pass_due = false;
+  c->stats->passes++;
   c->next_pass_ms = c->now_ms + PASS_GAP_MS;
   if (c->n_jobs > c->ready_cap)
     {
@@ -273,9 +299,16 @@
     }
   TAILQ_FOREACH (j, &c->queue, link)
     if (wants_room (c, j))
-      c->ready[n++] = j;
-  sort_cell = c;
+      {
+        j->group = group_of (c, j);
+        c->ready[n++] = j;
+      }
+  open_execs (c);
   qsort (c->ready, (size_t)n, sizeof (struct job *), by_urgency);
   for (int i = 0; i < n; i++)
-    place_job (c, c->ready[i]);
+    {
+      if (i % LOOK_EVERY == 0 && !some_room (c))
+        break;
+      place_job (c, c->ready[i]);
+    }
 }
--- a/core/job.c
+++ b/core/job.c
@@ -64,11 +64,15 @@
 };
 DESC (job_spec_desc, struct job_spec, spec_fields);
 
+static const struct fld run_fields[] = {
+  FLD_INT (struct job_run, no, 0, INT64_MAX),
+};
+static DESC (run_desc, struct job_run, run_fields);
+
 static const struct fld mark_fields[] = {
   FLD_INT (struct job_mark, index, 0, JOB_TASKS_MAX),
   FLD_FLAG (struct job_mark, done),
-  FLD_INT (struct job_mark, failures, 0, INT32_MAX),
-  FLD_INT (struct job_mark, failed_run, 0, INT64_MAX),
+  FLD_ARRAY (struct job_mark, failed, n_failed, &run_desc, JOB_FAILURES_MAX),
 };
 static DESC (mark_desc, struct job_mark, mark_fields);
 
--- a/core/job.h
+++ b/core/job.h
@@ -15,6 +15,7 @@
   JOB_TASKS_MAX = 1024,       /* tasks of one step */
   JOB_FLEET_TASKS_MAX = 4096, /* tasks of one job */
   JOB_LABEL_SIZE = 48,
+  JOB_FAILURES_MAX = 64, /* of one task; a queue allows no more attempts */
   JOB_SAVED_SIZE = 64, /* a checkpoint's name with NUL */
 };
 
@@ -92,13 +93,19 @@
   JOB_STATE_N
 };
 
-/** struct job_mark - what is recorded of one task */
+/** struct job_run - the number of one run of a task */
+struct job_run
+{
+  int64_t no;
+};
+
+/** struct job_mark - what is recorded of one task, or of a gang by its first */
 struct job_mark
 {
   int64_t index; /* of the task in its step */
   bool done;
-  int64_t failures;
-  int64_t failed_run; /* the last run counted in @failures */
+  struct job_run *failed; /* runs that have failed, in any order */
+  size_t n_failed;
 };
 
 /** struct job_step_marks - recorded tasks of one step */
--- a/core/lead.c
+++ b/core/lead.c
@@ -147,9 +147,24 @@
     l->read = false;
 }
 
+/* After the write in flight: a successor waits for its row to stand still. */
+static void
+write_release (struct lead *l, int64_t now_ms)
+{
+  struct store_op *op = calloc (1, sizeof *op);
+
+  if (!op)
+    abort ();
+  l->releasing = true;
+  put_holder (op, l, l->epoch, true);
+  lead_write (l, now_ms, op);
+}
+
 void
 lead_tick (struct lead *l, int64_t now_ms)
 {
+  if (l->state == LEAD_HOLD && l->stopping && !l->write && !l->token)
+    write_release (l, now_ms);
   if (l->state == LEAD_HOLD && l->write && !l->token && now_ms >= l->next_ms)
     {
       struct store_op *op = send_op (l, now_ms, STORE_TXN);
@@ -262,6 +277,12 @@
   /* The row may have stood still since the first try. */
   l->renewed_ms = l->first_ms;
   drop_write (l);
+  if (l->releasing)
+    {
+      l->state = LEAD_FOLLOW;
+      l->read = false;
+      return LEAD_SAME;
+    }
   return LEAD_RECORDED;
 }
 
@@ -310,7 +331,7 @@
 bool
 lead_can_write (const struct lead *l, int64_t now_ms)
 {
-  return l->state == LEAD_HOLD && !l->write && !l->token
+  return l->state == LEAD_HOLD && !l->stopping && !l->write && !l->token
          && now_ms >= l->next_ms;
 }
 
@@ -338,28 +359,15 @@
 void
 lead_release (struct lead *l, int64_t now_ms)
 {
-  struct store_op *op;
-  char value[CLB_NAME_MAX];
-
   l->stopping = true;
-  if (l->state != LEAD_HOLD)
-    return;
-  l->state = LEAD_FOLLOW;
-  /* A write in flight moves the row: then the successor waits as for a
-     leader that died. */
-  op = send_op (l, now_ms, STORE_TXN);
-  l->seq++;
-  store_cond (op, KEY_JOURNAL, l->journal_ver);
-  put_holder (op, l, l->epoch, true);
-  journal_value (l, l->epoch, value);
-  store_put (op, KEY_JOURNAL, value);
-  drop_write (l);
+  lead_tick (l, now_ms);
 }
 
 bool
 lead_may_order (const struct lead *l, int64_t now_ms)
 {
-  return l->state == LEAD_HOLD && now_ms - l->renewed_ms < LEAD_ORDER_MS;
+  return l->state == LEAD_HOLD && !l->stopping
+         && now_ms - l->renewed_ms < LEAD_ORDER_MS;
 }
 
 bool
--- a/core/lead.h
+++ b/core/lead.h
@@ -74,6 +74,7 @@
   int64_t claim_ms;       /* the claim was sent then */
   struct store_op *write; /* to be sent again until its end is known */
   bool stopping;
+  bool releasing; /* the write in flight hands the lead over */
 };
 
 void lead_init (struct lead *l, const char *me, const char *addr, int64_t boot,
