--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SAN ?=
 CFLAGS ?= -O2 -g
 CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -iquote core -iquote net \
-	-iquote citronlbd -iquote platform -iquote regress/standin -iquote regress -I/usr/include/lua5.4
+	-iquote citronlbd -iquote platform -iquote regress/standin -iquote regress -iquote regress/fsim -I/usr/include/lua5.4
 ALL_CFLAGS = -std=gnu17 -Wall -Wextra -Werror $(CFLAGS) $(SAN) -MMD -MP
 CORE_LIBS = -ljansson -lmsgpackc -lcrypto -lbsd
 NET_LIBS = -lh2o -luv -lssl -lcrypto -lz -lcurl -lm
@@ -25,7 +25,8 @@
 
 PROGRAMS = $(BUILD)/citronlbd/citronlbd $(BUILD)/citronctl/citronctl \
 	$(BUILD)/regress/platformd $(BUILD)/regress/backendd \
-	$(BUILD)/regress/scn-run
+	$(BUILD)/regress/scn-run $(BUILD)/regress/fsim-run \
+	$(BUILD)/regress/fleet-standin $(BUILD)/regress/fleet-load
 
 print-flags:
 	@echo "$(CPPFLAGS) -std=gnu17 $(CFLAGS) $(SAN)"
@@ -88,6 +89,17 @@
 $(BUILD)/regress/scn-run: $(SCN) $(STANDIN) $(CORE)
 	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -llua5.4
 
+FSIM = $(patsubst %.c,$(BUILD)/%.o,$(wildcard regress/fsim/*.c))
+$(BUILD)/regress/fsim-run: $(FSIM) $(CORE)
+	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -llua5.4
+
+$(BUILD)/regress/fleet-standin: $(BUILD)/regress/standin/fleetd.o \
+	$(filter-out %/verbs.o,$(FSIM)) $(PLATFORM) $(CORE) $(NET)
+	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS)
+
+$(BUILD)/regress/fleet-load: $(BUILD)/regress/standin/fleetload.o $(NET)
+	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS)
+
 $(BUILD)/regress/unit/%: $(BUILD)/regress/unit/%.o $(STANDIN) $(CORE)
 	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -lcunit
 
--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -283,14 +283,15 @@
 
   if (now - d->load_ms < LOAD_EVERY_MS)
     return;
-  snprintf (line, sizeof line,
-            "event=load over_ms=%lld cpu_ms=%lld callers=%d leading=%d "
-            "jobs=%d starts=%llu questions=%llu passes=%llu dropped_lines=%llu",
-            (long long)(now - d->load_ms), (long long)(cpu - d->load_cpu_ms),
-            f->n_callers, f->lead.state == LEAD_HOLD,
-            f->cell ? f->cell->n_jobs : 0, (unsigned long long)s->starts,
-            (unsigned long long)s->questions, (unsigned long long)s->passes,
-            (unsigned long long)logline_stats ()->dropped);
+  snprintf (
+      line, sizeof line,
+      "event=load over_ms=%lld cpu_ms=%lld callers=%d leading=%d "
+      "jobs=%d starts=%llu questions=%llu passes=%llu dropped_lines=%llu",
+      (long long)(now - d->load_ms), (long long)(cpu - d->load_cpu_ms),
+      f->n_callers, f->lead.state == LEAD_HOLD, f->cell ? f->cell->n_jobs : 0,
+      (unsigned long long)s->starts, (unsigned long long)s->questions,
+      (unsigned long long)s->passes,
+      (unsigned long long)logline_stats ()->dropped);
   log_line (line);
   d->load_ms = now;
   d->load_cpu_ms = cpu;
--- a/core/cell.c
+++ b/core/cell.c
@@ -391,8 +391,8 @@
       return false;
   if (t->n_failed == JOB_FAILURES_MAX)
     return false;
-  t->failed = realloc (t->failed, (size_t)(t->n_failed + 1)
-                                      * sizeof *t->failed);
+  t->failed
+      = realloc (t->failed, (size_t)(t->n_failed + 1) * sizeof *t->failed);
   if (!t->failed)
     abort ();
   t->failed[t->n_failed++].no = run;
--- a/core/cell.h
+++ b/core/cell.h
@@ -78,8 +78,8 @@
 
 struct jtask
 {
-  struct start *run; /* NULL: not started */
-  char *saved; /* latest checkpoint, or NULL */
+  struct start *run;      /* NULL: not started */
+  char *saved;            /* latest checkpoint, or NULL */
   struct job_run *failed; /* runs that have failed; of a gang, at its first */
   int32_t n_failed;
   int32_t next_run;
@@ -126,17 +126,17 @@
   struct jstep *steps;
   int state; /* enum job_state */
   int n_runs;
-  int n_left;      /* steps not done */
-  int64_t come_ms; /* when it was accepted, on the local clock */
-  int64_t due_ms;  /* of the objective */
+  int n_left;       /* steps not done */
+  int64_t come_ms;  /* when it was accepted, on the local clock */
+  int64_t due_ms;   /* of the objective */
   int64_t chain_ms; /* longest chain of estimates */
-  int group;       /* in the placing pass under way; 0 goes first */
-  bool old;        /* accepted before this leader's claim */
-  bool excess;     /* beyond what its client account is owed */
-  bool begun;      /* a task has started */
-  bool dirty;      /* its record must be written */
-  bool writing;    /* in the write in flight */
-  bool recorded;   /* its final state is durable */
+  int group;        /* in the placing pass under way; 0 goes first */
+  bool old;         /* accepted before this leader's claim */
+  bool excess;      /* beyond what its client account is owed */
+  bool begun;       /* a task has started */
+  bool dirty;       /* its record must be written */
+  bool writing;     /* in the write in flight */
+  bool recorded;    /* its final state is durable */
 };
 RB_HEAD (job_tree, job);
 TAILQ_HEAD (jobq, job);
@@ -158,8 +158,8 @@
   struct job_need used;
   struct job_need promised; /* in the pass under way, to work that goes
                                first and waits for advice */
-  bool open; /* may be given tasks, in the pass under way */
-  int strays; /* runs that it lists and nobody wants */
+  bool open;                /* may be given tasks, in the pass under way */
+  int strays;               /* runs that it lists and nobody wants */
   int64_t born_ms;
   int64_t clock_ms;     /* its clock ... */
   int64_t clock_at_ms;  /* ... at this local time */
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -176,8 +176,7 @@
   if (!all)
     abort ();
   TAILQ_FOREACH (e, &c->execs, link)
-    if (exec_usable (e, j, step)
-        && permit_of (s, e)->state == PERMIT_UNKNOWN)
+    if (exec_usable (e, j, step) && permit_of (s, e)->state == PERMIT_UNKNOWN)
       all[n++] = (struct candidate){ e, exec_fits (e, j, step, s->n_tasks) };
   qsort (all, n, sizeof *all, by_room);
   for (size_t i = 0; i < n && out->n < ORDER_NAMES_MAX
--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -512,15 +512,18 @@
   int64_t k;
 
   if (!s->fills
-      && (k = fit (room->millicores, e->used.millicores + e->promised.millicores,
-                  s->need.millicores))
+      && (k
+          = fit (room->millicores, e->used.millicores + e->promised.millicores,
+                 s->need.millicores))
              < n)
     n = k;
   if ((k = fit (room->mem_mb, e->used.mem_mb + e->promised.mem_mb,
-                s->need.mem_mb)) < n)
+                s->need.mem_mb))
+      < n)
     n = k;
   if ((k = fit (room->accels, e->used.accels + e->promised.accels,
-                s->need.accels)) < n)
+                s->need.accels))
+      < n)
     n = k;
   if (s->max_per_exec && n > 0)
     {
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -8,8 +8,8 @@
 
 enum
 {
-  PASS_GAP_MS = 4, /* events of this long are placed together */
-  LOOK_EVERY = 8,  /* jobs between looks whether any room is left */
+  PASS_GAP_MS = 4,           /* events of this long are placed together */
+  LOOK_EVERY = 8,            /* jobs between looks whether any room is left */
   ROOM_MIN_MILLICORES = 100, /* less is no room for any task seen */
 };
 
@@ -273,8 +273,7 @@
 
   TAILQ_FOREACH (e, &c->execs, link)
     if (e->open
-        && e->rep.room.millicores - e->used.millicores
-                   - e->promised.millicores
+        && e->rep.room.millicores - e->used.millicores - e->promised.millicores
                >= ROOM_MIN_MILLICORES)
       return true;
   return false;
--- a/core/job.h
+++ b/core/job.h
@@ -16,7 +16,7 @@
   JOB_FLEET_TASKS_MAX = 4096, /* tasks of one job */
   JOB_LABEL_SIZE = 48,
   JOB_FAILURES_MAX = 64, /* of one task; a queue allows no more attempts */
-  JOB_SAVED_SIZE = 64, /* a checkpoint's name with NUL */
+  JOB_SAVED_SIZE = 64,   /* a checkpoint's name with NUL */
 };
 
 /** struct job_need - what one task takes of an executor */
@@ -99,7 +99,8 @@
   int64_t no;
 };
 
-/** struct job_mark - what is recorded of one task, or of a gang by its first */
+/** struct job_mark - what is recorded of one task, or of a gang by its first
+ */
 struct job_mark
 {
   int64_t index; /* of the task in its step */
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -5,11 +5,13 @@
 #include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <bsd/sys/tree.h>
 
 enum
 {
   CONNECTIONS_KEPT = 256, /* idle ones, for all servers together */
+  HANDLES_KEPT = 64,      /* of libcurl, to be used again */
   ANSWER_MAX = 64 << 20,  /* bytes of an answer that is kept whole */
 };
 
@@ -20,6 +22,7 @@
   CURL *easy;
   struct curl_slist *headers;
   struct httpc_req rq;
+  char *body; /* being sent */
   uint64_t no;
   char *buf;
   size_t len;
@@ -34,15 +37,22 @@
   uv_timer_t timer;
   CURLM *multi;
   struct xfer_tree xfers;
+  struct watch **watches; /* by descriptor */
+  size_t n_watches;
+  CURL *idle[HANDLES_KEPT];
+  int n_idle;
   uint64_t next_no;
 };
 
-/* struct watch - libuv's side of one of curl's sockets */
+/* struct watch - libuv's side of one of curl's sockets; it stays while the
+   connection is idle, so that the next request finds it polled already */
 struct watch
 {
   uv_poll_t poll;
   struct httpc *c;
   curl_socket_t fd;
+  int events; /* polled for */
+  bool idle;  /* curl does not want to hear of it */
 };
 
 static int
@@ -92,8 +102,12 @@
     tell_head (x);
   RB_REMOVE (xfer_tree, &c->xfers, x);
   curl_multi_remove_handle (c->multi, x->easy);
-  curl_easy_cleanup (x->easy);
+  if (c->n_idle < HANDLES_KEPT)
+    c->idle[c->n_idle++] = x->easy;
+  else
+    curl_easy_cleanup (x->easy);
   curl_slist_free_all (x->headers);
+  free (x->body);
   x->rq.on_end (x->rq.arg, end, (int)status, x->rq.on_data ? NULL : x->buf,
                 x->len);
   free (x->buf);
@@ -147,6 +161,13 @@
   int flags = 0;
   int running;
 
+  if (w->idle)
+    {
+      /* The server has closed it: curl finds out when it wants it again. */
+      uv_poll_stop (&w->poll);
+      w->events = 0;
+      return;
+    }
   if (status < 0)
     flags |= CURL_CSELECT_ERR;
   if (events & UV_READABLE)
@@ -163,43 +184,76 @@
   free (h->data);
 }
 
+static struct watch *
+watch_of (struct httpc *c, curl_socket_t fd)
+{
+  struct watch *w;
+
+  if ((size_t)fd >= c->n_watches)
+    {
+      size_t n = (size_t)fd + 64;
+      c->watches = realloc (c->watches, n * sizeof (struct watch *));
+      if (!c->watches)
+        abort ();
+      memset (c->watches + c->n_watches, 0,
+              (n - c->n_watches) * sizeof (struct watch *));
+      c->n_watches = n;
+    }
+  w = c->watches[fd];
+  if (w)
+    return w;
+  w = calloc (1, sizeof *w);
+  if (!w)
+    abort ();
+  w->c = c;
+  w->fd = fd;
+  uv_poll_init_socket (c->loop, &w->poll, fd);
+  w->poll.data = w;
+  c->watches[fd] = w;
+  return w;
+}
+
 static int
 set_socket (CURL *easy, curl_socket_t fd, int what, void *arg, void *sockp)
 {
   struct httpc *c = arg;
-  struct watch *w = sockp;
+  struct watch *w = watch_of (c, fd);
   int events = 0;
 
   (void)easy;
+  (void)sockp;
   if (what == CURL_POLL_REMOVE)
     {
-      if (w)
-        {
-          uv_poll_stop (&w->poll);
-          uv_close ((uv_handle_t *)&w->poll, free_watch);
-          curl_multi_assign (c->multi, fd, NULL);
-        }
+      w->idle = true;
       return 0;
     }
-  if (!w)
-    {
-      w = calloc (1, sizeof *w);
-      if (!w)
-        abort ();
-      w->c = c;
-      w->fd = fd;
-      uv_poll_init_socket (c->loop, &w->poll, fd);
-      w->poll.data = w;
-      curl_multi_assign (c->multi, fd, w);
-    }
+  w->idle = false;
   if (what & CURL_POLL_IN)
     events |= UV_READABLE;
   if (what & CURL_POLL_OUT)
     events |= UV_WRITABLE;
+  if (events == w->events)
+    return 0;
+  w->events = events;
   uv_poll_start (&w->poll, events, on_poll);
   return 0;
 }
 
+static int
+close_socket (void *arg, curl_socket_t fd)
+{
+  struct httpc *c = arg;
+
+  if ((size_t)fd < c->n_watches && c->watches[fd])
+    {
+      struct watch *w = c->watches[fd];
+      c->watches[fd] = NULL;
+      uv_poll_stop (&w->poll);
+      uv_close ((uv_handle_t *)&w->poll, free_watch);
+    }
+  return close (fd);
+}
+
 struct httpc *
 httpc_new (uv_loop_t *loop)
 {
@@ -279,13 +333,49 @@
   x->headers = curl_slist_append (x->headers, line);
 }
 
+/* What is the same for every request. */
+static CURL *
+handle_new (struct httpc *c)
+{
+  CURL *e = curl_easy_init ();
+
+  if (!e)
+    abort ();
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (e, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (e, CURLOPT_CLOSESOCKETDATA, c);
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_PROXY, "");
+  return e;
+}
+
+static void
+set_body (struct xfer *x, const struct httpc_req *rq)
+{
+  CURL *e = x->easy;
+
+  if (!rq->body)
+    {
+      curl_easy_setopt (e, CURLOPT_HTTPGET, 1L);
+      return;
+    }
+  x->body = malloc (rq->body_len + 1);
+  if (!x->body)
+    abort ();
+  memcpy (x->body, rq->body, rq->body_len);
+  curl_easy_setopt (e, CURLOPT_POST, 1L);
+  curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)rq->body_len);
+  curl_easy_setopt (e, CURLOPT_POSTFIELDS, x->body);
+}
+
 uint64_t
 httpc_send (struct httpc *c, const struct httpc_req *rq)
 {
   struct xfer *x = calloc (1, sizeof *x);
-  CURL *e = curl_easy_init ();
+  CURL *e = c->n_idle ? c->idle[--c->n_idle] : handle_new (c);
 
-  if (!x || !e)
+  if (!x)
     abort ();
   x->c = c;
   x->easy = e;
@@ -297,28 +387,16 @@
   if (rq->header)
     x->headers = curl_slist_append (x->headers, rq->header);
   x->headers = curl_slist_append (x->headers, "Expect:");
+  set_body (x, rq);
   curl_easy_setopt (e, CURLOPT_PRIVATE, x);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, x);
   curl_easy_setopt (e, CURLOPT_URL, rq->url);
   curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, rq->method);
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, x->headers);
-  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (e, CURLOPT_WRITEDATA, x);
-  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (e, CURLOPT_PROXY, "");
   curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)rq->timeout_ms);
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)rq->connect_ms);
-  if (rq->fresh)
-    {
-      curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
-    }
-  if (rq->body)
-    {
-      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)rq->body_len);
-      curl_easy_setopt (e, CURLOPT_COPYPOSTFIELDS, rq->body);
-    }
+  curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, (long)rq->fresh);
+  curl_easy_setopt (e, CURLOPT_FORBID_REUSE, (long)rq->fresh);
   curl_multi_add_handle (c->multi, e);
   return x->no;
 }
--- /dev/null
+++ b/regress/fsim/fsim.h
@@ -0,0 +1,233 @@
+/**
+ * DOC: A small fleet on a virtual clock: instances running the real core, a
+ * table, executors and an advice service of our own, faults, and checks of
+ * what the executors saw.  Scripts in Lua drive it (regress/fleet/).
+ */
+#ifndef FSIM_H
+#define FSIM_H
+
+#include "fleet.h"
+
+enum
+{
+  FSIM_INSTANCES_MAX = 64,
+  FSIM_EXECS_MAX = 512,
+  FSIM_LINK_MS = 2,      /* one way, between any two */
+  FSIM_STORE_MS = 3,     /* a transaction, one after another in a part */
+  FSIM_HISTORY = 100000, /* changes that a feed can go back */
+};
+
+struct fsim;
+
+/** struct fsim_event - something that happens at a time */
+struct fsim_event
+{
+  int64_t at_ms;
+  uint64_t seq;
+  void (*fn) (struct fsim *s, void *arg);
+  void *arg;
+};
+
+/** struct frow - a row of the table */
+struct frow
+{
+  RB_ENTRY (frow) by_key;
+  char *key;
+  char *value;
+  int64_t ver;
+};
+RB_HEAD (frow_tree, frow);
+
+struct fchange
+{
+  int64_t ver;
+  char *key;
+};
+
+/** struct ftable - the platform's table service */
+struct ftable
+{
+  struct frow_tree rows;
+  int64_t ver;
+  struct fchange *log;
+  size_t n_log;
+  int64_t oldest; /* changes up to here are forgotten */
+  int64_t down_until_ms;
+  int64_t slow; /* times the usual */
+  double lost;  /* share of writes that are done and not answered */
+  double late;  /* ... and done seconds later */
+  int64_t busy_until_ms;
+  uint64_t calls;
+};
+
+/** struct frun - a task on an executor */
+struct frun
+{
+  struct task_ref task;
+  int64_t run;
+  int64_t begin_ms;
+  int64_t end_ms;
+  int how; /* at end_ms */
+  bool stopping;
+  struct job_need need;
+};
+
+struct fexec
+{
+  char id[CLB_ID_MAX];
+  int index;
+  bool up;
+  bool listed;
+  bool draining;
+  int64_t born_ms;
+  int64_t cut_until_ms;
+  int64_t lease_until_ms;
+  int64_t fence;
+  double lost; /* share of answers that get lost */
+  double late; /* share of starts carried out seconds later, unanswered */
+  bool fails;  /* all that it starts */
+  bool hangs;
+  struct job_need room;
+  struct frun runs[256];
+  int n_runs;
+  struct end_row ends[4096];
+  int n_ends;
+  int64_t last_end;
+  int64_t stopped_run[64];
+  struct task_ref stopped_task[64];
+  int n_stopped;
+};
+
+/** struct fjob - what a caller handed in */
+struct fjob
+{
+  RB_ENTRY (fjob) by_id;
+  char id[JOB_ID_SIZE];
+  struct job_spec spec;
+  int64_t task_ms[JOB_STEPS_MAX];
+  bool poison;
+  bool accepted;
+  bool refused; /* every try was */
+  int64_t sent_ms;
+  int64_t done_ms;     /* the last task was done */
+  int state;           /* last told, or -1 */
+  struct fmark *marks; /* by step and index */
+  int n_marks;
+};
+RB_HEAD (fjob_tree, fjob);
+
+/** struct fmark - what the executors know of a task */
+struct fmark
+{
+  int running;
+  bool done;
+  bool noted; /* the end was acknowledged */
+  int failed;
+  int starts;
+};
+
+/** struct fcall - a caller's request */
+struct fcall
+{
+  uint64_t no;
+  int instance;
+  int verb;
+  char id[JOB_ID_SIZE];
+  int status; /* 0: no answer yet */
+  int64_t retry_ms;
+  char *body;
+  int64_t answered_ms;
+};
+
+struct finst
+{
+  struct fleet fleet;
+  bool up;
+  bool frozen;
+  int64_t frozen_until_ms;
+  int64_t store_cut_until_ms;
+  int64_t cut_until_ms; /* from other instances and executors */
+  int64_t advice_until_ms;
+  uint64_t life; /* answers to an earlier one are dropped */
+  uint64_t ticks;
+};
+
+struct fsim
+{
+  int64_t now_ms;
+  uint64_t seq;
+  uint64_t rng;
+  struct fsim_event *heap;
+  size_t n_heap;
+  size_t cap_heap;
+  struct ftable table;
+  struct finst *inst[FSIM_INSTANCES_MAX];
+  int n_inst;
+  struct fexec *exec[FSIM_EXECS_MAX];
+  int n_exec;
+  double good_share;
+  struct fjob_tree jobs;
+  struct fcall *calls;
+  size_t n_calls;
+  int64_t advice_calls;
+  int violations;
+  char first[256]; /* the first violation */
+  bool verbose;
+};
+
+RB_PROTOTYPE (frow_tree, frow, by_key, frow_cmp)
+RB_PROTOTYPE (fjob_tree, fjob, by_id, fjob_cmp)
+int frow_cmp (const struct frow *a, const struct frow *b);
+int fjob_cmp (const struct fjob *a, const struct fjob *b);
+
+/* sim.c */
+struct fsim *fsim_new (uint64_t seed, int instances, int execs,
+                       const struct job_need *room);
+void fsim_free (struct fsim *s);
+void fsim_at (struct fsim *s, int64_t after_ms,
+              void (*fn) (struct fsim *s, void *arg), void *arg);
+void fsim_run (struct fsim *s, int64_t for_ms);
+/** fsim_random() - From 0 up to 1. */
+double fsim_random (struct fsim *s);
+void fsim_violation (struct fsim *s, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+void fsim_start (struct fsim *s, int i);
+void fsim_kill (struct fsim *s, int i);
+/** fsim_pump() - Carry out what instance @i wants done. */
+void fsim_pump (struct fsim *s, int i);
+struct fjob *fsim_job (struct fsim *s, const char *id);
+int fsim_leader (const struct fsim *s);
+/** fsim_request() - Return: index of the call. */
+size_t fsim_request (struct fsim *s, int instance, int verb, const char *id,
+                     const char *body, const char *key);
+/** fsim_can_reach() - Whether instance @i and executor @e have a path. */
+bool fsim_can_reach (const struct fsim *s, int i, const struct fexec *e);
+
+/* table.c */
+void ftable_send (struct fsim *s, int i, uint64_t token,
+                  const struct store_op *op);
+/** ftable_apply() - What the table answers at once; a feed does not wait. */
+void ftable_apply (struct ftable *t, const struct store_op *op,
+                   struct store_rep *rep);
+void ftable_put (struct fsim *s, const char *key, const char *value);
+void ftable_free (struct ftable *t);
+
+/* execs.c */
+/**
+ * fexec_apply() - What executor @e answers to @o at once.
+ *
+ * Return: whether a question for ends may be answered; else it is asked again
+ * until its wait is over.
+ */
+bool fexec_apply (struct fsim *s, struct fexec *e, const struct order *o,
+                  bool waited, struct order_result *res);
+void fexec_good (struct fsim *s, const struct order *o,
+                 struct order_result *res);
+void fexec_order (struct fsim *s, int i, const struct order *o);
+void fexec_advise (struct fsim *s, int i, const struct order *o);
+void fexec_list (struct fsim *s, struct fexec *e);
+void fexec_crash (struct fsim *s, struct fexec *e);
+void fexec_reborn (struct fsim *s, struct fexec *e);
+void fexec_tick (struct fsim *s);
+
+#endif
--- /dev/null
+++ b/regress/fsim/sim.c
@@ -0,0 +1,459 @@
+#include "fsim.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TICK_MS = 10,
+  WALL_MS = 1000000, /* the wall clock at time 0 */
+};
+
+int
+fjob_cmp (const struct fjob *a, const struct fjob *b)
+{
+  return strcmp (a->id, b->id);
+}
+
+RB_GENERATE (fjob_tree, fjob, by_id, fjob_cmp)
+
+double
+fsim_random (struct fsim *s)
+{
+  s->rng ^= s->rng << 13;
+  s->rng ^= s->rng >> 7;
+  s->rng ^= s->rng << 17;
+  return (double)(s->rng >> 11) / (double)(1ULL << 53);
+}
+
+void
+fsim_violation (struct fsim *s, const char *fmt, ...)
+{
+  char text[200];
+  va_list ap;
+
+  va_start (ap, fmt);
+  vsnprintf (text, sizeof text, fmt, ap);
+  va_end (ap);
+  if (s->violations++ == 0)
+    snprintf (s->first, sizeof s->first, "at %lld: %s", (long long)s->now_ms,
+              text);
+}
+
+/* Events. */
+
+static bool
+before (const struct fsim_event *a, const struct fsim_event *b)
+{
+  return a->at_ms < b->at_ms || (a->at_ms == b->at_ms && a->seq < b->seq);
+}
+
+static void
+swap (struct fsim_event *a, struct fsim_event *b)
+{
+  struct fsim_event t = *a;
+
+  *a = *b;
+  *b = t;
+}
+
+void
+fsim_at (struct fsim *s, int64_t after_ms,
+         void (*fn) (struct fsim *s, void *arg), void *arg)
+{
+  size_t i = s->n_heap++;
+
+  if (s->n_heap > s->cap_heap)
+    {
+      s->cap_heap = 2 * s->cap_heap + 256;
+      s->heap = realloc (s->heap, s->cap_heap * sizeof *s->heap);
+    }
+  s->heap[i] = (struct fsim_event){ s->now_ms + (after_ms > 0 ? after_ms : 0),
+                                    ++s->seq, fn, arg };
+  for (; i > 0 && before (&s->heap[i], &s->heap[(i - 1) / 2]); i = (i - 1) / 2)
+    swap (&s->heap[i], &s->heap[(i - 1) / 2]);
+}
+
+static struct fsim_event
+take_event (struct fsim *s)
+{
+  struct fsim_event top = s->heap[0];
+  size_t i = 0;
+
+  s->heap[0] = s->heap[--s->n_heap];
+  for (;;)
+    {
+      size_t least = i;
+      for (size_t k = 2 * i + 1; k <= 2 * i + 2 && k < s->n_heap; k++)
+        if (before (&s->heap[k], &s->heap[least]))
+          least = k;
+      if (least == i)
+        return top;
+      swap (&s->heap[i], &s->heap[least]);
+      i = least;
+    }
+}
+
+void
+fsim_run (struct fsim *s, int64_t for_ms)
+{
+  int64_t until = s->now_ms + for_ms;
+
+  while (s->n_heap && s->heap[0].at_ms <= until)
+    {
+      struct fsim_event e = take_event (s);
+      s->now_ms = e.at_ms;
+      e.fn (s, e.arg);
+    }
+  s->now_ms = until;
+}
+
+struct fjob *
+fsim_job (struct fsim *s, const char *id)
+{
+  struct fjob key;
+
+  clb_copy (key.id, id, sizeof key.id);
+  return RB_FIND (fjob_tree, &s->jobs, &key);
+}
+
+bool
+fsim_can_reach (const struct fsim *s, int i, const struct fexec *e)
+{
+  return s->inst[i]->cut_until_ms <= s->now_ms && e->cut_until_ms <= s->now_ms;
+}
+
+/* The documents of this simulation: words, not the platform's JSON. */
+
+static int
+read_exec (const char *id, const char *text, struct exec_report *out)
+{
+  int draining;
+  long long cores, mem;
+
+  memset (out, 0, sizeof *out);
+  if (sscanf (text, "%95s %d %lld %lld", out->addr, &draining, &cores, &mem)
+      != 4)
+    return CLB_EPARSE;
+  clb_copy (out->id, id, sizeof out->id);
+  clb_copy (out->addr, id, sizeof out->addr);
+  clb_copy (out->service, "svc", sizeof out->service);
+  out->room.millicores = cores;
+  out->room.mem_mb = mem;
+  out->draining = draining;
+  return 0;
+}
+
+static int
+read_job (const char *text, size_t len, struct job_spec *out,
+          struct codec_err *ce)
+{
+  return codec_parse (&job_spec_desc, text, len, CODEC_STRICT, out, ce);
+}
+
+/* Lines: "version N", "queue NAME PRIORITY ATTEMPTS SLACK TARGET BASE EACH",
+   "tenant NAME WEIGHT CORES KEY...". */
+static int
+read_conf (const char *text, struct fconf **out, struct codec_err *ce)
+{
+  struct fconf *c = calloc (1, sizeof *c);
+  char *copy = strdup (text);
+  char *save = NULL;
+
+  ce->err = 0;
+  for (char *line = strtok_r (copy, "\n", &save); line;
+       line = strtok_r (NULL, "\n", &save))
+    {
+      struct fconf_queue q = { .timeout_ms = 3000 };
+      struct fconf_tenant t = { 0 };
+      char key[64] = "";
+      long long n, prio, attempts, target, cores;
+      if (sscanf (line, "version %lld", &n) == 1)
+        c->version = n;
+      else if (sscanf (line, "queue %47s %lld %lld %lf %lld %lf %lf", q.name,
+                       &prio, &attempts, &q.slack, &target, &q.advice.base_ms,
+                       &q.advice.each_ms)
+               == 7)
+        {
+          q.priority = prio;
+          q.attempts = attempts;
+          q.target_ms = target;
+          q.advice.valid_ms = 2000;
+          snprintf (q.prefix, sizeof q.prefix, "/%.60s/", q.name);
+          clb_copy (q.host, "h", sizeof q.host);
+          clb_copy (q.service, "svc", sizeof q.service);
+          c->queues = realloc (c->queues, (c->n_queues + 1) * sizeof q);
+          c->queues[c->n_queues++] = q;
+        }
+      else if (sscanf (line, "tenant %47s %lf %lld %63s", t.name, &t.weight,
+                       &cores, key)
+               >= 3)
+        {
+          t.limit.millicores = cores;
+          t.keys = calloc (1, sizeof *t.keys);
+          if (*key)
+            clb_copy (t.keys[t.n_keys++].key, key, sizeof t.keys->key);
+          c->tenants = realloc (c->tenants, (c->n_tenants + 1) * sizeof t);
+          c->tenants[c->n_tenants++] = t;
+        }
+    }
+  free (copy);
+  *out = c;
+  return 0;
+}
+
+/* Instances. */
+
+struct mesh_delivery
+{
+  int to;
+  uint64_t life;
+  struct mesh_msg *msg;
+};
+
+static int
+inst_of (const struct fsim *s, const char *addr)
+{
+  for (int i = 0; i < s->n_inst; i++)
+    if (strcmp (s->inst[i]->fleet.set.mesh_addr, addr) == 0)
+      return i;
+  return -1;
+}
+
+static void
+mesh_arrive (struct fsim *s, void *arg)
+{
+  struct mesh_delivery *d = arg;
+  struct finst *in = s->inst[d->to];
+
+  if (in->up && in->life == d->life && in->frozen)
+    {
+      fsim_at (s, in->frozen_until_ms - s->now_ms + 1, mesh_arrive, d);
+      return;
+    }
+  if (in->up && in->life == d->life && in->cut_until_ms <= s->now_ms)
+    {
+      fleet_mesh (&in->fleet, s->now_ms, d->msg);
+      fsim_pump (s, d->to);
+    }
+  mesh_free (d->msg);
+  free (d);
+}
+
+static void
+send_mesh (struct fsim *s, int from, const char *addr, struct mesh_msg *m)
+{
+  int to = inst_of (s, addr);
+  struct mesh_delivery *d;
+
+  if (to < 0 || s->inst[from]->cut_until_ms > s->now_ms)
+    {
+      mesh_free (m);
+      return;
+    }
+  d = calloc (1, sizeof *d);
+  d->to = to;
+  d->life = s->inst[to]->life;
+  d->msg = m;
+  fsim_at (s, FSIM_LINK_MS, mesh_arrive, d);
+}
+
+static void
+take_answer (struct fsim *s, const struct out *o)
+{
+  struct fcall *c = &s->calls[o->u.answer.call - 1];
+
+  c->status = o->u.answer.status;
+  c->retry_ms = o->u.answer.retry_ms;
+  c->answered_ms = s->now_ms;
+  c->body = o->u.answer.body ? strdup (o->u.answer.body) : NULL;
+}
+
+void
+fsim_pump (struct fsim *s, int i)
+{
+  struct finst *in = s->inst[i];
+  struct out *o;
+
+  while ((o = fleet_next_out (&in->fleet)))
+    {
+      switch (o->kind)
+        {
+        case OUT_ANSWER:
+          take_answer (s, o);
+          break;
+        case OUT_STORE:
+          ftable_send (s, i, o->u.store.token, &o->u.store.op);
+          break;
+        case OUT_MESH:
+          send_mesh (s, i, o->u.mesh.addr, o->u.mesh.msg);
+          o->u.mesh.msg = NULL;
+          break;
+        case OUT_ORDER:
+          if (o->u.order->kind == ORDER_ADVISE)
+            fexec_advise (s, i, o->u.order);
+          else
+            fexec_order (s, i, o->u.order);
+          break;
+        case OUT_LINE:
+          if (s->verbose)
+            printf ("%8lld %d %s\n", (long long)s->now_ms, i, o->u.line);
+          break;
+        default:
+          break;
+        }
+      out_free (o);
+    }
+}
+
+struct tick
+{
+  int inst;
+  uint64_t life;
+};
+
+static void
+on_tick (struct fsim *s, void *arg)
+{
+  struct tick *t = arg;
+  struct finst *in = s->inst[t->inst];
+
+  if (!in->up || in->life != t->life)
+    {
+      free (t);
+      return;
+    }
+  if (in->frozen && s->now_ms >= in->frozen_until_ms)
+    in->frozen = false;
+  if (!in->frozen)
+    {
+      fleet_tick (&in->fleet, s->now_ms, WALL_MS + s->now_ms);
+      fsim_pump (s, t->inst);
+    }
+  fsim_at (s, TICK_MS, on_tick, t);
+}
+
+void
+fsim_start (struct fsim *s, int i)
+{
+  struct finst *in = s->inst[i];
+  struct tick *t = calloc (1, sizeof *t);
+  struct fleet_settings set = { .boot = WALL_MS + s->now_ms,
+                                .revoke_ms = 5000,
+                                .codec = { read_conf, read_exec, read_job } };
+
+  snprintf (set.id, sizeof set.id, "n%d", i);
+  snprintf (set.mesh_addr, sizeof set.mesh_addr, "n%d", i);
+  fleet_init (&in->fleet, &set, s->now_ms);
+  in->up = true;
+  in->frozen = false;
+  in->life++;
+  t->inst = i;
+  t->life = in->life;
+  fsim_at (s, 1 + i, on_tick, t);
+}
+
+void
+fsim_kill (struct fsim *s, int i)
+{
+  if (!s->inst[i]->up)
+    return;
+  s->inst[i]->up = false;
+  s->inst[i]->life++;
+  fleet_fini (&s->inst[i]->fleet);
+}
+
+static void
+exec_clock (struct fsim *s, void *arg)
+{
+  (void)arg;
+  fexec_tick (s);
+  fsim_at (s, 5, exec_clock, NULL);
+}
+
+struct fsim *
+fsim_new (uint64_t seed, int instances, int execs, const struct job_need *room)
+{
+  struct fsim *s = calloc (1, sizeof *s);
+
+  s->rng = seed * 2654435761u + 88172645463325252ULL;
+  s->good_share = 0.5;
+  RB_INIT (&s->jobs);
+  RB_INIT (&s->table.rows);
+  s->n_exec = execs;
+  for (int i = 0; i < execs; i++)
+    {
+      struct fexec *e = s->exec[i] = calloc (1, sizeof *e);
+      snprintf (e->id, sizeof e->id, "e%03d", i);
+      e->index = i;
+      e->listed = true;
+      e->room = *room;
+      fexec_reborn (s, e);
+    }
+  s->n_inst = instances;
+  for (int i = 0; i < instances; i++)
+    {
+      s->inst[i] = calloc (1, sizeof *s->inst[i]);
+      fsim_start (s, i);
+    }
+  fsim_at (s, 5, exec_clock, NULL);
+  return s;
+}
+
+int
+fsim_leader (const struct fsim *s)
+{
+  for (int i = 0; i < s->n_inst; i++)
+    if (s->inst[i]->up && !s->inst[i]->frozen && s->inst[i]->fleet.cell
+        && s->inst[i]->fleet.cell->going
+        && lead_may_admit (&s->inst[i]->fleet.lead, s->now_ms))
+      return i;
+  return -1;
+}
+
+size_t
+fsim_request (struct fsim *s, int instance, int verb, const char *id,
+              const char *body, const char *key)
+{
+  struct fleet_request rq = { 0 };
+  struct fcall *c;
+
+  s->calls = realloc (s->calls, (s->n_calls + 1) * sizeof *s->calls);
+  c = &s->calls[s->n_calls++];
+  memset (c, 0, sizeof *c);
+  c->no = s->n_calls;
+  c->instance = instance;
+  c->verb = verb;
+  rq.call = c->no;
+  rq.verb = verb;
+  rq.host = "h";
+  rq.path = id;
+  rq.key = key;
+  rq.within_ms = 3000;
+  rq.body = body;
+  rq.body_len = body ? strlen (body) : 0;
+  if (!s->inst[instance]->up || s->inst[instance]->frozen)
+    return s->n_calls - 1;
+  fleet_request (&s->inst[instance]->fleet, s->now_ms, WALL_MS + s->now_ms,
+                 &rq);
+  fsim_pump (s, instance);
+  return s->n_calls - 1;
+}
+
+void
+fsim_free (struct fsim *s)
+{
+  for (int i = 0; i < s->n_inst; i++)
+    {
+      fsim_kill (s, i);
+      free (s->inst[i]);
+    }
+  for (int i = 0; i < s->n_exec; i++)
+    free (s->exec[i]);
+  ftable_free (&s->table);
+  /* What is under way, jobs and calls end with the program. */
+  free (s->heap);
+  free (s);
+}
--- /dev/null
+++ b/regress/fsim/verbs.c
@@ -0,0 +1,415 @@
+/* fsim-run - plays scripts against the simulated fleet. */
+#include "fsim.h"
+
+#include <lauxlib.h>
+#include <lua.h>
+#include <lualib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static struct fsim *sim;
+static uint64_t seed = 1;
+static bool verbose;
+static int passed;
+static int failed;
+
+static int64_t
+field (lua_State *l, int at, const char *name, int64_t otherwise)
+{
+  int64_t v;
+
+  lua_getfield (l, at, name);
+  v = lua_isnil (l, -1)       ? otherwise
+      : lua_isboolean (l, -1) ? lua_toboolean (l, -1)
+                              : (int64_t)lua_tonumber (l, -1);
+  lua_pop (l, 1);
+  return v;
+}
+
+/* fleet{instances=, execs=, cores=, mem=, good=} */
+static int
+verb_fleet (lua_State *l)
+{
+  struct job_need room = { .millicores = 1000 * field (l, 1, "cores", 16),
+                           .mem_mb = field (l, 1, "mem", 32000) };
+
+  if (sim)
+    fsim_free (sim);
+  sim = fsim_new (seed, (int)field (l, 1, "instances", 3),
+                  (int)field (l, 1, "execs", 6), &room);
+  sim->verbose = verbose;
+  sim->good_share = (double)field (l, 1, "good_percent", 100) / 100;
+  return 0;
+}
+
+/* config(text) */
+static int
+verb_config (lua_State *l)
+{
+  ftable_put (sim, "op/config", luaL_checkstring (l, 1));
+  return 0;
+}
+
+static int
+verb_run (lua_State *l)
+{
+  fsim_run (sim, (int64_t)luaL_checknumber (l, 1));
+  return 0;
+}
+
+static int
+verb_now (lua_State *l)
+{
+  lua_pushinteger (l, sim->now_ms);
+  return 1;
+}
+
+static int
+verb_random (lua_State *l)
+{
+  lua_pushnumber (l, fsim_random (sim));
+  return 1;
+}
+
+static void
+read_step (lua_State *l, struct fjob *j, size_t i)
+{
+  struct job_step *s = &j->spec.steps[i];
+
+  s->tasks = field (l, -1, "tasks", 1);
+  s->need.millicores = field (l, -1, "cpu", 1000);
+  s->need.mem_mb = field (l, -1, "mem", 100);
+  s->gang = field (l, -1, "gang", 0);
+  s->checkpoints = field (l, -1, "saves", 0);
+  s->max_per_exec = field (l, -1, "spread", 0);
+  if (field (l, -1, "after", -1) >= 0)
+    s->after = UINT64_C (1) << field (l, -1, "after", 0);
+  j->task_ms[i] = field (l, -1, "ms", 500);
+  s->estimate_ms = field (l, -1, "estimate", j->task_ms[i]);
+}
+
+/* job{id=, queue=, steps={...}, poison=} declares what submit() hands in. */
+static int
+verb_job (lua_State *l)
+{
+  struct fjob *j = calloc (1, sizeof *j);
+
+  lua_getfield (l, 1, "id");
+  clb_copy (j->id, luaL_checkstring (l, -1), sizeof j->id);
+  lua_pop (l, 1);
+  lua_getfield (l, 1, "queue");
+  clb_copy (j->spec.queue, luaL_optstring (l, -1, "q"), CLB_NAME_MAX);
+  lua_pop (l, 1);
+  /* What advice costs, as in the configuration of regress/fleet/lib.lua. */
+  j->spec.advice.base_ms = (double)field (l, 1, "advice_base_us", 0) / 1000;
+  j->spec.advice.each_ms = (double)field (l, 1, "advice_each_us", 0) / 1000;
+  j->poison = field (l, 1, "poison", 0);
+  j->spec.attempts = field (l, 1, "attempts", 3);
+  j->state = -1;
+  lua_getfield (l, 1, "steps");
+  j->spec.n_steps = lua_rawlen (l, -1);
+  j->spec.steps = calloc (j->spec.n_steps + 1, sizeof *j->spec.steps);
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      lua_rawgeti (l, -1, (lua_Integer)i + 1);
+      read_step (l, j, i);
+      j->n_marks += (int)j->spec.steps[i].tasks;
+      lua_pop (l, 1);
+    }
+  j->marks = calloc ((size_t)j->n_marks + 1, sizeof *j->marks);
+  j->spec.text = strdup ("work");
+  if (RB_INSERT (fjob_tree, &sim->jobs, j))
+    return luaL_error (l, "job %s stands already", j->id);
+  return 0;
+}
+
+/* submit(instance, id, key): number of the call */
+static int
+verb_submit (lua_State *l)
+{
+  int inst = (int)luaL_checkinteger (l, 1);
+  struct fjob *j = fsim_job (sim, luaL_checkstring (l, 2));
+  struct job_spec hand_in = j->spec;
+  char path[128];
+  char *body;
+
+  clb_copy (hand_in.id, j->id, sizeof hand_in.id);
+  hand_in.attempts = 0;
+  clb_copy (hand_in.service, "-", sizeof hand_in.service);
+  snprintf (path, sizeof path, "/%s/%s", j->spec.queue, j->id);
+  body = codec_text (&job_spec_desc, &hand_in);
+  j->sent_ms = sim->now_ms;
+  lua_pushinteger (l, (lua_Integer)fsim_request (sim, inst, FLEET_SUBMIT, path,
+                                                 body,
+                                                 luaL_optstring (l, 3, "k")));
+  free (body);
+  return 1;
+}
+
+/* ask(instance, id [, "cancel"]): number of the call */
+static int
+verb_ask (lua_State *l)
+{
+  struct fjob *j = fsim_job (sim, luaL_checkstring (l, 2));
+  const char *what = luaL_optstring (l, 3, "state");
+  char path[128];
+
+  snprintf (path, sizeof path, "/%s/%s", j ? j->spec.queue : "q",
+            luaL_checkstring (l, 2));
+  lua_pushinteger (l, (lua_Integer)fsim_request (
+                          sim, (int)luaL_checkinteger (l, 1),
+                          strcmp (what, "cancel") ? FLEET_STATE : FLEET_CANCEL,
+                          path, NULL, "k"));
+  return 1;
+}
+
+/* waiting(instance, queue): number of the call */
+static int
+verb_waiting (lua_State *l)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "/%s/", luaL_checkstring (l, 2));
+  lua_pushinteger (l, (lua_Integer)fsim_request (
+                          sim, (int)luaL_checkinteger (l, 1), FLEET_STATE,
+                          path, NULL, luaL_optstring (l, 3, "k")));
+  return 1;
+}
+
+/* answer(call): status or 0, body, milliseconds until it may come back */
+static int
+verb_answer (lua_State *l)
+{
+  const struct fcall *c = &sim->calls[luaL_checkinteger (l, 1)];
+
+  lua_pushinteger (l, c->status);
+  lua_pushstring (l, c->body ? c->body : "");
+  lua_pushinteger (l, c->retry_ms);
+  return 3;
+}
+
+/* task(id, step, index): starts, failures, whether done */
+static int
+verb_task (lua_State *l)
+{
+  struct fjob *j = fsim_job (sim, luaL_checkstring (l, 1));
+  int at = (int)luaL_optinteger (l, 3, 0);
+
+  for (int i = 0; i < luaL_optinteger (l, 2, 0); i++)
+    at += (int)j->spec.steps[i].tasks;
+  lua_pushinteger (l, j->marks[at].starts);
+  lua_pushinteger (l, j->marks[at].failed);
+  lua_pushboolean (l, j->marks[at].done);
+  return 3;
+}
+
+/* instance(i, what [, ms]): kill, start, stop, freeze, cut, cut-store */
+static int
+verb_instance (lua_State *l)
+{
+  int i = (int)luaL_checkinteger (l, 1);
+  const char *what = luaL_checkstring (l, 2);
+  int64_t until = sim->now_ms + (int64_t)luaL_optnumber (l, 3, 0);
+  struct finst *in = sim->inst[i];
+
+  if (strcmp (what, "kill") == 0)
+    fsim_kill (sim, i);
+  else if (strcmp (what, "start") == 0 && !in->up)
+    fsim_start (sim, i);
+  else if (strcmp (what, "stop") == 0 && in->up)
+    {
+      fleet_stop (&in->fleet, sim->now_ms);
+      fsim_pump (sim, i);
+    }
+  else if (strcmp (what, "freeze") == 0)
+    {
+      in->frozen = true;
+      in->frozen_until_ms = until;
+    }
+  else if (strcmp (what, "cut") == 0)
+    in->cut_until_ms = until;
+  else if (strcmp (what, "cut-store") == 0)
+    in->store_cut_until_ms = until;
+  return 0;
+}
+
+/* exec(i, what [, ms or share]) */
+static int
+verb_exec (lua_State *l)
+{
+  struct fexec *e = sim->exec[luaL_checkinteger (l, 1)];
+  const char *what = luaL_checkstring (l, 2);
+  double x = luaL_optnumber (l, 3, 0);
+
+  if (strcmp (what, "crash") == 0)
+    fexec_crash (sim, e);
+  else if (strcmp (what, "reborn") == 0)
+    fexec_reborn (sim, e);
+  else if (strcmp (what, "cut") == 0)
+    e->cut_until_ms = sim->now_ms + (int64_t)x;
+  else if (strcmp (what, "lost") == 0)
+    e->lost = x;
+  else if (strcmp (what, "late") == 0)
+    e->late = x;
+  else if (strcmp (what, "fails") == 0)
+    e->fails = x > 0;
+  else if (strcmp (what, "hangs") == 0)
+    e->hangs = x > 0;
+  else if (strcmp (what, "drain") == 0)
+    {
+      e->draining = x > 0;
+      fexec_list (sim, e);
+    }
+  return 0;
+}
+
+/* store(what, value): down (ms), slow (times), lost, late (shares), compact */
+static int
+verb_store (lua_State *l)
+{
+  const char *what = luaL_checkstring (l, 1);
+  double x = luaL_optnumber (l, 2, 0);
+  struct ftable *t = &sim->table;
+
+  if (strcmp (what, "down") == 0)
+    t->down_until_ms = sim->now_ms + (int64_t)x;
+  else if (strcmp (what, "slow") == 0)
+    t->slow = (int64_t)x;
+  else if (strcmp (what, "lost") == 0)
+    t->lost = x;
+  else if (strcmp (what, "late") == 0)
+    t->late = x;
+  else if (strcmp (what, "compact") == 0)
+    t->oldest = t->ver;
+  return 0;
+}
+
+static int
+verb_leader (lua_State *l)
+{
+  lua_pushinteger (l, fsim_leader (sim));
+  return 1;
+}
+
+/* running(): tasks at work on all executors; on one if a number is given */
+static int
+verb_running (lua_State *l)
+{
+  int n = 0;
+
+  for (int i = 0; i < sim->n_exec; i++)
+    if (lua_isnoneornil (l, 1) || lua_tointeger (l, 1) == i)
+      n += sim->exec[i]->n_runs;
+  lua_pushinteger (l, n);
+  return 1;
+}
+
+static int
+verb_calls (lua_State *l)
+{
+  lua_pushinteger (l, (lua_Integer)sim->table.calls);
+  lua_pushinteger (l, sim->advice_calls);
+  return 2;
+}
+
+static int
+verb_violations (lua_State *l)
+{
+  lua_pushinteger (l, sim->violations);
+  lua_pushstring (l, sim->first);
+  return 2;
+}
+
+static int
+verb_expect (lua_State *l)
+{
+  if (!lua_toboolean (l, 1))
+    return luaL_error (l, "%s (seed %d, at %d ms)",
+                       luaL_optstring (l, 2, "not as expected"), (int)seed,
+                       sim ? (int)sim->now_ms : 0);
+  return 0;
+}
+
+/* scenario(name, function) */
+static int
+verb_scenario (lua_State *l)
+{
+  const char *name = luaL_checkstring (l, 1);
+  int bad = 0;
+
+  lua_pushvalue (l, 2);
+  if (lua_pcall (l, 0, 0, 0))
+    {
+      printf ("FAIL %s: %s\n", name, lua_tostring (l, -1));
+      lua_pop (l, 1);
+      bad = 1;
+    }
+  else if (sim && sim->violations)
+    {
+      printf ("FAIL %s: %d violations, %s (seed %d)\n", name, sim->violations,
+              sim->first, (int)seed);
+      bad = 1;
+    }
+  failed += bad;
+  passed += !bad;
+  return 0;
+}
+
+static const luaL_Reg verbs[] = {
+  { "fleet", verb_fleet },
+  { "config", verb_config },
+  { "run", verb_run },
+  { "now", verb_now },
+  { "random", verb_random },
+  { "job", verb_job },
+  { "submit", verb_submit },
+  { "ask", verb_ask },
+  { "waiting", verb_waiting },
+  { "answer", verb_answer },
+  { "task", verb_task },
+  { "instance", verb_instance },
+  { "exec", verb_exec },
+  { "store", verb_store },
+  { "leader", verb_leader },
+  { "running", verb_running },
+  { "calls", verb_calls },
+  { "violations", verb_violations },
+  { "expect", verb_expect },
+  { "scenario", verb_scenario },
+  { NULL, NULL },
+};
+
+int
+main (int argc, char **argv)
+{
+  uint64_t count = 1;
+  lua_State *l;
+  int opt;
+
+  while ((opt = getopt (argc, argv, "s:n:v")) != -1)
+    if (opt == 's')
+      seed = strtoull (optarg, NULL, 10);
+    else if (opt == 'n')
+      count = strtoull (optarg, NULL, 10);
+    else
+      verbose = true;
+  for (; count > 0; count--, seed++)
+    {
+      l = luaL_newstate ();
+      luaL_openlibs (l);
+      lua_pushglobaltable (l);
+      luaL_setfuncs (l, verbs, 0);
+      if (luaL_dofile (l, argv[optind]))
+        {
+          printf ("FAIL %s: %s\n", argv[optind], lua_tostring (l, -1));
+          failed++;
+        }
+      lua_close (l);
+    }
+  if (sim)
+    fsim_free (sim);
+  printf ("%d passed, %d failed\n", passed, failed);
+  return failed ? 1 : 0;
+}
--- /dev/null
+++ b/regress/process/fleetlib.sh
@@ -0,0 +1,72 @@
+# Starts a fleet of real processes on loopback; sourced by the tests that do.
+# fleet_up EXECUTORS INSTANCES: the table listens on $PORT, instance I of them
+# on 127.0.1.I:8183 for callers and 127.0.1.I:9464 for metrics.
+BUILD=${BUILD:-build}
+PORT=${PORT:-18200}
+dir=$(mktemp -d)
+pids=
+
+fleet_stop_all() {
+	for p in $pids; do kill -9 "$p" 2>/dev/null; done
+	wait 2>/dev/null
+	rm -rf "$dir"
+}
+trap fleet_stop_all EXIT
+
+write_settings() {
+	cat >"$dir/$1.json" <<JSON
+{"node_name":"n$1","ip":"127.0.1.$1","zone":"a","port_range":[7420,7435],
+"bind_addrs":{"frontend":"127.0.1.$1:8183","readiness":"127.0.1.$1:8184"},
+"bounds":{"revoke_ms":5000,"grace_s":6},
+"platform":{"address":"127.0.0.1:$PORT"},
+"advice":"127.0.0.1:$((PORT + 1 + execs))"}
+JSON
+}
+
+start_instance() {
+	"$BUILD/citronlbd/citronlbd" --fleet "$dir/$1.json" \
+		>>"$dir/$1.log" 2>&1 &
+	eval "pid$1=$!"
+	pids="$pids $!"
+}
+
+fleet_up() {
+	execs=$1
+	instances=$2
+	cat >"$dir/config.json" <<JSON
+{"version":1,"routes":[{"name":"q","host":"127.0.1.1","prefix":"/q/",
+"type":"unsafe","timeout_ms":3000,"target_latency_ms":500,"priority":1,
+"service":"svc","attempts":3,"slack_factor":2},
+{"name":"q2","host":"127.0.1.2","prefix":"/q/","type":"unsafe",
+"timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
+"attempts":3,"slack_factor":2},
+{"name":"q3","host":"127.0.1.3","prefix":"/q/","type":"unsafe",
+"timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
+"attempts":3,"slack_factor":2,
+"advice":{"decide_ms":2.0,"each_ms":0.1,"valid_ms":2000}}],
+"services":[{"name":"svc"}],
+"tenants":[{"name":"red","api_keys":["k"],"weight":1000}]}
+JSON
+	"$BUILD/regress/fleet-standin" "$PORT" "$execs" "$dir/config.json" \
+		>"$dir/standin.log" 2>&1 &
+	pids="$pids $!"
+	i=0
+	until grep -q ready "$dir/standin.log"; do
+		sleep 0.1
+		i=$((i + 1))
+		[ $i -lt 50 ] || { echo "stand-in does not start"; exit 1; }
+	done
+	for n in $(seq 1 "$instances"); do
+		write_settings "$n"
+		start_instance "$n"
+	done
+	sleep 1.5
+}
+
+# The instance that leads, by its metrics.
+leader() {
+	for n in $(seq 1 "$instances"); do
+		curl -s -m 1 "http://127.0.1.$n:9464/metrics" |
+			grep -q '^citronlb_leading 1' && echo "$n" && return
+	done
+}
--- /dev/null
+++ b/regress/standin/fleetd.c
@@ -0,0 +1,512 @@
+/*
+ * fleet-standin - the fleet's platform on loopback: table, executors, advice.
+ *
+ * It speaks what platform/ speaks, over the table and the executors of the
+ * simulation (regress/fsim), in real time.  Executor K listens on the port
+ * after the table's by 1 + K; the advice service on the one after the last.
+ */
+#include "fsim.h"
+#include "httpd.h"
+#include "platform.h"
+
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  RETRY_MS = 5, /* how often a waiting question is looked at */
+  ADVICE_MS = 2,
+  BODY_MAX = 4 << 20,
+};
+
+struct server
+{
+  struct httpd *http;
+  struct fexec *exec; /* NULL: the table or the advice service */
+  char addr[CLB_ADDR_MAX];
+};
+
+/* struct wait - a feed or a question for ends that may be answered later */
+struct wait
+{
+  TAILQ_ENTRY (wait) link;
+  struct server *server;
+  uint64_t no;
+  int64_t until_ms;
+  struct store_op op;
+  struct order order;
+};
+
+static TAILQ_HEAD (, wait) waits = TAILQ_HEAD_INITIALIZER (waits);
+static struct fsim *sim;
+static struct server table;
+static struct server advice;
+static int64_t began_ms;
+
+static int64_t
+now (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000 - began_ms;
+}
+
+static void
+answer (struct server *s, uint64_t no, int status, json_t *json)
+{
+  clb_auto char *text = json_dumps (json, JSON_COMPACT);
+
+  httpd_answer (s->http, no, status, "application/json", text, strlen (text),
+                0);
+  json_decref (json);
+}
+
+/* The table. */
+
+static char *
+key_text (const json_t *row)
+{
+  const char *part = json_string_value (json_object_get (row, "part"));
+  char *text;
+
+  if (asprintf (&text, "%s%s%s/%s",
+                json_string_value (json_object_get (row, "table")),
+                part && *part ? ":" : "", part ? part : "",
+                json_string_value (json_object_get (row, "key")))
+      < 0)
+    abort ();
+  return text;
+}
+
+static char *
+decode (const char *text)
+{
+  size_t len = strlen (text);
+  char *out = calloc (1, len + 4);
+
+  EVP_DecodeBlock ((unsigned char *)out, (const unsigned char *)text,
+                   (int)len);
+  return out;
+}
+
+static json_t *
+row_json (const struct row *r)
+{
+  char table_name[64] = "";
+  char part[64] = "";
+  const char *slash = strchr (r->key, '/');
+  const char *colon = memchr (r->key, ':', (size_t)(slash - r->key));
+  size_t len = (size_t)((colon ? colon : slash) - r->key);
+  json_t *row;
+
+  memcpy (table_name, r->key, len);
+  if (colon)
+    memcpy (part, colon + 1, (size_t)(slash - colon - 1));
+  row = json_pack ("{s:s, s:s, s:s, s:I}", "table", table_name, "part", part,
+                   "key", slash + 1, "ver", (json_int_t)r->ver);
+  if (r->value)
+    {
+      char *b64 = calloc (1, 4 * (strlen (r->value) / 3 + 1) + 1);
+      EVP_EncodeBlock ((unsigned char *)b64, (unsigned char *)r->value,
+                       (int)strlen (r->value));
+      json_object_set_new (row, "value", json_string (b64));
+      free (b64);
+    }
+  else
+    json_object_set_new (row, "deleted", json_true ());
+  return row;
+}
+
+static void
+answer_rep (uint64_t no, const struct store_rep *rep)
+{
+  json_t *rows = json_array ();
+  int status = rep->err == CLB_ECONFLICT   ? 412
+               : rep->err == CLB_ENOTFOUND ? 410
+                                           : 200;
+
+  for (size_t i = 0; i < rep->n_rows; i++)
+    json_array_append_new (rows, row_json (&rep->rows[i]));
+  answer (&table, no, status,
+          json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more",
+                     rep->more, "ver", (json_int_t)rep->ver, "now_ms",
+                     (json_int_t)now ()));
+}
+
+static void
+query (const char *path, const char *name, char *out, size_t size)
+{
+  const char *at = strchr (path, '?');
+  size_t len = strlen (name);
+  size_t n = 0;
+
+  while (at && (strncmp (at + 1, name, len) != 0 || at[1 + len] != '='))
+    at = strchr (at + 1, '&');
+  for (at = at ? at + 2 + len : ""; *at && *at != '&' && n + 1 < size; at++)
+    {
+      unsigned byte;
+      if (*at == '%' && sscanf (at + 1, "%2x", &byte) == 1)
+        {
+          out[n++] = (char)byte;
+          at += 2;
+        }
+      else
+        out[n++] = *at;
+    }
+  out[n] = '\0';
+}
+
+static void
+read_op (const struct hreq *rq, struct store_op *op)
+{
+  char name[128], part[128], from[256], number[32];
+  json_auto_t *body = NULL;
+  json_error_t je;
+  size_t i;
+  json_t *row;
+
+  if (strncmp (rq->path, "/api/rows-tx", 12) == 0)
+    {
+      body = json_loadb (rq->body, rq->body_len, 0, &je);
+      json_array_foreach (json_object_get (body, "expect"), i, row)
+        {
+          clb_auto char *key = key_text (row);
+          store_cond (op, key,
+                      json_integer_value (json_object_get (row, "ver")));
+        }
+      json_array_foreach (json_object_get (body, "puts"), i, row)
+        {
+          clb_auto char *key = key_text (row);
+          clb_auto char *value
+              = decode (json_string_value (json_object_get (row, "value")));
+          store_put (op, key, value);
+        }
+      op->kind = STORE_TXN;
+      return;
+    }
+  query (rq->path, "table", name, sizeof name);
+  query (rq->path, "part", part, sizeof part);
+  query (rq->path, "from", from, sizeof from);
+  if (strncmp (rq->path, "/api/rows-feed", 14) == 0)
+    {
+      op->kind = STORE_FEED;
+      op->key = strdup (name);
+      query (rq->path, "after", number, sizeof number);
+      op->since = atoll (number);
+      query (rq->path, "wait_ms", number, sizeof number);
+      op->wait_ms = atoll (number);
+      return;
+    }
+  op->kind = STORE_LIST;
+  if (asprintf (&op->key, "%s%s%s/", name, *part ? ":" : "", part) < 0
+      || (*from && asprintf (&op->after, "%s%s", op->key, from) < 0))
+    abort ();
+}
+
+/* A list begins with the row that it is asked from, which the simulated table
+   leaves out. */
+static void
+add_first (const struct store_op *op, struct store_rep *rep)
+{
+  struct store_op one = { .kind = STORE_GET, .key = op->after };
+  struct store_rep got = { 0 };
+
+  if (op->kind != STORE_LIST || !op->after)
+    return;
+  ftable_apply (&sim->table, &one, &got);
+  if (got.n_rows)
+    {
+      rep->rows = realloc (rep->rows, (rep->n_rows + 1) * sizeof *rep->rows);
+      memmove (rep->rows + 1, rep->rows, rep->n_rows * sizeof *rep->rows);
+      rep->rows[0] = got.rows[0];
+      rep->n_rows++;
+    }
+  free (got.rows);
+}
+
+static bool
+try_op (uint64_t no, const struct store_op *op, int64_t until_ms)
+{
+  struct store_rep rep = { 0 };
+  bool waits;
+
+  ftable_apply (&sim->table, op, &rep);
+  add_first (op, &rep);
+  waits
+      = op->kind == STORE_FEED && !rep.err && !rep.n_rows && now () < until_ms;
+  if (!waits)
+    answer_rep (no, &rep);
+  codec_free (&store_rep_desc, &rep);
+  return !waits;
+}
+
+static void
+on_table (void *arg, const struct hreq *rq)
+{
+  struct wait *w = calloc (1, sizeof *w);
+
+  w->server = arg;
+  w->no = rq->no;
+  read_op (rq, &w->op);
+  w->until_ms = now () + w->op.wait_ms;
+  if (!try_op (rq->no, &w->op, w->until_ms))
+    {
+      TAILQ_INSERT_TAIL (&waits, w, link);
+      return;
+    }
+  codec_free (&store_op_desc, &w->op);
+  free (w);
+}
+
+/* Executors. */
+
+static json_t *
+result_json (const struct order_result *res)
+{
+  static const char *const reasons[]
+      = { "other", "fence", "old", "late", "room", "ticket" };
+  static const char *const hows[]
+      = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  json_t *running = json_array ();
+  json_t *finished = json_array ();
+  char name[96];
+
+  for (size_t i = 0; i < res->n_runs; i++)
+    {
+      const struct run_row *r = &res->runs[i];
+      pf_task_name (&r->task, true, name, sizeof name);
+      json_array_append_new (running,
+                             json_pack ("[s,I,s,I]", name, (json_int_t)r->run,
+                                        r->saved, (json_int_t)r->percent));
+    }
+  for (size_t i = 0; i < res->n_ends; i++)
+    {
+      const struct end_row *e = &res->ends[i];
+      pf_task_name (&e->task, true, name, sizeof name);
+      json_array_append_new (
+          finished, json_pack ("[I,s,I,s,s]", (json_int_t)e->no, name,
+                               (json_int_t)e->run, hows[e->how], e->saved));
+    }
+  return json_pack ("{s:I, s:I, s:o, s:o, s:s}", "clock_ms",
+                    (json_int_t)res->clock_ms, "born",
+                    (json_int_t)res->born_ms, "running", running, "finished",
+                    finished, "reason", reasons[res->reason]);
+}
+
+static int64_t
+number (const json_t *body, const char *name)
+{
+  return json_integer_value (json_object_get (body, name));
+}
+
+static void
+read_order (const struct hreq *rq, struct order *o)
+{
+  json_error_t je;
+  json_auto_t *body = json_loadb (rq->body, rq->body_len, 0, &je);
+  const char *task = json_string_value (json_object_get (body, "task"));
+
+  o->kind = strcmp (rq->path, "/api/run-start") == 0  ? ORDER_START
+            : strcmp (rq->path, "/api/run-stop") == 0 ? ORDER_STOP
+                                                      : ORDER_HOLD;
+  if (task)
+    pf_task_parse (task, &o->task);
+  o->run = number (body, "run");
+  o->fence = number (body, "fencing_token");
+  o->deadline_ms = number (body, "deadline_ms");
+  o->recorded = number (body, "last_seen");
+  o->wait_ms = number (body, "wait_ms");
+}
+
+static bool
+try_order (struct server *s, uint64_t no, const struct order *o, bool waited)
+{
+  struct order_result res = { 0 };
+  bool done = fexec_apply (sim, s->exec, o, waited, &res);
+
+  if (done)
+    answer (s, no, res.outcome == ORDER_DONE ? 200 : 409, result_json (&res));
+  order_result_clear (&res);
+  return done;
+}
+
+/* The stand-in learns of a job when its first task starts; it stands for all
+   that it may be. */
+static void
+learn_job (const struct order *o)
+{
+  struct fjob *j = fsim_job (sim, o->task.job);
+
+  if (j || o->kind != ORDER_START)
+    return;
+  j = calloc (1, sizeof *j);
+  clb_copy (j->id, o->task.job, sizeof j->id);
+  j->spec.n_steps = 4;
+  j->spec.attempts = INT32_MAX;
+  j->spec.steps = calloc (j->spec.n_steps, sizeof *j->spec.steps);
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      j->spec.steps[i].tasks = JOB_TASKS_MAX;
+      j->task_ms[i] = 300;
+    }
+  j->marks = calloc (4 * JOB_TASKS_MAX, sizeof *j->marks);
+  RB_INSERT (fjob_tree, &sim->jobs, j);
+}
+
+static void
+on_exec (void *arg, const struct hreq *rq)
+{
+  struct wait *w = calloc (1, sizeof *w);
+
+  sim->now_ms = now ();
+  w->server = arg;
+  w->no = rq->no;
+  read_order (rq, &w->order);
+  learn_job (&w->order);
+  w->until_ms = now () + w->order.wait_ms;
+  if (!try_order (w->server, rq->no, &w->order, w->order.wait_ms == 0))
+    TAILQ_INSERT_TAIL (&waits, w, link);
+  else
+    free (w);
+}
+
+static void
+on_advice (void *arg, const struct hreq *rq)
+{
+  struct server *s = arg;
+  json_error_t je;
+  json_auto_t *body = json_loadb (rq->body, rq->body_len, 0, &je);
+  json_t *good = json_array ();
+  size_t i;
+  json_t *name;
+
+  json_array_foreach (json_object_get (body, "workers"), i, name)
+    json_array_append_new (
+        good, json_pack ("[s,s]", json_string_value (name), "ticket"));
+  answer (s, rq->no, 200,
+          json_pack ("{s:o, s:i}", "good", good, "valid_ms", 2000));
+}
+
+static void
+on_gone (void *arg, uint64_t no)
+{
+  struct wait *w, *next;
+
+  TAILQ_FOREACH_SAFE (w, &waits, link, next)
+    if (w->server == arg && w->no == no)
+      {
+        TAILQ_REMOVE (&waits, w, link);
+        codec_free (&store_op_desc, &w->op);
+        free (w);
+      }
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct wait *w, *next;
+
+  (void)t;
+  sim->now_ms = now ();
+  fexec_tick (sim);
+  TAILQ_FOREACH_SAFE (w, &waits, link, next)
+    {
+      bool over = now () >= w->until_ms;
+      bool done = w->server->exec
+                      ? try_order (w->server, w->no, &w->order, over)
+                      : try_op (w->no, &w->op, w->until_ms);
+      if (!done)
+        continue;
+      TAILQ_REMOVE (&waits, w, link);
+      codec_free (&store_op_desc, &w->op);
+      free (w);
+    }
+}
+
+static void
+serve (struct server *s, int port,
+       void (*on_request) (void *arg, const struct hreq *rq))
+{
+  struct httpd_conf conf = { .addr = s->addr,
+                             .body_max = BODY_MAX,
+                             .arg = s,
+                             .on_request = on_request,
+                             .on_gone = on_gone };
+  int err;
+
+  snprintf (s->addr, sizeof s->addr, "127.0.0.1:%d", port);
+  s->http = httpd_new (uv_default_loop (), &conf, &err);
+  if (s->http)
+    return;
+  fprintf (stderr, "fleet-standin: %s: %s\n", s->addr, uv_strerror (err));
+  exit (1);
+}
+
+static void
+list_exec (const struct server *s)
+{
+  char key[CLB_ID_MAX + 16];
+  json_auto_t *entry = json_pack (
+      "{s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}, s:[s,s]}", "service", "svc",
+      "address", s->addr, "zone", "a", "state", "ready", "capacity", "cpu",
+      (json_int_t)s->exec->room.millicores, "mem_mb",
+      (json_int_t)s->exec->room.mem_mb, "gpu", 0, "labels", "kind", "r1");
+  clb_auto char *text = json_dumps (entry, JSON_COMPACT);
+
+  snprintf (key, sizeof key, "servers/%s", s->exec->id);
+  ftable_put (sim, key, text);
+}
+
+static char *
+read_file (const char *path)
+{
+  char *text = calloc (1, 1 << 20);
+  FILE *f = fopen (path, "r");
+
+  if (!f || !fread (text, 1, (1 << 20) - 1, f))
+    {
+      fprintf (stderr, "fleet-standin: %s: cannot be read\n", path);
+      exit (1);
+    }
+  fclose (f);
+  return text;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct job_need room = { .millicores = 16000, .mem_mb = 32768 };
+  static uv_timer_t timer;
+  struct server *execs;
+  int port, n;
+
+  if (argc != 4)
+    {
+      fprintf (stderr, "usage: fleet-standin PORT EXECUTORS CONFIG\n");
+      return 64;
+    }
+  port = atoi (argv[1]);
+  n = atoi (argv[2]);
+  began_ms = now ();
+  sim = fsim_new (1, 0, n, &room);
+  serve (&table, port, on_table);
+  execs = calloc ((size_t)n, sizeof *execs);
+  for (int i = 0; i < n; i++)
+    {
+      execs[i].exec = sim->exec[i];
+      serve (&execs[i], port + 1 + i, on_exec);
+      list_exec (&execs[i]);
+    }
+  serve (&advice, port + 1 + n, on_advice);
+  ftable_put (sim, "op/config", read_file (argv[3]));
+  uv_timer_init (uv_default_loop (), &timer);
+  uv_timer_start (&timer, on_timer, RETRY_MS, RETRY_MS);
+  printf ("ready\n");
+  fflush (stdout);
+  return uv_run (uv_default_loop (), UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/regress/standin/fleetload.c
@@ -0,0 +1,186 @@
+/*
+ * fleet-load - hands jobs in at a rate, asks for their states, and tells how
+ * long they took.  The last line is "N passed, N failed": a job passes when
+ * it was accepted and is shown as completed.
+ */
+#include "httpc.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  ASK_MS = 250,
+  GIVE_UP_MS = 30000,
+  JOBS_MAX = 100000,
+};
+
+struct load_job
+{
+  int64_t sent_ms;
+  int64_t done_ms;
+  bool accepted;
+  bool failed;
+  bool asking;
+  int64_t next_ask_ms;
+};
+
+static struct httpc *http;
+static uv_loop_t *loop;
+static struct load_job jobs[JOBS_MAX];
+static int n_jobs;
+static int n_open;
+static int wanted;
+static double rate;
+static int64_t began_ms;
+static char **addrs;
+static int n_addrs;
+static int first_id;
+
+static int64_t
+now (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
+finish (struct load_job *j, bool good)
+{
+  j->failed = !good;
+  j->done_ms = now ();
+  n_open--;
+}
+
+static void
+on_state (void *arg, int end, int status, const char *body, size_t len)
+{
+  struct load_job *j = arg;
+
+  (void)len;
+  j->asking = false;
+  j->next_ask_ms = now () + ASK_MS;
+  if (end != HTTPC_OK || status != 200 || !body)
+    return;
+  if (strstr (body, "completed"))
+    finish (j, true);
+  else if (strstr (body, "failed"))
+    finish (j, false);
+}
+
+static void
+on_accept (void *arg, int end, int status, const char *body, size_t len)
+{
+  struct load_job *j = arg;
+
+  (void)body;
+  (void)len;
+  j->asking = false;
+  j->accepted = end == HTTPC_OK && status == 200;
+  j->next_ask_ms = now () + ASK_MS;
+  if (!j->accepted)
+    finish (j, false);
+}
+
+static void
+send_to (int i, const char *method, const char *body,
+         void (*on_end) (void *, int, int, const char *, size_t))
+{
+  char url[160];
+  struct httpc_req rq = { .method = method,
+                          .url = url,
+                          .type = "application/json",
+                          .header = "Key: k",
+                          .body = body,
+                          .body_len = body ? strlen (body) : 0,
+                          .timeout_ms = 3000,
+                          .connect_ms = 1000,
+                          .arg = &jobs[i],
+                          .on_end = on_end };
+
+  snprintf (url, sizeof url, "http://%s/q/%016x", addrs[i % n_addrs],
+            first_id + i);
+  jobs[i].asking = true;
+  httpc_send (http, &rq);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  int64_t at = now ();
+
+  while (n_jobs < wanted
+         && n_jobs < (int)((double)(at - began_ms) * rate / 1000))
+    {
+      jobs[n_jobs].sent_ms = at;
+      n_open++;
+      send_to (n_jobs, "POST",
+               "{\"spec\":\"s\",\"steps\":[{\"task_count\":3,\"cpu\":500,"
+               "\"mem_mb\":100,\"estimate_ms\":300}]}",
+               on_accept);
+      n_jobs++;
+    }
+  for (int i = 0; i < n_jobs; i++)
+    if (!jobs[i].done_ms && !jobs[i].asking && at >= jobs[i].next_ask_ms)
+      {
+        if (at - jobs[i].sent_ms > GIVE_UP_MS)
+          finish (&jobs[i], false);
+        else
+          send_to (i, "GET", NULL, on_state);
+      }
+  if (n_jobs == wanted && n_open == 0)
+    {
+      uv_timer_stop (t);
+      uv_stop (loop);
+    }
+}
+
+static int
+by_time (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *)a;
+  int64_t y = *(const int64_t *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+int
+main (int argc, char **argv)
+{
+  static uv_timer_t timer;
+  static int64_t took[JOBS_MAX];
+  int passed = 0;
+
+  if (argc < 5)
+    {
+      fprintf (stderr, "usage: fleet-load JOBS RATE FIRST-ID IP:PORT...\n");
+      return 64;
+    }
+  wanted = atoi (argv[1]) < JOBS_MAX ? atoi (argv[1]) : JOBS_MAX;
+  rate = atof (argv[2]);
+  first_id = atoi (argv[3]);
+  addrs = argv + 4;
+  n_addrs = argc - 4;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  loop = uv_default_loop ();
+  http = httpc_new (loop);
+  began_ms = now ();
+  uv_timer_init (loop, &timer);
+  uv_timer_start (&timer, on_timer, 0, 5);
+  uv_run (loop, UV_RUN_DEFAULT);
+  for (int i = 0; i < n_jobs; i++)
+    if (!jobs[i].failed)
+      took[passed++] = jobs[i].done_ms - jobs[i].sent_ms;
+  qsort (took, (size_t)passed, sizeof *took, by_time);
+  if (passed)
+    printf ("shown as completed after p50 %lld ms, p99 %lld ms\n",
+            (long long)took[passed / 2],
+            (long long)took[(passed - 1) * 99 / 100]);
+  printf ("%d passed, %d failed\n", passed, n_jobs - passed);
+  return passed == n_jobs ? 0 : 1;
+}
