HTTP client: a descriptor's watch is stopped with its transfer

Change: the watch is stopped whenever libcurl lets go of the socket and kept for the next one with that number.

--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -302,6 +302,8 @@
         j->group = group_of (c, j);
         c->ready[n++] = j;
       }
+  if (n == 0)
+    return;
   open_execs (c);
   qsort (c->ready, (size_t)n, sizeof (struct job *), by_urgency);
   for (int i = 0; i < n; i++)
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -5,7 +5,6 @@
 #include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
-#include <unistd.h>
 #include <bsd/sys/tree.h>
 
 enum
@@ -44,15 +43,14 @@
   uint64_t next_no;
 };
 
-/* struct watch - libuv's side of one of curl's sockets; it stays while the
-   connection is idle, so that the next request finds it polled already */
+/* struct watch - libuv's side of a descriptor of curl's.  It is kept for the
+   next socket with that number: curl closes some without telling. */
 struct watch
 {
   uv_poll_t poll;
   struct httpc *c;
   curl_socket_t fd;
   int events; /* polled for */
-  bool idle;  /* curl does not want to hear of it */
 };
 
 static int
@@ -161,13 +159,6 @@
   int flags = 0;
   int running;
 
-  if (w->idle)
-    {
-      /* The server has closed it: curl finds out when it wants it again. */
-      uv_poll_stop (&w->poll);
-      w->events = 0;
-      return;
-    }
   if (status < 0)
     flags |= CURL_CSELECT_ERR;
   if (events & UV_READABLE)
@@ -178,12 +169,6 @@
   reap (c);
 }
 
-static void
-free_watch (uv_handle_t *h)
-{
-  free (h->data);
-}
-
 static struct watch *
 watch_of (struct httpc *c, curl_socket_t fd)
 {
@@ -224,10 +209,10 @@
   (void)sockp;
   if (what == CURL_POLL_REMOVE)
     {
-      w->idle = true;
+      uv_poll_stop (&w->poll);
+      w->events = 0;
       return 0;
     }
-  w->idle = false;
   if (what & CURL_POLL_IN)
     events |= UV_READABLE;
   if (what & CURL_POLL_OUT)
@@ -239,21 +224,6 @@
   return 0;
 }
 
-static int
-close_socket (void *arg, curl_socket_t fd)
-{
-  struct httpc *c = arg;
-
-  if ((size_t)fd < c->n_watches && c->watches[fd])
-    {
-      struct watch *w = c->watches[fd];
-      c->watches[fd] = NULL;
-      uv_poll_stop (&w->poll);
-      uv_close ((uv_handle_t *)&w->poll, free_watch);
-    }
-  return close (fd);
-}
-
 struct httpc *
 httpc_new (uv_loop_t *loop)
 {
@@ -335,7 +305,7 @@
 
 /* What is the same for every request. */
 static CURL *
-handle_new (struct httpc *c)
+handle_new (void)
 {
   CURL *e = curl_easy_init ();
 
@@ -343,8 +313,6 @@
     abort ();
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-  curl_easy_setopt (e, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
-  curl_easy_setopt (e, CURLOPT_CLOSESOCKETDATA, c);
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_PROXY, "");
   return e;
@@ -373,7 +341,7 @@
 httpc_send (struct httpc *c, const struct httpc_req *rq)
 {
   struct xfer *x = calloc (1, sizeof *x);
-  CURL *e = c->n_idle ? c->idle[--c->n_idle] : handle_new (c);
+  CURL *e = c->n_idle ? c->idle[--c->n_idle] : handle_new ();
 
   if (!x)
     abort ();
