Backlogs: a pass looks at no job that it can neither place nor ask for

Change: no valid ticket and no free adviser: the job is skipped; passes over long queues are further apart; ended jobs' specifications are trimmed. Ruled out: reads of the table (162 of 1,019 ms), logging (15 ms).

--- a/core/cell.c
+++ b/core/cell.c
@@ -295,12 +295,13 @@
 }
 
 static void
-add_final (struct cell *c, const char *id, int state)
+add_final (struct cell *c, const char *id, int state, bool trim)
 {
   struct final *f = zalloc (1, sizeof *f);
 
   clb_copy (f->id, id, sizeof f->id);
   f->state = state;
+  f->trim = trim;
   if (RB_INSERT (final_tree, &c->finals, f))
     free (f);
 }
@@ -338,7 +339,7 @@
 {
   if (!j->recorded || j->n_runs > 0 || j->dirty || j->writing)
     return false;
-  add_final (c, j->spec.id, j->state);
+  add_final (c, j->spec.id, j->state, true);
   job_free (c, j);
   return true;
 }
@@ -526,7 +527,7 @@
 
   if (job_state_final (p->state))
     {
-      add_final (c, id, p->state);
+      add_final (c, id, p->state, false);
       codec_free (&job_progress_desc, p);
       return;
     }
@@ -685,6 +686,51 @@
     }
 }
 
+int
+cell_job_part (const char *id)
+{
+  return (id[JOB_ID_SIZE - 2] & 0x0f) % CELL_JOB_PARTS;
+}
+
+/* An ended job's row stays, so that its id is never taken again, but without
+   the specification: the next leader reads them all.  A write that fails is
+   not repeated; it costs that leader some time. */
+static void
+trim_part (struct cell *c, int part)
+{
+  struct store_op *op = NULL;
+  struct final *f;
+
+  RB_FOREACH (f, final_tree, &c->finals)
+    {
+      char key[CLB_NAME_MAX];
+      if (!f->trim || cell_job_part (f->id) != part)
+        continue;
+      if (!op)
+        {
+          struct out *o = out_new (c->out, OUT_STORE);
+          o->u.store.token = ++*c->tokens;
+          op = &o->u.store.op;
+          op->kind = STORE_TXN;
+        }
+      f->trim = false;
+      snprintf (key, sizeof key, "job:%d/%s", part, f->id);
+      store_put (op, key, CELL_TRIMMED);
+      if (op->n_puts == CELL_TRIM_ROWS)
+        return;
+    }
+}
+
+static void
+trim_jobs (struct cell *c)
+{
+  if (c->now_ms < c->next_trim_ms)
+    return;
+  c->next_trim_ms = c->now_ms + CELL_TRIM_MS;
+  for (int part = 0; part < CELL_JOB_PARTS; part++)
+    trim_part (c, part);
+}
+
 int
 cell_state (const struct cell *c, const char *id)
 {
@@ -787,6 +833,7 @@
     exec_tick (c, e);
   exec_settle (c);
   sweep_questions (c);
+  trim_jobs (c);
   TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
     if (job_state_final (j->state))
       forget_job (c, j);
--- a/core/cell.h
+++ b/core/cell.h
@@ -37,9 +37,15 @@
   CELL_BAD_RUNS = 3,       /* failures in a row that put an executor aside */
   CELL_UNLISTED_MS = 2500, /* entries that the platform dropped while it was
                               away come back within 2 s */
+  CELL_JOB_PARTS = 8,      /* of the table of jobs: each takes 300 writes/s */
+  CELL_TRIM_MS = 2500,     /* between removals of ended jobs' specifications */
+  CELL_TRIM_ROWS = 90,     /* of one such write */
   CELL_ASIDE_MS = 4000,    /* first pause; doubled while it goes on failing */
 };
 
+/* The row of an ended job. */
+#define CELL_TRIMMED "{}"
+
 struct cell;
 struct exec;
 struct jstep;
@@ -113,7 +119,8 @@
   int64_t ready_ms;
   struct permit *permits; /* by the executor's index */
   int n_permits;
-  uint64_t ask; /* outstanding question; 0: none */
+  uint64_t ask;     /* outstanding question; 0: none */
+  int64_t valid_ms; /* no ticket in hand is valid after this */
   int64_t ask_next_ms;
 };
 
@@ -229,6 +236,7 @@
   RB_ENTRY (final) by_id;
   char id[JOB_ID_SIZE];
   int state;
+  bool trim; /* its specification still lies in the table */
 };
 RB_HEAD (final_tree, final);
 
@@ -291,6 +299,9 @@
   bool record_due; /* something must be recorded */
   bool roster_dirty;
   bool roster_writing;
+  bool ask_short; /* in the pass under way, an adviser is free for ... */
+  bool ask_long;
+  int64_t next_trim_ms;
   struct job **ready; /* scratch of a placing pass */
   int ready_cap;
 };
@@ -355,6 +366,8 @@
 int cell_collect (struct cell *c, struct store_op *op, int most);
 void cell_recorded (struct cell *c);
 
+/** cell_job_part() - Part of the table of jobs that @id lies in. */
+int cell_job_part (const char *id);
 /** cell_state() - enum job_state, or -1 for a job that is not in hand. */
 int cell_state (const struct cell *c, const char *id);
 /** cell_waiting() - Jobs of a queue none of whose tasks has started. */
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -284,7 +284,8 @@
       promise_asked (c, j, step, waiting);
       return;
     }
-  if (c->now_ms < s->ask_next_ms || waiting <= 0)
+  if (c->now_ms < s->ask_next_ms || waiting <= 0
+      || !(adv->base_ms > LONG_MS ? c->ask_long : c->ask_short))
     return;
   add_lapsed (c, j, step, &names);
   if (names.good_fits < waiting && names.unasked > 0)
@@ -300,6 +301,14 @@
   promise_names (j, step, &names, waiting);
   if (adviser >= 0)
     send_question (c, j, step, &names, adviser, cost);
+  advice_begin_pass (c);
+}
+
+void
+advice_begin_pass (struct cell *c)
+{
+  c->ask_short = pick_adviser (c, 1) >= 0;
+  c->ask_long = pick_adviser (c, LONG_MS + 1) >= 0;
 }
 
 static void
@@ -316,6 +325,8 @@
       p->state = PERMIT_GOOD;
       p->born_ms = e->born_ms;
       p->until_ms = c->now_ms + valid_ms;
+      if (p->until_ms > s->valid_ms)
+        s->valid_ms = p->until_ms;
       free (p->ticket);
       p->ticket = strdup (res->good[i].ticket);
     }
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -63,6 +63,8 @@
 void advice_want (struct cell *c, struct job *j, int step);
 void advice_result (struct cell *c, const struct pending_order *p,
                     const struct order_result *res);
+/** advice_begin_pass() - See which advisers are free. */
+void advice_begin_pass (struct cell *c);
 void advice_forget (struct jstep *s);
 
 #endif
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -8,8 +8,9 @@
 
 enum
 {
-  PASS_GAP_MS = 4,           /* events of this long are placed together */
-  LOOK_EVERY = 8,            /* jobs between looks whether any room is left */
+  PASS_GAP_MS = 4, /* events of this long are placed together */
+  JOBS_A_MS = 40,  /* a pass over so many jobs is worth waiting 1 ms for */
+  LOOK_EVERY = 8,  /* jobs between looks whether any room is left */
   ROOM_MIN_MILLICORES = 100, /* less is no room for any task seen */
 };
 
@@ -201,12 +202,14 @@
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
       struct jstep *s = &j->steps[i];
-      bool placed;
+      bool placed = false;
+      bool asks = j->spec.advice.base_ms > 0;
       if (!s->ready || s->n_done + s->n_running >= s->n_tasks)
         continue;
-      placed = j->spec.steps[i].gang ? place_gang (c, j, (int)i)
-                                     : place_singles (c, j, (int)i);
-      if (!placed && j->spec.advice.base_ms > 0)
+      if (!asks || s->valid_ms > c->now_ms)
+        placed = j->spec.steps[i].gang ? place_gang (c, j, (int)i)
+                                       : place_singles (c, j, (int)i);
+      if (!placed && asks)
         advice_want (c, j, (int)i);
     }
 }
@@ -287,7 +290,7 @@
 
   c->pass_due = false;
   c->stats->passes++;
-  c->next_pass_ms = c->now_ms + PASS_GAP_MS;
+
   if (c->n_jobs > c->ready_cap)
     {
       c->ready_cap = c->n_jobs + 64;
@@ -302,9 +305,12 @@
         j->group = group_of (c, j);
         c->ready[n++] = j;
       }
+  c->next_pass_ms = c->now_ms + PASS_GAP_MS;
   if (n == 0)
     return;
+  c->next_pass_ms += n / JOBS_A_MS;
   open_execs (c);
+  advice_begin_pass (c);
   qsort (c->ready, (size_t)n, sizeof (struct job *), by_urgency);
   for (int i = 0; i < n; i++)
     {
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -42,7 +42,7 @@
                &f->tokens);
   follow_init (&f->exec_feed, "servers", 0, FLEET_FEED_WAIT_MS, &f->out,
                &f->tokens);
-  follow_init (&f->job_feed, "job", FLEET_JOB_PARTS, FLEET_FEED_WAIT_MS,
+  follow_init (&f->job_feed, "job", CELL_JOB_PARTS, FLEET_FEED_WAIT_MS,
                &f->out, &f->tokens);
   f->conf_feed.fresh_ms = INT64_MIN / 2;
   follow_start (&f->conf_feed, now_ms);
@@ -289,7 +289,7 @@
   struct codec_err ce;
   int64_t age = 0;
 
-  if (cell_state (f->cell, id) >= 0)
+  if (cell_state (f->cell, id) >= 0 || strcmp (row->value, CELL_TRIMMED) == 0)
     return;
   if (codec_parse (&job_spec_desc, row->value, strlen (row->value),
                    CODEC_LENIENT, &spec, &ce)
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -207,7 +207,5 @@
 void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
 /** fleet_leader_addr() - NULL if none is heard or it is this instance. */
 const char *fleet_leader_addr (const struct fleet *f);
-/** fleet_job_part() - Part of the table of jobs that @id lies in. */
-int fleet_job_part (const char *id);
 
 #endif
--- a/core/gate.c
+++ b/core/gate.c
@@ -34,16 +34,10 @@
 
 RB_GENERATE (caller_tree_f, caller, by_no, caller_cmp)
 
-int
-fleet_job_part (const char *id)
-{
-  return (id[JOB_ID_SIZE - 2] & 0x0f) % FLEET_JOB_PARTS;
-}
-
 static void
 job_key (const char *id, const char *suffix, char out[CLB_NAME_MAX])
 {
-  snprintf (out, CLB_NAME_MAX, "job:%d/%s%s", fleet_job_part (id), id, suffix);
+  snprintf (out, CLB_NAME_MAX, "job:%d/%s%s", cell_job_part (id), id, suffix);
 }
 
 static void
