Gangs give up with a lost member; jobs are told to the leader at once

Change: a start is sent once more (idempotent by its run), then a gang is stopped whole; the simulated executors now model gangs. Instances tell the leader of recorded jobs over the mesh; the feed only finds those that got lost, five times a second; records of 25 ms share a write.

--- a/core/cell.h
+++ b/core/cell.h
@@ -28,7 +28,9 @@
   CELL_HOLD_WAIT_MS = 1000, /* an idle executor is asked once a second */
   CELL_HOLD_GAP_MS = 15,    /* ends of this long are fetched together */
   CELL_HOLD_RETRY_MS = 150, /* after a failed question */
-  CELL_CALL_MS = 800,       /* a start or stop is given up after this */
+  CELL_CALL_MS = 500,   /* a start or stop is given up after this; links and
+                           executors take some ms */
+  CELL_START_TRIES = 2, /* a start is idempotent by its run's number */
   CELL_HOLD_SLACK_MS = 900, /* a question for ends, beyond its wait */
   CELL_STOP_RETRY_MS = 300,
   CELL_CLOCK_MARGIN_MS = 150,  /* timers and links */
@@ -77,6 +79,7 @@
   int64_t percent_ms; /* of the last change */
   int64_t stop_ms;    /* next stop order not before */
   uint64_t order;     /* outstanding start or stop */
+  int tries;          /* starts sent */
   bool seen;          /* in the list under way */
   char saved[JOB_SAVED_SIZE];
 };
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -60,6 +60,17 @@
   return r;
 }
 
+/* The other members of a gang would wait for one that does not come. */
+static void
+stop_others (struct cell *c, struct job *j, int step)
+{
+  struct jstep *s = &j->steps[step];
+
+  for (int i = 0; i < s->n_tasks; i++)
+    if (s->tasks[i].run)
+      start_stop (c, s->tasks[i].run);
+}
+
 void
 start_end (struct cell *c, struct start *r, int how)
 {
@@ -72,6 +83,9 @@
 
   if (p)
     p->run = NULL;
+  bool alone = how == END_NEVER || how == END_GONE || how == END_LAPSED
+               || how == END_ALONE;
+
   c->stats->ends[how]++;
   out_line (c->out,
             "event=end job=%s step=%d task=%d run=%lld exec=%s how=%s "
@@ -89,6 +103,8 @@
   else if (how == END_DONE)
     r->exec->bad_runs = 0;
   free (r);
+  if (alone && j->spec.steps[step].gang)
+    stop_others (c, j, step);
   cell_task_ended (c, j, step, index, no, how);
 }
 
@@ -120,12 +136,12 @@
     clb_copy (o->saved, t->saved, sizeof o->saved);
   if (r->exec->index < s->n_permits && s->permits[r->exec->index].ticket)
     clb_copy (o->ticket, s->permits[r->exec->index].ticket, sizeof o->ticket);
-  c->stats->starts++;
+  c->stats->starts += r->tries++ == 0;
   out_line (c->out,
-            "event=start job=%s step=%d task=%d run=%lld exec=%s "
+            "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
             "lease_ms=%d saved=%s used=%lld/%lld heard_ms=%lld",
             r->job->spec.id, r->step, r->index, (long long)r->no,
-            r->exec->rep.id, CELL_LEASE_MS, o->saved,
+            r->exec->rep.id, r->tries, CELL_LEASE_MS, o->saved,
             (long long)r->exec->used.millicores,
             (long long)r->exec->rep.room.millicores,
             (long long)(c->now_ms - r->exec->clock_at_ms));
@@ -214,7 +230,13 @@
                 r->job->spec.id, r->step, r->index, (long long)r->no,
                 r->exec->rep.id);
       r->unsure_ms = c->now_ms;
-      if (r->state == START_SENT)
+      if (r->state != START_SENT)
+        return;
+      if (r->tries < CELL_START_TRIES && c->may_order && !r->exec->silent)
+        start_send (c, r);
+      else if (r->job->spec.steps[r->step].gang)
+        stop_others (c, r->job, r->step);
+      else
         r->state = START_UNSURE;
     }
 }
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -44,6 +44,7 @@
                &f->tokens);
   follow_init (&f->job_feed, "job", CELL_JOB_PARTS, FLEET_FEED_WAIT_MS,
                &f->out, &f->tokens);
+  f->job_feed.pause_ms = FLEET_JOBS_GAP_MS;
   f->conf_feed.fresh_ms = INT64_MIN / 2;
   follow_start (&f->conf_feed, now_ms);
 }
@@ -283,20 +284,20 @@
 }
 
 static void
-take_job (struct fleet *f, const char *id, const struct row *row)
+take_job (struct fleet *f, const char *id, const char *text)
 {
   struct job_spec spec;
   struct codec_err ce;
   int64_t age = 0;
 
-  if (cell_state (f->cell, id) >= 0 || strcmp (row->value, CELL_TRIMMED) == 0)
+  if (cell_state (f->cell, id) >= 0 || strcmp (text, CELL_TRIMMED) == 0)
     return;
-  if (codec_parse (&job_spec_desc, row->value, strlen (row->value),
-                   CODEC_LENIENT, &spec, &ce)
+  if (codec_parse (&job_spec_desc, text, strlen (text), CODEC_LENIENT, &spec,
+                   &ce)
       || strcmp (spec.id, id) != 0 || job_check (&spec, &ce))
     {
       f->stats.bad_rows++;
-      out_line (&f->out, "event=bad-row key=%s error=%s field=%s", row->key,
+      out_line (&f->out, "event=bad-row key=job/%s error=%s field=%s", id,
                 clb_err_name (ce.err), ce.path);
       return;
     }
@@ -315,11 +316,43 @@
     return;
   clb_copy (id, slash + 1, sizeof id);
   if (!slash[JOB_ID_SIZE])
-    take_job (f, id, row);
+    take_job (f, id, row->value);
   else if (strcmp (slash + JOB_ID_SIZE, SUFFIX_CANCEL) == 0)
     cell_cancel (f->cell, id);
 }
 
+/* The same as through the feed, sooner.  The rule is the same too: what is
+   known while nobody can have claimed is not known to a successor only. */
+static void
+hear_job (struct fleet *f, const char *id, const char *record)
+{
+  if (!f->cell || !f->cell->going || !lead_may_admit (&f->lead, f->now_ms)
+      || !job_id_ok (id))
+    return;
+  if (record)
+    take_job (f, id, record);
+  else
+    cell_cancel (f->cell, id);
+}
+
+void
+fleet_tell_job (struct fleet *f, const char *id, const char *record)
+{
+  const char *addr = fleet_leader_addr (f);
+  struct mesh_msg *m;
+
+  hear_job (f, id, record);
+  if (!addr)
+    return;
+  m = calloc (1, sizeof *m);
+  if (!m)
+    abort ();
+  m->kind = MESH_JOB;
+  clb_copy (m->id, id, sizeof m->id);
+  m->text = record ? strdup (record) : NULL;
+  fleet_send (f, addr, m);
+}
+
 static bool
 job_store (struct fleet *f, uint64_t token, const struct store_rep *rep)
 {
@@ -615,6 +648,9 @@
     case MESH_ADVICE:
       take_advice (f, m);
       break;
+    case MESH_JOB:
+      hear_job (f, m->id, m->text);
+      break;
     default:
       gate_mesh (f, m);
       break;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -28,10 +28,12 @@
   FLEET_STALE_MARGIN_MS = 500, /* keyed work stops so long before a withdrawn
                                   key must not work any more */
   FLEET_READY_MS = 2500,       /* not ready once the table is silent so long */
-  FLEET_WRITE_GAP_MS = 8,      /* records of this long share a write */
-  FLEET_WATCHERS = 3,          /* followers that look at the lease often */
-  FLEET_COME_BACK_MS = 1000,   /* Retry-After where nothing better is known */
-  FLEET_REQUESTS_MAX = 2000,   /* in hand; more are refused */
+  FLEET_WRITE_GAP_MS = 25,     /* records of this long share a write */
+  FLEET_JOBS_GAP_MS = 200,   /* jobs that no instance has told of are found by
+                                then */
+  FLEET_WATCHERS = 3,        /* followers that look at the lease often */
+  FLEET_COME_BACK_MS = 1000, /* Retry-After where nothing better is known */
+  FLEET_REQUESTS_MAX = 2000, /* in hand; more are refused */
 };
 
 /** enum fleet_verb - what a caller asks */
@@ -204,6 +206,8 @@
 void gate_fini (struct fleet *f);
 
 /* fleet.c, used by gate.c */
+/** fleet_tell_job() - Tell the leader of a job; @record NULL: cancelled. */
+void fleet_tell_job (struct fleet *f, const char *id, const char *record);
 void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
 /** fleet_leader_addr() - NULL if none is heard or it is this instance. */
 const char *fleet_leader_addr (const struct fleet *f);
--- a/core/follow.c
+++ b/core/follow.c
@@ -121,5 +121,6 @@
     return take_page (f, rep);
   if (rep->ver > f->ver)
     f->ver = rep->ver;
+  f->next_ms = now_ms + f->pause_ms;
   return FOLLOW_CHANGES;
 }
--- a/core/follow.h
+++ b/core/follow.h
@@ -23,8 +23,9 @@
 struct follow
 {
   char table[CLB_NAME_MAX];
-  int parts;       /* numbered from 0; 0: the table has one unnamed part */
-  int64_t wait_ms; /* a feed's answer waits so long for a change */
+  int parts;        /* numbered from 0; 0: the table has one unnamed part */
+  int64_t wait_ms;  /* a feed's answer waits so long for a change */
+  int64_t pause_ms; /* changes of this long are fetched together */
   struct outq *out;
   uint64_t *tokens;
   bool on;
--- a/core/gate.c
+++ b/core/gate.c
@@ -366,6 +366,8 @@
 static void
 write_done (struct fleet *f, struct caller *c, const struct store_rep *rep)
 {
+  if (c->verb == FLEET_CANCEL || !rep->err)
+    fleet_tell_job (f, c->id, c->verb == FLEET_CANCEL ? NULL : c->record);
   if (c->verb == FLEET_CANCEL)
     finish (f, c, ANSWER_CANCELLED, NULL);
   else
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -5,11 +5,12 @@
 enum
 {
   DELAY_MAX_MS = 86400000,
+  TEXT_MAX = 65536,
 };
 
 static const char *const kind_names[]
     = { "hello",   "leader",     "state-ask", "state", "waiting-ask",
-        "waiting", "advise-ask", "advice",    NULL };
+        "waiting", "advise-ask", "advice",    "job",   NULL };
 
 static const struct fld name_fields[] = {
   FLD_CHARS (struct mesh_name, exec, true),
@@ -25,6 +26,7 @@
   FLD_INT (struct mesh_msg, epoch, 0, INT64_MAX),
   FLD_CHARS (struct mesh_msg, id, false),
   FLD_INT (struct mesh_msg, count, 0, INT64_MAX),
+  FLD_STRING (struct mesh_msg, text, TEXT_MAX),
   FLD_FLAG (struct mesh_msg, known),
   FLD_INT (struct mesh_msg, state, 0, JOB_STATE_N - 1),
   FLD_INT (struct mesh_msg, occurrence, 0, INT64_MAX),
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -17,6 +17,7 @@
   MESH_WAITING, /* how many jobs of a queue have not begun */
   MESH_ADVISE_ASK,
   MESH_ADVICE,
+  MESH_JOB, /* to the leader: this job, or its cancellation, is recorded */
   MESH_KIND_N
 };
 
@@ -37,6 +38,7 @@
   int64_t epoch;           /* the leader's term */
   char id[CLB_ID_MAX];     /* a job, or a queue's name */
   int64_t count;
+  char *text;    /* a job's record; NULL: its cancellation */
   bool known;    /* the leader knows the job */
   int64_t state; /* enum job_state */
   int64_t occurrence;
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -13,6 +13,7 @@
 enum
 {
   STOP_MS = 100,
+  GANG_MS = 3000,
   LEASE_MAX_MS = 6000,
   ADVICE_VALID_MS = 2000,
 };
@@ -66,6 +67,10 @@
 
   if (m)
     m->running--;
+  if (how == END_ALONE)
+    fsim_violation (s, "GANG %s.%lld.%lld run %lld on %s waited in vain",
+                    r->task.job, (long long)r->task.step,
+                    (long long)r->task.index, (long long)r->run, e->id);
   if (e->n_ends < (int)CLB_COUNT (e->ends))
     {
       e->n_ends++;
@@ -93,6 +98,48 @@
     }
 }
 
+/* The members of one run of a gang that are there; @each is told of each. */
+static int
+members (struct fsim *s, const struct task_ref *t, int64_t run,
+         void (*each) (struct fsim *s, struct frun *r))
+{
+  int n = 0;
+
+  for (int k = 0; k < s->n_exec; k++)
+    for (int i = 0; i < s->exec[k]->n_runs; i++)
+      {
+        struct frun *r = &s->exec[k]->runs[i];
+        if (r->run != run || r->task.step != t->step
+            || strcmp (r->task.job, t->job) != 0)
+          continue;
+        n++;
+        if (each)
+          each (s, r);
+      }
+  return n;
+}
+
+static void
+set_to_work (struct fsim *s, struct frun *r)
+{
+  struct fjob *j = fsim_job (s, r->task.job);
+
+  r->waits = false;
+  r->end_ms = s->now_ms + j->task_ms[r->task.step];
+  r->how = END_DONE;
+}
+
+/* A gang works only once all are there, and waits for GANG_MS. */
+static void
+join_gang (struct fsim *s, struct frun *r, const struct job_step *step)
+{
+  r->waits = true;
+  r->end_ms = s->now_ms + GANG_MS;
+  r->how = END_ALONE;
+  if (members (s, &r->task, r->run, NULL) == step->tasks)
+    members (s, &r->task, r->run, set_to_work);
+}
+
 static void
 check_start (struct fsim *s, struct fexec *e, const struct order *o,
              struct fjob *j, struct fmark *m)
@@ -148,6 +195,8 @@
     r->end_ms = INT64_MAX;
   m->running++;
   m->starts++;
+  if (j->spec.steps[o->task.step].gang && r->how == END_DONE)
+    join_gang (s, r, &j->spec.steps[o->task.step]);
   check_start (s, e, o, j, m);
 }
 
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -69,6 +69,7 @@
   int64_t end_ms;
   int how; /* at end_ms */
   bool stopping;
+  bool waits; /* for the others of its gang */
   struct job_need need;
 };
 
