Scenarios of takeover and table faults; the strongest instance leads

Cause: on deployments with unequal instances any could lead; failover waited 2 s; no scenario covered the takeover rules. Change: hellos tell the share of a core, the strongest three followers watch the lease; beats of 300 ms, claim after 1.7 s; executors are swept each 4 ms.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -365,6 +365,7 @@
 {
   struct fleet_settings set = { .boot = wall_ms (),
                                 .revoke_ms = d->set.revoke_ms,
+                                .millicores = d->set.millicores,
                                 .codec = pf_codec };
 
   clb_copy (set.id, d->set.id, sizeof set.id);
--- a/core/cell.c
+++ b/core/cell.c
@@ -829,14 +829,18 @@
   c->may_order = may_order;
   if (!c->going || !may_order)
     return;
-  TAILQ_FOREACH (e, &c->execs, link)
-    exec_tick (c, e);
-  exec_settle (c);
-  sweep_questions (c);
-  trim_jobs (c);
-  TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
-    if (job_state_final (j->state))
-      forget_job (c, j);
+  if (now_ms >= c->next_sweep_execs_ms)
+    {
+      c->next_sweep_execs_ms = now_ms + CELL_SWEEP_MS;
+      TAILQ_FOREACH (e, &c->execs, link)
+        exec_tick (c, e);
+      exec_settle (c);
+      sweep_questions (c);
+      trim_jobs (c);
+      TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
+        if (job_state_final (j->state))
+          forget_job (c, j);
+    }
   if (c->pass_due && now_ms >= c->next_pass_ms)
     place_pass (c);
 }
--- a/core/cell.h
+++ b/core/cell.h
@@ -39,6 +39,7 @@
   CELL_BAD_RUNS = 3,       /* failures in a row that put an executor aside */
   CELL_UNLISTED_MS = 2500, /* entries that the platform dropped while it was
                               away come back within 2 s */
+  CELL_SWEEP_MS = 4,       /* between looks at all executors */
   CELL_JOB_PARTS = 8,      /* of the table of jobs: each takes 300 writes/s */
   CELL_TRIM_MS = 2500,     /* between removals of ended jobs' specifications */
   CELL_TRIM_ROWS = 90,     /* of one such write */
@@ -212,6 +213,7 @@
   int64_t heard_ms;
   int64_t busy_until_ms; /* expected end of the questions it has */
   int n_open;
+  int64_t millicores;
 };
 
 struct cell_tenant
@@ -304,6 +306,7 @@
   bool roster_writing;
   bool ask_short; /* in the pass under way, an adviser is free for ... */
   bool ask_long;
+  int64_t next_sweep_execs_ms;
   int64_t next_trim_ms;
   struct job **ready; /* scratch of a placing pass */
   int ready_cap;
@@ -355,7 +358,11 @@
 void cell_exec_gone (struct cell *c, const char *id);
 /** cell_exec_list() - Begin or end of a whole list of executors. */
 void cell_exec_list (struct cell *c, bool begins);
-void cell_adviser (struct cell *c, const char *id, const char *addr);
+/** cell_adviser() - An instance that may ask for advice was heard. */
+void cell_adviser (struct cell *c, const char *id, const char *addr,
+                   int64_t millicores);
+/** cell_adviser_rank() - How many others have more of a core. */
+int cell_adviser_rank (const struct cell *c, const char *id);
 void cell_result (struct cell *c, int64_t now_ms, uint64_t order,
                   const struct order_result *res);
 void cell_tick (struct cell *c, int64_t now_ms, bool may_order);
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -62,7 +62,8 @@
 }
 
 void
-cell_adviser (struct cell *c, const char *id, const char *addr)
+cell_adviser (struct cell *c, const char *id, const char *addr,
+              int64_t millicores)
 {
   struct adviser *a = NULL;
 
@@ -80,6 +81,27 @@
     }
   clb_copy (a->addr, addr, sizeof a->addr);
   a->heard_ms = c->now_ms;
+  a->millicores = millicores;
+}
+
+int
+cell_adviser_rank (const struct cell *c, const char *id)
+{
+  int me = -1;
+  int rank = 0;
+
+  for (int i = 0; i < c->n_advisers; i++)
+    if (strcmp (c->advisers[i].id, id) == 0)
+      me = i;
+  for (int i = 0; i < c->n_advisers && me >= 0; i++)
+    {
+      const struct adviser *a = &c->advisers[i];
+      if (*a->addr && c->now_ms - a->heard_ms < ADVISER_SILENT_MS
+          && (a->millicores > c->advisers[me].millicores
+              || (a->millicores == c->advisers[me].millicores && i < me)))
+        rank++;
+    }
+  return rank;
 }
 
 /* The instance that will be free first, of those for such questions. */
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -21,6 +21,7 @@
   WAIT_OUT_MS
   = LEAD_ORDER_MS - LEAD_STILL_MS + CELL_LEASE_MS * 102 / 100 + 300,
   LOAD_RETRY_MS = 100,
+  STRONG_MILLICORES = 500, /* an instance with this much waits for none */
 };
 
 #define KEY_CONFIG "op/config"
@@ -38,6 +39,9 @@
   RB_INIT (&f->callers);
   lead_init (&f->lead, set->id, set->mesh_addr, set->boot, &f->out,
              &f->tokens);
+  /* Of instances that start together, the strongest leads. */
+  if (set->millicores > 0 && set->millicores < STRONG_MILLICORES)
+    f->lead.first_after_ms = now_ms + STRONG_MILLICORES - set->millicores;
   follow_init (&f->conf_feed, "op", 0, FLEET_FEED_WAIT_MS, &f->out,
                &f->tokens);
   follow_init (&f->exec_feed, "servers", 0, FLEET_FEED_WAIT_MS, &f->out,
@@ -420,7 +424,7 @@
   drop_cell (f);
   f->cell = cell_new (&f->out, &f->tokens, f->now_ms, f->lead.epoch,
                       WAIT_OUT_MS, &f->stats.cell);
-  cell_adviser (f->cell, "", "");
+  cell_adviser (f->cell, "", "", 0);
   if (f->conf)
     cell_conf (f->cell, f->conf);
   f->load_step = LOAD_ROSTER;
@@ -488,6 +492,7 @@
   if (!m)
     abort ();
   m->kind = MESH_HELLO;
+  m->millicores = f->set.millicores;
   fleet_send (f, f->lead.holder_addr, m);
 }
 
@@ -570,16 +575,15 @@
     return;
   if (f->cell)
     {
-      cell_adviser (f->cell, m->from, m->addr);
-      while (rank < f->cell->n_advisers
-             && strcmp (f->cell->advisers[rank].id, m->from) != 0)
-        rank++;
+      cell_adviser (f->cell, m->from, m->addr, m->millicores);
+      rank = cell_adviser_rank (f->cell, m->from);
     }
   r = calloc (1, sizeof *r);
   if (!r)
     abort ();
   r->kind = MESH_LEADER;
-  r->watch = rank <= FLEET_WATCHERS;
+  /* The strongest followers look often, so one of them succeeds. */
+  r->watch = rank < FLEET_WATCHERS;
   fleet_send (f, m->addr, r);
 }
 
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -27,8 +27,9 @@
   FLEET_REFUSED_TRIES = 3, /* then the caller is refused */
   FLEET_STALE_MARGIN_MS = 500, /* keyed work stops so long before a withdrawn
                                   key must not work any more */
-  FLEET_READY_MS = 2500,       /* not ready once the table is silent so long */
-  FLEET_WRITE_GAP_MS = 25,     /* records of this long share a write */
+  FLEET_READY_MS = 2300,     /* not ready once the table is silent so long: two
+                                waits of the configuration's feed */
+  FLEET_WRITE_GAP_MS = 25,   /* records of this long share a write */
   FLEET_JOBS_GAP_MS = 200,   /* jobs that no instance has told of are found by
                                 then */
   FLEET_WATCHERS = 3,        /* followers that look at the lease often */
@@ -75,8 +76,9 @@
   char id[CLB_ID_MAX];
   char zone[CLB_NAME_MAX];
   char mesh_addr[CLB_ADDR_MAX];
-  int64_t boot;      /* wall clock of the start, milliseconds */
-  int64_t revoke_ms; /* a withdrawn key works no longer than this */
+  int64_t boot;       /* wall clock of the start, milliseconds */
+  int64_t revoke_ms;  /* a withdrawn key works no longer than this */
+  int64_t millicores; /* this instance's share of a core */
   struct fleet_codec codec;
 };
 
--- a/core/lead.c
+++ b/core/lead.c
@@ -124,6 +124,8 @@
 {
   if (!l->read || l->stopping)
     return false;
+  if (l->holder_ver == 0 && now_ms < l->first_after_ms)
+    return false;
   return vacant (l) || now_ms - l->still_since_ms >= LEAD_STILL_MS;
 }
 
--- a/core/lead.h
+++ b/core/lead.h
@@ -18,11 +18,11 @@
 
 enum
 {
-  LEAD_BEAT_MS = 400,   /* longest pause between writes of the journal row */
-  LEAD_STILL_MS = 2000, /* five beats: three may be lost or slow */
-  LEAD_ADMIT_MS = 1800, /* below LEAD_STILL_MS by what clocks may differ */
+  LEAD_BEAT_MS = 300,   /* longest pause between writes of the journal row */
+  LEAD_STILL_MS = 1700, /* five beats: three may be lost or slow */
+  LEAD_ADMIT_MS = 1500, /* below LEAD_STILL_MS by what clocks may differ */
   LEAD_ORDER_MS = 4000, /* a short outage of the table stops no starts */
-  LEAD_READ_MS = 400,   /* between looks at the rows while watching */
+  LEAD_READ_MS = 300,   /* between looks at the rows while watching */
   LEAD_IDLE_READ_MS = 3000, /* between looks while the leader is heard */
   LEAD_SILENT_MS = 900,     /* the leader is heard every 400 ms */
   LEAD_RETRY_MS = 100,      /* after a refused or failed call */
@@ -63,6 +63,7 @@
   int64_t journal_ver;
   int64_t still_since_ms; /* the rows have not changed since */
   int64_t heard_ms;       /* the leader's last message */
+  int64_t first_after_ms; /* the very first claim of all is not made before */
   bool watch;             /* asked to look often */
   uint64_t token;         /* outstanding call; 0: none */
   int64_t sent_ms;
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -36,6 +36,7 @@
   FLD_INT (struct mesh_msg, conf_version, 0, INT64_MAX),
   FLD_INT (struct mesh_msg, conf_age_ms, 0, INT64_MAX),
   FLD_INT (struct mesh_msg, delay_ms, 0, DELAY_MAX_MS),
+  FLD_INT (struct mesh_msg, millicores, 0, INT32_MAX),
   FLD_FLAG (struct mesh_msg, watch),
   FLD_ARRAY (struct mesh_msg, names, n_names, &name_desc, ORDER_NAMES_MAX),
 };
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -48,6 +48,7 @@
   int64_t conf_version;
   int64_t conf_age_ms; /* since the configuration was proved current */
   int64_t delay_ms;    /* expected wait of new work for room */
+  int64_t millicores;  /* the sender's share of a core */
   bool watch;          /* the leader wants this follower to watch its lease */
   struct mesh_name *names;
   size_t n_names;
--- /dev/null
+++ b/regress/fleet/walk.lua
@@ -0,0 +1,65 @@
+dofile("regress/fleet/lib.lua")
+
+-- Faults at random, a few at a time; then calm, and every accepted job ends.
+scenario("random walk", function()
+  begin{instances = 4, execs = 8, good_percent = 80}
+  local n, calls = 0, {}
+  local function hand_in()
+    n = n + 1
+    local kind = random()
+    if kind < 0.2 then
+      job{id = id(n), steps = {{tasks = 4, gang = true, cpu = 3000, ms = 900}}}
+    elseif kind < 0.25 then
+      job{id = id(n), poison = true, steps = {{tasks = 2}}}
+    elseif kind < 0.6 then
+      job{id = id(n), queue = "quick", advice_base_us = 5000,
+          advice_each_us = 100, steps = {{tasks = 2, cpu = 1500, ms = 400}}}
+    else
+      job{id = id(n), steps = {{tasks = 3, ms = 700}, {tasks = 2, after = 0}}}
+    end
+    calls[n] = submit(math.floor(random() * 4), id(n))
+  end
+  local faults = {
+    function() local i = math.floor(random() * 4)
+      instance(i, "kill") return function() instance(i, "start") end end,
+    function() instance(math.floor(random() * 4), "freeze", 500 + random() * 4000) end,
+    function() instance(math.floor(random() * 4), "cut-store", 500 + random() * 5000) end,
+    function() instance(math.floor(random() * 4), "cut", 500 + random() * 5000) end,
+    function() local l = leader() if l >= 0 then instance(l, "kill")
+      return function() instance(l, "start") end end end,
+    function() exec(math.floor(random() * 8), "cut", 500 + random() * 9000) end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "crash") return function() exec(e, "reborn") end end,
+    function() exec(math.floor(random() * 8), "reborn") end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "lost", 0.3) return function() exec(e, "lost", 0) end end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "late", 0.3) return function() exec(e, "late", 0) end end,
+    function() store("down", 300 + random() * 4000) end,
+    function() store("lost", 0.3) return function() store("lost", 0) end end,
+    function() store("late", 0.2) return function() store("late", 0) end end,
+    function() store("slow", 30) return function() store("slow", 1) end end,
+    function() store("compact") end,
+  }
+  local undo = {}
+  for _ = 1, 12 do
+    for _ = 1, 1 + math.floor(random() * 2) do
+      local u = faults[1 + math.floor(random() * #faults)]()
+      if u then undo[#undo + 1] = u end
+    end
+    for _ = 1, 8 do
+      for _ = 1, 2 do hand_in() end
+      run(100 + random() * 300)
+    end
+    while #undo > 0 do table.remove(undo)() end
+  end
+  run(25000)
+  for i = 1, n do
+    local status = answer(calls[i])
+    if status == 200 then
+      local s = state(0, id(i))
+      expect(s == "completed" or s == "failed",
+             "accepted job " .. i .. " is " .. s)
+    end
+  end
+end)
