A second try of a start proves nothing of the first

Change: after a lost answer only a success or the executor's lists settle a start; an executor that cannot be reached gets nothing more until heard.

--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -216,6 +216,19 @@
     lapse_all (c, e);
 }
 
+void
+exec_suspect (struct cell *c, struct exec *e)
+{
+  if (e->silent)
+    return;
+  e->silent = true;
+  e->lost_ms = c->now_ms;
+  out_line (c->out,
+            "event=exec-silent exec=%s outcome=order-unanswered "
+            "runs_left=1",
+            e->rep.id);
+}
+
 void
 exec_failed_run (struct cell *c, struct exec *e)
 {
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -205,7 +205,16 @@
 start_answered (struct cell *c, struct start *r,
                 const struct order_result *res)
 {
-  switch (res->outcome)
+  int outcome = res->outcome;
+
+  /* Nothing more is placed there until it is heard again. */
+  if (outcome == ORDER_UNREACHED
+      || (outcome == ORDER_LOST && r->tries >= CELL_START_TRIES))
+    exec_suspect (c, r->exec);
+  /* An earlier try may have come in, whatever became of this one. */
+  if (r->unsure_ms && outcome != ORDER_DONE)
+    outcome = ORDER_LOST;
+  switch (outcome)
     {
     case ORDER_DONE:
       r->acked_ms = c->now_ms;
--- a/regress/fleet/gang.lua
+++ b/regress/fleet/gang.lua
@@ -34,3 +34,23 @@
   end
   expect(starts == 20, starts .. " starts of 20 tasks")
 end)
+
+scenario("a second try that is not sent proves nothing of the first", function()
+  begin{execs = 2, cores = 4}
+  exec(0, "lost", 1)
+  exec(1, "lost", 1)
+  for n = 1, 4 do
+    job{id = id(n), steps = {{tasks = 1, ms = 3000, cpu = 1000}}}
+    submit(0, id(n))
+  end
+  run(300)
+  exec(0, "unreached", 1)
+  exec(0, "lost", 0)
+  exec(1, "lost", 0)
+  run(12000)
+  exec(0, "unreached", 0)
+  run(8000)
+  for n = 1, 4 do
+    expect(state(1, id(n)) == "completed", "completed")
+  end
+end)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -413,10 +413,10 @@
   struct fexec *e = exec_of (s, o->exec);
   struct delivery *d = delivery_new (s, i, o);
 
-  if (!e)
+  if (!e || e->unreached)
     {
       d->res.outcome = ORDER_UNREACHED;
-      fsim_at (s, o->timeout_ms, result, d);
+      fsim_at (s, FSIM_LINK_MS, result, d);
       return;
     }
   if (o->kind != ORDER_HOLD && fsim_random (s) < e->late)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -88,6 +88,7 @@
   double late; /* share of starts carried out seconds later, unanswered */
   bool fails;  /* all that it starts */
   bool hangs;
+  bool unreached; /* connections to it fail at once */
   struct job_need room;
   struct frun runs[256];
   int n_runs;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -255,6 +255,8 @@
     e->late = x;
   else if (strcmp (what, "fails") == 0)
     e->fails = x > 0;
+  else if (strcmp (what, "unreached") == 0)
+    e->unreached = x > 0;
   else if (strcmp (what, "hangs") == 0)
     e->hangs = x > 0;
   else if (strcmp (what, "drain") == 0)
