An executor's new boot is seen by its clock too

Change: a clock that falls means a new boot, in any answer; nothing of it is acknowledged until its lists were read.

--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -10,6 +10,7 @@
 enum
 {
   CLOCK_RATE_LOW = 98,  /* percent: executors' clocks may be 2% slow */
+  CLOCK_FALL_MS = 1500, /* more than 2% of the longest silence by far */
   STOP_AGAIN_MS = 2000, /* acknowledged, and still listed after this long */
 };
 
@@ -397,10 +398,36 @@
       r->clear_ms = 0;
 }
 
+/* Its clock begins anew with each boot. */
+static bool
+clock_fell (const struct cell *c, const struct exec *e, int64_t clock_ms)
+{
+  return e->heard && clock_ms > 0
+         && clock_ms + CLOCK_FALL_MS < exec_clock (c, e);
+}
+
+void
+exec_clock_seen (struct cell *c, struct exec *e, int64_t clock_ms)
+{
+  if (!clock_fell (c, e, clock_ms))
+    return;
+  /* Its ends are counted anew: none of the new boot's may be taken for one
+     that is recorded. */
+  out_line (c->out, "event=exec-clock-fell exec=%s clock_ms=%lld", e->rep.id,
+            (long long)clock_ms);
+  e->recorded_end = 0;
+  e->write_end = 0;
+  exec_suspect (c, e);
+  if (!e->hold)
+    e->next_hold_ms = c->now_ms;
+}
+
 static void
 heard (struct cell *c, struct exec *e, const struct order_result *res)
 {
-  if (e->heard && res->born_ms && e->born_ms && res->born_ms != e->born_ms)
+  if (clock_fell (c, e, res->clock_ms)
+      || (e->heard && res->born_ms && e->born_ms
+          && res->born_ms != e->born_ms))
     {
       out_line (c->out, "event=exec-reborn exec=%s born=%lld", e->rep.id,
                 (long long)res->born_ms);
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -255,6 +255,7 @@
               const struct order_result *res)
 {
   r->order = 0;
+  exec_clock_seen (c, r->exec, res->clock_ms);
   if (kind == ORDER_START)
     start_answered (c, r, res);
   else if (res->outcome == ORDER_DONE)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -58,6 +58,15 @@
          && a->index == b->index;
 }
 
+static void
+remember (struct fexec *e, const struct task_ref *task, int64_t run)
+{
+  e->past = realloc (e->past, (size_t)(e->n_past + 1) * sizeof *e->past);
+  if (!e->past)
+    abort ();
+  e->past[e->n_past++] = (struct fpast){ *task, run };
+}
+
 static void
 end_run (struct fsim *s, struct fexec *e, int i, int how)
 {
@@ -65,6 +74,7 @@
   struct fmark *m = mark_of (s, &r->task);
   struct end_row *end = &e->ends[e->n_ends];
 
+  remember (e, &r->task, r->run);
   if (m)
     m->running--;
   if (how == END_ALONE)
@@ -210,12 +220,8 @@
   for (int i = 0; i < e->n_runs; i++)
     if (same_task (&e->runs[i].task, &o->task) && e->runs[i].run == o->run)
       return -1;
-  for (int i = 0; i < e->n_ends; i++)
-    if (same_task (&e->ends[i].task, &o->task) && e->ends[i].run >= o->run)
-      return REFUSED_OLD;
-  for (int i = 0; i < e->n_stopped; i++)
-    if (same_task (&e->stopped_task[i], &o->task)
-        && e->stopped_run[i] >= o->run)
+  for (int i = 0; i < e->n_past; i++)
+    if (same_task (&e->past[i].task, &o->task) && e->past[i].run >= o->run)
       return REFUSED_OLD;
   begin_run (s, e, o);
   return -1;
@@ -235,12 +241,7 @@
 static void
 stop (struct fsim *s, struct fexec *e, const struct order *o)
 {
-  int at = e->n_stopped++ % (int)CLB_COUNT (e->stopped_task);
-
-  if (e->n_stopped > (int)CLB_COUNT (e->stopped_task))
-    e->n_stopped = (int)CLB_COUNT (e->stopped_task);
-  e->stopped_task[at] = o->task;
-  e->stopped_run[at] = o->run;
+  remember (e, &o->task, o->run);
   for (int i = 0; i < e->n_runs; i++)
     if (same_task (&e->runs[i].task, &o->task) && e->runs[i].run == o->run)
       {
@@ -513,7 +514,7 @@
   e->n_runs = 0;
   e->n_ends = 0;
   e->last_end = 0;
-  e->n_stopped = 0;
+  e->n_past = 0;
   e->fence = 0;
   fsim_at (s, 4500, unlist, e);
 }
@@ -524,7 +525,7 @@
   if (e->up)
     fexec_crash (s, e);
   e->up = true;
-  e->born_ms = s->now_ms;
+  e->born_ms = s->now_ms + 1; /* 0 is "not told" */
   e->lease_until_ms = 0;
   fexec_list (s, e);
 }
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -73,6 +73,12 @@
   struct job_need need;
 };
 
+struct fpast
+{
+  struct task_ref task;
+  int64_t run;
+};
+
 struct fexec
 {
   char id[CLB_ID_MAX];
@@ -95,9 +101,8 @@
   struct end_row ends[4096];
   int n_ends;
   int64_t last_end;
-  int64_t stopped_run[64];
-  struct task_ref stopped_task[64];
-  int n_stopped;
+  struct fpast *past; /* runs stopped or ended here, in this boot */
+  int n_past;
 };
 
 /** struct fjob - what a caller handed in */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -451,7 +451,10 @@
       free (s->inst[i]);
     }
   for (int i = 0; i < s->n_exec; i++)
-    free (s->exec[i]);
+    {
+      free (s->exec[i]->past);
+      free (s->exec[i]);
+    }
   ftable_free (&s->table);
   /* What is under way, jobs and calls end with the program. */
   free (s->heap);
