A new boot, once seen, voids what was known of the old one at once

Change: the first answer with a fallen clock ends the old boot's runs; a simulated question for ends dies with the boot that it waits in.

--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -406,20 +406,26 @@
          && clock_ms + CLOCK_FALL_MS < exec_clock (c, e);
 }
 
+/* All that was known of the old boot is void. */
+static void
+new_boot (struct cell *c, struct exec *e, int64_t clock_ms, int64_t born_ms)
+{
+  out_line (c->out, "event=exec-reborn exec=%s clock_ms=%lld born=%lld",
+            e->rep.id, (long long)clock_ms, (long long)born_ms);
+  boot_over (c, e);
+  e->born_ms = born_ms;
+  e->clock_ms = clock_ms;
+  e->clock_at_ms = c->now_ms;
+  e->deadline_ms = clock_ms + CELL_LEASE_MS;
+}
+
 void
 exec_clock_seen (struct cell *c, struct exec *e, int64_t clock_ms)
 {
   if (!clock_fell (c, e, clock_ms))
     return;
-  /* Its ends are counted anew: none of the new boot's may be taken for one
-     that is recorded. */
-  out_line (c->out, "event=exec-clock-fell exec=%s clock_ms=%lld", e->rep.id,
-            (long long)clock_ms);
-  e->recorded_end = 0;
-  e->write_end = 0;
+  new_boot (c, e, clock_ms, 0);
   exec_suspect (c, e);
-  if (!e->hold)
-    e->next_hold_ms = c->now_ms;
 }
 
 static void
@@ -428,12 +434,7 @@
   if (clock_fell (c, e, res->clock_ms)
       || (e->heard && res->born_ms && e->born_ms
           && res->born_ms != e->born_ms))
-    {
-      out_line (c->out, "event=exec-reborn exec=%s born=%lld", e->rep.id,
-                (long long)res->born_ms);
-      boot_over (c, e);
-      e->deadline_ms = 0;
-    }
+    new_boot (c, e, res->clock_ms, res->born_ms);
   if (!e->heard || e->silent)
     {
       out_line (c->out, "event=exec-heard exec=%s clear=%d away_ms=%lld",
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -26,6 +26,7 @@
   char exec[CLB_ID_MAX];
   struct order_result res;
   int64_t until_ms; /* of a question for ends */
+  int64_t born_ms;  /* of the boot that it came to; 0: under way */
   bool silent;      /* nobody hears the answer */
 };
 
@@ -301,7 +302,7 @@
   struct delivery *d = arg;
   struct finst *in = s->inst[d->inst];
 
-  if (in->up && in->life == d->life && in->frozen)
+  if (in->up && in->life == d->life && in->frozen_until_ms > s->now_ms)
     {
       fsim_at (s, in->frozen_until_ms - s->now_ms + 1, result, d);
       return;
@@ -373,12 +374,15 @@
   struct delivery *d = arg;
   struct fexec *e = exec_of (s, d->exec);
 
-  if (!e->up || !fsim_can_reach (s, d->inst, e))
+  /* What waits in a boot ends with it. */
+  if (!e->up || !fsim_can_reach (s, d->inst, e)
+      || (d->born_ms && d->born_ms != e->born_ms))
     {
       d->res.outcome = ORDER_LOST;
       fsim_at (s, d->order.timeout_ms, result, d);
     }
-  else if (fexec_apply (s, e, &d->order, s->now_ms >= d->until_ms, &d->res))
+  else if (d->born_ms = e->born_ms,
+           fexec_apply (s, e, &d->order, s->now_ms >= d->until_ms, &d->res))
     come_back (s, d, e);
   else
     fsim_at (s, 10, arrive, d);
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -228,7 +228,7 @@
   struct mesh_delivery *d = arg;
   struct finst *in = s->inst[d->to];
 
-  if (in->up && in->life == d->life && in->frozen)
+  if (in->up && in->life == d->life && in->frozen_until_ms > s->now_ms)
     {
       fsim_at (s, in->frozen_until_ms - s->now_ms + 1, mesh_arrive, d);
       return;
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -192,7 +192,7 @@
   struct request *q = arg;
   struct finst *in = s->inst[q->inst];
 
-  if (in->up && in->life == q->life && in->frozen)
+  if (in->up && in->life == q->life && in->frozen_until_ms > s->now_ms)
     {
       fsim_at (s, in->frozen_until_ms - s->now_ms + 1, answer, q);
       return;
