--- a/core/cell.c
+++ b/core/cell.c
@@ -841,6 +841,8 @@
         if (job_state_final (j->state))
           forget_job (c, j);
     }
+  if (c->retry_pass_ms && now_ms >= c->retry_pass_ms)
+    c->pass_due = true;
   if (c->pass_due && now_ms >= c->next_pass_ms)
     place_pass (c);
 }
--- a/core/cell.h
+++ b/core/cell.h
@@ -301,7 +301,8 @@
   bool may_order;
   bool pass_due;
   int64_t next_pass_ms;
-  bool record_due; /* something must be recorded */
+  int64_t retry_pass_ms; /* some work could not be placed: look again; 0 */
+  bool record_due;       /* something must be recorded */
   bool roster_dirty;
   bool roster_writing;
   bool ask_short; /* in the pass under way, an adviser is free for ... */
--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -490,6 +490,22 @@
     e->next_hold_ms = c->now_ms;
 }
 
+/* An earlier leader may have been lost between two members' starts. */
+static void
+stop_half_gangs (struct cell *c)
+{
+  struct job *j;
+
+  TAILQ_FOREACH (j, &c->queue, link)
+    for (size_t i = 0; i < j->spec.n_steps; i++)
+      {
+        const struct jstep *s = &j->steps[i];
+        if (j->spec.steps[i].gang && s->n_done == 0 && s->n_running > 0
+            && s->n_running < s->n_tasks)
+          start_stop_step (c, j, (int)i);
+      }
+}
+
 void
 exec_settle (struct cell *c)
 {
@@ -511,6 +527,7 @@
   if (unclear)
     return;
   c->settled = true;
+  stop_half_gangs (c);
   c->pass_due = true;
   out_line (c->out, "event=settled epoch=%lld execs=%d after_ms=%lld",
             (long long)c->epoch, c->n_execs,
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -27,6 +27,9 @@
 /** start_end() - Frees @r and its room; the task may be started again. */
 void start_end (struct cell *c, struct start *r, int how);
 void start_stop (struct cell *c, struct start *r);
+/** start_stop_step() - Stop a gang: its members would wait for one that does
+    not come. */
+void start_stop_step (struct cell *c, struct job *j, int step);
 void start_send (struct cell *c, struct start *r);
 void start_result (struct cell *c, struct start *r, int kind,
                    const struct order_result *res);
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -8,9 +8,10 @@
 
 enum
 {
-  PASS_GAP_MS = 4, /* events of this long are placed together */
-  JOBS_A_MS = 40,  /* a pass over so many jobs is worth waiting 1 ms for */
-  LOOK_EVERY = 8,  /* jobs between looks whether any room is left */
+  PASS_GAP_MS = 4,     /* events of this long are placed together */
+  PASS_RETRY_MS = 100, /* times pass also without events: pauses, tickets */
+  JOBS_A_MS = 40,      /* a pass over so many jobs is worth waiting 1 ms for */
+  LOOK_EVERY = 8,      /* jobs between looks whether any room is left */
   ROOM_MIN_MILLICORES = 100, /* less is no room for any task seen */
 };
 
@@ -306,6 +307,7 @@
         c->ready[n++] = j;
       }
   c->next_pass_ms = c->now_ms + PASS_GAP_MS;
+  c->retry_pass_ms = n ? c->now_ms + PASS_RETRY_MS : 0;
   if (n == 0)
     return;
   c->next_pass_ms += n / JOBS_A_MS;
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -60,9 +60,8 @@
   return r;
 }
 
-/* The other members of a gang would wait for one that does not come. */
-static void
-stop_others (struct cell *c, struct job *j, int step)
+void
+start_stop_step (struct cell *c, struct job *j, int step)
 {
   struct jstep *s = &j->steps[step];
 
@@ -104,7 +103,7 @@
     r->exec->bad_runs = 0;
   free (r);
   if (alone && j->spec.steps[step].gang)
-    stop_others (c, j, step);
+    start_stop_step (c, j, step);
   cell_task_ended (c, j, step, index, no, how);
 }
 
@@ -244,7 +243,7 @@
       if (r->tries < CELL_START_TRIES && c->may_order && !r->exec->silent)
         start_send (c, r);
       else if (r->job->spec.steps[r->step].gang)
-        stop_others (c, r->job, r->step);
+        start_stop_step (c, r->job, r->step);
       else
         r->state = START_UNSURE;
     }
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -333,7 +333,7 @@
 
 bool
 fexec_apply (struct fsim *s, struct fexec *e, const struct order *o,
-             bool waited, struct order_result *res)
+             bool first, bool waited, struct order_result *res)
 {
   int refusal = -1;
 
@@ -361,7 +361,8 @@
     }
   if (o->kind != ORDER_HOLD)
     return true;
-  forget_ends (s, e, o->recorded);
+  if (first)
+    forget_ends (s, e, o->recorded);
   if (e->n_ends == 0 && !waited)
     return false;
   fill_lists (s, e, res);
@@ -373,6 +374,7 @@
 {
   struct delivery *d = arg;
   struct fexec *e = exec_of (s, d->exec);
+  bool first;
 
   /* What waits in a boot ends with it. */
   if (!e->up || !fsim_can_reach (s, d->inst, e)
@@ -381,8 +383,9 @@
       d->res.outcome = ORDER_LOST;
       fsim_at (s, d->order.timeout_ms, result, d);
     }
-  else if (d->born_ms = e->born_ms,
-           fexec_apply (s, e, &d->order, s->now_ms >= d->until_ms, &d->res))
+  else if (first = !d->born_ms, d->born_ms = e->born_ms,
+           fexec_apply (s, e, &d->order, first, s->now_ms >= d->until_ms,
+                        &d->res))
     come_back (s, d, e);
   else
     fsim_at (s, 10, arrive, d);
@@ -408,6 +411,7 @@
 {
   struct delivery *d = arg;
 
+  /* A boot refuses what was meant for another one. */
   d->silent = true;
   arrive (s, d);
 }
@@ -426,8 +430,10 @@
     }
   if (o->kind != ORDER_HOLD && fsim_random (s) < e->late)
     {
+      struct delivery *late = delivery_new (s, i, o);
+      late->born_ms = e->born_ms;
       fsim_at (s, 2000 + (int64_t)(fsim_random (s) * 10000), late_arrival,
-               delivery_new (s, i, o));
+               late);
       d->res.outcome = ORDER_LOST;
       fsim_at (s, o->timeout_ms, result, d);
       return;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -222,12 +222,13 @@
 /* execs.c */
 /**
  * fexec_apply() - What executor @e answers to @o at once.
+ * @first: the order has just come; else it waits for ends
  *
  * Return: whether a question for ends may be answered; else it is asked again
  * until its wait is over.
  */
 bool fexec_apply (struct fsim *s, struct fexec *e, const struct order *o,
-                  bool waited, struct order_result *res);
+                  bool first, bool waited, struct order_result *res);
 void fexec_good (struct fsim *s, const struct order *o,
                  struct order_result *res);
 void fexec_order (struct fsim *s, int i, const struct order *o);
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -324,10 +324,11 @@
 }
 
 static bool
-try_order (struct server *s, uint64_t no, const struct order *o, bool waited)
+try_order (struct server *s, uint64_t no, const struct order *o, bool first,
+           bool waited)
 {
   struct order_result res = { 0 };
-  bool done = fexec_apply (sim, s->exec, o, waited, &res);
+  bool done = fexec_apply (sim, s->exec, o, first, waited, &res);
 
   if (done)
     answer (s, no, res.outcome == ORDER_DONE ? 200 : 409, result_json (&res));
@@ -369,7 +370,7 @@
   read_order (rq, &w->order);
   learn_job (&w->order);
   w->until_ms = now () + w->order.wait_ms;
-  if (!try_order (w->server, rq->no, &w->order, w->order.wait_ms == 0))
+  if (!try_order (w->server, rq->no, &w->order, true, w->order.wait_ms == 0))
     TAILQ_INSERT_TAIL (&waits, w, link);
   else
     free (w);
@@ -418,7 +419,7 @@
     {
       bool over = now () >= w->until_ms;
       bool done = w->server->exec
-                      ? try_order (w->server, w->no, &w->order, over)
+                      ? try_order (w->server, w->no, &w->order, false, over)
                       : try_op (w->no, &w->op, w->until_ms);
       if (!done)
         continue;
