--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -94,7 +94,8 @@
   double late; /* share of starts carried out seconds later, unanswered */
   bool fails;  /* all that it starts */
   bool hangs;
-  bool unreached; /* connections to it fail at once */
+  int64_t fault_ms; /* an order or its answer was last lost then */
+  bool unreached;   /* connections to it fail at once */
   struct job_need room;
   struct frun runs[256];
   int n_runs;
@@ -180,6 +181,7 @@
   int violations;
   char first[256]; /* the first violation */
   bool verbose;
+  bool ending;
 };
 
 RB_PROTOTYPE (frow_tree, frow, by_key, frow_cmp)
--- a/regress/process/fleetlib.sh
+++ b/regress/process/fleetlib.sh
@@ -1,8 +1,10 @@
 # Starts a fleet of real processes on loopback; sourced by the tests that do.
 # fleet_up EXECUTORS INSTANCES: the table listens on $PORT, instance I of them
-# on 127.0.1.I:8183 for callers and 127.0.1.I:9464 for metrics.
+# on $NET.I:8183 for callers and $NET.I:9464 for metrics.
 BUILD=${BUILD:-build}
-PORT=${PORT:-18200}
+# Several runs may go on at once on one machine.
+PORT=${PORT:-$((20000 + $$ % 10000))}
+NET=127.$((10 + $$ % 200)).$((1 + $$ / 200 % 200))
 dir=$(mktemp -d)
 pids=
 
@@ -15,8 +17,8 @@
 
 write_settings() {
 	cat >"$dir/$1.json" <<JSON
-{"node_name":"n$1","ip":"127.0.1.$1","zone":"a","port_range":[7420,7435],
-"bind_addrs":{"frontend":"127.0.1.$1:8183","readiness":"127.0.1.$1:8184"},
+{"node_name":"n$1","ip":"$NET.$1","zone":"a","port_range":[7420,7435],
+"bind_addrs":{"frontend":"$NET.$1:8183","readiness":"$NET.$1:8184"},
 "bounds":{"revoke_ms":5000,"grace_s":6},
 "platform":{"address":"127.0.0.1:$PORT"},
 "advice":"127.0.0.1:$((PORT + 1 + execs))"}
@@ -34,13 +36,13 @@
 	execs=$1
 	instances=$2
 	cat >"$dir/config.json" <<JSON
-{"version":1,"routes":[{"name":"q","host":"127.0.1.1","prefix":"/q/",
+{"version":1,"routes":[{"name":"q","host":"$NET.1","prefix":"/q/",
 "type":"unsafe","timeout_ms":3000,"target_latency_ms":500,"priority":1,
 "service":"svc","attempts":3,"slack_factor":2},
-{"name":"q2","host":"127.0.1.2","prefix":"/q/","type":"unsafe",
+{"name":"q2","host":"$NET.2","prefix":"/q/","type":"unsafe",
 "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
 "attempts":3,"slack_factor":2},
-{"name":"q3","host":"127.0.1.3","prefix":"/q/","type":"unsafe",
+{"name":"q3","host":"$NET.3","prefix":"/q/","type":"unsafe",
 "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
 "attempts":3,"slack_factor":2,
 "advice":{"decide_ms":2.0,"each_ms":0.1,"valid_ms":2000}}],
@@ -66,7 +68,7 @@
 # The instance that leads, by its metrics.
 leader() {
 	for n in $(seq 1 "$instances"); do
-		curl -s -m 1 "http://127.0.1.$n:9464/metrics" |
+		curl -s -m 1 "http://$NET.$n:9464/metrics" |
 			grep -q '^citronlb_leading 1' && echo "$n" && return
 	done
 }
