Job ages without wall clocks; a lost question costs its adviser a pause

Change: a job that has just come has no age; a question is given up 400 ms after its expected end, its adviser gets none for a second, an overdue one none at all.

--- a/core/cell.h
+++ b/core/cell.h
@@ -211,7 +211,8 @@
   char id[CLB_ID_MAX]; /* empty: this instance */
   char addr[CLB_ADDR_MAX];
   int64_t heard_ms;
-  int64_t busy_until_ms; /* expected end of the questions it has */
+  int64_t avoid_until_ms; /* a question that it had got lost */
+  int64_t busy_until_ms;  /* expected end of the questions it has */
   int n_open;
   int64_t millicores;
 };
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -15,10 +15,12 @@
 {
   LONG_MS = 100,            /* questions of more go to the first half */
   QUEUED_MAX_MS = 40,       /* a short question waits for others this long */
-  ADVISER_SILENT_MS = 1600, /* four hellos were lost */
-  ASK_SLACK_MS = 1500, /* beyond the expected time: links, slow instances */
-  ASK_PAUSE_MS = 30,   /* after a question that failed */
-  SPARE_FACTOR = 2,    /* executors asked about, times those needed */
+  ADVISER_SILENT_MS = 1000, /* two hellos were lost */
+  ADVISER_LATE_MS = 80,     /* a question is overdue: it gets no other */
+  ADVISER_AVOID_MS = 1000,  /* after a question that got lost */
+  ASK_SLACK_MS = 400, /* beyond the expected time: links, slow instances */
+  ASK_PAUSE_MS = 30,  /* after a question that failed */
+  SPARE_FACTOR = 2,   /* executors asked about, times those needed */
   SPARE_MIN = 4,
 };
 
@@ -118,6 +120,9 @@
       bool here = !*a->addr;
       if (!here && c->now_ms - a->heard_ms > ADVISER_SILENT_MS)
         continue;
+      if (c->now_ms < a->avoid_until_ms
+          || (a->n_open && c->now_ms > a->busy_until_ms + ADVISER_LATE_MS))
+        continue;
       if (is_long && (i >= half || a->n_open))
         continue;
       if (a->n_open && a->busy_until_ms - c->now_ms > QUEUED_MAX_MS)
@@ -367,7 +372,10 @@
     a->busy_until_ms = c->now_ms;
   c->pass_due = true;
   if (!good)
-    c->stats->questions_failed++;
+    {
+      c->stats->questions_failed++;
+      a->avoid_until_ms = c->now_ms + ADVISER_AVOID_MS;
+    }
   if (!j || j->steps[pend->step].ask != pend->no)
     return;
   s = &j->steps[pend->step];
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -305,7 +305,9 @@
                 clb_err_name (ce.err), ce.path);
       return;
     }
-  if (f->wall_ms > spec.accepted_ms)
+  /* Of a job that has just come, only wall clocks could tell, and instances'
+     differ by seconds. */
+  if (!f->cell->going && f->wall_ms > spec.accepted_ms)
     age = f->wall_ms - spec.accepted_ms;
   cell_job (f->cell, &spec, !f->cell->going, age);
 }
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -156,7 +156,8 @@
   int64_t store_cut_until_ms;
   int64_t cut_until_ms; /* from other instances and executors */
   int64_t advice_until_ms;
-  uint64_t life; /* answers to an earlier one are dropped */
+  int64_t clock_ms; /* its wall clock is ahead by so much */
+  uint64_t life;    /* answers to an earlier one are dropped */
   uint64_t ticks;
 };
 
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -329,7 +329,7 @@
     in->frozen = false;
   if (!in->frozen)
     {
-      fleet_tick (&in->fleet, s->now_ms, WALL_MS + s->now_ms);
+      fleet_tick (&in->fleet, s->now_ms, WALL_MS + s->now_ms + in->clock_ms);
       fsim_pump (s, t->inst);
     }
   fsim_at (s, TICK_MS, on_tick, t);
@@ -438,8 +438,8 @@
   rq.body_len = body ? strlen (body) : 0;
   if (!s->inst[instance]->up || s->inst[instance]->frozen)
     return s->n_calls - 1;
-  fleet_request (&s->inst[instance]->fleet, s->now_ms, WALL_MS + s->now_ms,
-                 &rq);
+  fleet_request (&s->inst[instance]->fleet, s->now_ms,
+                 WALL_MS + s->now_ms + s->inst[instance]->clock_ms, &rq);
   fsim_pump (s, instance);
   return s->n_calls - 1;
 }
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -228,6 +228,8 @@
       in->frozen = true;
       in->frozen_until_ms = until;
     }
+  else if (strcmp (what, "clock") == 0)
+    in->clock_ms = until - sim->now_ms;
   else if (strcmp (what, "cut") == 0)
     in->cut_until_ms = until;
   else if (strcmp (what, "cut-store") == 0)
