--- a/Makefile
+++ b/Makefile
@@ -100,8 +100,9 @@
 $(BUILD)/regress/fleet-load: $(BUILD)/regress/standin/fleetload.o $(NET)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS)
 
-$(BUILD)/regress/unit/%: $(BUILD)/regress/unit/%.o $(STANDIN) $(CORE)
-	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS) -lcunit
+$(BUILD)/regress/unit/%: $(BUILD)/regress/unit/%.o $(STANDIN) $(PLATFORM) \
+	$(CORE) $(NET)
+	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS) -lcunit
 
 $(BUILD)/bench/policy: $(BUILD)/bench/policy.o $(STANDIN) $(CORE)
 	@$(CC) $(SAN) $^ -o $@ $(CORE_LIBS)
--- /dev/null
+++ b/regress/unit/platform_test.c
@@ -0,0 +1,275 @@
+/* The adapter's decoders: what they take, what they refuse, and that nothing
+   that comes over the wire harms them. */
+#include "platform.h"
+#include "unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  FUZZ_ROUNDS = 20000,
+};
+
+static const char entry[]
+    = "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+      "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem_mb\":32768},"
+      "\"labels\":[\"kind\",\"r1-3\"],\"sequence\":4,\"born\":7}";
+static const char config[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":"
+      "\"/p/\",\"service\":\"s\",\"priority\":1,\"attempts\":3,"
+      "\"slack_factor\":2.2,\"advice\":{\"decide_ms\":310.0,\"each_ms\":4.4,"
+      "\"valid_ms\":2000},\"public\":false}],\"services\":[{\"name\":\"s\"}],"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],\"weight\":"
+      "38,"
+      "\"cap\":{\"cpu\":424162}}]}";
+static const char job[]
+    = "{\"spec\":\"x\",\"steps\":[{\"task_count\":4,\"cpu\":500,\"mem_mb\":"
+      "256,"
+      "\"estimate_ms\":900},{\"task_count\":2,\"after\":[0],\"gang\":true}]}";
+static const char hold[]
+    = "{\"clock_ms\":5,\"born\":9,\"running\":[[\"00000000000000ab.0.1.2\",3,"
+      "\"c\",41,7]],\"finished\":[[58,\"00000000000000ab.0.1.9\",1,\"done\","
+      "\"\"],[59,\"not a "
+      "task\",1,\"done\",\"\"],[60,\"00000000000000ab.0.1.8\","
+      "1,\"unheard of\",\"\"]]}";
+
+static void
+test_entry (void)
+{
+  struct exec_report rep;
+
+  CU_ASSERT_EQUAL (pf_codec.exec ("i-1", entry, &rep), 0);
+  CU_ASSERT_STRING_EQUAL (rep.addr, "10.0.0.9:80");
+  CU_ASSERT_STRING_EQUAL (rep.rack, "r1-3");
+  CU_ASSERT_STRING_EQUAL (rep.labels, ",kind,r1-3,");
+  CU_ASSERT_EQUAL (rep.room.millicores, 16000);
+  CU_ASSERT_EQUAL (rep.born_ms, 7);
+}
+
+static void
+test_bad_entries (void)
+{
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "{}",
+    "\xff\xfe",
+    "{\"service\":1,\"address\":\"a\",\"zone\":\"a\",\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"a\","
+    "\"state\":\"asleep\"}",
+    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"a\","
+    "\"state\":\"ready\",\"capacity\":\"much\"}",
+    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"a\","
+    "\"state\":\"ready\",\"labels\":[5]}"
+  };
+  struct exec_report rep;
+
+  for (size_t i = 0; i < CLB_COUNT (bad); i++)
+    CU_ASSERT_TRUE (pf_codec.exec ("i-1", bad[i], &rep) < 0);
+}
+
+static void
+test_config (void)
+{
+  struct fconf *c;
+  struct codec_err ce;
+  const struct fconf_queue *q;
+
+  CU_ASSERT_EQUAL_FATAL (pf_codec.conf (config, &c, &ce), 0);
+  q = fconf_queue_for (c, "H", "/p/00000000000000ab");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (q);
+  CU_ASSERT_DOUBLE_EQUAL (q->advice.each_ms, 4.4, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (q->slack, 2.2, 1e-9);
+  CU_ASSERT_PTR_NULL (fconf_queue_for (c, "h", "/other/"));
+  CU_ASSERT_PTR_NOT_NULL (fconf_tenant_of_key (c, "k2"));
+  CU_ASSERT_PTR_NULL (fconf_tenant_of_key (c, "k3"));
+  CU_ASSERT_EQUAL (fconf_tenant (c, "t")->limit.millicores, 424162);
+  fconf_free (c);
+  CU_ASSERT_EQUAL (pf_codec.conf ("{\"version\":\"7\"}", &c, &ce), CLB_EFIELD);
+  CU_ASSERT_STRING_EQUAL (ce.path, "version");
+}
+
+static void
+test_job (void)
+{
+  struct job_spec spec;
+  struct codec_err ce;
+
+  CU_ASSERT_EQUAL_FATAL (pf_codec.job (job, strlen (job), &spec, &ce), 0);
+  CU_ASSERT_EQUAL (spec.n_steps, 2);
+  CU_ASSERT_EQUAL (spec.steps[0].need.millicores, 500);
+  CU_ASSERT_EQUAL (spec.steps[1].after, 1);
+  CU_ASSERT_TRUE (spec.steps[1].gang);
+  CU_ASSERT_EQUAL (job_check (&spec, &ce), 0);
+  spec.steps[1].after = 2; /* itself */
+  CU_ASSERT_EQUAL (job_check (&spec, &ce), CLB_EREF);
+  codec_free (&job_spec_desc, &spec);
+}
+
+static void
+test_refused_jobs (void)
+{
+  static const char *const bad[]
+      = { "",
+          "{}",
+          "{\"steps\":[]}",
+          "{\"steps\":[{}]}",
+          "{\"steps\":[{\"task_count\":0}]}",
+          "{\"steps\":[{\"task_count\":1,\"cpu\":-5}]}",
+          "{\"steps\":[{\"task_count\":1,\"after\":[64]}]}",
+          "{\"steps\":[{\"task_count\":1,\"persistent\":true}]}",
+          "{\"steps\":[{\"task_count\":1}],\"repeat_count\":3}" };
+  struct job_spec spec;
+  struct codec_err ce;
+
+  for (size_t i = 0; i < CLB_COUNT (bad); i++)
+    {
+      int err = pf_codec.job (bad[i], strlen (bad[i]), &spec, &ce);
+      if (!err)
+        err = job_check (&spec, &ce);
+      CU_ASSERT_TRUE (err < 0);
+      codec_free (&job_spec_desc, &spec);
+    }
+}
+
+static void
+test_lists (void)
+{
+  struct order_result res;
+
+  pf_order_decode (ORDER_HOLD, HTTPC_OK, 200, hold, strlen (hold), &res);
+  CU_ASSERT_EQUAL (res.outcome, ORDER_DONE);
+  CU_ASSERT_EQUAL (res.clock_ms, 5);
+  CU_ASSERT_EQUAL (res.born_ms, 9);
+  CU_ASSERT_EQUAL_FATAL (res.n_runs, 1);
+  CU_ASSERT_EQUAL (res.runs[0].percent, 41);
+  CU_ASSERT_EQUAL (res.runs[0].task.index, 2);
+  /* Rows that make no sense are left out, the others hold. */
+  CU_ASSERT_EQUAL_FATAL (res.n_ends, 1);
+  CU_ASSERT_EQUAL (res.ends[0].no, 58);
+  order_result_clear (&res);
+}
+
+static void
+test_outcomes (void)
+{
+  static const struct
+  {
+    int end, status;
+    const char *body;
+    int outcome, reason;
+  } cases[] = {
+    { HTTPC_OK, 200, "{}", ORDER_DONE, REFUSED_OTHER },
+    { HTTPC_OK, 200, "garbage", ORDER_LOST, REFUSED_OTHER },
+    { HTTPC_OK, 409, "{\"reason\":\"fence\"}", ORDER_REFUSED, REFUSED_FENCE },
+    { HTTPC_OK, 409, "{\"reason\":\"ticket\"}", ORDER_REFUSED,
+      REFUSED_TICKET },
+    { HTTPC_OK, 409, "{\"reason\":\"new\"}", ORDER_REFUSED, REFUSED_OTHER },
+    { HTTPC_OK, 400, "", ORDER_REFUSED, REFUSED_OTHER },
+    { HTTPC_OK, 421, "", ORDER_WRONG, REFUSED_OTHER },
+    { HTTPC_OK, 429, "", ORDER_BUSY, REFUSED_OTHER },
+    { HTTPC_OK, 503, "", ORDER_BUSY, REFUSED_OTHER },
+    { HTTPC_OK, 500, "", ORDER_LOST, REFUSED_OTHER },
+    { HTTPC_FAILED, 0, "", ORDER_LOST, REFUSED_OTHER },
+    { HTTPC_UNREACHED, 0, "", ORDER_UNREACHED, REFUSED_OTHER },
+  };
+
+  for (size_t i = 0; i < CLB_COUNT (cases); i++)
+    {
+      struct order_result res;
+      pf_order_decode (ORDER_START, cases[i].end, cases[i].status,
+                       cases[i].body, strlen (cases[i].body), &res);
+      CU_ASSERT_EQUAL (res.outcome, cases[i].outcome);
+      CU_ASSERT_EQUAL (res.reason, cases[i].reason);
+      order_result_clear (&res);
+    }
+}
+
+static void
+test_task_names (void)
+{
+  struct task_ref t;
+  char name[96];
+
+  CU_ASSERT_EQUAL (pf_task_parse ("5c0e7a21d94b36f8.0.1.17", &t), 0);
+  pf_task_name (&t, true, name, sizeof name);
+  CU_ASSERT_STRING_EQUAL (name, "5c0e7a21d94b36f8.0.1.17");
+  pf_task_name (&t, false, name, sizeof name);
+  CU_ASSERT_STRING_EQUAL (name, "5c0e7a21d94b36f8.0.1");
+  CU_ASSERT_TRUE (pf_task_parse ("5c0e7a21d94b36f8.0.1", &t) < 0);
+  CU_ASSERT_TRUE (pf_task_parse ("5c0e.0.1.1", &t) < 0);
+  CU_ASSERT_TRUE (pf_task_parse ("5c0e7a21d94b36f8.0.1.17x", &t) < 0);
+}
+
+static uint64_t rng = 88172645463325252ULL;
+
+static uint64_t
+next_random (void)
+{
+  rng ^= rng << 13;
+  rng ^= rng >> 7;
+  rng ^= rng << 17;
+  return rng;
+}
+
+/* A document with some bytes changed, cut or doubled. */
+static size_t
+damage (const char *from, char *to, size_t size)
+{
+  size_t len = strlen (from);
+
+  memcpy (to, from, len + 1);
+  for (int i = 0; i < 3; i++)
+    {
+      size_t at = next_random () % len;
+      if (next_random () % 8 == 0)
+        len = at ? at : 1;
+      else
+        to[at] = next_random () % 4 ? "{}[]\",:0-9e.tfn"[next_random () % 15]
+                                    : (char)next_random ();
+    }
+  if (len >= size)
+    len = size - 1;
+  to[len] = '\0';
+  return len;
+}
+
+static void
+test_fuzz (void)
+{
+  char text[2048];
+  struct codec_err ce;
+
+  for (int i = 0; i < FUZZ_ROUNDS; i++)
+    {
+      struct exec_report rep;
+      struct fconf *conf;
+      struct job_spec spec;
+      struct order_result res;
+      size_t len;
+      damage (entry, text, sizeof text);
+      pf_codec.exec ("i-1", text, &rep);
+      damage (config, text, sizeof text);
+      if (!pf_codec.conf (text, &conf, &ce))
+        fconf_free (conf);
+      len = damage (job, text, sizeof text);
+      if (!pf_codec.job (text, len, &spec, &ce))
+        {
+          job_check (&spec, &ce);
+          codec_free (&job_spec_desc, &spec);
+        }
+      len = damage (hold, text, sizeof text);
+      pf_order_decode (ORDER_HOLD, HTTPC_OK, 200, text, len, &res);
+      order_result_clear (&res);
+    }
+  CU_PASS ("nothing crashed");
+}
+
+UNIT_MAIN ("platform", { "executor's entry", test_entry },
+           { "entries that name no executor", test_bad_entries },
+           { "configuration", test_config }, { "job", test_job },
+           { "jobs that are refused", test_refused_jobs },
+           { "lists of an executor", test_lists },
+           { "outcomes of orders", test_outcomes },
+           { "names of tasks", test_task_names }, { "fuzz", test_fuzz })
