--- a/core/cell.c
+++ b/core/cell.c
@@ -9,9 +9,6 @@
   RUNS_A_TERM = 1000, /* run numbers that one leader's term may use up */
 };
 
-#define KEY_ROSTER "lead/roster"
-#define KEY_PROGRESS "prog/"
-
 int
 job_cmp (const struct job *a, const struct job *b)
 {
@@ -42,8 +39,8 @@
 RB_GENERATE (final_tree, final, by_id, final_cmp)
 RB_GENERATE (pending_order_tree, pending_order, by_no, pending_order_cmp)
 
-static void *
-zalloc (size_t n, size_t size)
+void *
+cell_zalloc (size_t n, size_t size)
 {
   void *p = calloc (n ? n : 1, size);
 
@@ -56,7 +53,7 @@
 cell_new (struct outq *out, uint64_t *tokens, int64_t now_ms, int64_t epoch,
           int64_t wait_ms, struct cell_stats *stats)
 {
-  struct cell *c = zalloc (1, sizeof *c);
+  struct cell *c = cell_zalloc (1, sizeof *c);
 
   c->out = out;
   c->tokens = tokens;
@@ -198,7 +195,7 @@
   TAILQ_FOREACH (t, &c->tenants, link)
     if (strcmp (t->name, name) == 0)
       return t;
-  t = zalloc (1, sizeof *t);
+  t = cell_zalloc (1, sizeof *t);
   clb_copy (t->name, name, sizeof t->name);
   t->owed_ms = c->now_ms;
   t->owed = 1e9;
@@ -214,7 +211,7 @@
   TAILQ_FOREACH (q, &c->queues, link)
     if (strcmp (q->name, name) == 0)
       return q;
-  q = zalloc (1, sizeof *q);
+  q = cell_zalloc (1, sizeof *q);
   clb_copy (q->name, name, sizeof q->name);
   q->good_share = 0.5;
   TAILQ_INSERT_TAIL (&c->queues, q, link);
@@ -232,8 +229,8 @@
 cell_order (struct cell *c, int kind, const struct exec *e,
             struct pending_order **pend)
 {
-  struct order *o = zalloc (1, sizeof *o);
-  struct pending_order *p = zalloc (1, sizeof *p);
+  struct order *o = cell_zalloc (1, sizeof *o);
+  struct pending_order *p = cell_zalloc (1, sizeof *p);
 
   o->kind = kind;
   o->no = ++*c->tokens;
@@ -297,7 +294,7 @@
 static void
 add_final (struct cell *c, const char *id, int state, bool trim)
 {
-  struct final *f = zalloc (1, sizeof *f);
+  struct final *f = cell_zalloc (1, sizeof *f);
 
   clb_copy (f->id, id, sizeof f->id);
   f->state = state;
@@ -334,8 +331,8 @@
 }
 
 /* Once recorded and with nothing running, only its state is kept. */
-static bool
-forget_job (struct cell *c, struct job *j)
+bool
+cell_forget_job (struct cell *c, struct job *j)
 {
   if (!j->recorded || j->n_runs > 0 || j->dirty || j->writing)
     return false;
@@ -486,7 +483,7 @@
       codec_free (&job_spec_desc, spec);
       return;
     }
-  j = zalloc (1, sizeof *j);
+  j = cell_zalloc (1, sizeof *j);
   j->spec = *spec;
   memset (spec, 0, sizeof *spec);
   j->old = old;
@@ -495,13 +492,13 @@
   j->due_ms = j->come_ms + j->spec.target_ms
               + (int64_t)(j->spec.slack * (double)j->chain_ms);
   j->excess = !old && beyond_owed (c, j->spec.tenant);
-  j->steps = zalloc (j->spec.n_steps, sizeof *j->steps);
+  j->steps = cell_zalloc (j->spec.n_steps, sizeof *j->steps);
   j->n_left = (int)j->spec.n_steps;
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
       struct jstep *s = &j->steps[i];
       s->n_tasks = (int)j->spec.steps[i].tasks;
-      s->tasks = zalloc ((size_t)s->n_tasks, sizeof *s->tasks);
+      s->tasks = cell_zalloc ((size_t)s->n_tasks, sizeof *s->tasks);
       for (int t = 0; t < s->n_tasks; t++)
         s->tasks[t].next_run = old ? (int32_t)(c->epoch * RUNS_A_TERM) : 1;
     }
@@ -531,7 +528,7 @@
       codec_free (&job_progress_desc, p);
       return;
     }
-  e = zalloc (1, sizeof *e);
+  e = cell_zalloc (1, sizeof *e);
   clb_copy (e->id, id, sizeof e->id);
   e->progress = *p;
   memset (p, 0, sizeof *p);
@@ -539,198 +536,6 @@
     early_free (e);
 }
 
-static size_t
-fill_marks (const struct job *j, size_t step, struct job_mark *out)
-{
-  const struct jstep *s = &j->steps[step];
-  size_t n = 0;
-
-  for (int t = 0; t < s->n_tasks; t++)
-    {
-      const struct jtask *k = &s->tasks[t];
-      struct job_mark m = { .index = t,
-                            .done = k->done,
-                            .failed = k->failed,
-                            .n_failed = (size_t)k->n_failed };
-      if (m.done || m.n_failed)
-        out[n++] = m;
-    }
-  return n;
-}
-
-static char *
-progress_text (const struct job *j)
-{
-  struct job_progress p = { .state = j->state };
-  char *text;
-
-  if (job_state_final (j->state))
-    return codec_text (&job_progress_desc, &p);
-  p.steps = zalloc (j->spec.n_steps, sizeof *p.steps);
-  for (size_t i = 0; i < j->spec.n_steps; i++)
-    {
-      struct job_step_marks *m = &p.steps[p.n_steps];
-      m->step = (int64_t)i;
-      m->marks = zalloc ((size_t)j->steps[i].n_tasks, sizeof *m->marks);
-      m->n_marks = fill_marks (j, i, m->marks);
-      if (m->n_marks)
-        p.n_steps++;
-      else
-        free (m->marks);
-    }
-  text = codec_text (&job_progress_desc, &p);
-  for (size_t i = 0; i < p.n_steps; i++)
-    free (p.steps[i].marks);
-  free (p.steps);
-  return text;
-}
-
-/* The roster is lines of "id addr". */
-static char *
-roster_text (const struct cell *c)
-{
-  const struct exec *e;
-  char *text = NULL;
-  size_t len = 0;
-  FILE *f = open_memstream (&text, &len);
-
-  if (!f)
-    abort ();
-  TAILQ_FOREACH (e, &c->execs, link)
-    if (e->listed || !e->clear || e->used.millicores || e->used.mem_mb)
-      fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
-  fclose (f);
-  return text;
-}
-
-static void
-collect_roster (struct cell *c, struct store_op *op)
-{
-  clb_auto char *text = roster_text (c);
-  struct exec *e;
-
-  store_put (op, KEY_ROSTER, text);
-  c->roster_dirty = false;
-  c->roster_writing = true;
-  TAILQ_FOREACH (e, &c->execs, link)
-    e->in_write = strstr (text, e->rep.id) != NULL;
-}
-
-int
-cell_collect (struct cell *c, struct store_op *op, int most)
-{
-  struct job *j;
-  struct exec *e;
-  int n = 0;
-  bool all = true;
-
-  c->record_due = false;
-  if (c->roster_dirty)
-    {
-      collect_roster (c, op);
-      n++;
-    }
-  TAILQ_FOREACH (j, &c->queue, link)
-    {
-      char key[sizeof KEY_PROGRESS + JOB_ID_SIZE];
-      if (!j->dirty)
-        continue;
-      if (n >= most)
-        {
-          all = false;
-          c->record_due = true;
-          break;
-        }
-      clb_auto char *text = progress_text (j);
-      snprintf (key, sizeof key, KEY_PROGRESS "%s", j->spec.id);
-      store_put (op, key, text);
-      j->dirty = false;
-      j->writing = true;
-      n++;
-    }
-  /* An end may be forgotten once all it changed is recorded. */
-  TAILQ_FOREACH (e, &c->execs, link)
-    if (all)
-      e->write_end = e->seen_end;
-  return n;
-}
-
-void
-cell_recorded (struct cell *c)
-{
-  struct job *j, *next;
-  struct exec *e;
-
-  TAILQ_FOREACH (e, &c->execs, link)
-    {
-      if (c->roster_writing && e->in_write && !e->on_record)
-        {
-          e->on_record = true;
-          c->pass_due = true;
-        }
-    }
-  c->roster_writing = false;
-  TAILQ_FOREACH (e, &c->execs, link)
-    if (e->write_end > e->recorded_end)
-      {
-        e->recorded_end = e->write_end;
-        e->next_hold_ms = c->now_ms;
-      }
-  TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
-    {
-      if (!j->writing)
-        continue;
-      j->writing = false;
-      j->recorded = job_state_final (j->state) && !j->dirty;
-      forget_job (c, j);
-    }
-}
-
-int
-cell_job_part (const char *id)
-{
-  return (id[JOB_ID_SIZE - 2] & 0x0f) % CELL_JOB_PARTS;
-}
-
-/* An ended job's row stays, so that its id is never taken again, but without
-   the specification: the next leader reads them all.  A write that fails is
-   not repeated; it costs that leader some time. */
-static void
-trim_part (struct cell *c, int part)
-{
-  struct store_op *op = NULL;
-  struct final *f;
-
-  RB_FOREACH (f, final_tree, &c->finals)
-    {
-      char key[CLB_NAME_MAX];
-      if (!f->trim || cell_job_part (f->id) != part)
-        continue;
-      if (!op)
-        {
-          struct out *o = out_new (c->out, OUT_STORE);
-          o->u.store.token = ++*c->tokens;
-          op = &o->u.store.op;
-          op->kind = STORE_TXN;
-        }
-      f->trim = false;
-      snprintf (key, sizeof key, "job:%d/%s", part, f->id);
-      store_put (op, key, CELL_TRIMMED);
-      if (op->n_puts == CELL_TRIM_ROWS)
-        return;
-    }
-}
-
-static void
-trim_jobs (struct cell *c)
-{
-  if (c->now_ms < c->next_trim_ms)
-    return;
-  c->next_trim_ms = c->now_ms + CELL_TRIM_MS;
-  for (int part = 0; part < CELL_JOB_PARTS; part++)
-    trim_part (c, part);
-}
-
 int
 cell_state (const struct cell *c, const char *id)
 {
@@ -836,10 +641,10 @@
         exec_tick (c, e);
       exec_settle (c);
       sweep_questions (c);
-      trim_jobs (c);
+      cell_trim_jobs (c);
       TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
         if (job_state_final (j->state))
-          forget_job (c, j);
+          cell_forget_job (c, j);
     }
   if (c->retry_pass_ms && now_ms >= c->retry_pass_ms)
     c->pass_due = true;
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -5,6 +5,10 @@
 #include "cell.h"
 
 /* cell.c */
+/** cell_zalloc() - Zeroed memory that the caller frees. */
+void *cell_zalloc (size_t n, size_t size);
+/** cell_forget_job() - Drop a job that is recorded and runs nowhere. */
+bool cell_forget_job (struct cell *c, struct job *j);
 struct job *cell_find_job (const struct cell *c, const char *id);
 struct jtask *start_task (const struct start *r);
 struct cell_tenant *cell_tenant (struct cell *c, const char *name);
@@ -21,6 +25,9 @@
 struct order *cell_order (struct cell *c, int kind, const struct exec *e,
                           struct pending_order **pend);
 
+/* cell_record.c */
+void cell_trim_jobs (struct cell *c);
+
 /* cell_start.c */
 struct start *start_new (struct cell *c, struct job *j, int step, int index,
                          struct exec *e, int64_t no, int state);
--- /dev/null
+++ b/core/cell_record.c
@@ -0,0 +1,204 @@
+/*
+ * What the scheduler puts on record: progress and final states of jobs, and
+ * the roster of executors; and what it drops once a job has ended.
+ */
+#include "cell_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_ROSTER "lead/roster"
+#define KEY_PROGRESS "prog/"
+
+static size_t
+fill_marks (const struct job *j, size_t step, struct job_mark *out)
+{
+  const struct jstep *s = &j->steps[step];
+  size_t n = 0;
+
+  for (int t = 0; t < s->n_tasks; t++)
+    {
+      const struct jtask *k = &s->tasks[t];
+      struct job_mark m = { .index = t,
+                            .done = k->done,
+                            .failed = k->failed,
+                            .n_failed = (size_t)k->n_failed };
+      if (m.done || m.n_failed)
+        out[n++] = m;
+    }
+  return n;
+}
+
+static char *
+progress_text (const struct job *j)
+{
+  struct job_progress p = { .state = j->state };
+  char *text;
+
+  if (job_state_final (j->state))
+    return codec_text (&job_progress_desc, &p);
+  p.steps = cell_zalloc (j->spec.n_steps, sizeof *p.steps);
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      struct job_step_marks *m = &p.steps[p.n_steps];
+      m->step = (int64_t)i;
+      m->marks = cell_zalloc ((size_t)j->steps[i].n_tasks, sizeof *m->marks);
+      m->n_marks = fill_marks (j, i, m->marks);
+      if (m->n_marks)
+        p.n_steps++;
+      else
+        free (m->marks);
+    }
+  text = codec_text (&job_progress_desc, &p);
+  for (size_t i = 0; i < p.n_steps; i++)
+    free (p.steps[i].marks);
+  free (p.steps);
+  return text;
+}
+
+/* The roster is lines of "id addr". */
+static char *
+roster_text (const struct cell *c)
+{
+  const struct exec *e;
+  char *text = NULL;
+  size_t len = 0;
+  FILE *f = open_memstream (&text, &len);
+
+  if (!f)
+    abort ();
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (e->listed || !e->clear || e->used.millicores || e->used.mem_mb)
+      fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
+  fclose (f);
+  return text;
+}
+
+static void
+collect_roster (struct cell *c, struct store_op *op)
+{
+  clb_auto char *text = roster_text (c);
+  struct exec *e;
+
+  store_put (op, KEY_ROSTER, text);
+  c->roster_dirty = false;
+  c->roster_writing = true;
+  TAILQ_FOREACH (e, &c->execs, link)
+    e->in_write = strstr (text, e->rep.id) != NULL;
+}
+
+int
+cell_collect (struct cell *c, struct store_op *op, int most)
+{
+  struct job *j;
+  struct exec *e;
+  int n = 0;
+  bool all = true;
+
+  c->record_due = false;
+  if (c->roster_dirty)
+    {
+      collect_roster (c, op);
+      n++;
+    }
+  TAILQ_FOREACH (j, &c->queue, link)
+    {
+      char key[sizeof KEY_PROGRESS + JOB_ID_SIZE];
+      if (!j->dirty)
+        continue;
+      if (n >= most)
+        {
+          all = false;
+          c->record_due = true;
+          break;
+        }
+      clb_auto char *text = progress_text (j);
+      snprintf (key, sizeof key, KEY_PROGRESS "%s", j->spec.id);
+      store_put (op, key, text);
+      j->dirty = false;
+      j->writing = true;
+      n++;
+    }
+  /* An end may be forgotten once all it changed is recorded. */
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (all)
+      e->write_end = e->seen_end;
+  return n;
+}
+
+void
+cell_recorded (struct cell *c)
+{
+  struct job *j, *next;
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &c->execs, link)
+    {
+      if (c->roster_writing && e->in_write && !e->on_record)
+        {
+          e->on_record = true;
+          c->pass_due = true;
+        }
+    }
+  c->roster_writing = false;
+  TAILQ_FOREACH (e, &c->execs, link)
+    if (e->write_end > e->recorded_end)
+      {
+        e->recorded_end = e->write_end;
+        e->next_hold_ms = c->now_ms;
+      }
+  TAILQ_FOREACH_SAFE (j, &c->queue, link, next)
+    {
+      if (!j->writing)
+        continue;
+      j->writing = false;
+      j->recorded = job_state_final (j->state) && !j->dirty;
+      cell_forget_job (c, j);
+    }
+}
+
+int
+cell_job_part (const char *id)
+{
+  return (id[JOB_ID_SIZE - 2] & 0x0f) % CELL_JOB_PARTS;
+}
+
+/* An ended job's row stays, so that its id is never taken again, but without
+   the specification: the next leader reads them all.  A write that fails is
+   not repeated; it costs that leader some time. */
+static void
+trim_part (struct cell *c, int part)
+{
+  struct store_op *op = NULL;
+  struct final *f;
+
+  RB_FOREACH (f, final_tree, &c->finals)
+    {
+      char key[CLB_NAME_MAX];
+      if (!f->trim || cell_job_part (f->id) != part)
+        continue;
+      if (!op)
+        {
+          struct out *o = out_new (c->out, OUT_STORE);
+          o->u.store.token = ++*c->tokens;
+          op = &o->u.store.op;
+          op->kind = STORE_TXN;
+        }
+      f->trim = false;
+      snprintf (key, sizeof key, "job:%d/%s", part, f->id);
+      store_put (op, key, CELL_TRIMMED);
+      if (op->n_puts == CELL_TRIM_ROWS)
+        return;
+    }
+}
+
+void
+cell_trim_jobs (struct cell *c)
+{
+  if (c->now_ms < c->next_trim_ms)
+    return;
+  c->next_trim_ms = c->now_ms + CELL_TRIM_MS;
+  for (int part = 0; part < CELL_JOB_PARTS; part++)
+    trim_part (c, part);
+}
