Tables' names and answers' bodies come from the adapter

Cause: core/fleet.c named the platform's tables and core/gate.c its fields. Change: struct fleet_codec says where the documents lie and writes what callers are told; a refusal's body names the error and its detail.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -24,9 +24,7 @@
   STRONG_MILLICORES = 500, /* an instance with this much waits for none */
 };
 
-#define KEY_CONFIG "op/config"
 #define PREFIX_PROGRESS "prog/"
-#define PREFIX_EXECS "servers/"
 #define SUFFIX_CANCEL ".cancel"
 
 void
@@ -42,10 +40,10 @@
   /* Of instances that start together, the strongest leads. */
   if (set->millicores > 0 && set->millicores < STRONG_MILLICORES)
     f->lead.first_after_ms = now_ms + STRONG_MILLICORES - set->millicores;
-  follow_init (&f->conf_feed, "op", 0, FLEET_FEED_WAIT_MS, &f->out,
-               &f->tokens);
-  follow_init (&f->exec_feed, "servers", 0, FLEET_FEED_WAIT_MS, &f->out,
-               &f->tokens);
+  follow_init (&f->conf_feed, set->codec.conf_table, 0, FLEET_FEED_WAIT_MS,
+               &f->out, &f->tokens);
+  follow_init (&f->exec_feed, set->codec.exec_table, 0, FLEET_FEED_WAIT_MS,
+               &f->out, &f->tokens);
   follow_init (&f->job_feed, "job", CELL_JOB_PARTS, FLEET_FEED_WAIT_MS,
                &f->out, &f->tokens);
   f->job_feed.pause_ms = FLEET_JOBS_GAP_MS;
@@ -149,7 +147,7 @@
   struct codec_err ce = { 0 };
   int err;
 
-  if (strcmp (row->key, KEY_CONFIG) != 0 || !row->value)
+  if (strcmp (row->key, f->set.codec.conf_key) != 0 || !row->value)
     return;
   err = f->set.codec.conf (row->value, &conf, &ce);
   if (err)
@@ -379,10 +377,11 @@
 static void
 take_exec_row (struct fleet *f, const struct row *row)
 {
-  const char *id = row->key + strlen (PREFIX_EXECS);
+  const char *slash = strchr (row->key, '/');
+  const char *id = slash ? slash + 1 : "";
   struct exec_report rep;
 
-  if (strncmp (row->key, PREFIX_EXECS, strlen (PREFIX_EXECS)) != 0)
+  if (!*id)
     return;
   if (row->value && !f->set.codec.exec (id, row->value, &rep))
     {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -59,7 +59,7 @@
   size_t body_len;
 };
 
-/** struct fleet_codec - translates the platform's documents */
+/** struct fleet_codec - the platform's documents and where they lie */
 struct fleet_codec
 {
   /** conf - 0 and a configuration that the caller frees, or an error */
@@ -69,6 +69,14 @@
   /** job - 0, or an error; @out is then empty */
   int (*job) (const char *text, size_t len, struct job_spec *out,
               struct codec_err *ce);
+  /** state_body, count_body - what a caller is told; the caller frees */
+  char *(*state_body) (int state);
+  char *(*count_body) (int64_t waiting);
+  /** error_body - @detail names what was wrong, or is empty */
+  char *(*error_body) (const char *error, const char *detail);
+  const char *conf_table;
+  const char *conf_key;   /* of the configuration, with its table */
+  const char *exec_table; /* executors' entries, each under its id */
 };
 
 struct fleet_settings
--- a/core/gate.c
+++ b/core/gate.c
@@ -47,6 +47,8 @@
   int status = answer_status[what];
 
   f->stats.answers[what]++;
+  if (status >= 400 && !body)
+    body = f->set.codec.error_body (fleet_answer_names[what], "");
   o->u.answer.call = call;
   o->u.answer.status = status;
   o->u.answer.body = body;
@@ -54,16 +56,6 @@
     o->u.answer.retry_ms = FLEET_COME_BACK_MS;
 }
 
-static char *
-text_body (const char *key, const char *value)
-{
-  char *text;
-
-  if (asprintf (&text, "{\"%s\":\"%s\"}", key, value) < 0)
-    abort ();
-  return text;
-}
-
 static void
 caller_free (struct fleet *f, struct caller *c)
 {
@@ -100,7 +92,8 @@
             (unsigned long long)rq->call, rq->path, fleet_answer_names[what],
             answer_status[what], f->conf ? (long long)f->conf->version : 0,
             (long long)(f->now_ms - f->conf_feed.fresh_ms), detail);
-  answer (f, rq->call, what, text_body ("error", fleet_answer_names[what]));
+  answer (f, rq->call, what,
+          f->set.codec.error_body (fleet_answer_names[what], detail));
 }
 
 static struct store_op *
@@ -225,27 +218,17 @@
   int state = f->cell && f->cell->going ? cell_state (f->cell, c->id) : -1;
 
   if (state >= 0)
-    finish (f, c, ANSWER_STATE, text_body ("state", job_state_names[state]));
+    finish (f, c, ANSWER_STATE, f->set.codec.state_body (state));
   else
     ask_leader (f, c, MESH_STATE_ASK, c->id);
 }
 
-static char *
-count_body (int64_t n)
-{
-  char *text;
-
-  if (asprintf (&text, "{\"waiting\":%lld}", (long long)n) < 0)
-    abort ();
-  return text;
-}
-
 static void
 begin_count (struct fleet *f, struct caller *c)
 {
   if (f->cell && f->cell->going && lead_may_admit (&f->lead, f->now_ms))
     finish (f, c, ANSWER_WAITING,
-            count_body (cell_waiting (f->cell, c->queue)));
+            f->set.codec.count_body (cell_waiting (f->cell, c->queue)));
   else
     ask_leader (f, c, MESH_WAITING_ASK, c->queue);
 }
@@ -388,7 +371,7 @@
       read_row (f, c, CALLER_READ_JOB);
       return;
     }
-  finish (f, c, ANSWER_STATE, text_body ("state", job_state_names[p.state]));
+  finish (f, c, ANSWER_STATE, f->set.codec.state_body (p.state));
   codec_free (&job_progress_desc, &p);
 }
 
@@ -400,8 +383,7 @@
   else if (c->verb == FLEET_CANCEL)
     send_cancel (f, c);
   else
-    finish (f, c, ANSWER_STATE,
-            text_body ("state", job_state_names[JOB_PENDING]));
+    finish (f, c, ANSWER_STATE, f->set.codec.state_body (JOB_PENDING));
 }
 
 bool
@@ -470,10 +452,9 @@
   if (!c || c->step != CALLER_ASKING)
     return;
   if (m->kind == MESH_WAITING)
-    finish (f, c, ANSWER_WAITING, count_body (m->count));
+    finish (f, c, ANSWER_WAITING, f->set.codec.count_body (m->count));
   else if (m->known)
-    finish (f, c, ANSWER_STATE,
-            text_body ("state", job_state_names[m->state]));
+    finish (f, c, ANSWER_STATE, f->set.codec.state_body ((int)m->state));
   else
     read_row (f, c, CALLER_READ_STATE);
 }
--- a/regress/fleet/lib.lua
+++ b/regress/fleet/lib.lua
@@ -20,5 +20,5 @@
   local c = ask(i, job)
   run(400)
   local status, body = answer(c)
-  return body:match('"state":"(%a+)"') or tostring(status)
+  return status == 200 and body or tostring(status)
 end
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -204,6 +204,32 @@
   return 0;
 }
 
+static char *
+tell_state (int state)
+{
+  return strdup (job_state_names[state]);
+}
+
+static char *
+tell_error (const char *error, const char *detail)
+{
+  char *text;
+
+  if (asprintf (&text, "%s %s", error, detail) < 0)
+    abort ();
+  return text;
+}
+
+static char *
+tell_count (int64_t waiting)
+{
+  char *text;
+
+  if (asprintf (&text, "%lld", (long long)waiting) < 0)
+    abort ();
+  return text;
+}
+
 /* Instances. */
 
 struct mesh_delivery
@@ -342,7 +368,15 @@
   struct tick *t = calloc (1, sizeof *t);
   struct fleet_settings set = { .boot = WALL_MS + s->now_ms,
                                 .revoke_ms = 5000,
-                                .codec = { read_conf, read_exec, read_job } };
+                                .codec = { .conf = read_conf,
+                                           .exec = read_exec,
+                                           .job = read_job,
+                                           .state_body = tell_state,
+                                           .count_body = tell_count,
+                                           .error_body = tell_error,
+                                           .conf_table = "op",
+                                           .conf_key = "op/config",
+                                           .exec_table = "servers" } };
 
   snprintf (set.id, sizeof set.id, "n%d", i);
   snprintf (set.mesh_addr, sizeof set.mesh_addr, "n%d", i);
