A lease that is renewed in vain runs out

Ruled out: advice (3 good executors), the queue (20 jobs, room free). Change: an executor that does not answer is asked without a lease.

--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -177,7 +177,8 @@
   e->hold = o->no;
   e->hold_ms = c->now_ms;
   o->recorded = e->recorded_end;
-  if (e->heard)
+  /* A lease that is renewed in vain would never be over. */
+  if (e->heard && !e->silent)
     {
       o->deadline_ms = exec_clock (c, e) + CELL_LEASE_MS;
       if (o->deadline_ms > e->deadline_ms)
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -107,3 +107,12 @@
   run(9000)
   expect(state(1, id(1)) == "failed" or state(2, id(1)) == "failed", "failed")
 end)
+
+scenario("an executor that is lost for good frees its work", function()
+  begin{execs = 4}
+  some_jobs(1, 6)
+  run(500)
+  exec(0, "crash")
+  run(10500)
+  all_completed(1, 6, leader())
+end)
