Starts are on record before they are sent

Cause: a new leader started no job of before until every executor of the roster had answered it or was waited out, 8.7 s after its claim, as it could not know what ran on those that were silent.

Ruled out: shorter leases, as a zone cut of 5 s would then lose its work; a record written after the start, as the last moments before the loss are then unknown; names of the executors asked about instead of the start, as with a third of them silent nearly no job would be free.

Change: a ring of rows plan/NNN takes each start in the leader's own write before it is sent. A new leader takes the starts on executors that have not answered as perhaps running and goes on with all else at once.

--- a/core/cell.c
+++ b/core/cell.c
@@ -70,6 +70,7 @@
   TAILQ_INIT (&c->queue);
   TAILQ_INIT (&c->execs);
   TAILQ_INIT (&c->tenants);
+  plan_init (&c->plan);
   return c;
 }
 
@@ -160,6 +161,7 @@
       RB_REMOVE (pending_order_tree, &c->orders, p);
       free (p);
     }
+  plan_fini (&c->plan);
   free (c->exec_table);
   free (c->ready);
   free (c);
@@ -181,6 +183,18 @@
   return RB_FIND (job_tree, (struct job_tree *)&c->jobs, &key);
 }
 
+struct job *
+cell_job_of (const struct cell *c, const struct task_ref *t)
+{
+  struct job *j = cell_find_job (c, t->job);
+
+  if (!j || t->occurrence != 0 || t->step < 0
+      || t->step >= (int64_t)j->spec.n_steps || t->index < 0
+      || t->index >= j->steps[t->step].n_tasks)
+    return NULL;
+  return j;
+}
+
 struct jtask *
 start_task (const struct start *r)
 {
@@ -572,6 +586,7 @@
 void
 cell_go (struct cell *c)
 {
+  plan_go (c);
   c->going = true;
   c->pass_due = true;
   out_line (c->out,
--- a/core/cell.h
+++ b/core/cell.h
@@ -2,11 +2,12 @@
  * DOC: The scheduler of the fleet's jobs, present only while its instance
  * leads.
  *
- * It keeps no intent on record before a start: an executor runs only what a
- * lease covers, refuses lower fencing tokens and remembers each end until it
- * is told that the end is recorded.  So a new leader learns what runs from
- * the executors.  It starts nothing that an earlier leader may have started
- * until every executor has answered it or surely runs nothing any more.
+ * A start is on record before it is sent, see cell_plan.c.  An executor runs
+ * only what a lease covers, refuses lower fencing tokens and remembers each
+ * end until it is told that the end is recorded.  So a new leader learns what
+ * runs from the executors, and from the record what may be running on those
+ * that do not answer; it leaves just these tasks alone until their leases are
+ * surely over.
  *
  * No input or output: results are handed in with the present time, orders and
  * log lines are left in the queue, records are collected by the journal.
@@ -44,6 +45,7 @@
   CELL_TRIM_MS = 2500,     /* between removals of ended jobs' specifications */
   CELL_TRIM_ROWS = 90,     /* of one such write */
   CELL_ASIDE_MS = 4000,    /* first pause; doubled while it goes on failing */
+  PLAN_SLOTS = 256, /* rows of the record of starts: 10 s at 25 writes/s */
 };
 
 /* The row of an ended job. */
@@ -52,9 +54,12 @@
 struct cell;
 struct exec;
 struct jstep;
+struct plan_entry;
 
 enum start_state
 {
+  START_PLANNED, /* its record is not durable yet */
+  START_DROPPED, /* the same, and it will not be sent */
   START_SENT,   /* no answer yet */
   START_ON,     /* acknowledged or listed */
   START_UNSURE, /* the answer was lost */
@@ -82,6 +87,8 @@
   uint64_t order;     /* outstanding start or stop */
   int tries;          /* starts sent */
   bool seen;          /* in the list under way */
+  bool earlier;       /* of an earlier leader; its executor has not answered */
+  struct plan_entry *plan; /* its record, or NULL */
   char saved[JOB_SAVED_SIZE];
 };
 TAILQ_HEAD (startq, start);
@@ -93,6 +100,7 @@
   struct job_run *failed; /* runs that have failed; of a gang, at its first */
   int32_t n_failed;
   int32_t next_run;
+  int32_t last_run; /* highest on record of an earlier leader; 0: none */
   bool done;
 };
 
@@ -272,6 +280,21 @@
   uint64_t aside;
 };
 
+TAILQ_HEAD (plan_entryq, plan_entry);
+
+/** struct plan - starts on record, see cell_plan.c */
+struct plan
+{
+  struct plan_entryq slots[PLAN_SLOTS]; /* by the row that they lie in */
+  struct plan_entryq waiting;           /* for the next write */
+  struct plan_entryq writing;           /* in the write in flight */
+  int next;                             /* row to be written next */
+  int write_slot;
+  uint64_t ends; /* of starts on record so far */
+  uint64_t write_ends;
+  uint64_t recorded_ends; /* what they changed is on record */
+};
+
 struct cell
 {
   int64_t now_ms;
@@ -304,6 +327,8 @@
   int64_t next_pass_ms;
   int64_t retry_pass_ms; /* some work could not be placed: look again; 0 */
   bool record_due;       /* something must be recorded */
+  bool plan_due;         /* starts wait for their record */
+  struct plan plan;
   bool roster_dirty;
   bool roster_writing;
   bool ask_short; /* in the pass under way, an adviser is free for ... */
@@ -336,7 +361,7 @@
 
 void cell_conf (struct cell *c, const struct fconf *conf);
 
-/* While loading: progress, then jobs; then cell_go(). */
+/* While loading: roster, starts and progress, then jobs; then cell_go(). */
 
 /**
  * cell_job() - A job from its record.
@@ -350,6 +375,13 @@
  * @p: taken over
  */
 void cell_progress (struct cell *c, const char *id, struct job_progress *p);
+/**
+ * cell_plan() - A row of starts on record, before the jobs.
+ * @key: its number
+ *
+ * Return: lines that make no sense.
+ */
+int cell_plan (struct cell *c, const char *key, const char *text);
 /** cell_roster() - Executors that an earlier leader may have used. */
 void cell_roster (struct cell *c, const char *text);
 void cell_go (struct cell *c);
--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -196,7 +196,8 @@
   struct start *r;
 
   out_line (c->out, "event=lease-over exec=%s silent_ms=%lld", e->rep.id,
-            (long long)(c->now_ms - e->clock_at_ms));
+            (long long)(c->now_ms
+                        - (e->heard ? e->clock_at_ms : c->claimed_ms)));
   while ((r = TAILQ_FIRST (&e->runs)))
     {
       c->stats->lapsed++;
@@ -257,24 +258,11 @@
   return NULL;
 }
 
-/* The job that a row speaks of, if the row makes sense for it. */
-static struct job *
-job_of_row (const struct cell *c, const struct task_ref *t)
-{
-  struct job *j = cell_find_job (c, t->job);
-
-  if (!j || t->occurrence != 0 || t->step < 0
-      || t->step >= (int64_t)j->spec.n_steps || t->index < 0
-      || t->index >= j->steps[t->step].n_tasks)
-    return NULL;
-  return j;
-}
-
 static void
 take_end (struct cell *c, struct exec *e, const struct end_row *row)
 {
   struct start *r = find_run (e, &row->task, row->run);
-  struct job *j = job_of_row (c, &row->task);
+  struct job *j = cell_job_of (c, &row->task);
 
   if (row->no <= e->seen_end)
     return;
@@ -320,7 +308,7 @@
 static struct start *
 adopt (struct cell *c, struct exec *e, const struct run_row *row)
 {
-  struct job *j = job_of_row (c, &row->task);
+  struct job *j = cell_job_of (c, &row->task);
   struct jtask *t;
 
   if (!j || job_state_final (j->state))
@@ -353,6 +341,7 @@
       return;
     }
   r->seen = true;
+  r->earlier = false;
   if (!r->acked_ms)
     r->acked_ms = c->now_ms;
   if (r->state == START_SENT || r->state == START_UNSURE)
@@ -367,7 +356,10 @@
 static void
 judge_absent (struct cell *c, struct exec *e, struct start *r)
 {
-  if (r->state == START_STOP && r->clear_ms && r->clear_ms <= e->hold_ms)
+  /* The list shows all that an earlier leader's orders have left there. */
+  if (r->earlier)
+    start_end (c, r, END_NEVER);
+  else if (r->state == START_STOP && r->clear_ms && r->clear_ms <= e->hold_ms)
     start_end (c, r, END_NEVER);
   else if (r->state == START_UNSURE && r->unsure_ms < e->hold_ms)
     start_stop (c, r);
@@ -519,6 +511,8 @@
     {
       if (!e->clear && c->now_ms >= c->wait_ms)
         {
+          if (!e->heard)
+            lapse_all (c, e);
           e->clear = true;
           c->roster_dirty = true;
           c->record_due = true;
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -25,6 +25,21 @@
 struct order *cell_order (struct cell *c, int kind, const struct exec *e,
                           struct pending_order **pend);
 
+/** cell_job_of() - The job of a task, if that makes sense for it. */
+struct job *cell_job_of (const struct cell *c, const struct task_ref *t);
+
+/* cell_plan.c */
+void plan_init (struct plan *p);
+void plan_fini (struct plan *p);
+/** plan_start() - Put a new start on record, then send it. */
+void plan_start (struct cell *c, struct start *r);
+/** plan_ended() - Its record is needed until its end is on record. */
+void plan_ended (struct cell *c, struct start *r);
+int plan_collect (struct cell *c, struct store_op *op);
+void plan_recorded (struct cell *c);
+/** plan_go() - What may be running on executors that have not answered. */
+void plan_go (struct cell *c);
+
 /* cell_record.c */
 void cell_trim_jobs (struct cell *c);
 
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -15,8 +15,7 @@
   ROOM_MIN_MILLICORES = 100, /* less is no room for any task seen */
 };
 
-/* Whether the client account of @j may have one more such task running.  What
-   executors that were not heard may run counts as its own. */
+/* Whether the client account of @j may have @n more such tasks running. */
 static bool
 within_limit (struct cell *c, const struct job *j, int step, int n)
 {
@@ -24,21 +23,11 @@
       = c->conf ? fconf_tenant (c->conf, j->spec.tenant) : NULL;
   const struct cell_tenant *t = cell_tenant (c, j->spec.tenant);
   const struct job_need *need = &j->spec.steps[step].need;
-  struct job_need unknown = { 0 };
-  struct exec *e;
 
   if (!ft)
     return true;
-  if (!c->settled)
-    TAILQ_FOREACH (e, &c->execs, link)
-      if (!e->clear)
-        {
-          unknown.millicores += e->rep.room.millicores;
-          unknown.mem_mb += e->rep.room.mem_mb;
-          unknown.accels += e->rep.room.accels;
-        }
 #define OVER(f)                                                               \
-  (ft->limit.f && t->used.f + unknown.f + n * need->f > ft->limit.f)
+  (ft->limit.f && t->used.f + n * need->f > ft->limit.f)
   return !OVER (millicores) && !OVER (mem_mb) && !OVER (accels);
 #undef OVER
 }
@@ -94,7 +83,8 @@
       e = best_fit (c, j, step);
       if (!e)
         return false;
-      start_send (c, start_new (c, j, step, i, e, t->next_run, START_SENT));
+      plan_start (
+          c, start_new (c, j, step, i, e, t->next_run, START_PLANNED));
     }
   return true;
 }
@@ -191,7 +181,8 @@
       while (seats[at].fits == 0)
         at++;
       seats[at].fits--;
-      start_send (c, start_new (c, j, step, i, seats[at].e, no, START_SENT));
+      plan_start (c,
+                  start_new (c, j, step, i, seats[at].e, no, START_PLANNED));
     }
   free (seats);
   return n > 0;
@@ -244,9 +235,9 @@
 }
 
 static bool
-wants_room (const struct cell *c, const struct job *j)
+wants_room (const struct job *j)
 {
-  if (job_state_final (j->state) || (j->old && !c->settled))
+  if (job_state_final (j->state))
     return false;
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
@@ -301,7 +292,7 @@
         abort ();
     }
   TAILQ_FOREACH (j, &c->queue, link)
-    if (wants_room (c, j))
+    if (wants_room (j))
       {
         j->group = group_of (c, j);
         c->ready[n++] = j;
--- a/core/cell_record.c
+++ b/core/cell_record.c
@@ -97,6 +97,7 @@
   bool all = true;
 
   c->record_due = false;
+  n = plan_collect (c, op);
   if (c->roster_dirty)
     {
       collect_roster (c, op);
@@ -124,6 +125,8 @@
   TAILQ_FOREACH (e, &c->execs, link)
     if (all)
       e->write_end = e->seen_end;
+  if (!all)
+    c->plan.write_ends = c->plan.recorded_ends;
   return n;
 }
 
@@ -156,6 +159,7 @@
       j->recorded = job_state_final (j->state) && !j->dirty;
       cell_forget_job (c, j);
     }
+  plan_recorded (c);
 }
 
 int
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -93,6 +93,7 @@
             end_names[how], (long long)(c->now_ms - r->sent_ms), r->state);
   cell_keep_saved (j, step, index, r->saved);
   add_use (c, r, -1);
+  plan_ended (c, r);
   TAILQ_REMOVE (&r->exec->runs, r, on_exec);
   start_task (r)->run = NULL;
   j->n_runs--;
@@ -162,8 +163,13 @@
 void
 start_stop (struct cell *c, struct start *r)
 {
-  if (r->state == START_STOP)
+  if (r->state == START_STOP || r->state == START_DROPPED)
     return;
+  if (r->state == START_PLANNED)
+    {
+      r->state = START_DROPPED;
+      return;
+    }
   r->state = START_STOP;
   r->clear_ms = 0;
   r->stop_ms = 0;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -8,6 +8,7 @@
 enum load_step
 {
   LOAD_ROSTER,
+  LOAD_PLAN,
   LOAD_PROGRESS,
   LOAD_JOBS,
   LOAD_DONE,
@@ -25,6 +26,7 @@
 };
 
 #define PREFIX_PROGRESS "prog/"
+#define PREFIX_PLAN "plan/"
 #define SUFFIX_CANCEL ".cancel"
 
 void
@@ -213,7 +215,8 @@
       return;
     }
   o->u.store.op.kind = STORE_LIST;
-  o->u.store.op.key = strdup (PREFIX_PROGRESS);
+  o->u.store.op.key
+      = strdup (f->load_step == LOAD_PLAN ? PREFIX_PLAN : PREFIX_PROGRESS);
   o->u.store.op.after = f->load_after ? strdup (f->load_after) : NULL;
 }
 
@@ -234,11 +237,25 @@
   cell_progress (f->cell, row->key + strlen (PREFIX_PROGRESS), &p);
 }
 
+static void
+take_plan (struct fleet *f, const struct row *row)
+{
+  int bad = cell_plan (f->cell, row->key + strlen (PREFIX_PLAN), row->value);
+
+  if (!bad)
+    return;
+  f->stats.bad_rows++;
+  out_line (&f->out, "event=bad-row key=%s error=bad-lines lines=%d", row->key,
+            bad);
+}
+
 static void
 load_page (struct fleet *f, const struct store_rep *rep)
 {
   for (size_t i = 0; i < rep->n_rows; i++)
-    if (rep->rows[i].value)
+    if (rep->rows[i].value && f->load_step == LOAD_PLAN)
+      take_plan (f, &rep->rows[i]);
+    else if (rep->rows[i].value)
       take_progress (f, &rep->rows[i]);
   free (f->load_after);
   f->load_after = NULL;
@@ -247,7 +264,8 @@
       f->load_after = strdup (rep->rows[rep->n_rows - 1].key);
       return;
     }
-  f->load_step = LOAD_JOBS;
+  if (f->load_step++ == LOAD_PLAN)
+    return;
   follow_start (&f->job_feed, f->now_ms);
 }
 
@@ -262,14 +280,14 @@
       f->load_next_ms = f->now_ms + LOAD_RETRY_MS;
       return true;
     }
-  if (f->load_step == LOAD_PROGRESS)
+  if (f->load_step != LOAD_ROSTER)
     {
       load_page (f, rep);
       return true;
     }
   if (rep->n_rows && rep->rows[0].value)
     cell_roster (f->cell, rep->rows[0].value);
-  f->load_step = LOAD_PROGRESS;
+  f->load_step = LOAD_PLAN;
   follow_start (&f->exec_feed, f->now_ms);
   cell_exec_list (f->cell, true);
   return true;
@@ -469,6 +487,7 @@
   if (!lead_can_write (&f->lead, f->now_ms))
     return;
   if (!lead_beat_due (&f->lead, f->now_ms)
+      && !(f->cell && f->cell->plan_due && f->now_ms >= f->next_plan_ms)
       && !(f->cell && f->cell->record_due && f->now_ms >= f->next_write_ms))
     return;
   op = calloc (1, sizeof *op);
@@ -477,6 +496,7 @@
   if (f->cell)
     cell_collect (f->cell, op, LEAD_ROWS_MAX);
   f->next_write_ms = f->now_ms + FLEET_WRITE_GAP_MS;
+  f->next_plan_ms = f->now_ms + FLEET_PLAN_GAP_MS;
   lead_write (&f->lead, f->now_ms, op);
 }
 
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -30,6 +30,7 @@
   FLEET_READY_MS = 2300,     /* not ready once the table is silent so long: two
                                 waits of the configuration's feed */
   FLEET_WRITE_GAP_MS = 25,   /* records of this long share a write */
+  FLEET_PLAN_GAP_MS = 10,    /* the same, of starts: each waits for it */
   FLEET_JOBS_GAP_MS = 200,   /* jobs that no instance has told of are found by
                                 then */
   FLEET_WATCHERS = 3,        /* followers that look at the lease often */
@@ -172,6 +173,7 @@
   char *load_after;
   int64_t load_next_ms;
   int64_t next_write_ms;
+  int64_t next_plan_ms;
   struct caller_tree_f callers;
   int n_callers;
   int64_t next_hello_ms;
