Writes are relayed while the own way to the table is lost; strongest succeeds

Ruled out: a second copy of each slow write to another instance after 250 ms.

Change: the leader's greeting tells how fresh its proof of the configuration is, so others know that it reaches the table; they relay writes to it (a leader to a follower) while their own way is lost, and count what is open. Where nobody reaches the table, new writes are refused at once with 503. Retries pause 20 to 160 ms. Readiness falls after 1.4 s instead of 2.3. Followers claim in the order of their share of a core, 100 ms apart.

--- a/core/cell.h
+++ b/core/cell.h
@@ -60,10 +60,10 @@
 {
   START_PLANNED, /* its record is not durable yet */
   START_DROPPED, /* the same, and it will not be sent */
-  START_SENT,   /* no answer yet */
-  START_ON,     /* acknowledged or listed */
-  START_UNSURE, /* the answer was lost */
-  START_STOP,   /* to be stopped */
+  START_SENT,    /* no answer yet */
+  START_ON,      /* acknowledged or listed */
+  START_UNSURE,  /* the answer was lost */
+  START_STOP,    /* to be stopped */
 };
 
 /** struct start - one start of a task on one executor */
@@ -219,6 +219,7 @@
   char id[CLB_ID_MAX]; /* empty: this instance */
   char addr[CLB_ADDR_MAX];
   int64_t heard_ms;
+  int64_t fresh_ms;       /* it reached the table then */
   int64_t avoid_until_ms; /* a question that it had got lost */
   int64_t busy_until_ms;  /* expected end of the questions it has */
   int n_open;
@@ -394,7 +395,9 @@
 void cell_exec_list (struct cell *c, bool begins);
 /** cell_adviser() - An instance that may ask for advice was heard. */
 void cell_adviser (struct cell *c, const char *id, const char *addr,
-                   int64_t millicores);
+                   int64_t millicores, int64_t fresh_ms);
+/** cell_adviser_fresh() - The one that has reached the table last, or NULL. */
+const struct adviser *cell_adviser_fresh (const struct cell *c);
 /** cell_adviser_rank() - How many others have more of a core. */
 int cell_adviser_rank (const struct cell *c, const char *id);
 void cell_result (struct cell *c, int64_t now_ms, uint64_t order,
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -65,7 +65,7 @@
 
 void
 cell_adviser (struct cell *c, const char *id, const char *addr,
-              int64_t millicores)
+              int64_t millicores, int64_t fresh_ms)
 {
   struct adviser *a = NULL;
 
@@ -83,9 +83,22 @@
     }
   clb_copy (a->addr, addr, sizeof a->addr);
   a->heard_ms = c->now_ms;
+  a->fresh_ms = fresh_ms;
   a->millicores = millicores;
 }
 
+const struct adviser *
+cell_adviser_fresh (const struct cell *c)
+{
+  const struct adviser *best = NULL;
+
+  for (int i = 0; i < c->n_advisers; i++)
+    if (*c->advisers[i].addr
+        && (!best || c->advisers[i].fresh_ms > best->fresh_ms))
+      best = &c->advisers[i];
+  return best;
+}
+
 int
 cell_adviser_rank (const struct cell *c, const char *id)
 {
--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -195,9 +195,9 @@
 {
   struct start *r;
 
-  out_line (c->out, "event=lease-over exec=%s silent_ms=%lld", e->rep.id,
-            (long long)(c->now_ms
-                        - (e->heard ? e->clock_at_ms : c->claimed_ms)));
+  out_line (
+      c->out, "event=lease-over exec=%s silent_ms=%lld", e->rep.id,
+      (long long)(c->now_ms - (e->heard ? e->clock_at_ms : c->claimed_ms)));
   while ((r = TAILQ_FIRST (&e->runs)))
     {
       c->stats->lapsed++;
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -26,8 +26,7 @@
 
   if (!ft)
     return true;
-#define OVER(f)                                                               \
-  (ft->limit.f && t->used.f + n * need->f > ft->limit.f)
+#define OVER(f) (ft->limit.f && t->used.f + n * need->f > ft->limit.f)
   return !OVER (millicores) && !OVER (mem_mb) && !OVER (accels);
 #undef OVER
 }
@@ -83,8 +82,7 @@
       e = best_fit (c, j, step);
       if (!e)
         return false;
-      plan_start (
-          c, start_new (c, j, step, i, e, t->next_run, START_PLANNED));
+      plan_start (c, start_new (c, j, step, i, e, t->next_run, START_PLANNED));
     }
   return true;
 }
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -22,7 +22,6 @@
   WAIT_OUT_MS
   = LEAD_ORDER_MS - LEAD_STILL_MS + CELL_LEASE_MS * 102 / 100 + 300,
   LOAD_RETRY_MS = 100,
-  STRONG_MILLICORES = 500, /* an instance with this much waits for none */
 };
 
 #define PREFIX_PROGRESS "prog/"
@@ -37,11 +36,8 @@
   f->now_ms = now_ms;
   TAILQ_INIT (&f->out);
   RB_INIT (&f->callers);
-  lead_init (&f->lead, set->id, set->mesh_addr, set->boot, &f->out,
-             &f->tokens);
-  /* Of instances that start together, the strongest leads. */
-  if (set->millicores > 0 && set->millicores < STRONG_MILLICORES)
-    f->lead.first_after_ms = now_ms + STRONG_MILLICORES - set->millicores;
+  lead_init (&f->lead, now_ms, set->id, set->mesh_addr, set->boot,
+             set->millicores, &f->out, &f->tokens);
   follow_init (&f->conf_feed, set->codec.conf_table, 0, FLEET_FEED_WAIT_MS,
                &f->out, &f->tokens);
   follow_init (&f->exec_feed, set->codec.exec_table, 0, FLEET_FEED_WAIT_MS,
@@ -49,7 +45,8 @@
   follow_init (&f->job_feed, "job", CELL_JOB_PARTS, FLEET_FEED_WAIT_MS,
                &f->out, &f->tokens);
   f->job_feed.pause_ms = FLEET_JOBS_GAP_MS;
-  f->conf_feed.fresh_ms = INT64_MIN / 2;
+  f->proved_ms = INT64_MIN / 2;
+  f->leader_fresh_ms = INT64_MIN / 2;
   follow_start (&f->conf_feed, now_ms);
 }
 
@@ -140,8 +137,27 @@
   return f->lead.holder_addr;
 }
 
+const char *
+fleet_peer_addr (const struct fleet *f)
+{
+  const char *leader = fleet_leader_addr (f);
+  const struct adviser *a;
+
+  if (leader)
+    return f->now_ms - f->leader_fresh_ms < FLEET_PEER_MS ? leader : NULL;
+  a = f->cell ? cell_adviser_fresh (f->cell) : NULL;
+  return a && f->now_ms - a->fresh_ms < FLEET_PEER_MS ? a->addr : NULL;
+}
+
 /* Configuration. */
 
+static void
+proved (struct fleet *f, int64_t at_ms)
+{
+  if (f->conf && at_ms > f->proved_ms)
+    f->proved_ms = at_ms;
+}
+
 static void
 take_config (struct fleet *f, const struct row *row)
 {
@@ -184,7 +200,10 @@
   if (!mine)
     return false;
   if (rep->err && !f->store_lost)
-    out_line (&f->out, "event=store-lost error=%s", clb_err_name (rep->err));
+    {
+      f->store_lost_ms = f->now_ms;
+      out_line (&f->out, "event=store-lost error=%s", clb_err_name (rep->err));
+    }
   else if (!rep->err && f->store_lost)
     out_line (&f->out, "event=store-regained");
   f->store_lost = rep->err != 0;
@@ -192,6 +211,8 @@
     return true;
   for (size_t i = 0; i < rep->n_rows; i++)
     take_config (f, &rep->rows[i]);
+  if (event == FOLLOW_CHANGES || event == FOLLOW_LISTED)
+    proved (f, f->conf_feed.fresh_ms);
   return true;
 }
 
@@ -443,7 +464,7 @@
   drop_cell (f);
   f->cell = cell_new (&f->out, &f->tokens, f->now_ms, f->lead.epoch,
                       WAIT_OUT_MS, &f->stats.cell);
-  cell_adviser (f->cell, "", "", 0);
+  cell_adviser (f->cell, "", "", 0, 0);
   if (f->conf)
     cell_conf (f->cell, f->conf);
   f->load_step = LOAD_ROSTER;
@@ -500,6 +521,15 @@
   lead_write (&f->lead, f->now_ms, op);
 }
 
+/* For messages: at most a day. */
+static int64_t
+conf_age (const struct fleet *f)
+{
+  int64_t age = f->now_ms - f->proved_ms;
+
+  return age < 86400000 ? age : 86400000;
+}
+
 static void
 say_hello (struct fleet *f)
 {
@@ -513,7 +543,9 @@
   if (!m)
     abort ();
   m->kind = MESH_HELLO;
+  m->no = f->now_ms;
   m->millicores = f->set.millicores;
+  m->conf_age_ms = conf_age (f);
   fleet_send (f, f->lead.holder_addr, m);
 }
 
@@ -538,6 +570,8 @@
              const struct store_rep *rep)
 {
   f->now_ms = now_ms;
+  if (rep->err == 0 || rep->err == CLB_ECONFLICT || rep->err == CLB_ENOTFOUND)
+    f->store_heard_ms = now_ms;
   if (f->cell)
     f->cell->now_ms = now_ms;
   if (!lead_reply (f, token, rep) && !config_store (f, token, rep))
@@ -596,15 +630,18 @@
     return;
   if (f->cell)
     {
-      cell_adviser (f->cell, m->from, m->addr, m->millicores);
+      cell_adviser (f->cell, m->from, m->addr, m->millicores,
+                    f->now_ms - m->conf_age_ms);
       rank = cell_adviser_rank (f->cell, m->from);
     }
   r = calloc (1, sizeof *r);
   if (!r)
     abort ();
   r->kind = MESH_LEADER;
-  /* The strongest followers look often, so one of them succeeds. */
-  r->watch = rank < FLEET_WATCHERS;
+  r->no = m->no;
+  r->conf_version = f->conf ? f->conf->version : 0;
+  r->conf_age_ms = conf_age (f);
+  r->rank = rank;
   fleet_send (f, m->addr, r);
 }
 
@@ -653,6 +690,21 @@
   order_result_clear (&res);
 }
 
+/* What the leader says was so after this instance had asked. */
+static void
+hear_leader (struct fleet *f, const struct mesh_msg *m)
+{
+  int64_t fresh_ms = m->no - m->conf_age_ms;
+
+  lead_heard (&f->lead, f->now_ms, m->epoch, m->rank);
+  if (strcmp (m->from, f->lead.holder) != 0)
+    return;
+  f->leader_heard_ms = f->now_ms;
+  f->leader_fresh_ms = fresh_ms;
+  if (f->conf && m->conf_version == f->conf->version)
+    proved (f, fresh_ms);
+}
+
 void
 fleet_mesh (struct fleet *f, int64_t now_ms, const struct mesh_msg *m)
 {
@@ -663,9 +715,7 @@
       greet (f, m);
       break;
     case MESH_LEADER:
-      lead_heard (&f->lead, now_ms, m->epoch, m->watch);
-      if (strcmp (m->from, f->lead.holder) == 0)
-        f->leader_heard_ms = now_ms;
+      hear_leader (f, m);
       break;
     case MESH_ADVISE_ASK:
       forward_question (f, m);
@@ -714,8 +764,7 @@
 bool
 fleet_ready (const struct fleet *f, int64_t now_ms)
 {
-  return f->conf && !f->stopping
-         && now_ms - f->conf_feed.fresh_ms < FLEET_READY_MS;
+  return f->conf && !f->stopping && now_ms - f->proved_ms < FLEET_READY_MS;
 }
 
 /* Metrics. */
@@ -774,6 +823,7 @@
   counter (out, "asks_total", NULL, NULL, f->stats.asks);
   counter (out, "asks_lost_total", NULL, NULL, f->stats.asks_lost);
   counter (out, "retries_total", NULL, NULL, f->stats.retries);
+  counter (out, "relays_total", NULL, NULL, f->stats.relays);
   counter (out, "bad_rows_total", NULL, NULL, f->stats.bad_rows);
   counter (out, "config_version", NULL, NULL,
            f->conf ? (uint64_t)f->conf->version : 0);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -16,24 +16,34 @@
 
 enum
 {
-  FLEET_JOB_PARTS = 8, /* of the table of jobs: each takes 300 writes/s */
-  FLEET_FEED_WAIT_MS = 1000, /* so often is the configuration proved fresh */
+  FLEET_JOB_PARTS = 8,      /* of the table of jobs: each takes 300 writes/s */
+  FLEET_FEED_WAIT_MS = 500, /* so often is the configuration proved fresh */
   FLEET_HELLO_MS = 400,
-  FLEET_ASK_MS = 250,      /* a leader that doesn't answer by then is passed
-                              over and the table is read */
-  FLEET_GIVE_UP_MS = 150,  /* before the caller does */
-  FLEET_WAIT_MS = 2500,    /* callers that don't say how long they wait */
-  FLEET_RETRY_MS = 120,    /* after the table refused a call */
-  FLEET_REFUSED_TRIES = 3, /* then the caller is refused */
+  FLEET_ASK_MS = 250,       /* a leader that doesn't answer by then is passed
+                               over and the table is read */
+  FLEET_GIVE_UP_MS = 150,   /* before the caller does */
+  FLEET_WAIT_MS = 2500,     /* callers that don't say how long they wait */
+  FLEET_RETRY_MS = 20,      /* after a call to the table failed; doubled ... */
+  FLEET_RETRY_MAX_MS = 160, /* ... up to this */
+  FLEET_REFUSED_TRIES = 4,  /* then the caller is refused */
+  FLEET_MUTE_MS = 900,  /* the way to the table is lost, not slow: within this
+                           a feed is answered, also 50 times as slowly */
+  FLEET_RELAY_MS = 500, /* a relayed request is answered by then */
+  FLEET_LOST_MS = 500,  /* the table is silent so long: new writes are refused
+                           at once, as none can be told from one that is done */
+  FLEET_PEER_MS = 1700, /* an instance with an older proof that it reaches the
+                           table gets nothing to relay: proofs come every
+                           FLEET_FEED_WAIT_MS, and are told every
+                           FLEET_HELLO_MS */
   FLEET_STALE_MARGIN_MS = 500, /* keyed work stops so long before a withdrawn
                                   key must not work any more */
-  FLEET_READY_MS = 2300,     /* not ready once the table is silent so long: two
-                                waits of the configuration's feed */
+  FLEET_READY_MS = 1400,     /* not ready once the table is silent so long: two
+                                waits of the configuration's feed, and slow
+                                answers */
   FLEET_WRITE_GAP_MS = 25,   /* records of this long share a write */
-  FLEET_PLAN_GAP_MS = 10,    /* the same, of starts: each waits for it */
+  FLEET_PLAN_GAP_MS = 2,     /* the same, of starts: each waits for it */
   FLEET_JOBS_GAP_MS = 200,   /* jobs that no instance has told of are found by
                                 then */
-  FLEET_WATCHERS = 3,        /* followers that look at the lease often */
   FLEET_COME_BACK_MS = 1000, /* Retry-After where nothing better is known */
   FLEET_REQUESTS_MAX = 2000, /* in hand; more are refused */
 };
@@ -115,8 +125,14 @@
   int64_t until_ms;
   int64_t next_ms; /* the call is sent again then; 0: one is under way */
   int64_t asked_ms;
+  int64_t sent_ms; /* the last call to the table */
   int tries;
-  bool maybe; /* a write's answer was lost: it may take effect */
+  bool maybe;       /* a write's answer was lost: it may take effect */
+  int relays_open;  /* of which nobody has said what became */
+  int64_t relay_ms; /* last given to another instance to record */
+  char relay_for[CLB_ADDR_MAX]; /* the instance that has the caller; empty:
+                                   it is here */
+  int64_t relay_no;             /* its number of the request */
 };
 RB_HEAD (caller_tree_f, caller);
 
@@ -138,6 +154,7 @@
   ANSWER_UNKNOWN,
   ANSWER_NO_LEADER,
   ANSWER_TOO_MANY,
+  ANSWER_STORE_LOST, /* the table was known to be away */
   ANSWER_N
 };
 extern const char *const fleet_answer_names[ANSWER_N + 1];
@@ -150,6 +167,7 @@
   uint64_t asks;  /* questions to the leader */
   uint64_t asks_lost;
   uint64_t retries;  /* calls to the table for callers, sent again */
+  uint64_t relays;   /* requests given to another instance to record */
   uint64_t bad_rows; /* of the platform's tables */
   struct cell_stats cell;
 };
@@ -167,7 +185,10 @@
   struct follow conf_feed;
   struct follow exec_feed;
   struct follow job_feed;
-  bool store_lost; /* the configuration's feed has failed */
+  int64_t
+      store_heard_ms;    /* the last answer of the table that was no failure */
+  bool store_lost;       /* the configuration's feed has failed */
+  int64_t store_lost_ms; /* since then */
   int load_step;
   uint64_t load_token;
   char *load_after;
@@ -178,6 +199,8 @@
   int n_callers;
   int64_t next_hello_ms;
   int64_t leader_heard_ms;
+  int64_t leader_fresh_ms; /* the leader surely reached the table then */
+  int64_t proved_ms;       /* the configuration was proved current then */
   bool stopping;
   struct fleet_stats stats;
 };
@@ -221,6 +244,8 @@
 /** fleet_tell_job() - Tell the leader of a job; @record NULL: cancelled. */
 void fleet_tell_job (struct fleet *f, const char *id, const char *record);
 void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
+/** fleet_peer_addr() - An instance that reaches the table, or NULL. */
+const char *fleet_peer_addr (const struct fleet *f);
 /** fleet_leader_addr() - NULL if none is heard or it is this instance. */
 const char *fleet_leader_addr (const struct fleet *f);
 
--- a/core/gate.c
+++ b/core/gate.c
@@ -14,17 +14,20 @@
   RECORD_MAX = 60000, /* bytes of a job's row */
 };
 
+/* Numbers of requests that another instance has taken. */
+#define RELAY_CALL (UINT64_C (1) << 62)
+
 const char *const fleet_answer_names[]
-    = { "accepted", "duplicate", "state",    "cancelled",
-        "waiting",  "no-config", "stale",    "no-queue",
-        "bad-key",  "bad-job",   "no-job",   "refused",
-        "unknown",  "no-leader", "too-many", NULL };
+    = { "accepted",   "duplicate", "state",    "cancelled", "waiting",
+        "no-config",  "stale",     "no-queue", "bad-key",   "bad-job",
+        "no-job",     "refused",   "unknown",  "no-leader", "too-many",
+        "table-lost", NULL };
 
 /* Statuses by enum fleet_answer.  A 503 says that nothing was accepted, a 504
    that it is not known. */
 static const int answer_status[ANSWER_N]
     = { 200, 200, 200, 200, 200, 503, 503, 404,
-        401, 400, 410, 503, 504, 503, 503 };
+        401, 400, 410, 503, 504, 503, 503, 503 };
 
 int
 caller_cmp (const struct caller *a, const struct caller *b)
@@ -65,6 +68,19 @@
   free (c);
 }
 
+static void
+relay_answer (struct fleet *f, const struct caller *c, int what)
+{
+  struct mesh_msg *m = calloc (1, sizeof *m);
+
+  if (!m)
+    abort ();
+  m->kind = MESH_RELAYED;
+  m->no = c->relay_no;
+  m->answer = what;
+  fleet_send (f, c->relay_for, m);
+}
+
 static void
 finish (struct fleet *f, struct caller *c, int what, char *body)
 {
@@ -76,8 +92,14 @@
             fleet_answer_names[what], answer_status[what], c->tries,
             (long long)(f->now_ms - c->came_ms),
             f->conf ? (long long)f->conf->version : 0,
-            (long long)(f->now_ms - f->conf_feed.fresh_ms), f->lead.holder);
-  answer (f, c->call, what, body);
+            (long long)(f->now_ms - f->proved_ms), f->lead.holder);
+  if (*c->relay_for)
+    {
+      relay_answer (f, c, what);
+      free (body);
+    }
+  else
+    answer (f, c->call, what, body);
   caller_free (f, c);
 }
 
@@ -91,7 +113,7 @@
             "conf=%lld conf_age_ms=%lld detail=\"%.80s\"",
             (unsigned long long)rq->call, rq->path, fleet_answer_names[what],
             answer_status[what], f->conf ? (long long)f->conf->version : 0,
-            (long long)(f->now_ms - f->conf_feed.fresh_ms), detail);
+            (long long)(f->now_ms - f->proved_ms), detail);
   answer (f, rq->call, what,
           f->set.codec.error_body (fleet_answer_names[what], detail));
 }
@@ -103,6 +125,7 @@
 
   c->token = ++f->tokens;
   c->next_ms = 0;
+  c->sent_ms = f->now_ms;
   c->tries++;
   o->u.store.token = c->token;
   o->u.store.op.kind = kind;
@@ -238,8 +261,15 @@
 static bool
 keys_fresh (const struct fleet *f)
 {
-  return f->now_ms - f->conf_feed.fresh_ms
-         < f->set.revoke_ms - FLEET_STALE_MARGIN_MS;
+  return f->now_ms - f->proved_ms < f->set.revoke_ms - FLEET_STALE_MARGIN_MS;
+}
+
+/* Neither this instance nor one that it hears reaches the table. */
+static bool
+table_lost (const struct fleet *f)
+{
+  return f->store_lost && f->now_ms - f->store_lost_ms > FLEET_LOST_MS
+         && !fleet_peer_addr (f);
 }
 
 static struct caller *
@@ -254,6 +284,7 @@
   c->call = rq->call;
   c->verb = rq->verb;
   c->came_ms = f->now_ms;
+  c->relay_ms = INT64_MIN / 2;
   if (q->timeout_ms > 0 && within > q->timeout_ms)
     within = q->timeout_ms;
   c->until_ms = f->now_ms + within - FLEET_GIVE_UP_MS;
@@ -289,6 +320,8 @@
     return refuse (f, rq, ANSWER_STALE, "");
   if (f->n_callers >= FLEET_REQUESTS_MAX)
     return refuse (f, rq, ANSWER_TOO_MANY, "");
+  if (rq->verb != FLEET_STATE && table_lost (f))
+    return refuse (f, rq, ANSWER_STORE_LOST, "");
   rest = rq->path + strlen (q->prefix);
   if (!*rest ? rq->verb != FLEET_STATE : !job_id_ok (rest))
     return refuse (f, rq, ANSWER_BAD_JOB, "not an id");
@@ -329,6 +362,63 @@
     send_cancel (f, c);
 }
 
+/* Whether the table does not answer this instance.  One that is slow is not
+   asked by another as well: that would slow it further. */
+static bool
+way_lost (const struct fleet *f)
+{
+  return f->store_lost || f->now_ms - f->store_heard_ms > FLEET_MUTE_MS;
+}
+
+/* Another instance that reaches the table can record for this one.  Jobs are
+   recorded under their ids once, so both may try. */
+static bool
+relay (struct fleet *f, struct caller *c)
+{
+  const char *addr = fleet_peer_addr (f);
+  struct mesh_msg *m;
+
+  if (!addr || !way_lost (f) || c->verb == FLEET_STATE || *c->relay_for
+      || f->now_ms - c->relay_ms < FLEET_RELAY_MS)
+    return false;
+  m = calloc (1, sizeof *m);
+  if (!m)
+    abort ();
+  m->kind = MESH_RELAY;
+  m->no = (int64_t)c->call;
+  clb_copy (m->id, c->id, sizeof m->id);
+  m->text = c->record ? strdup (c->record) : NULL;
+  c->relay_ms = f->now_ms;
+  c->relays_open++;
+  f->stats.relays++;
+  out_line (&f->out,
+            "event=relayed call=%llu verb=%d job=%s tries=%d to=%s "
+            "fresh_ms=%lld",
+            (unsigned long long)c->call, c->verb, c->id, c->tries, addr,
+            (long long)(f->now_ms - f->leader_fresh_ms));
+  fleet_send (f, addr, m);
+  return true;
+}
+
+/* The table has refused it often enough, and it surely is not recorded. */
+static bool
+surely_refused (const struct caller *c)
+{
+  int most = *c->relay_for ? 1 : FLEET_REFUSED_TRIES;
+
+  return !c->maybe && !c->relays_open && !c->token && c->tries >= most;
+}
+
+static int64_t
+retry_pause (int tries)
+{
+  int64_t pause = FLEET_RETRY_MS;
+
+  for (int i = 1; i < tries && pause < FLEET_RETRY_MAX_MS; i++)
+    pause *= 2;
+  return pause;
+}
+
 static void
 store_failed (struct fleet *f, struct caller *c, int64_t err)
 {
@@ -338,12 +428,15 @@
   c->token = 0;
   if (writing && err != CLB_EUNAVAIL)
     c->maybe = true;
-  if (!c->maybe && c->tries >= FLEET_REFUSED_TRIES)
+  if (relay (f, c))
     {
-      finish (f, c, ANSWER_STORE_REFUSED, NULL);
+      c->next_ms = f->now_ms + FLEET_RELAY_MS;
       return;
     }
-  c->next_ms = f->now_ms + (err == CLB_EUNAVAIL ? FLEET_RETRY_MS : 1);
+  if (surely_refused (c))
+    finish (f, c, ANSWER_STORE_REFUSED, NULL);
+  else
+    c->next_ms = f->now_ms + retry_pause (c->tries);
 }
 
 static void
@@ -459,11 +552,67 @@
     read_row (f, c, CALLER_READ_STATE);
 }
 
+/* A request of another instance's caller; it has been checked there. */
+static void
+take_relay (struct fleet *f, const struct mesh_msg *m)
+{
+  struct caller *c;
+
+  if (!job_id_ok (m->id) || f->n_callers >= FLEET_REQUESTS_MAX)
+    return;
+  c = calloc (1, sizeof *c);
+  if (!c)
+    abort ();
+  c->call = RELAY_CALL | ++f->tokens;
+  c->verb = m->text ? FLEET_SUBMIT : FLEET_CANCEL;
+  c->came_ms = f->now_ms;
+  c->until_ms = f->now_ms + FLEET_RELAY_MS;
+  clb_copy (c->id, m->id, sizeof c->id);
+  clb_copy (c->relay_for, m->addr, sizeof c->relay_for);
+  c->relay_no = m->no;
+  c->record = m->text ? strdup (m->text) : NULL;
+  RB_INSERT (caller_tree_f, &f->callers, c);
+  f->n_callers++;
+  if (c->record)
+    send_submit (f, c);
+  else
+    read_row (f, c, CALLER_READ_JOB);
+}
+
+/* Anything but a success leaves the caller to this instance's own tries. */
+static void
+take_relayed (struct fleet *f, const struct mesh_msg *m)
+{
+  struct caller key = { .call = (uint64_t)m->no };
+  struct caller *c = RB_FIND (caller_tree_f, &f->callers, &key);
+
+  if (!c || c->verb == FLEET_STATE || m->answer >= ANSWER_N)
+    return;
+  if (m->answer == ANSWER_ACCEPTED || m->answer == ANSWER_DUPLICATE
+      || m->answer == ANSWER_CANCELLED || m->answer == ANSWER_NO_JOB)
+    finish (f, c, (int)m->answer, NULL);
+  else if (m->answer == ANSWER_STORE_REFUSED)
+    {
+      if (c->relays_open > 0)
+        c->relays_open--;
+      if (surely_refused (c))
+        finish (f, c, ANSWER_STORE_REFUSED, NULL);
+      else if (!c->token)
+        c->next_ms = f->now_ms + retry_pause (c->tries);
+    }
+}
+
 void
 gate_mesh (struct fleet *f, const struct mesh_msg *m)
 {
   switch (m->kind)
     {
+    case MESH_RELAY:
+      take_relay (f, m);
+      break;
+    case MESH_RELAYED:
+      take_relayed (f, m);
+      break;
     case MESH_STATE_ASK:
       reply_state (f, m);
       break;
@@ -481,7 +630,8 @@
 {
   if (f->now_ms >= c->until_ms)
     {
-      bool wrote = c->step == CALLER_WRITING && (c->maybe || c->token);
+      bool wrote = c->relays_open
+                   || (c->step == CALLER_WRITING && (c->maybe || c->token));
       finish (f, c, wrote ? ANSWER_UNKNOWN : ANSWER_STORE_REFUSED, NULL);
     }
   else if (c->step == CALLER_ASKING && !c->token
@@ -495,6 +645,8 @@
     }
   else if (c->next_ms && f->now_ms >= c->next_ms)
     send_again (f, c);
+  else if (c->token && way_lost (f))
+    relay (f, c);
 }
 
 void
--- a/core/lead.c
+++ b/core/lead.c
@@ -26,14 +26,35 @@
 };
 static DESC (holder_desc, struct holder_row, holder_fields);
 
+/* How long instances that are surely stronger are given to claim first. */
+static int64_t
+weakness_ms (const struct lead *l)
+{
+  return l->millicores > 0 && l->millicores < LEAD_STRONG_MILLICORES
+             ? LEAD_STRONG_MILLICORES - l->millicores
+             : 0;
+}
+
+static int64_t
+courtesy_ms (const struct lead *l)
+{
+  if (l->rank < 0)
+    return weakness_ms (l);
+  return LEAD_RANK_MS * (l->rank < LEAD_RANK_MAX ? l->rank : LEAD_RANK_MAX);
+}
+
 void
-lead_init (struct lead *l, const char *me, const char *addr, int64_t boot,
-           struct outq *out, uint64_t *tokens)
+lead_init (struct lead *l, int64_t now_ms, const char *me, const char *addr,
+           int64_t boot, int64_t millicores, struct outq *out,
+           uint64_t *tokens)
 {
   memset (l, 0, sizeof *l);
   clb_copy (l->me, me, sizeof l->me);
   clb_copy (l->addr, addr, sizeof l->addr);
   l->boot = boot;
+  l->millicores = millicores;
+  l->rank = -1;
+  l->first_after_ms = now_ms + weakness_ms (l);
   l->out = out;
   l->tokens = tokens;
 }
@@ -113,10 +134,14 @@
 
 /* Nobody leads, or surely nobody does any more. */
 static bool
-vacant (const struct lead *l)
+vacant (const struct lead *l, int64_t now_ms)
 {
-  return l->holder_ver == 0 || l->released
-         || (strcmp (l->holder, l->me) == 0 && l->holder_boot != l->boot);
+  if (l->holder_ver == 0)
+    return now_ms >= l->first_after_ms;
+  if (l->released)
+    return now_ms - l->still_since_ms >= courtesy_ms (l);
+  return strcmp (l->holder, l->me) == 0 && l->holder_boot != l->boot
+         && (l->millicores == 0 || l->millicores >= LEAD_ABLE_MILLICORES);
 }
 
 static bool
@@ -124,26 +149,26 @@
 {
   if (!l->read || l->stopping)
     return false;
-  if (l->holder_ver == 0 && now_ms < l->first_after_ms)
-    return false;
-  return vacant (l) || now_ms - l->still_since_ms >= LEAD_STILL_MS;
+  return vacant (l, now_ms)
+         || now_ms - l->still_since_ms >= LEAD_STILL_MS + courtesy_ms (l);
 }
 
 static int64_t
 read_pause (const struct lead *l, int64_t now_ms)
 {
-  if (l->watch || !l->read || now_ms - l->heard_ms > LEAD_SILENT_MS)
+  if ((l->rank >= 0 && l->rank < LEAD_WATCHERS) || !l->read
+      || now_ms - l->heard_ms > LEAD_SILENT_MS)
     return LEAD_READ_MS;
   return LEAD_IDLE_READ_MS;
 }
 
 void
-lead_heard (struct lead *l, int64_t now_ms, int64_t epoch, bool watch)
+lead_heard (struct lead *l, int64_t now_ms, int64_t epoch, int64_t rank)
 {
   if (epoch < l->epoch)
     return;
   l->heard_ms = now_ms;
-  l->watch = watch;
+  l->rank = rank;
   /* A leader that the rows in hand do not show yet. */
   if (epoch > l->epoch && l->state == LEAD_FOLLOW)
     l->read = false;
--- a/core/lead.h
+++ b/core/lead.h
@@ -5,7 +5,8 @@
  * Each write is conditional on the journal row's version, so that it fails
  * once another instance has claimed, and a write that is carried out late
  * cannot undo a newer one.  A successor claims when the journal row has stood
- * still for LEAD_STILL_MS on its own clock.  The leader counts from before its
+ * still for LEAD_STILL_MS on its own clock; the stronger it is, the sooner, as
+ * the leader schedules for the whole fleet.  The leader counts from before its
  * last successful write was sent: for LEAD_ADMIT_MS nobody can have claimed,
  * and after LEAD_ORDER_MS it gives no orders.
  *
@@ -23,10 +24,17 @@
   LEAD_ADMIT_MS = 1500, /* below LEAD_STILL_MS by what clocks may differ */
   LEAD_ORDER_MS = 4000, /* a short outage of the table stops no starts */
   LEAD_READ_MS = 300,   /* between looks at the rows while watching */
-  LEAD_IDLE_READ_MS = 3000, /* between looks while the leader is heard */
-  LEAD_SILENT_MS = 900,     /* the leader is heard every 400 ms */
-  LEAD_RETRY_MS = 100,      /* after a refused or failed call */
-  LEAD_ROWS_MAX = 98,       /* of one write beside the journal row */
+  LEAD_IDLE_READ_MS = 3000,     /* between looks while the leader is heard */
+  LEAD_SILENT_MS = 900,         /* the leader is heard every 400 ms */
+  LEAD_RETRY_MS = 100,          /* after a refused or failed call */
+  LEAD_ROWS_MAX = 98,           /* of one write beside the journal row */
+  LEAD_STRONG_MILLICORES = 500, /* an instance with this much waits for none */
+  LEAD_ABLE_MILLICORES = 250,   /* a restarted leader with less does not claim
+                                   again at once */
+  LEAD_RANK_MS = 100, /* each stronger instance is given this long to claim
+                         first: a look, a claim and their answers */
+  LEAD_WATCHERS = 3,  /* strongest followers, which look often */
+  LEAD_RANK_MAX = 6,  /* more make no difference */
 };
 
 enum lead_state
@@ -64,8 +72,9 @@
   int64_t still_since_ms; /* the rows have not changed since */
   int64_t heard_ms;       /* the leader's last message */
   int64_t first_after_ms; /* the very first claim of all is not made before */
-  bool watch;             /* asked to look often */
-  uint64_t token;         /* outstanding call; 0: none */
+  int64_t millicores;     /* share of a core of this instance */
+  int64_t rank; /* stronger followers that the leader has heard; -1: unknown */
+  uint64_t token; /* outstanding call; 0: none */
   int64_t sent_ms;
   int64_t next_ms; /* not before */
   /* While leading. */
@@ -78,12 +87,17 @@
   bool releasing; /* the write in flight hands the lead over */
 };
 
-void lead_init (struct lead *l, const char *me, const char *addr, int64_t boot,
+/** lead_init() - @millicores: share of a core; 0: not known, counts as most */
+void lead_init (struct lead *l, int64_t now_ms, const char *me,
+                const char *addr, int64_t boot, int64_t millicores,
                 struct outq *out, uint64_t *tokens);
 void lead_fini (struct lead *l);
 
-/** lead_heard() - A message of the leader of @epoch came in. */
-void lead_heard (struct lead *l, int64_t now_ms, int64_t epoch, bool watch);
+/**
+ * lead_heard() - A message of the leader of @epoch came in.
+ * @rank: how many stronger followers it has heard
+ */
+void lead_heard (struct lead *l, int64_t now_ms, int64_t epoch, int64_t rank);
 /** lead_tick() - Look at the rows or claim, when due. */
 void lead_tick (struct lead *l, int64_t now_ms);
 /**
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -9,8 +9,8 @@
 };
 
 static const char *const kind_names[]
-    = { "hello",   "leader",     "state-ask", "state", "waiting-ask",
-        "waiting", "advise-ask", "advice",    "job",   NULL };
+    = { "hello",      "leader", "state-ask", "state", "waiting-ask", "waiting",
+        "advise-ask", "advice", "job",       "relay", "relayed",     NULL };
 
 static const struct fld name_fields[] = {
   FLD_CHARS (struct mesh_name, exec, true),
@@ -36,8 +36,9 @@
   FLD_INT (struct mesh_msg, conf_version, 0, INT64_MAX),
   FLD_INT (struct mesh_msg, conf_age_ms, 0, INT64_MAX),
   FLD_INT (struct mesh_msg, delay_ms, 0, DELAY_MAX_MS),
+  FLD_INT (struct mesh_msg, answer, 0, 255),
   FLD_INT (struct mesh_msg, millicores, 0, INT32_MAX),
-  FLD_FLAG (struct mesh_msg, watch),
+  FLD_INT (struct mesh_msg, rank, 0, INT32_MAX),
   FLD_ARRAY (struct mesh_msg, names, n_names, &name_desc, ORDER_NAMES_MAX),
 };
 static DESC (mesh_desc, struct mesh_msg, mesh_fields);
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -10,14 +10,17 @@
 enum mesh_kind
 {
   MESH_HELLO,  /* follower to leader: here I am */
-  MESH_LEADER, /* leader's reply: term, and how fresh its configuration is */
+  MESH_LEADER, /* leader's reply: term, and how fresh its configuration is;
+                  the question's number is the asker's time */
   MESH_STATE_ASK,
   MESH_STATE, /* a job's state */
   MESH_WAITING_ASK,
   MESH_WAITING, /* how many jobs of a queue have not begun */
   MESH_ADVISE_ASK,
   MESH_ADVICE,
-  MESH_JOB, /* to the leader: this job, or its cancellation, is recorded */
+  MESH_JOB,     /* to the leader: this job, or its cancellation, is recorded */
+  MESH_RELAY,   /* record this job, or its cancellation, for a caller here */
+  MESH_RELAYED, /* what became of it */
   MESH_KIND_N
 };
 
@@ -48,8 +51,9 @@
   int64_t conf_version;
   int64_t conf_age_ms; /* since the configuration was proved current */
   int64_t delay_ms;    /* expected wait of new work for room */
+  int64_t answer;      /* enum fleet_answer, of a relayed request */
   int64_t millicores;  /* the sender's share of a core */
-  bool watch;          /* the leader wants this follower to watch its lease */
+  int64_t rank;        /* how many stronger followers the leader has heard */
   struct mesh_name *names;
   size_t n_names;
 };
--- a/regress/fleet/store.lua
+++ b/regress/fleet/store.lua
@@ -113,3 +113,65 @@
   run(50)
   expect(answer(w) == 404, "404")
 end)
+
+scenario("an instance cut from the table has another record its jobs",
+  function()
+  begin{}
+  local cut = (leader() + 1) % 3
+  instance(cut, "cut-store", 6000)
+  run(1500)
+  local calls = {}
+  for n = 1, 10 do
+    job{id = id(n), steps = {{tasks = 2, ms = 600}}}
+    calls[#calls + 1] = submit(cut, id(n))
+    run(120)
+  end
+  run(400)
+  expect(count(calls, 200) == 10, count(calls, 200) .. " of 10 accepted")
+  run(3000)
+  for n = 1, 10 do
+    expect(state((cut + 1) % 3, id(n)) == "completed", "completed")
+  end
+end)
+
+scenario("once the table is known to be away, writes are refused at once",
+  function()
+  begin{}
+  store("down", 5000)
+  run(2500)
+  local calls = hand_in(1, 3)
+  run(30)
+  expect(count(calls, 503) == 3, count(calls, 503) .. " of 3 refused")
+  run(12000)
+  for n = 1, 3 do expect(task(id(n)) == 0, "a refused job never runs") end
+end)
+
+scenario("a relay whose end is unknown outweighs a later refusal", function()
+  begin{}
+  local away = (leader() + 1) % 3
+  instance(away, "turn-away", 9000)
+  run(2200)
+  job{id = id(1), steps = {{tasks = 1}}}
+  store("lost", 1)
+  local call = submit(away, id(1))
+  run(600)
+  store("lost", 0)
+  store("down", 2500)
+  run(12000)
+  expect(answer(call) ~= 503, "said not to run, and it ran")
+end)
+
+scenario("a slow table is not asked by several for one job", function()
+  begin{}
+  store("slow", 50)
+  run(1500)
+  local made, before = {}, calls()
+  for n = 1, 30 do
+    job{id = id(n), steps = {{tasks = 1}}}
+    made[#made + 1] = submit(n % 3, id(n))
+    run(30)
+  end
+  run(4000)
+  expect(count(made, 200) >= 28, count(made, 200) .. " of 30 accepted")
+  expect(calls() - before < 150, calls() - before .. " calls")
+end)
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -116,3 +116,25 @@
   run(10500)
   all_completed(1, 6, leader())
 end)
+
+-- Only what may be running on a silent executor waits for its lease.
+scenario("an executor lost with the leader holds up its own tasks alone",
+  function()
+  begin{}
+  job{id = id(1), steps = {{tasks = 30, ms = 2000, cpu = 4000}}}
+  submit(0, id(1))
+  run(1000)
+  some_jobs(2, 6, {{tasks = 2, ms = 1000, cpu = 4000}})
+  run(300)
+  local l = leader()
+  exec(0, "crash")
+  instance(l, "kill")
+  run(5500)
+  local done = 0
+  for n = 2, 7 do
+    if state(follower(l), id(n)) == "completed" then done = done + 1 end
+  end
+  expect(done >= 5, done .. " of 6 jobs that had not begun are completed")
+  run(9000)
+  all_completed(1, 7, follower(l))
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -154,7 +154,8 @@
   bool frozen;
   int64_t frozen_until_ms;
   int64_t store_cut_until_ms;
-  int64_t cut_until_ms; /* from other instances and executors */
+  int64_t turned_away_until_ms; /* the table refuses its calls */
+  int64_t cut_until_ms;         /* from other instances and executors */
   int64_t advice_until_ms;
   int64_t clock_ms; /* its wall clock is ahead by so much */
   uint64_t life;    /* answers to an earlier one are dropped */
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -289,7 +289,8 @@
       fail (s, q, CLB_EUNKNOWN, 700);
       return;
     }
-  if (t->down_until_ms > s->now_ms)
+  if (t->down_until_ms > s->now_ms
+      || s->inst[i]->turned_away_until_ms > s->now_ms)
     {
       fail (s, q, CLB_EUNAVAIL, FSIM_LINK_MS);
       return;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -205,7 +205,8 @@
   return 3;
 }
 
-/* instance(i, what [, ms]): kill, start, stop, freeze, cut, cut-store */
+/* instance(i, what [, ms]): kill, start, stop, freeze, cut, cut-store,
+   turn-away */
 static int
 verb_instance (lua_State *l)
 {
@@ -234,6 +235,8 @@
     in->cut_until_ms = until;
   else if (strcmp (what, "cut-store") == 0)
     in->store_cut_until_ms = until;
+  else if (strcmp (what, "turn-away") == 0)
+    in->turned_away_until_ms = until;
   return 0;
 }
 
