Passes over a backlog leave the leader time for its lease

Ruled out: the links (some have 10 Mbit/s): the leaders had 100 and more; the load itself, 302 to 915 ms.

Change: services, racks and labels are compared by number; executors are found in a tree; a pass looks only at those that are open, asks 12 questions at most and sorts by counting; a step that was answered and did not start asks again after a pause; links read 64 messages in a turn of the loop.

--- a/core/cell.c
+++ b/core/cell.c
@@ -64,6 +64,7 @@
   c->stats = stats;
   TAILQ_INIT (&c->queues);
   RB_INIT (&c->jobs);
+  RB_INIT (&c->exec_ids);
   RB_INIT (&c->finals);
   RB_INIT (&c->orders);
   RB_INIT (&c->early);
@@ -162,6 +163,10 @@
       free (p);
     }
   plan_fini (&c->plan);
+  cell_names_free (&c->services);
+  cell_names_free (&c->racks);
+  cell_names_free (&c->labels);
+  free (c->open);
   free (c->exec_table);
   free (c->ready);
   free (c);
@@ -501,6 +506,7 @@
   j->spec = *spec;
   memset (spec, 0, sizeof *spec);
   j->old = old;
+  j->service = cell_name (&c->services, j->spec.service);
   j->come_ms = c->now_ms - age_ms;
   j->chain_ms = job_chain_ms (&j->spec);
   j->due_ms = j->come_ms + j->spec.target_ms
@@ -512,6 +518,8 @@
     {
       struct jstep *s = &j->steps[i];
       s->n_tasks = (int)j->spec.steps[i].tasks;
+      s->label = cell_label (c, j->spec.steps[i].label);
+      s->data_rack = cell_name (&c->racks, j->spec.steps[i].data_rack);
       s->tasks = cell_zalloc ((size_t)s->n_tasks, sizeof *s->tasks);
       for (int t = 0; t < s->n_tasks; t++)
         s->tasks[t].next_run = old ? (int32_t)(c->epoch * RUNS_A_TERM) : 1;
--- a/core/cell.h
+++ b/core/cell.h
@@ -37,6 +37,9 @@
   CELL_CLOCK_MARGIN_MS = 150,  /* timers and links */
   CELL_TICKET_MARGIN_MS = 120, /* a start travels this long at most */
   CELL_ADVISERS_MAX = 64,
+  CELL_PASS_QUESTIONS = 12, /* of one pass: passes over many jobs are rare, so
+                               that a backlog's questions leave the leader time
+                               for starts, ends and its lease */
   CELL_BAD_RUNS = 3,       /* failures in a row that put an executor aside */
   CELL_UNLISTED_MS = 2500, /* entries that the platform dropped while it was
                               away come back within 2 s */
@@ -131,9 +134,12 @@
   int64_t ready_ms;
   struct permit *permits; /* by the executor's index */
   int n_permits;
+  int label;        /* number of the label required; 0: none */
+  int data_rack;    /* number of the rack of its data; 0: none */
   uint64_t ask;     /* outstanding question; 0: none */
   int64_t valid_ms; /* no ticket in hand is valid after this */
   int64_t ask_next_ms;
+  int n_asks; /* answered since a task of it was last started */
 };
 
 /** struct job - a job in hand */
@@ -142,6 +148,7 @@
   RB_ENTRY (job) by_id;
   TAILQ_ENTRY (job) link;
   struct job_spec spec;
+  int service; /* number of its executors' service */
   struct jstep *steps;
   int state; /* enum job_state */
   int n_runs;
@@ -163,7 +170,11 @@
 struct exec
 {
   TAILQ_ENTRY (exec) link;
+  RB_ENTRY (exec) by_id;
   struct exec_report rep;
+  int service; /* these are numbers of names */
+  int rack;
+  uint64_t labels; /* set of them */
   int index;           /* in the cell's table; never reused */
   bool listed;         /* discovery shows it */
   bool relisted;       /* in the list under way */
@@ -196,6 +207,15 @@
   int64_t aside_ms; /* length of the last pause */
 };
 TAILQ_HEAD (execq, exec);
+RB_HEAD (exec_tree, exec);
+
+/** struct cell_names - names that are compared often, by their numbers from 1;
+    0 is the empty name */
+struct cell_names
+{
+  char (*list)[CLB_NAME_MAX];
+  int n;
+};
 
 /** struct pending_order - an order whose result has not come */
 struct pending_order
@@ -308,6 +328,12 @@
   struct jobq queue; /* in order of arrival */
   int n_jobs;
   struct execq execs;
+  struct exec_tree exec_ids;
+  struct exec **open; /* those that may be given tasks, in the pass under way */
+  int n_open;
+  struct cell_names services;
+  struct cell_names racks;
+  struct cell_names labels;
   struct exec **exec_table; /* by index */
   int n_execs;
   struct cell_tenantq tenants;
@@ -332,6 +358,7 @@
   struct plan plan;
   bool roster_dirty;
   bool roster_writing;
+  int questions;  /* that the pass under way may still ask */
   bool ask_short; /* in the pass under way, an adviser is free for ... */
   bool ask_long;
   int64_t next_sweep_execs_ms;
@@ -341,10 +368,12 @@
 };
 
 RB_PROTOTYPE (job_tree, job, by_id, job_cmp)
+RB_PROTOTYPE (exec_tree, exec, by_id, exec_cmp)
 RB_PROTOTYPE (pending_order_tree, pending_order, by_no, pending_order_cmp)
 RB_PROTOTYPE (early_tree, early_progress, by_id, early_cmp)
 RB_PROTOTYPE (final_tree, final, by_id, final_cmp)
 int job_cmp (const struct job *a, const struct job *b);
+int exec_cmp (const struct exec *a, const struct exec *b);
 int pending_order_cmp (const struct pending_order *a,
                        const struct pending_order *b);
 int early_cmp (const struct early_progress *a, const struct early_progress *b);
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -20,8 +20,12 @@
   ADVISER_AVOID_MS = 1000,  /* after a question that got lost */
   ASK_SLACK_MS = 400, /* beyond the expected time: links, slow instances */
   ASK_PAUSE_MS = 30,  /* after a question that failed */
+  ASK_AGAIN_MS = 50, /* after the second answer that no start came of, as work
+                        that goes first took the room; doubled ... */
+  ASK_AGAIN_MAX_MS = 800, /* ... up to this */
   SPARE_FACTOR = 2,   /* executors asked about, times those needed */
   SPARE_MIN = 4,
+  RUNGS = 32, /* executors with room for more tasks than this are alike */
 };
 
 struct permit *
@@ -156,14 +160,27 @@
 };
 
 static int
-by_room (const void *va, const void *vb)
+rung (const struct candidate *k)
 {
-  const struct candidate *a = va;
-  const struct candidate *b = vb;
+  return k->fits < RUNGS ? k->fits : RUNGS - 1;
+}
 
-  if (a->fits != b->fits)
-    return b->fits - a->fits;
-  return a->e->index - b->e->index;
+/* Those with most room first, else in the order given. */
+static void
+sort_by_room (struct candidate *to, const struct candidate *from, size_t n)
+{
+  size_t begin[RUNGS + 1] = { 0 };
+
+  for (size_t i = 0; i < n; i++)
+    begin[rung (&from[i])]++;
+  for (size_t sum = 0, k = RUNGS; k-- > 0;)
+    {
+      size_t count = begin[k];
+      begin[k] = sum;
+      sum += count;
+    }
+  for (size_t i = 0; i < n; i++)
+    to[begin[rung (&from[i])]++] = from[i];
 }
 
 /* struct names - whom to ask about */
@@ -180,10 +197,10 @@
 add_lapsed (struct cell *c, struct job *j, int step, struct names *out)
 {
   struct jstep *s = &j->steps[step];
-  struct exec *e;
 
-  TAILQ_FOREACH (e, &c->execs, link)
+  for (int i = 0; i < c->n_open; i++)
     {
+      struct exec *e = c->open[i];
       struct permit *p;
       int fits;
       if (!exec_usable (e, j, step))
@@ -207,24 +224,25 @@
              int want)
 {
   struct jstep *s = &j->steps[step];
-  struct candidate *all = calloc ((size_t)c->n_execs + 1, sizeof *all);
+  struct candidate *all = cell_zalloc (2 * (size_t)c->n_open, sizeof *all);
+  struct candidate *sorted = all + c->n_open;
   double share = cell_queue (c, j->spec.queue)->good_share;
   double found = 0;
   size_t n = 0;
-  struct exec *e;
 
-  if (!all)
-    abort ();
-  TAILQ_FOREACH (e, &c->execs, link)
-    if (exec_usable (e, j, step) && permit_of (s, e)->state == PERMIT_UNKNOWN)
-      all[n++] = (struct candidate){ e, exec_fits (e, j, step, s->n_tasks) };
-  qsort (all, n, sizeof *all, by_room);
+  for (int i = 0; i < c->n_open; i++)
+    {
+      struct exec *e = c->open[i];
+      if (exec_usable (e, j, step) && permit_of (s, e)->state == PERMIT_UNKNOWN)
+        all[n++] = (struct candidate){ e, exec_fits (e, j, step, s->n_tasks) };
+    }
+  sort_by_room (sorted, all, n);
   for (size_t i = 0; i < n && out->n < ORDER_NAMES_MAX
                      && (found < want || i < SPARE_MIN / share);
        i++)
     {
-      out->list[out->n++] = all[i];
-      found += share * (all[i].fits > 0 ? all[i].fits : 0.5);
+      out->list[out->n++] = sorted[i];
+      found += share * (sorted[i].fits > 0 ? sorted[i].fits : 0.5);
     }
   free (all);
 }
@@ -264,6 +282,7 @@
   pend->n_names = names->n;
   s->ask = o->no;
   c->stats->questions++;
+  c->questions--;
 }
 
 /* Room on @e for some of the step's tasks is not for work behind it. */
@@ -293,10 +312,10 @@
 promise_asked (struct cell *c, struct job *j, int step, int waiting)
 {
   struct jstep *s = &j->steps[step];
-  struct exec *e;
 
-  TAILQ_FOREACH (e, &c->execs, link)
+  for (int i = 0; i < c->n_open; i++)
     {
+      struct exec *e = c->open[i];
       const struct permit *p;
       if (waiting <= 0)
         return;
@@ -324,7 +343,7 @@
       promise_asked (c, j, step, waiting);
       return;
     }
-  if (c->now_ms < s->ask_next_ms || waiting <= 0
+  if (c->now_ms < s->ask_next_ms || waiting <= 0 || c->questions <= 0
       || !(adv->base_ms > LONG_MS ? c->ask_long : c->ask_short))
     return;
   add_lapsed (c, j, step, &names);
@@ -372,6 +391,18 @@
     }
 }
 
+static int64_t
+again_pause (int n_asks)
+{
+  int64_t pause = ASK_AGAIN_MS;
+
+  if (n_asks < 2)
+    return 0;
+  for (int i = 2; i < n_asks && pause < ASK_AGAIN_MAX_MS; i++)
+    pause *= 2;
+  return pause;
+}
+
 void
 advice_result (struct cell *c, const struct pending_order *pend,
                const struct order_result *res)
@@ -393,8 +424,8 @@
     return;
   s = &j->steps[pend->step];
   s->ask = 0;
-  if (!good)
-    s->ask_next_ms = c->now_ms + ASK_PAUSE_MS;
+  s->ask_next_ms
+      = c->now_ms + (good ? again_pause (++s->n_asks) : ASK_PAUSE_MS);
   if (good)
     take_good (c, s, res,
                res->valid_ms ? res->valid_ms : j->spec.advice.valid_ms);
--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -14,15 +14,21 @@
   STOP_AGAIN_MS = 2000, /* acknowledged, and still listed after this long */
 };
 
+int
+exec_cmp (const struct exec *a, const struct exec *b)
+{
+  return strcmp (a->rep.id, b->rep.id);
+}
+
+RB_GENERATE (exec_tree, exec, by_id, exec_cmp)
+
 struct exec *
 exec_find (const struct cell *c, const char *id)
 {
-  struct exec *e;
+  struct exec key;
 
-  TAILQ_FOREACH (e, &c->execs, link)
-    if (strcmp (e->rep.id, id) == 0)
-      return e;
-  return NULL;
+  clb_copy (key.rep.id, id, sizeof key.rep.id);
+  return RB_FIND (exec_tree, (struct exec_tree *)&c->exec_ids, &key);
 }
 
 static struct exec *
@@ -39,6 +45,7 @@
   c->exec_table[c->n_execs++] = e;
   TAILQ_INIT (&e->runs);
   TAILQ_INSERT_TAIL (&c->execs, e, link);
+  RB_INSERT (exec_tree, &c->exec_ids, e);
   return e;
 }
 
@@ -84,6 +91,7 @@
       c->pass_due = true;
     }
   e->rep = *rep;
+  cell_name_exec (c, e);
   e->listed = true;
   e->relisted = true;
   if (moved)
@@ -536,20 +544,6 @@
          && !e->strays && !e->rep.draining && c->now_ms >= e->aside_until_ms;
 }
 
-bool
-exec_usable (const struct exec *e, const struct job *j, int step)
-{
-  const struct job_step *s = &j->spec.steps[step];
-  char label[JOB_LABEL_SIZE + 2];
-
-  if (!e->open || strcmp (e->rep.service, j->spec.service) != 0)
-    return false;
-  if (!*s->label)
-    return true;
-  snprintf (label, sizeof label, ",%s,", s->label);
-  return strstr (e->rep.labels, label) != NULL;
-}
-
 static int64_t
 fit (int64_t room, int64_t used, int64_t need)
 {
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -28,6 +28,15 @@
 /** cell_job_of() - The job of a task, if that makes sense for it. */
 struct job *cell_job_of (const struct cell *c, const struct task_ref *t);
 
+/* cell_names.c */
+/** cell_name() - The number of @text, which is given one if it has none. */
+int cell_name (struct cell_names *t, const char *text);
+void cell_names_free (struct cell_names *t);
+/** cell_label() - The same for a label that tasks require. */
+int cell_label (struct cell *c, const char *text);
+/** cell_name_exec() - Numbers of what @e has reported. */
+void cell_name_exec (struct cell *c, struct exec *e);
+
 /* cell_plan.c */
 void plan_init (struct plan *p);
 void plan_fini (struct plan *p);
@@ -75,6 +84,8 @@
 bool exec_open (const struct cell *c, const struct exec *e);
 /** exec_usable() - Whether it is open to tasks of the step. */
 bool exec_usable (const struct exec *e, const struct job *j, int step);
+/** exec_has_label() - By its text. */
+bool exec_has_label (const struct exec *e, const char *label);
 /** exec_fits() - How many such tasks it has room for, at most @most. */
 int exec_fits (const struct exec *e, const struct job *j, int step, int most);
 
--- /dev/null
+++ b/core/cell_names.c
@@ -0,0 +1,90 @@
+/*
+ * Numbers for names that each placing pass would compare anew for each job and
+ * executor.
+ *
+ * Load answered: 900 jobs waiting for 350 executors.
+ */
+#include "cell_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LABELS_MAX = 63, /* a set is one word, and 0 means no label; labels beyond
+                      that are compared by their text */
+};
+
+int
+cell_name (struct cell_names *t, const char *text)
+{
+  if (!*text)
+    return 0;
+  for (int i = 0; i < t->n; i++)
+    if (strcmp (t->list[i], text) == 0)
+      return i + 1;
+  t->list = realloc (t->list, (size_t)(t->n + 1) * sizeof *t->list);
+  if (!t->list)
+    abort ();
+  clb_copy (t->list[t->n], text, CLB_NAME_MAX);
+  return ++t->n;
+}
+
+void
+cell_names_free (struct cell_names *t)
+{
+  free (t->list);
+}
+
+bool
+exec_has_label (const struct exec *e, const char *label)
+{
+  char text[JOB_LABEL_SIZE + 2];
+
+  snprintf (text, sizeof text, ",%s,", label);
+  return strstr (e->rep.labels, text) != NULL;
+}
+
+static void
+mark_label (struct exec *e, int no, const char *text)
+{
+  if (no <= LABELS_MAX && exec_has_label (e, text))
+    e->labels |= UINT64_C (1) << no;
+}
+
+int
+cell_label (struct cell *c, const char *text)
+{
+  int known = c->labels.n;
+  int no = cell_name (&c->labels, text);
+  struct exec *e;
+
+  if (no > known)
+    TAILQ_FOREACH (e, &c->execs, link)
+      mark_label (e, no, text);
+  return no;
+}
+
+void
+cell_name_exec (struct cell *c, struct exec *e)
+{
+  e->service = cell_name (&c->services, e->rep.service);
+  e->rack = cell_name (&c->racks, e->rep.rack);
+  e->labels = 0;
+  for (int i = 0; i < c->labels.n; i++)
+    mark_label (e, i + 1, c->labels.list[i]);
+}
+
+bool
+exec_usable (const struct exec *e, const struct job *j, int step)
+{
+  int label = j->steps[step].label;
+
+  if (!e->open || e->service != j->service)
+    return false;
+  if (!label)
+    return true;
+  return label <= LABELS_MAX ? e->labels >> label & 1
+                             : exec_has_label (e, j->spec.steps[step].label);
+}
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -43,19 +43,19 @@
 static struct exec *
 best_fit (struct cell *c, const struct job *j, int step)
 {
-  const struct job_step *s = &j->spec.steps[step];
+  int data_rack = j->steps[step].data_rack;
   struct exec *best = NULL;
   int64_t best_left = 0;
-  struct exec *e;
 
-  TAILQ_FOREACH (e, &c->execs, link)
+  for (int i = 0; i < c->n_open; i++)
     {
+      struct exec *e = c->open[i];
       int64_t left;
       if (!exec_usable (e, j, step) || !permitted (c, j, step, e)
           || exec_fits (e, j, step, 1) < 1)
         continue;
       left = e->rep.room.millicores - e->used.millicores;
-      if (*s->data_rack && strcmp (s->data_rack, e->rep.rack) != 0)
+      if (data_rack && data_rack != e->rack)
         left += INT32_MAX;
       if (!best || left < best_left)
         {
@@ -104,20 +104,21 @@
   return a->e->index - b->e->index;
 }
 
-/* Executors for a whole gang, as few as will do; 0 if there is no room. */
+/* Executors for a whole gang, as few as will do; 0 if there is no room.
+   @rack 0: of any rack. */
 static size_t
-gang_seats (struct cell *c, const struct job *j, int step, const char *rack,
+gang_seats (struct cell *c, const struct job *j, int step, int rack,
             struct seat *seats)
 {
   int want = j->steps[step].n_tasks;
   int found = 0;
   size_t n = 0;
-  struct exec *e;
 
-  TAILQ_FOREACH (e, &c->execs, link)
+  for (int i = 0; i < c->n_open; i++)
     {
+      struct exec *e = c->open[i];
       int fits;
-      if ((rack && strcmp (rack, e->rep.rack) != 0)
+      if ((rack && rack != e->rack)
           || !exec_usable (e, j, step) || !permitted (c, j, step, e))
         continue;
       fits = exec_fits (e, j, step, want);
@@ -137,17 +138,16 @@
 choose_seats (struct cell *c, const struct job *j, int step,
               struct seat *seats)
 {
-  const struct job_step *s = &j->spec.steps[step];
-  struct exec *e;
+  int data_rack = j->steps[step].data_rack;
   size_t n;
 
-  if (*s->data_rack && (n = gang_seats (c, j, step, s->data_rack, seats)))
+  if (data_rack && (n = gang_seats (c, j, step, data_rack, seats)))
     return n;
-  if (s->same_rack)
-    TAILQ_FOREACH (e, &c->execs, link)
-      if ((n = gang_seats (c, j, step, e->rep.rack, seats)))
+  if (j->spec.steps[step].same_rack)
+    for (int rack = 1; rack <= c->racks.n; rack++)
+      if ((n = gang_seats (c, j, step, rack, seats)))
         return n;
-  return gang_seats (c, j, step, NULL, seats);
+  return gang_seats (c, j, step, 0, seats);
 }
 
 static bool
@@ -251,10 +251,16 @@
 {
   struct exec *e;
 
+  c->open = realloc (c->open, (size_t)(c->n_execs + 1) * sizeof (struct exec *));
+  if (!c->open)
+    abort ();
+  c->n_open = 0;
   TAILQ_FOREACH (e, &c->execs, link)
     {
       e->open = exec_open (c, e);
       e->promised = (struct job_need){ 0 };
+      if (e->open)
+        c->open[c->n_open++] = e;
     }
 }
 
@@ -262,13 +268,13 @@
 static bool
 some_room (const struct cell *c)
 {
-  const struct exec *e;
-
-  TAILQ_FOREACH (e, &c->execs, link)
-    if (e->open
-        && e->rep.room.millicores - e->used.millicores - e->promised.millicores
-               >= ROOM_MIN_MILLICORES)
-      return true;
+  for (int i = 0; i < c->n_open; i++)
+    {
+      const struct exec *e = c->open[i];
+      if (e->rep.room.millicores - e->used.millicores - e->promised.millicores
+          >= ROOM_MIN_MILLICORES)
+        return true;
+    }
   return false;
 }
 
@@ -301,6 +307,7 @@
     return;
   c->next_pass_ms += n / JOBS_A_MS;
   open_execs (c);
+  c->questions = CELL_PASS_QUESTIONS;
   advice_begin_pass (c);
   qsort (c->ready, (size_t)n, sizeof (struct job *), by_urgency);
   for (int i = 0; i < n; i++)
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -53,6 +53,7 @@
   j->n_runs++;
   j->begun = true;
   j->steps[step].n_running++;
+  j->steps[step].n_asks = 0;
   if (j->state == JOB_PENDING)
     j->state = JOB_RUNNING;
   TAILQ_INSERT_TAIL (&e->runs, r, on_exec);
--- a/net/links.c
+++ b/net/links.c
@@ -15,6 +15,7 @@
   RECONNECT_MS = 100,
   RECONNECT_MAX_MS = 1000,
   IDLE_LINKS_MAX = 128,
+  RECEIVE_MAX = 64, /* messages in one turn of the loop */
 };
 
 struct link
@@ -33,6 +34,7 @@
   uv_poll_t router_poll;
   uv_poll_t zap_poll;
   uv_prepare_t prepare;
+  uv_idle_t idle; /* runs while messages are left over */
   struct link links[IDLE_LINKS_MAX];
   int n_links;
   char addr[LINKS_ADDR_SIZE + 8];
@@ -152,32 +154,47 @@
   return true;
 }
 
+static void on_idle (uv_idle_t *idle);
+
+/* Whoever sends without a pause must not keep the loop from its other work.
+   Idle handles run in each turn and let the loop not wait. */
 static void
-receive_all (struct links *p)
+receive_some (struct links *p)
 {
-  bool any = false;
+  int n = 0;
 
   while (p->zap && zap_one (p))
     continue;
-  while (receive_one (p))
-    any = true;
-  if (any && p->conf.on_received)
+  while (n < RECEIVE_MAX && receive_one (p))
+    n++;
+  if (n == RECEIVE_MAX)
+    uv_idle_start (&p->idle, on_idle);
+  else
+    uv_idle_stop (&p->idle);
+  if (n && p->conf.on_received)
     p->conf.on_received (p->conf.arg);
 }
 
+static void
+on_idle (uv_idle_t *idle)
+{
+  /* The look before each wait follows. */
+  (void)idle;
+}
+
 static void
 on_poll (uv_poll_t *poll, int status, int events)
 {
   (void)status;
   (void)events;
-  receive_all (poll->data);
+  receive_some (poll->data);
 }
 
 /* ZeroMQ's descriptor tells only of changes: look before each wait too. */
 static void
 on_prepare (uv_prepare_t *prepare)
 {
-  receive_all (prepare->data);
+  receive_some (prepare->data);
 }
 
 static void
@@ -239,6 +256,7 @@
     watch_socket (p, p->zap, &p->zap_poll);
   uv_prepare_init (conf->loop, &p->prepare);
   p->prepare.data = p;
+  uv_idle_init (conf->loop, &p->idle);
   uv_prepare_start (&p->prepare, on_prepare);
   return p;
 }
@@ -313,6 +331,7 @@
 {
   uv_poll_stop (&p->router_poll);
   uv_prepare_stop (&p->prepare);
+  uv_idle_stop (&p->idle);
   if (p->zap)
     uv_poll_stop (&p->zap_poll);
   for (int i = 0; i < p->n_links; i++)
