Calls to the table go through another instance while the own way is lost

Relayed writes helped callers only.

The configuration's feed keeps going directly and finds the way again.

Test: scenario 'a leader cut from the table makes way' said that a successor leads; that is no longer wanted. Three take its place: a leader cut from the table, and one turned away, go on leading with all jobs completed; one that is cut from the others as well makes way as before.

--- a/core/cell.h
+++ b/core/cell.h
@@ -40,15 +40,15 @@
   CELL_PASS_QUESTIONS = 12, /* of one pass: passes over many jobs are rare, so
                                that a backlog's questions leave the leader time
                                for starts, ends and its lease */
-  CELL_BAD_RUNS = 3,       /* failures in a row that put an executor aside */
-  CELL_UNLISTED_MS = 2500, /* entries that the platform dropped while it was
-                              away come back within 2 s */
-  CELL_SWEEP_MS = 4,       /* between looks at all executors */
-  CELL_JOB_PARTS = 8,      /* of the table of jobs: each takes 300 writes/s */
-  CELL_TRIM_MS = 2500,     /* between removals of ended jobs' specifications */
-  CELL_TRIM_ROWS = 90,     /* of one such write */
-  CELL_ASIDE_MS = 4000,    /* first pause; doubled while it goes on failing */
-  PLAN_SLOTS = 256, /* rows of the record of starts: 10 s at 25 writes/s */
+  CELL_BAD_RUNS = 3,        /* failures in a row that put an executor aside */
+  CELL_UNLISTED_MS = 2500,  /* entries that the platform dropped while it was
+                               away come back within 2 s */
+  CELL_SWEEP_MS = 4,        /* between looks at all executors */
+  CELL_JOB_PARTS = 8,       /* of the table of jobs: each takes 300 writes/s */
+  CELL_TRIM_MS = 2500,  /* between removals of ended jobs' specifications */
+  CELL_TRIM_ROWS = 90,  /* of one such write */
+  CELL_ASIDE_MS = 4000, /* first pause; doubled while it goes on failing */
+  PLAN_SLOTS = 256,     /* rows of the record of starts: 10 s at 25 writes/s */
 };
 
 /* The row of an ended job. */
@@ -174,7 +174,7 @@
   struct exec_report rep;
   int service; /* these are numbers of names */
   int rack;
-  uint64_t labels; /* set of them */
+  uint64_t labels;     /* set of them */
   int index;           /* in the cell's table; never reused */
   bool listed;         /* discovery shows it */
   bool relisted;       /* in the list under way */
@@ -329,7 +329,8 @@
   int n_jobs;
   struct execq execs;
   struct exec_tree exec_ids;
-  struct exec **open; /* those that may be given tasks, in the pass under way */
+  struct exec *
+      *open; /* those that may be given tasks, in the pass under way */
   int n_open;
   struct cell_names services;
   struct cell_names racks;
--- a/core/cell_advice.c
+++ b/core/cell_advice.c
@@ -20,10 +20,10 @@
   ADVISER_AVOID_MS = 1000,  /* after a question that got lost */
   ASK_SLACK_MS = 400, /* beyond the expected time: links, slow instances */
   ASK_PAUSE_MS = 30,  /* after a question that failed */
-  ASK_AGAIN_MS = 50, /* after the second answer that no start came of, as work
-                        that goes first took the room; doubled ... */
+  ASK_AGAIN_MS = 50,  /* after the second answer that no start came of, as work
+                         that goes first took the room; doubled ... */
   ASK_AGAIN_MAX_MS = 800, /* ... up to this */
-  SPARE_FACTOR = 2,   /* executors asked about, times those needed */
+  SPARE_FACTOR = 2,       /* executors asked about, times those needed */
   SPARE_MIN = 4,
   RUNGS = 32, /* executors with room for more tasks than this are alike */
 };
@@ -233,7 +233,8 @@
   for (int i = 0; i < c->n_open; i++)
     {
       struct exec *e = c->open[i];
-      if (exec_usable (e, j, step) && permit_of (s, e)->state == PERMIT_UNKNOWN)
+      if (exec_usable (e, j, step)
+          && permit_of (s, e)->state == PERMIT_UNKNOWN)
         all[n++] = (struct candidate){ e, exec_fits (e, j, step, s->n_tasks) };
     }
   sort_by_room (sorted, all, n);
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -118,8 +118,8 @@
     {
       struct exec *e = c->open[i];
       int fits;
-      if ((rack && rack != e->rack)
-          || !exec_usable (e, j, step) || !permitted (c, j, step, e))
+      if ((rack && rack != e->rack) || !exec_usable (e, j, step)
+          || !permitted (c, j, step, e))
         continue;
       fits = exec_fits (e, j, step, want);
       if (fits < 1)
@@ -251,7 +251,8 @@
 {
   struct exec *e;
 
-  c->open = realloc (c->open, (size_t)(c->n_execs + 1) * sizeof (struct exec *));
+  c->open
+      = realloc (c->open, (size_t)(c->n_execs + 1) * sizeof (struct exec *));
   if (!c->open)
     abort ();
   c->n_open = 0;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -22,6 +22,7 @@
   WAIT_OUT_MS
   = LEAD_ORDER_MS - LEAD_STILL_MS + CELL_LEASE_MS * 102 / 100 + 300,
   LOAD_RETRY_MS = 100,
+  AGE_MAX_MS = 86400000,
 };
 
 #define PREFIX_PROGRESS "prog/"
@@ -46,7 +47,8 @@
                &f->out, &f->tokens);
   f->job_feed.pause_ms = FLEET_JOBS_GAP_MS;
   f->proved_ms = INT64_MIN / 2;
-  f->leader_fresh_ms = INT64_MIN / 2;
+  f->peer_fresh_ms = INT64_MIN / 2;
+  proxy_init (f);
   follow_start (&f->conf_feed, now_ms);
 }
 
@@ -68,6 +70,7 @@
   struct out *o;
 
   gate_fini (f);
+  proxy_fini (f);
   drop_cell (f);
   lead_fini (&f->lead);
   follow_stop (&f->conf_feed);
@@ -119,9 +122,11 @@
   while ((o = out_take (&f->out)))
     {
       const struct order *order = o->kind == OUT_ORDER ? o->u.order : NULL;
-      if (!order || order->kind != ORDER_ADVISE || !*order->addr)
+      bool asks = order && order->kind == ORDER_ADVISE && *order->addr;
+      if (asks)
+        send_question (f, order);
+      else if (o->kind != OUT_STORE || !proxy_route (f, o))
         return o;
-      send_question (f, order);
       out_free (o);
     }
   return NULL;
@@ -137,18 +142,6 @@
   return f->lead.holder_addr;
 }
 
-const char *
-fleet_peer_addr (const struct fleet *f)
-{
-  const char *leader = fleet_leader_addr (f);
-  const struct adviser *a;
-
-  if (leader)
-    return f->now_ms - f->leader_fresh_ms < FLEET_PEER_MS ? leader : NULL;
-  a = f->cell ? cell_adviser_fresh (f->cell) : NULL;
-  return a && f->now_ms - a->fresh_ms < FLEET_PEER_MS ? a->addr : NULL;
-}
-
 /* Configuration. */
 
 static void
@@ -521,13 +514,13 @@
   lead_write (&f->lead, f->now_ms, op);
 }
 
-/* For messages: at most a day. */
+/* For messages. */
 static int64_t
-conf_age (const struct fleet *f)
+age (const struct fleet *f, int64_t since_ms)
 {
-  int64_t age = f->now_ms - f->proved_ms;
+  int64_t ms = f->now_ms - since_ms;
 
-  return age < 86400000 ? age : 86400000;
+  return ms < AGE_MAX_MS ? ms : AGE_MAX_MS;
 }
 
 static void
@@ -545,7 +538,7 @@
   m->kind = MESH_HELLO;
   m->no = f->now_ms;
   m->millicores = f->set.millicores;
-  m->conf_age_ms = conf_age (f);
+  m->table_age_ms = age (f, f->store_heard_ms);
   fleet_send (f, f->lead.holder_addr, m);
 }
 
@@ -566,19 +559,31 @@
 }
 
 void
-fleet_store (struct fleet *f, int64_t now_ms, uint64_t token,
-             const struct store_rep *rep)
+fleet_answered (struct fleet *f, uint64_t token, const struct store_rep *rep)
 {
-  f->now_ms = now_ms;
-  if (rep->err == 0 || rep->err == CLB_ECONFLICT || rep->err == CLB_ENOTFOUND)
-    f->store_heard_ms = now_ms;
   if (f->cell)
-    f->cell->now_ms = now_ms;
+    f->cell->now_ms = f->now_ms;
   if (!lead_reply (f, token, rep) && !config_store (f, token, rep))
     if (!f->cell
         || (!load_store (f, token, rep) && !job_store (f, token, rep)
             && !exec_store (f, token, rep)))
       gate_store (f, token, rep);
+}
+
+void
+fleet_store (struct fleet *f, int64_t now_ms, uint64_t token,
+             const struct store_rep *rep)
+{
+  f->now_ms = now_ms;
+  if (rep->err == 0 || rep->err == CLB_ECONFLICT || rep->err == CLB_ENOTFOUND)
+    {
+      f->store_heard_ms = now_ms;
+      f->store_failures = 0;
+    }
+  else
+    f->store_failures++;
+  if (!proxy_store (f, token, rep))
+    fleet_answered (f, token, rep);
   work (f);
 }
 
@@ -620,6 +625,19 @@
 
 /* Messages of other instances. */
 
+/* While the leader does not reach the table, it names an instance that does.
+ */
+static void
+point_to_peer (const struct fleet *f, struct mesh_msg *r)
+{
+  const struct adviser *a = f->cell ? cell_adviser_fresh (f->cell) : NULL;
+
+  if (!proxy_way_lost (f) || !a)
+    return;
+  clb_copy (r->via, a->addr, sizeof r->via);
+  r->table_age_ms = f->now_ms - a->fresh_ms;
+}
+
 static void
 greet (struct fleet *f, const struct mesh_msg *m)
 {
@@ -631,7 +649,7 @@
   if (f->cell)
     {
       cell_adviser (f->cell, m->from, m->addr, m->millicores,
-                    f->now_ms - m->conf_age_ms);
+                    f->now_ms - m->table_age_ms);
       rank = cell_adviser_rank (f->cell, m->from);
     }
   r = calloc (1, sizeof *r);
@@ -640,7 +658,9 @@
   r->kind = MESH_LEADER;
   r->no = m->no;
   r->conf_version = f->conf ? f->conf->version : 0;
-  r->conf_age_ms = conf_age (f);
+  r->conf_age_ms = age (f, f->proved_ms);
+  r->table_age_ms = age (f, f->store_heard_ms);
+  point_to_peer (f, r);
   r->rank = rank;
   fleet_send (f, m->addr, r);
 }
@@ -694,19 +714,18 @@
 static void
 hear_leader (struct fleet *f, const struct mesh_msg *m)
 {
-  int64_t fresh_ms = m->no - m->conf_age_ms;
-
   lead_heard (&f->lead, f->now_ms, m->epoch, m->rank);
   if (strcmp (m->from, f->lead.holder) != 0)
     return;
   f->leader_heard_ms = f->now_ms;
-  f->leader_fresh_ms = fresh_ms;
+  f->peer_fresh_ms = m->no - m->table_age_ms;
+  clb_copy (f->peer, *m->via ? m->via : m->addr, sizeof f->peer);
   if (f->conf && m->conf_version == f->conf->version)
-    proved (f, fresh_ms);
+    proved (f, m->no - m->conf_age_ms);
 }
 
 void
-fleet_mesh (struct fleet *f, int64_t now_ms, const struct mesh_msg *m)
+fleet_mesh (struct fleet *f, int64_t now_ms, struct mesh_msg *m)
 {
   f->now_ms = now_ms;
   switch (m->kind)
@@ -723,6 +742,12 @@
     case MESH_ADVICE:
       take_advice (f, m);
       break;
+    case MESH_STORE_ASK:
+      proxy_ask (f, m);
+      break;
+    case MESH_STORE:
+      proxy_reply (f, m);
+      break;
     case MESH_JOB:
       hear_job (f, m->id, m->text);
       break;
@@ -739,6 +764,7 @@
   f->now_ms = now_ms;
   f->wall_ms = wall_ms;
   say_hello (f);
+  proxy_tick (f);
   gate_tick (f);
   work (f);
 }
@@ -823,7 +849,7 @@
   counter (out, "asks_total", NULL, NULL, f->stats.asks);
   counter (out, "asks_lost_total", NULL, NULL, f->stats.asks_lost);
   counter (out, "retries_total", NULL, NULL, f->stats.retries);
-  counter (out, "relays_total", NULL, NULL, f->stats.relays);
+  counter (out, "proxied_total", NULL, NULL, f->stats.proxied);
   counter (out, "bad_rows_total", NULL, NULL, f->stats.bad_rows);
   counter (out, "config_version", NULL, NULL,
            f->conf ? (uint64_t)f->conf->version : 0);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -26,13 +26,10 @@
   FLEET_RETRY_MS = 20,      /* after a call to the table failed; doubled ... */
   FLEET_RETRY_MAX_MS = 160, /* ... up to this */
   FLEET_REFUSED_TRIES = 4,  /* then the caller is refused */
-  FLEET_MUTE_MS = 900,  /* the way to the table is lost, not slow: within this
-                           a feed is answered, also 50 times as slowly */
-  FLEET_RELAY_MS = 500, /* a relayed request is answered by then */
   FLEET_LOST_MS = 500,  /* the table is silent so long: new writes are refused
                            at once, as none can be told from one that is done */
   FLEET_PEER_MS = 1700, /* an instance with an older proof that it reaches the
-                           table gets nothing to relay: proofs come every
+                           table is not called through: proofs come every
                            FLEET_FEED_WAIT_MS, and are told every
                            FLEET_HELLO_MS */
   FLEET_STALE_MARGIN_MS = 500, /* keyed work stops so long before a withdrawn
@@ -125,14 +122,8 @@
   int64_t until_ms;
   int64_t next_ms; /* the call is sent again then; 0: one is under way */
   int64_t asked_ms;
-  int64_t sent_ms; /* the last call to the table */
   int tries;
-  bool maybe;       /* a write's answer was lost: it may take effect */
-  int relays_open;  /* of which nobody has said what became */
-  int64_t relay_ms; /* last given to another instance to record */
-  char relay_for[CLB_ADDR_MAX]; /* the instance that has the caller; empty:
-                                   it is here */
-  int64_t relay_no;             /* its number of the request */
+  bool maybe; /* a write's answer was lost: it may take effect */
 };
 RB_HEAD (caller_tree_f, caller);
 
@@ -167,11 +158,13 @@
   uint64_t asks;  /* questions to the leader */
   uint64_t asks_lost;
   uint64_t retries;  /* calls to the table for callers, sent again */
-  uint64_t relays;   /* requests given to another instance to record */
+  uint64_t proxied;  /* calls to the table through another instance */
   uint64_t bad_rows; /* of the platform's tables */
   struct cell_stats cell;
 };
 
+TAILQ_HEAD (proxy_callq, proxy_call);
+
 struct fleet
 {
   struct fleet_settings set;
@@ -185,10 +178,10 @@
   struct follow conf_feed;
   struct follow exec_feed;
   struct follow job_feed;
-  int64_t
-      store_heard_ms;    /* the last answer of the table that was no failure */
-  bool store_lost;       /* the configuration's feed has failed */
-  int64_t store_lost_ms; /* since then */
+  int64_t store_heard_ms; /* the last answer of the table itself, no failure */
+  int store_failures;     /* of calls to it since then */
+  bool store_lost;        /* the configuration's feed has failed */
+  int64_t store_lost_ms;  /* since then */
   int load_step;
   uint64_t load_token;
   char *load_after;
@@ -199,8 +192,13 @@
   int n_callers;
   int64_t next_hello_ms;
   int64_t leader_heard_ms;
-  int64_t leader_fresh_ms; /* the leader surely reached the table then */
-  int64_t proved_ms;       /* the configuration was proved current then */
+  char peer[CLB_ADDR_MAX];     /* an instance that the leader says reaches the
+                                  table, often itself; empty: unknown */
+  int64_t peer_fresh_ms;       /* it surely did then */
+  struct proxy_callq proxied;  /* calls that it makes for this instance */
+  struct proxy_callq proxying; /* calls that this one makes for others */
+  int n_proxying;
+  int64_t proved_ms; /* the configuration was proved current then */
   bool stopping;
   struct fleet_stats stats;
 };
@@ -221,7 +219,9 @@
 void fleet_order_result (struct fleet *f, int64_t now_ms,
                          const struct order *o,
                          const struct order_result *res);
-void fleet_mesh (struct fleet *f, int64_t now_ms, const struct mesh_msg *m);
+/** fleet_mesh() - A message of another instance; its operation may be taken.
+ */
+void fleet_mesh (struct fleet *f, int64_t now_ms, struct mesh_msg *m);
 void fleet_tick (struct fleet *f, int64_t now_ms, int64_t wall_ms);
 struct out *fleet_next_out (struct fleet *f);
 
@@ -240,12 +240,30 @@
 void gate_mesh (struct fleet *f, const struct mesh_msg *m);
 void gate_fini (struct fleet *f);
 
-/* fleet.c, used by gate.c */
+/* proxy.c, used by fleet.c and gate.c */
+void proxy_init (struct fleet *f);
+void proxy_fini (struct fleet *f);
+/** proxy_way_lost() - Whether the table does not answer this instance. */
+bool proxy_way_lost (const struct fleet *f);
+/** proxy_peer() - Address of an instance that reaches the table, or NULL. */
+const char *proxy_peer (const struct fleet *f);
+/** proxy_route() - Whether the call @o goes through another instance. */
+bool proxy_route (struct fleet *f, struct out *o);
+/** proxy_ask() - Make a call for another instance; takes its operation. */
+void proxy_ask (struct fleet *f, struct mesh_msg *m);
+/** proxy_store() - Whether @token was such a call. */
+bool proxy_store (struct fleet *f, uint64_t token,
+                  const struct store_rep *rep);
+void proxy_reply (struct fleet *f, const struct mesh_msg *m);
+void proxy_tick (struct fleet *f);
+
+/* fleet.c, used by gate.c and proxy.c */
+/** fleet_answered() - A call to the table has ended, whoever made it. */
+void fleet_answered (struct fleet *f, uint64_t token,
+                     const struct store_rep *rep);
 /** fleet_tell_job() - Tell the leader of a job; @record NULL: cancelled. */
 void fleet_tell_job (struct fleet *f, const char *id, const char *record);
 void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
-/** fleet_peer_addr() - An instance that reaches the table, or NULL. */
-const char *fleet_peer_addr (const struct fleet *f);
 /** fleet_leader_addr() - NULL if none is heard or it is this instance. */
 const char *fleet_leader_addr (const struct fleet *f);
 
--- a/core/gate.c
+++ b/core/gate.c
@@ -14,9 +14,6 @@
   RECORD_MAX = 60000, /* bytes of a job's row */
 };
 
-/* Numbers of requests that another instance has taken. */
-#define RELAY_CALL (UINT64_C (1) << 62)
-
 const char *const fleet_answer_names[]
     = { "accepted",   "duplicate", "state",    "cancelled", "waiting",
         "no-config",  "stale",     "no-queue", "bad-key",   "bad-job",
@@ -68,19 +65,6 @@
   free (c);
 }
 
-static void
-relay_answer (struct fleet *f, const struct caller *c, int what)
-{
-  struct mesh_msg *m = calloc (1, sizeof *m);
-
-  if (!m)
-    abort ();
-  m->kind = MESH_RELAYED;
-  m->no = c->relay_no;
-  m->answer = what;
-  fleet_send (f, c->relay_for, m);
-}
-
 static void
 finish (struct fleet *f, struct caller *c, int what, char *body)
 {
@@ -93,13 +77,7 @@
             (long long)(f->now_ms - c->came_ms),
             f->conf ? (long long)f->conf->version : 0,
             (long long)(f->now_ms - f->proved_ms), f->lead.holder);
-  if (*c->relay_for)
-    {
-      relay_answer (f, c, what);
-      free (body);
-    }
-  else
-    answer (f, c->call, what, body);
+  answer (f, c->call, what, body);
   caller_free (f, c);
 }
 
@@ -125,7 +103,6 @@
 
   c->token = ++f->tokens;
   c->next_ms = 0;
-  c->sent_ms = f->now_ms;
   c->tries++;
   o->u.store.token = c->token;
   o->u.store.op.kind = kind;
@@ -269,7 +246,7 @@
 table_lost (const struct fleet *f)
 {
   return f->store_lost && f->now_ms - f->store_lost_ms > FLEET_LOST_MS
-         && !fleet_peer_addr (f);
+         && !proxy_peer (f);
 }
 
 static struct caller *
@@ -284,7 +261,6 @@
   c->call = rq->call;
   c->verb = rq->verb;
   c->came_ms = f->now_ms;
-  c->relay_ms = INT64_MIN / 2;
   if (q->timeout_ms > 0 && within > q->timeout_ms)
     within = q->timeout_ms;
   c->until_ms = f->now_ms + within - FLEET_GIVE_UP_MS;
@@ -362,51 +338,11 @@
     send_cancel (f, c);
 }
 
-/* Whether the table does not answer this instance.  One that is slow is not
-   asked by another as well: that would slow it further. */
-static bool
-way_lost (const struct fleet *f)
-{
-  return f->store_lost || f->now_ms - f->store_heard_ms > FLEET_MUTE_MS;
-}
-
-/* Another instance that reaches the table can record for this one.  Jobs are
-   recorded under their ids once, so both may try. */
-static bool
-relay (struct fleet *f, struct caller *c)
-{
-  const char *addr = fleet_peer_addr (f);
-  struct mesh_msg *m;
-
-  if (!addr || !way_lost (f) || c->verb == FLEET_STATE || *c->relay_for
-      || f->now_ms - c->relay_ms < FLEET_RELAY_MS)
-    return false;
-  m = calloc (1, sizeof *m);
-  if (!m)
-    abort ();
-  m->kind = MESH_RELAY;
-  m->no = (int64_t)c->call;
-  clb_copy (m->id, c->id, sizeof m->id);
-  m->text = c->record ? strdup (c->record) : NULL;
-  c->relay_ms = f->now_ms;
-  c->relays_open++;
-  f->stats.relays++;
-  out_line (&f->out,
-            "event=relayed call=%llu verb=%d job=%s tries=%d to=%s "
-            "fresh_ms=%lld",
-            (unsigned long long)c->call, c->verb, c->id, c->tries, addr,
-            (long long)(f->now_ms - f->leader_fresh_ms));
-  fleet_send (f, addr, m);
-  return true;
-}
-
 /* The table has refused it often enough, and it surely is not recorded. */
 static bool
 surely_refused (const struct caller *c)
 {
-  int most = *c->relay_for ? 1 : FLEET_REFUSED_TRIES;
-
-  return !c->maybe && !c->relays_open && !c->token && c->tries >= most;
+  return !c->maybe && !c->token && c->tries >= FLEET_REFUSED_TRIES;
 }
 
 static int64_t
@@ -428,11 +364,6 @@
   c->token = 0;
   if (writing && err != CLB_EUNAVAIL)
     c->maybe = true;
-  if (relay (f, c))
-    {
-      c->next_ms = f->now_ms + FLEET_RELAY_MS;
-      return;
-    }
   if (surely_refused (c))
     finish (f, c, ANSWER_STORE_REFUSED, NULL);
   else
@@ -552,67 +483,11 @@
     read_row (f, c, CALLER_READ_STATE);
 }
 
-/* A request of another instance's caller; it has been checked there. */
-static void
-take_relay (struct fleet *f, const struct mesh_msg *m)
-{
-  struct caller *c;
-
-  if (!job_id_ok (m->id) || f->n_callers >= FLEET_REQUESTS_MAX)
-    return;
-  c = calloc (1, sizeof *c);
-  if (!c)
-    abort ();
-  c->call = RELAY_CALL | ++f->tokens;
-  c->verb = m->text ? FLEET_SUBMIT : FLEET_CANCEL;
-  c->came_ms = f->now_ms;
-  c->until_ms = f->now_ms + FLEET_RELAY_MS;
-  clb_copy (c->id, m->id, sizeof c->id);
-  clb_copy (c->relay_for, m->addr, sizeof c->relay_for);
-  c->relay_no = m->no;
-  c->record = m->text ? strdup (m->text) : NULL;
-  RB_INSERT (caller_tree_f, &f->callers, c);
-  f->n_callers++;
-  if (c->record)
-    send_submit (f, c);
-  else
-    read_row (f, c, CALLER_READ_JOB);
-}
-
-/* Anything but a success leaves the caller to this instance's own tries. */
-static void
-take_relayed (struct fleet *f, const struct mesh_msg *m)
-{
-  struct caller key = { .call = (uint64_t)m->no };
-  struct caller *c = RB_FIND (caller_tree_f, &f->callers, &key);
-
-  if (!c || c->verb == FLEET_STATE || m->answer >= ANSWER_N)
-    return;
-  if (m->answer == ANSWER_ACCEPTED || m->answer == ANSWER_DUPLICATE
-      || m->answer == ANSWER_CANCELLED || m->answer == ANSWER_NO_JOB)
-    finish (f, c, (int)m->answer, NULL);
-  else if (m->answer == ANSWER_STORE_REFUSED)
-    {
-      if (c->relays_open > 0)
-        c->relays_open--;
-      if (surely_refused (c))
-        finish (f, c, ANSWER_STORE_REFUSED, NULL);
-      else if (!c->token)
-        c->next_ms = f->now_ms + retry_pause (c->tries);
-    }
-}
-
 void
 gate_mesh (struct fleet *f, const struct mesh_msg *m)
 {
   switch (m->kind)
     {
-    case MESH_RELAY:
-      take_relay (f, m);
-      break;
-    case MESH_RELAYED:
-      take_relayed (f, m);
-      break;
     case MESH_STATE_ASK:
       reply_state (f, m);
       break;
@@ -630,8 +505,7 @@
 {
   if (f->now_ms >= c->until_ms)
     {
-      bool wrote = c->relays_open
-                   || (c->step == CALLER_WRITING && (c->maybe || c->token));
+      bool wrote = c->step == CALLER_WRITING && (c->maybe || c->token);
       finish (f, c, wrote ? ANSWER_UNKNOWN : ANSWER_STORE_REFUSED, NULL);
     }
   else if (c->step == CALLER_ASKING && !c->token
@@ -645,8 +519,6 @@
     }
   else if (c->next_ms && f->now_ms >= c->next_ms)
     send_again (f, c);
-  else if (c->token && way_lost (f))
-    relay (f, c);
 }
 
 void
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -35,10 +35,13 @@
   FLD_INT (struct mesh_msg, valid_ms, 0, DELAY_MAX_MS),
   FLD_INT (struct mesh_msg, conf_version, 0, INT64_MAX),
   FLD_INT (struct mesh_msg, conf_age_ms, 0, INT64_MAX),
+  FLD_INT (struct mesh_msg, table_age_ms, 0, INT64_MAX),
   FLD_INT (struct mesh_msg, delay_ms, 0, DELAY_MAX_MS),
-  FLD_INT (struct mesh_msg, answer, 0, 255),
   FLD_INT (struct mesh_msg, millicores, 0, INT32_MAX),
   FLD_INT (struct mesh_msg, rank, 0, INT32_MAX),
+  FLD_CHARS (struct mesh_msg, via, false),
+  FLD_STRUCT (struct mesh_msg, op, &store_op_desc),
+  FLD_STRUCT (struct mesh_msg, rep, &store_rep_desc),
   FLD_ARRAY (struct mesh_msg, names, n_names, &name_desc, ORDER_NAMES_MAX),
 };
 static DESC (mesh_desc, struct mesh_msg, mesh_fields);
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -5,6 +5,7 @@
 #ifndef MESH_H
 #define MESH_H
 
+#include "msg.h"
 #include "order.h"
 
 enum mesh_kind
@@ -18,9 +19,9 @@
   MESH_WAITING, /* how many jobs of a queue have not begun */
   MESH_ADVISE_ASK,
   MESH_ADVICE,
-  MESH_JOB,     /* to the leader: this job, or its cancellation, is recorded */
-  MESH_RELAY,   /* record this job, or its cancellation, for a caller here */
-  MESH_RELAYED, /* what became of it */
+  MESH_JOB, /* to the leader: this job, or its cancellation, is recorded */
+  MESH_STORE_ASK, /* call the table for an instance that does not reach it */
+  MESH_STORE,     /* what the table answered */
   MESH_KIND_N
 };
 
@@ -49,11 +50,16 @@
   int64_t outcome; /* enum order_outcome */
   int64_t valid_ms;
   int64_t conf_version;
-  int64_t conf_age_ms; /* since the configuration was proved current */
-  int64_t delay_ms;    /* expected wait of new work for room */
-  int64_t answer;      /* enum fleet_answer, of a relayed request */
-  int64_t millicores;  /* the sender's share of a core */
-  int64_t rank;        /* how many stronger followers the leader has heard */
+  int64_t conf_age_ms;  /* since the configuration was proved current */
+  int64_t table_age_ms; /* since the sender, or the instance in via, reached
+                           the table */
+  int64_t delay_ms;     /* expected wait of new work for room */
+  int64_t millicores;   /* the sender's share of a core */
+  int64_t rank;         /* how many stronger followers the leader has heard */
+  char via[CLB_ADDR_MAX]; /* the leader does not reach the table, this
+                             instance does */
+  struct store_op op;
+  struct store_rep rep;
   struct mesh_name *names;
   size_t n_names;
 };
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -42,12 +42,46 @@
   all_completed(1, 6, follower(l))
 end)
 
-scenario("a leader cut from the table makes way", function()
+scenario("a leader cut from the table goes on through another", function()
   begin{}
   some_jobs(1, 6)
   run(600)
   local l = leader()
   instance(l, "cut-store", 8000)
+  run(2000)
+  for n = 20, 25 do
+    job{id = id(n), steps = {{tasks = 2}}}
+    submit(n % 3, id(n))
+  end
+  run(3500)
+  expect(leader() == l, "it still leads")
+  all_completed(1, 6, follower(l))
+  all_completed(20, 25, follower(l))
+  run(5000)
+  expect(leader() == l, "and after the cut")
+end)
+
+scenario("a leader turned away by the table goes on through another",
+  function()
+  begin{}
+  run(600)
+  local l = leader()
+  instance(l, "turn-away", 6000)
+  run(200)
+  some_jobs(1, 6, {{tasks = 2, ms = 500}})
+  run(1500)
+  expect(leader() == l, "it still leads")
+  all_completed(1, 6, follower(l))
+end)
+
+scenario("a leader cut from the table and from all others makes way",
+  function()
+  begin{}
+  some_jobs(1, 6)
+  run(600)
+  local l = leader()
+  instance(l, "cut-store", 8000)
+  instance(l, "cut", 8000)
   run(3000)
   local next = leader()
   expect(next >= 0 and next ~= l, "a successor leads")
