Latency histograms, a line for each retry, and a test that logs are bounded

Cause: the metrics address served counters only, a retry left no line, lines dropped were not counted there, and nothing checked that a flood of requests cannot grow the log or block on it.

Change: hist.c; histograms of requests by verb, records, orders by kind, first starts and jobs by their end. event=retry with its inputs; log_lines_total and log_dropped_total. A job counts as begun when its first start is sent, not when it is placed.

Test: regress/process/fleetlog.sh, 17 checks: each refusal and each retry has its line and its counter, 8,001 refusals stay within 1,500 lines a second and readiness answers meanwhile, an instance whose log nobody reads serves on and counts what it drops.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -210,11 +210,18 @@
 on_metrics (void *arg, const struct hreq *rq)
 {
   struct fleetd *d = arg;
-  char *text = fleet_metrics (&d->fleet);
-
+  clb_auto char *fleet = fleet_metrics (&d->fleet);
+  clb_auto char *text = NULL;
+
+  if (asprintf (&text,
+                "%scitronlb_log_lines_total %llu\n"
+                "citronlb_log_dropped_total %llu\n",
+                fleet, (unsigned long long)logline_stats ()->written,
+                (unsigned long long)logline_stats ()->dropped)
+      < 0)
+    abort ();
   httpd_answer (d->metrics, rq->no, 200, "text/plain; version=0.0.4", text,
                 strlen (text), 0);
-  free (text);
 }
 
 static void
--- a/core/cell.c
+++ b/core/cell.c
@@ -262,6 +262,7 @@
     }
   p->no = o->no;
   p->kind = kind;
+  p->sent_ms = c->now_ms;
   RB_INSERT (pending_order_tree, &c->orders, p);
   *pend = p;
   out_new (c->out, OUT_ORDER)->u.order = o;
@@ -338,6 +339,7 @@
     return;
   j->state = state;
   c->stats->jobs_ended[state]++;
+  hist_add (&c->stats->job_ms[state], c->now_ms - j->come_ms);
   cell_touch (c, j);
   out_line (c->out,
             "event=job-%s job=%s queue=%s after_ms=%lld late_ms=%lld "
@@ -616,6 +618,7 @@
     return;
   RB_REMOVE (pending_order_tree, &c->orders, p);
   c->stats->outcomes[res->outcome]++;
+  hist_add (&c->stats->order_ms[p->kind], now_ms - p->sent_ms);
   switch (p->kind)
     {
     case ORDER_HOLD:
--- a/core/cell.h
+++ b/core/cell.h
@@ -20,6 +20,7 @@
 #include <bsd/sys/tree.h>
 
 #include "fconf.h"
+#include "hist.h"
 #include "msg.h"
 #include "order.h"
 
@@ -160,6 +161,7 @@
   bool old;         /* accepted before this leader's claim */
   bool excess;      /* beyond what its client account is owed */
   bool begun;       /* a task has started */
+  bool started;     /* a start was sent by this leader */
   bool dirty;       /* its record must be written */
   bool writing;     /* in the write in flight */
   bool recorded;    /* its final state is durable */
@@ -228,6 +230,7 @@
   char job[JOB_ID_SIZE]; /* of a question for advice */
   int step;
   int adviser;
+  int64_t sent_ms;
   int64_t until_ms; /* of a question: then it is given up */
   size_t n_names;
 };
@@ -299,6 +302,9 @@
   uint64_t stops;
   uint64_t lapsed;
   uint64_t aside;
+  struct hist order_ms[ORDER_KIND_N]; /* from an order to its result */
+  struct hist first_start_ms; /* from a job's arrival to its first start */
+  struct hist job_ms[JOB_STATE_N]; /* from its arrival to its end */
 };
 
 TAILQ_HEAD (plan_entryq, plan_entry);
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -55,6 +55,8 @@
 /* cell_start.c */
 struct start *start_new (struct cell *c, struct job *j, int step, int index,
                          struct exec *e, int64_t no, int state);
+/** start_begun() - A task of the job has been started. */
+void start_begun (struct job *j);
 /** start_end() - Frees @r and its room; the task may be started again. */
 void start_end (struct cell *c, struct start *r, int how);
 void start_stop (struct cell *c, struct start *r);
--- a/core/cell_plan.c
+++ b/core/cell_plan.c
@@ -167,6 +167,16 @@
              || permit_valid (c, &r->job->steps[r->step], r->exec));
 }
 
+static void
+count_first (struct cell *c, struct job *j)
+{
+  if (j->started)
+    return;
+  j->started = true;
+  if (!j->old)
+    hist_add (&c->stats->first_start_ms, c->now_ms - j->come_ms);
+}
+
 /* A gang's other members are dropped with the first, so all are looked at
    before any is sent. */
 static void
@@ -186,6 +196,8 @@
         {
           r->state = START_SENT;
           r->sent_ms = c->now_ms;
+          count_first (c, r->job);
+          start_begun (r->job);
           start_send (c, r);
         }
     }
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -30,6 +30,14 @@
   t->used.accels += sign * s->need.accels;
 }
 
+void
+start_begun (struct job *j)
+{
+  j->begun = true;
+  if (j->state == JOB_PENDING)
+    j->state = JOB_RUNNING;
+}
+
 struct start *
 start_new (struct cell *c, struct job *j, int step, int index, struct exec *e,
            int64_t no, int state)
@@ -51,11 +59,10 @@
   if (no >= t->next_run)
     t->next_run = (int32_t)no + 1;
   j->n_runs++;
-  j->begun = true;
+  if (state != START_PLANNED)
+    start_begun (j);
   j->steps[step].n_running++;
   j->steps[step].n_asks = 0;
-  if (j->state == JOB_PENDING)
-    j->state = JOB_RUNNING;
   TAILQ_INSERT_TAIL (&e->runs, r, on_exec);
   add_use (c, r, 1);
   return r;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -475,6 +475,7 @@
       begin_term (f);
       break;
     case LEAD_RECORDED:
+      hist_add (&f->stats.record_ms, f->now_ms - f->lead.renewed_ms);
       if (f->cell)
         {
           f->cell->fenced = false;
@@ -792,69 +793,3 @@
 {
   return f->conf && !f->stopping && now_ms - f->proved_ms < FLEET_READY_MS;
 }
-
-/* Metrics. */
-
-static void
-counter (FILE *out, const char *name, const char *label, const char *value,
-         uint64_t n)
-{
-  if (label)
-    fprintf (out, "citronlb_%s{%s=\"%s\"} %llu\n", name, label, value,
-             (unsigned long long)n);
-  else
-    fprintf (out, "citronlb_%s %llu\n", name, (unsigned long long)n);
-}
-
-static void
-cell_metrics (const struct fleet *f, FILE *out)
-{
-  const struct cell_stats *s = &f->stats.cell;
-
-  counter (out, "starts_total", NULL, NULL, s->starts);
-  counter (out, "stops_total", NULL, NULL, s->stops);
-  counter (out, "lapsed_total", NULL, NULL, s->lapsed);
-  counter (out, "executors_aside_total", NULL, NULL, s->aside);
-  counter (out, "questions_total", NULL, NULL, s->questions);
-  counter (out, "questions_failed_total", NULL, NULL, s->questions_failed);
-  for (int i = 0; i < END_N; i++)
-    counter (out, "ends_total", "how", end_names[i], s->ends[i]);
-  for (int i = 0; i < REFUSED_N; i++)
-    counter (out, "starts_refused_total", "reason", order_refusal_names[i],
-             s->refusals[i]);
-  for (int i = 0; i < ORDER_OUTCOME_N; i++)
-    counter (out, "orders_total", "outcome", order_outcome_names[i],
-             s->outcomes[i]);
-  for (int i = 0; i < JOB_STATE_N; i++)
-    counter (out, "jobs_ended_total", "state", job_state_names[i],
-             s->jobs_ended[i]);
-  counter (out, "jobs_in_hand", NULL, NULL,
-           f->cell ? (uint64_t)f->cell->n_jobs : 0);
-}
-
-char *
-fleet_metrics (struct fleet *f)
-{
-  char *text = NULL;
-  size_t len = 0;
-  FILE *out = open_memstream (&text, &len);
-
-  if (!out)
-    abort ();
-  for (int i = 0; i < ANSWER_N; i++)
-    counter (out, "answers_total", "answer", fleet_answer_names[i],
-             f->stats.answers[i]);
-  counter (out, "store_errors_total", NULL, NULL, f->stats.store_errors);
-  counter (out, "terms_total", NULL, NULL, f->stats.terms);
-  counter (out, "asks_total", NULL, NULL, f->stats.asks);
-  counter (out, "asks_lost_total", NULL, NULL, f->stats.asks_lost);
-  counter (out, "retries_total", NULL, NULL, f->stats.retries);
-  counter (out, "proxied_total", NULL, NULL, f->stats.proxied);
-  counter (out, "bad_rows_total", NULL, NULL, f->stats.bad_rows);
-  counter (out, "config_version", NULL, NULL,
-           f->conf ? (uint64_t)f->conf->version : 0);
-  counter (out, "leading", NULL, NULL, f->lead.state == LEAD_HOLD);
-  cell_metrics (f, out);
-  fclose (out);
-  return text;
-}
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -52,7 +52,9 @@
   FLEET_STATE,
   FLEET_CANCEL,
   FLEET_OTHER,
+  FLEET_VERB_N
 };
+extern const char *const fleet_verb_names[FLEET_VERB_N + 1];
 
 /** struct fleet_request - from a caller, all borrowed */
 struct fleet_request
@@ -160,6 +162,8 @@
   uint64_t retries;  /* calls to the table for callers, sent again */
   uint64_t proxied;  /* calls to the table through another instance */
   uint64_t bad_rows; /* of the platform's tables */
+  struct hist request_ms[FLEET_VERB_N]; /* from arrival to the answer */
+  struct hist record_ms; /* from a leader's write to its success */
   struct cell_stats cell;
 };
 
--- a/core/gate.c
+++ b/core/gate.c
@@ -20,6 +20,9 @@
         "no-job",     "refused",   "unknown",  "no-leader", "too-many",
         "table-lost", NULL };
 
+const char *const fleet_verb_names[]
+    = { "submit", "state", "cancel", "other", NULL };
+
 /* Statuses by enum fleet_answer.  A 503 says that nothing was accepted, a 504
    that it is not known. */
 static const int answer_status[ANSWER_N]
@@ -77,6 +80,7 @@
             (long long)(f->now_ms - c->came_ms),
             f->conf ? (long long)f->conf->version : 0,
             (long long)(f->now_ms - f->proved_ms), f->lead.holder);
+  hist_add (&f->stats.request_ms[c->verb], f->now_ms - c->came_ms);
   answer (f, c->call, what, body);
   caller_free (f, c);
 }
@@ -329,7 +333,6 @@
 static void
 send_again (struct fleet *f, struct caller *c)
 {
-  f->stats.retries++;
   if (c->step != CALLER_WRITING)
     read_row (f, c, c->step);
   else if (c->verb == FLEET_SUBMIT)
@@ -367,7 +370,17 @@
   if (surely_refused (c))
     finish (f, c, ANSWER_STORE_REFUSED, NULL);
   else
-    c->next_ms = f->now_ms + retry_pause (c->tries);
+    {
+      int64_t pause = retry_pause (c->tries);
+      c->next_ms = f->now_ms + pause;
+      f->stats.retries++;
+      out_line (&f->out,
+                "event=retry call=%llu verb=%d job=%s tries=%d error=%s "
+                "maybe=%d pause_ms=%lld left_ms=%lld way_lost=%d",
+                (unsigned long long)c->call, c->verb, c->id, c->tries,
+                clb_err_name ((int)err), c->maybe, (long long)pause,
+                (long long)(c->until_ms - f->now_ms), proxy_way_lost (f));
+    }
 }
 
 static void
--- a/core/order.c
+++ b/core/order.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+const char *const order_kind_names[]
+    = { "start", "stop", "hold", "advise", NULL };
 const char *const order_names[] = { "start", "stop", "hold", "advise", NULL };
 const char *const order_outcome_names[]
     = { "done", "refused", "busy", "wrong-boot", "unreached", "lost", NULL };
--- a/core/order.h
+++ b/core/order.h
@@ -30,7 +30,9 @@
   ORDER_STOP,
   ORDER_HOLD, /* renew the lease; asks what runs and what has ended */
   ORDER_ADVISE,
+  ORDER_KIND_N
 };
+extern const char *const order_kind_names[ORDER_KIND_N + 1];
 
 /** struct order - sent once, answered once by struct order_result */
 struct order
