A soak of real processes; an answer to an earlier life matches nothing

Change: the numbers of calls begin above the boot's time; questions to the leader have such a number too instead of the caller's.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
 PROGRAMS = $(BUILD)/citronlbd/citronlbd $(BUILD)/citronctl/citronctl \
 	$(BUILD)/regress/platformd $(BUILD)/regress/backendd \
 	$(BUILD)/regress/scn-run $(BUILD)/regress/fsim-run \
-	$(BUILD)/regress/fleet-standin $(BUILD)/regress/fleet-load
+	$(BUILD)/regress/fleet-standin $(BUILD)/regress/fleet-load \
+	$(BUILD)/regress/soak-proxy
 
 print-flags:
 	@echo "$(CPPFLAGS) -std=gnu17 $(CFLAGS) $(SAN)"
@@ -97,6 +98,9 @@
 	$(filter-out %/verbs.o,$(FSIM)) $(PLATFORM) $(CORE) $(NET)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS)
 
+$(BUILD)/regress/soak-proxy: $(BUILD)/regress/soak/proxy.o
+	@$(CC) $(SAN) $^ -o $@ -luv
+
 $(BUILD)/regress/fleet-load: $(BUILD)/regress/standin/fleetload.o $(NET)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS)
 
--- a/core/cell.h
+++ b/core/cell.h
@@ -21,6 +21,7 @@
 
 #include "fconf.h"
 #include "hist.h"
+#include "lead.h"
 #include "msg.h"
 #include "order.h"
 
@@ -52,6 +53,9 @@
   PLAN_SLOTS = 256,     /* rows of the record of starts: 10 s at 25 writes/s */
 };
 
+#define CELL_KEY_PROGRESS "prog:" LEAD_PART "/"
+#define CELL_KEY_PLAN "plan:" LEAD_PART "/"
+
 /* The row of an ended job. */
 #define CELL_TRIMMED "{}"
 
--- a/core/cell_plan.c
+++ b/core/cell_plan.c
@@ -17,8 +17,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEY_PLAN "plan/"
-
 enum
 {
   BATCH_MAX = 400, /* starts of one row: some 20 kB */
@@ -127,7 +125,7 @@
 {
   struct plan *p = &c->plan;
   struct plan_entry *e;
-  char key[sizeof KEY_PLAN + 16];
+  char key[sizeof CELL_KEY_PLAN + 16];
   clb_auto char *text = NULL;
   size_t len = 0;
   FILE *f;
@@ -150,7 +148,7 @@
     }
   c->plan_due = !TAILQ_EMPTY (&p->waiting);
   fclose (f);
-  snprintf (key, sizeof key, KEY_PLAN "%03d", p->next);
+  snprintf (key, sizeof key, CELL_KEY_PLAN "%03d", p->next);
   store_put (op, key, text);
   p->write_slot = p->next;
   p->next = (p->next + 1) % PLAN_SLOTS;
--- a/core/cell_record.c
+++ b/core/cell_record.c
@@ -8,9 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEY_ROSTER "lead/roster"
-#define KEY_PROGRESS "prog/"
-
 static size_t
 fill_marks (const struct job *j, size_t step, struct job_mark *out)
 {
@@ -81,7 +78,7 @@
   clb_auto char *text = roster_text (c);
   struct exec *e;
 
-  store_put (op, KEY_ROSTER, text);
+  store_put (op, LEAD_KEY_ROSTER, text);
   c->roster_dirty = false;
   c->roster_writing = true;
   TAILQ_FOREACH (e, &c->execs, link)
@@ -105,7 +102,7 @@
     }
   TAILQ_FOREACH (j, &c->queue, link)
     {
-      char key[sizeof KEY_PROGRESS + JOB_ID_SIZE];
+      char key[sizeof CELL_KEY_PROGRESS + JOB_ID_SIZE];
       if (!j->dirty)
         continue;
       if (n >= most)
@@ -115,7 +112,7 @@
           break;
         }
       clb_auto char *text = progress_text (j);
-      snprintf (key, sizeof key, KEY_PROGRESS "%s", j->spec.id);
+      snprintf (key, sizeof key, CELL_KEY_PROGRESS "%s", j->spec.id);
       store_put (op, key, text);
       j->dirty = false;
       j->writing = true;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -4,16 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* enum load_step - what a new leader reads before it gives orders */
-enum load_step
-{
-  LOAD_ROSTER,
-  LOAD_PLAN,
-  LOAD_PROGRESS,
-  LOAD_JOBS,
-  LOAD_DONE,
-};
-
 enum
 {
   /* A silent executor's lease, on a clock 2% slow, after the earlier leader
@@ -21,12 +11,11 @@
      which LEAD_STILL_MS had passed before the claim. */
   WAIT_OUT_MS
   = LEAD_ORDER_MS - LEAD_STILL_MS + CELL_LEASE_MS * 102 / 100 + 300,
-  LOAD_RETRY_MS = 100,
   AGE_MAX_MS = 86400000,
+  TOKEN_BITS = 20, /* of a call's number, below its boot's time: the next life's
+                      numbers begin beyond all that this one may use */
 };
 
-#define PREFIX_PROGRESS "prog/"
-#define PREFIX_PLAN "plan/"
 #define SUFFIX_CANCEL ".cancel"
 
 void
@@ -35,6 +24,8 @@
   memset (f, 0, sizeof *f);
   f->set = *set;
   f->now_ms = now_ms;
+  /* An answer to an earlier life of this instance matches nothing. */
+  f->tokens = (uint64_t)set->boot << TOKEN_BITS;
   TAILQ_INIT (&f->out);
   RB_INIT (&f->callers);
   lead_init (&f->lead, now_ms, set->id, set->mesh_addr, set->boot,
@@ -59,9 +50,7 @@
   f->cell = NULL;
   follow_stop (&f->exec_feed);
   follow_stop (&f->job_feed);
-  f->load_token = 0;
-  free (f->load_after);
-  f->load_after = NULL;
+  load_stop (f);
 }
 
 void
@@ -209,114 +198,6 @@
   return true;
 }
 
-/* Loading, and what comes after. */
-
-static void
-load_ask (struct fleet *f)
-{
-  struct out *o;
-
-  if (f->load_token || f->now_ms < f->load_next_ms
-      || f->load_step >= LOAD_JOBS)
-    return;
-  o = out_new (&f->out, OUT_STORE);
-  f->load_token = ++f->tokens;
-  o->u.store.token = f->load_token;
-  if (f->load_step == LOAD_ROSTER)
-    {
-      o->u.store.op.kind = STORE_GET;
-      o->u.store.op.key = strdup ("lead/roster");
-      return;
-    }
-  o->u.store.op.kind = STORE_LIST;
-  o->u.store.op.key
-      = strdup (f->load_step == LOAD_PLAN ? PREFIX_PLAN : PREFIX_PROGRESS);
-  o->u.store.op.after = f->load_after ? strdup (f->load_after) : NULL;
-}
-
-static void
-take_progress (struct fleet *f, const struct row *row)
-{
-  struct job_progress p;
-  struct codec_err ce;
-
-  if (codec_parse (&job_progress_desc, row->value, strlen (row->value),
-                   CODEC_LENIENT, &p, &ce))
-    {
-      f->stats.bad_rows++;
-      out_line (&f->out, "event=bad-row key=%s error=%s field=%s", row->key,
-                clb_err_name (ce.err), ce.path);
-      return;
-    }
-  cell_progress (f->cell, row->key + strlen (PREFIX_PROGRESS), &p);
-}
-
-static void
-take_plan (struct fleet *f, const struct row *row)
-{
-  int bad = cell_plan (f->cell, row->key + strlen (PREFIX_PLAN), row->value);
-
-  if (!bad)
-    return;
-  f->stats.bad_rows++;
-  out_line (&f->out, "event=bad-row key=%s error=bad-lines lines=%d", row->key,
-            bad);
-}
-
-static void
-load_page (struct fleet *f, const struct store_rep *rep)
-{
-  for (size_t i = 0; i < rep->n_rows; i++)
-    if (rep->rows[i].value && f->load_step == LOAD_PLAN)
-      take_plan (f, &rep->rows[i]);
-    else if (rep->rows[i].value)
-      take_progress (f, &rep->rows[i]);
-  free (f->load_after);
-  f->load_after = NULL;
-  if (rep->more && rep->n_rows)
-    {
-      f->load_after = strdup (rep->rows[rep->n_rows - 1].key);
-      return;
-    }
-  if (f->load_step++ == LOAD_PLAN)
-    return;
-  follow_start (&f->job_feed, f->now_ms);
-}
-
-static bool
-load_store (struct fleet *f, uint64_t token, const struct store_rep *rep)
-{
-  if (!f->load_token || token != f->load_token)
-    return false;
-  f->load_token = 0;
-  if (rep->err && rep->err != CLB_ENOTFOUND)
-    {
-      f->load_next_ms = f->now_ms + LOAD_RETRY_MS;
-      return true;
-    }
-  if (f->load_step != LOAD_ROSTER)
-    {
-      load_page (f, rep);
-      return true;
-    }
-  if (rep->n_rows && rep->rows[0].value)
-    cell_roster (f->cell, rep->rows[0].value);
-  f->load_step = LOAD_PLAN;
-  follow_start (&f->exec_feed, f->now_ms);
-  cell_exec_list (f->cell, true);
-  return true;
-}
-
-static void
-load_finish (struct fleet *f)
-{
-  if (f->load_step != LOAD_JOBS || !f->job_feed.listed || !f->exec_feed.listed
-      || f->cell->going)
-    return;
-  f->load_step = LOAD_DONE;
-  cell_go (f->cell);
-}
-
 static void
 take_job (struct fleet *f, const char *id, const char *text)
 {
@@ -460,8 +341,7 @@
   cell_adviser (f->cell, "", "", 0, 0);
   if (f->conf)
     cell_conf (f->cell, f->conf);
-  f->load_step = LOAD_ROSTER;
-  f->load_next_ms = f->now_ms;
+  load_start (f);
 }
 
 static bool
@@ -550,7 +430,7 @@
   follow_tick (&f->conf_feed, f->now_ms);
   if (f->cell)
     {
-      load_ask (f);
+      load_tick (f);
       follow_tick (&f->exec_feed, f->now_ms);
       follow_tick (&f->job_feed, f->now_ms);
       cell_tick (f->cell, f->now_ms,
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -124,6 +124,7 @@
   int64_t until_ms;
   int64_t next_ms; /* the call is sent again then; 0: one is under way */
   int64_t asked_ms;
+  int64_t ask; /* number of the question to the leader */
   int tries;
   bool maybe; /* a write's answer was lost: it may take effect */
 };
@@ -169,6 +170,23 @@
 
 TAILQ_HEAD (proxy_callq, proxy_call);
 
+/** enum load_what - what a new leader reads first */
+enum load_what
+{
+  LOAD_ROSTER,
+  LOAD_PLAN,
+  LOAD_PROGRESS,
+  LOAD_N
+};
+
+/** struct load - one of them */
+struct load
+{
+  uint64_t token; /* outstanding call; 0: none */
+  char *after;    /* last key of the list under way */
+  bool done;
+};
+
 struct fleet
 {
   struct fleet_settings set;
@@ -186,9 +204,8 @@
   int store_failures;     /* of calls to it since then */
   bool store_lost;        /* the configuration's feed has failed */
   int64_t store_lost_ms;  /* since then */
-  int load_step;
-  uint64_t load_token;
-  char *load_after;
+  bool loading;           /* what is on record is being read */
+  struct load loads[LOAD_N];
   int64_t load_next_ms;
   int64_t next_write_ms;
   int64_t next_plan_ms;
@@ -244,6 +261,14 @@
 void gate_mesh (struct fleet *f, const struct mesh_msg *m);
 void gate_fini (struct fleet *f);
 
+/* load.c, used by fleet.c */
+void load_start (struct fleet *f);
+void load_stop (struct fleet *f);
+void load_tick (struct fleet *f);
+bool load_store (struct fleet *f, uint64_t token, const struct store_rep *rep);
+/** load_finish() - Begin to schedule once all is read. */
+void load_finish (struct fleet *f);
+
 /* proxy.c, used by fleet.c and gate.c */
 void proxy_init (struct fleet *f);
 void proxy_fini (struct fleet *f);
--- a/core/follow.c
+++ b/core/follow.c
@@ -16,14 +16,22 @@
   f->tokens = tokens;
 }
 
+static int
+n_lists (const struct follow *f)
+{
+  return f->parts ? f->parts : 1;
+}
+
 static void
 relist (struct follow *f)
 {
   f->listed = false;
-  f->part = 0;
-  free (f->after);
-  f->after = NULL;
   f->list_ver = 0;
+  for (int i = 0; i < n_lists (f); i++)
+    {
+      free (f->lists[i].after);
+      f->lists[i] = (struct follow_list){ 0 };
+    }
 }
 
 void
@@ -43,70 +51,118 @@
   f->token = 0;
 }
 
+static struct store_op *
+send (struct follow *f, int64_t now_ms, uint64_t *token, int64_t *sent_ms)
+{
+  struct out *o = out_new (f->out, OUT_STORE);
+
+  *token = ++*f->tokens;
+  *sent_ms = now_ms;
+  o->u.store.token = *token;
+  return &o->u.store.op;
+}
+
 static void
-part_prefix (const struct follow *f, char *out, size_t size)
+send_list (struct follow *f, int64_t now_ms, int part)
 {
+  struct follow_list *l = &f->lists[part];
+  char prefix[CLB_NAME_MAX + 16];
+  struct store_op *op = send (f, now_ms, &l->token, &l->sent_ms);
+
   if (f->parts)
-    snprintf (out, size, "%s:%d/", f->table, f->part);
+    snprintf (prefix, sizeof prefix, "%s:%d/", f->table, part);
   else
-    snprintf (out, size, "%s/", f->table);
+    snprintf (prefix, sizeof prefix, "%s/", f->table);
+  op->kind = STORE_LIST;
+  op->key = strdup (prefix);
+  op->after = l->after ? strdup (l->after) : NULL;
+}
+
+static void
+send_feed (struct follow *f, int64_t now_ms)
+{
+  struct store_op *op = send (f, now_ms, &f->token, &f->sent_ms);
+
+  op->kind = STORE_FEED;
+  op->key = strdup (f->table);
+  op->since = f->ver;
+  op->wait_ms = f->wait_ms;
 }
 
 void
 follow_tick (struct follow *f, int64_t now_ms)
 {
-  char prefix[CLB_NAME_MAX + 16];
-  struct out *o;
-
-  if (!f->on || f->token || now_ms < f->next_ms)
+  if (!f->on || now_ms < f->next_ms)
     return;
-  o = out_new (f->out, OUT_STORE);
-  f->token = ++*f->tokens;
-  f->sent_ms = now_ms;
-  o->u.store.token = f->token;
-  if (f->listed)
-    {
-      o->u.store.op.kind = STORE_FEED;
-      o->u.store.op.key = strdup (f->table);
-      o->u.store.op.since = f->ver;
-      o->u.store.op.wait_ms = f->wait_ms;
-      return;
-    }
-  part_prefix (f, prefix, sizeof prefix);
-  o->u.store.op.kind = STORE_LIST;
-  o->u.store.op.key = strdup (prefix);
-  o->u.store.op.after = f->after ? strdup (f->after) : NULL;
+  if (f->listed && !f->token)
+    send_feed (f, now_ms);
+  for (int i = 0; i < n_lists (f) && !f->listed; i++)
+    if (!f->lists[i].done && !f->lists[i].token)
+      send_list (f, now_ms, i);
+}
+
+static struct follow_list *
+list_of (struct follow *f, uint64_t token)
+{
+  for (int i = 0; i < n_lists (f); i++)
+    if (f->lists[i].token == token)
+      return &f->lists[i];
+  return NULL;
+}
+
+bool
+follow_owns (const struct follow *f, uint64_t token)
+{
+  return f->on && token
+         && (token == f->token || list_of ((struct follow *)f, token));
 }
 
 /* The feed begins at the oldest version that a page was read at. */
 static int
-take_page (struct follow *f, const struct store_rep *rep)
+take_page (struct follow *f, struct follow_list *l,
+           const struct store_rep *rep)
 {
   if (!f->list_ver || rep->ver < f->list_ver)
     f->list_ver = rep->ver;
-  free (f->after);
-  f->after = NULL;
+  free (l->after);
+  l->after = NULL;
   if (rep->more && rep->n_rows)
     {
-      f->after = strdup (rep->rows[rep->n_rows - 1].key);
+      l->after = strdup (rep->rows[rep->n_rows - 1].key);
       return FOLLOW_PAGE;
     }
-  if (++f->part < f->parts)
-    return FOLLOW_PAGE;
+  l->done = true;
+  for (int i = 0; i < n_lists (f); i++)
+    if (!f->lists[i].done)
+      return FOLLOW_PAGE;
   f->listed = true;
   f->ver = f->list_ver;
   return FOLLOW_LISTED;
 }
 
+static int
+take_changes (struct follow *f, int64_t now_ms, const struct store_rep *rep)
+{
+  if (rep->ver > f->ver)
+    f->ver = rep->ver;
+  f->next_ms = now_ms + f->pause_ms;
+  return FOLLOW_CHANGES;
+}
+
 int
 follow_store (struct follow *f, int64_t now_ms, uint64_t token,
               const struct store_rep *rep, bool take, bool *mine)
 {
-  *mine = f->on && token && token == f->token;
+  struct follow_list *l = NULL;
+
+  *mine = follow_owns (f, token);
   if (!*mine)
     return FOLLOW_NONE;
-  f->token = 0;
-  if (rep->err == CLB_ENOTFOUND && f->listed)
+  if (token == f->token)
+    f->token = 0;
+  else if ((l = list_of (f, token)))
+    l->token = 0;
+  if (rep->err == CLB_ENOTFOUND && !l)
     {
       relist (f);
       return FOLLOW_NONE;
@@ -116,11 +172,6 @@
       f->next_ms = now_ms + FOLLOW_RETRY_MS;
       return FOLLOW_NONE;
     }
-  f->fresh_ms = f->sent_ms;
-  if (!f->listed)
-    return take_page (f, rep);
-  if (rep->ver > f->ver)
-    f->ver = rep->ver;
-  f->next_ms = now_ms + f->pause_ms;
-  return FOLLOW_CHANGES;
+  f->fresh_ms = l ? l->sent_ms : f->sent_ms;
+  return l ? take_page (f, l, rep) : take_changes (f, now_ms, rep);
 }
--- a/core/follow.h
+++ b/core/follow.h
@@ -1,6 +1,7 @@
 /**
- * DOC: Follows a table of the platform: lists it, then takes its changes in
- * order; lists it again when the platform has dropped the history between.
+ * DOC: Follows a table of the platform: lists all its parts at once, then
+ * takes its changes in order; lists it again when the platform has dropped the
+ * history between.
  */
 #ifndef FOLLOW_H
 #define FOLLOW_H
@@ -10,6 +11,7 @@
 enum
 {
   FOLLOW_RETRY_MS = 150, /* after a failed call */
+  FOLLOW_PARTS_MAX = 8,
 };
 
 enum follow_event
@@ -20,6 +22,15 @@
   FOLLOW_CHANGES,
 };
 
+/** struct follow_list - the list of one part under way */
+struct follow_list
+{
+  uint64_t token; /* outstanding call; 0: none */
+  int64_t sent_ms;
+  char *after; /* last key */
+  bool done;
+};
+
 struct follow
 {
   char table[CLB_NAME_MAX];
@@ -30,11 +41,10 @@
   uint64_t *tokens;
   bool on;
   bool listed;
-  int part;         /* of the list under way */
-  char *after;      /* its last key */
+  struct follow_list lists[FOLLOW_PARTS_MAX];
   int64_t list_ver; /* the feed goes on from here once listed */
   int64_t ver;
-  uint64_t token;
+  uint64_t token; /* of the feed */
   int64_t sent_ms;
   int64_t next_ms;
   int64_t fresh_ms; /* the last answer was asked for then */
@@ -46,6 +56,8 @@
 void follow_start (struct follow *f, int64_t now_ms);
 void follow_stop (struct follow *f);
 void follow_tick (struct follow *f, int64_t now_ms);
+/** follow_owns() - Whether @token is a call of this module under way. */
+bool follow_owns (const struct follow *f, uint64_t token);
 /**
  * follow_store() - The answer to a call of this module.
  * @mine: whether @token was one
--- a/core/gate.c
+++ b/core/gate.c
@@ -145,7 +145,7 @@
 
   c->step = step;
   if (step == CALLER_READ_STATE)
-    snprintf (key, sizeof key, "prog/%s", c->id);
+    snprintf (key, sizeof key, CELL_KEY_PROGRESS "%s", c->id);
   else
     job_key (c->id, "", key);
   op->key = strdup (key);
@@ -169,7 +169,8 @@
   if (!m)
     abort ();
   m->kind = kind;
-  m->no = (int64_t)c->call;
+  c->ask = (int64_t)++f->tokens;
+  m->no = c->ask;
   clb_copy (m->id, what, sizeof m->id);
   c->step = CALLER_ASKING;
   c->asked_ms = f->now_ms;
@@ -483,10 +484,12 @@
 static void
 take_reply (struct fleet *f, const struct mesh_msg *m)
 {
-  struct caller key = { .call = (uint64_t)m->no };
-  struct caller *c = RB_FIND (caller_tree_f, &f->callers, &key);
+  struct caller *c;
 
-  if (!c || c->step != CALLER_ASKING)
+  RB_FOREACH (c, caller_tree_f, &f->callers)
+    if (c->step == CALLER_ASKING && c->ask == m->no)
+      break;
+  if (!c)
     return;
   if (m->kind == MESH_WAITING)
     finish (f, c, ANSWER_WAITING, f->set.codec.count_body (m->count));
--- a/core/lead.c
+++ b/core/lead.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEY_HOLDER "lead/holder"
-#define KEY_JOURNAL "lead/journal"
+#define KEY_HOLDER LEAD_TABLE "holder"
+#define KEY_JOURNAL LEAD_TABLE "journal"
 
 /* struct holder_row - the value of the holder's row */
 struct holder_row
@@ -92,7 +92,7 @@
 {
   struct store_op *op = send_op (l, now_ms, STORE_LIST);
 
-  op->key = strdup ("lead/");
+  op->key = strdup (LEAD_TABLE);
 }
 
 static void
--- a/core/lead.h
+++ b/core/lead.h
@@ -37,6 +37,13 @@
   LEAD_RANK_MAX = 6,  /* more make no difference */
 };
 
+/* What a leader writes lies in one part, as one transaction needs, and in one
+   of its own: a part's transactions wait for each other, and the operator and
+   the executors write to the unnamed one. */
+#define LEAD_PART "c"
+#define LEAD_TABLE "lead:" LEAD_PART "/"
+#define LEAD_KEY_ROSTER LEAD_TABLE "roster"
+
 enum lead_state
 {
   LEAD_FOLLOW,
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -119,7 +119,7 @@
   struct mesh_msg *m;
   const char *peer;
 
-  if (!proxy_way_lost (f) || token == f->conf_feed.token
+  if (!proxy_way_lost (f) || follow_owns (&f->conf_feed, token)
       || call_find (&f->proxying, token) || !(peer = proxy_peer (f)))
     return false;
   c = call_new (&f->proxied, token);
--- a/regress/process/fleetlib.sh
+++ b/regress/process/fleetlib.sh
@@ -1,7 +1,13 @@
 # Starts a fleet of real processes on loopback; sourced by the tests that do.
 # fleet_up EXECUTORS INSTANCES: the table listens on $PORT, instance I of them
 # on $NET.I:8183 for callers and $NET.I:9464 for metrics.
+# Who sources it may set: $standin_in, what the stand-in reads commands from;
+# $advertise, added to the executors' ports in the table; and table_port N, the
+# port by which instance N reaches the table.
 BUILD=${BUILD:-build}
+standin_in=/dev/null
+advertise=0
+table_port() { echo "$PORT"; }
 # Several runs may go on at once on one machine.
 PORT=${PORT:-$((20000 + $$ % 10000))}
 NET=127.$((10 + $$ % 200)).$((1 + $$ / 200 % 200))
@@ -20,7 +26,7 @@
 {"node_name":"n$1","ip":"$NET.$1","zone":"a","port_range":[7420,7435],
 "bind_addrs":{"frontend":"$NET.$1:8183","readiness":"$NET.$1:8184"},
 "bounds":{"revoke_ms":5000,"grace_s":6},
-"platform":{"address":"127.0.0.1:$PORT"},
+"platform":{"address":"127.0.0.1:$(table_port "$1")"},
 "advice":"127.0.0.1:$((PORT + 1 + execs))"}
 JSON
 }
@@ -42,6 +48,9 @@
 {"name":"q2","host":"$NET.2","prefix":"/q/","type":"unsafe",
 "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
 "attempts":3,"slack_factor":2},
+{"name":"q4","host":"$NET.4","prefix":"/q/","type":"unsafe",
+"timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
+"attempts":3,"slack_factor":2},
 {"name":"q3","host":"$NET.3","prefix":"/q/","type":"unsafe",
 "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
 "attempts":3,"slack_factor":2,
@@ -50,7 +59,8 @@
 "tenants":[{"name":"red","api_keys":["k"],"weight":1000}]}
 JSON
 	"$BUILD/regress/fleet-standin" "$PORT" "$execs" "$dir/config.json" \
-		>"$dir/standin.log" 2>&1 &
+		"$advertise" <"$standin_in" >"$dir/standin.log" 2>&1 &
+	standin=$!
 	pids="$pids $!"
 	i=0
 	until grep -q ready "$dir/standin.log"; do
--- a/regress/process/fleetlog.sh
+++ b/regress/process/fleetlog.sh
@@ -43,8 +43,8 @@
 	$(metric 2 'order_ms_count{kind="start"}')))" -ge 20 ] && echo yes)"
 
 # A table that does not answer: a write is tried again, then refused.
-standin=${pids# }
-standin=${standin%% *}
+
+
 kill -STOP "$standin"
 sleep 0.1
 status -X POST -H 'Key: k' -H 'Timeout-Ms: 2000' \
--- /dev/null
+++ b/regress/soak/proxy.c
@@ -0,0 +1,339 @@
+/*
+ * soak-proxy - forwards TCP connections on loopback and spoils them on
+ * command.
+ *
+ * Arguments are links, "LISTEN=TARGET" with ports of 127.0.0.1.  Lines of
+ * standard input say how a link behaves from then on:
+ *   N pass        as it should
+ *   N delay MS    bytes arrive so much later, both ways
+ *   N silent      nothing arrives
+ *   N there       bytes arrive on the way to the target only
+ *   N back        they arrive on the way back only
+ *   N reset       connections are reset, new ones too
+ * What did not arrive does so once the link is well again, as TCP would have
+ * it: in order, or never if an end has given up.
+ */
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+enum
+{
+  LINKS_MAX = 256,
+  BUFFER = 65536, /* bytes read at once */
+};
+
+enum mode
+{
+  MODE_PASS,
+  MODE_DELAY,
+  MODE_SILENT,
+  MODE_THERE,
+  MODE_BACK,
+  MODE_RESET,
+  MODE_N
+};
+
+static const char *const mode_names[MODE_N]
+    = { "pass", "delay", "silent", "there", "back", "reset" };
+
+struct link
+{
+  uv_tcp_t listener;
+  int target; /* port */
+  enum mode mode;
+  uint64_t delay_ms;
+};
+
+/* struct pair - a connection and the one that it is forwarded on */
+struct pair
+{
+  LIST_ENTRY (pair) entry;
+  struct link *link;
+  uv_tcp_t end[2]; /* the caller's, the target's */
+  uv_connect_t connect;
+  int open; /* ends whose handles are not closed yet */
+  bool closing;
+  bool connected;
+  uint64_t
+      due_ms[2]; /* of the last bytes to each end: none overtakes others */
+};
+
+/* struct chunk - bytes on their way */
+struct chunk
+{
+  uv_timer_t timer;
+  uv_write_t write;
+  struct pair *pair;
+  int to;
+  size_t len;
+  char bytes[];
+};
+
+static LIST_HEAD (, pair) pairs = LIST_HEAD_INITIALIZER (pairs);
+static struct link links[LINKS_MAX];
+static int n_links;
+static uv_loop_t *loop;
+
+static void
+on_end_closed (uv_handle_t *h)
+{
+  struct pair *p = h->data;
+
+  if (--p->open > 0)
+    return;
+  LIST_REMOVE (p, entry);
+  free (p);
+}
+
+static void
+close_pair (struct pair *p, bool reset)
+{
+  if (p->closing)
+    return;
+  p->closing = true;
+  for (int i = 0; i < 2; i++)
+    if (!reset || uv_tcp_close_reset (&p->end[i], on_end_closed))
+      uv_close ((uv_handle_t *)&p->end[i], on_end_closed);
+}
+
+static void
+on_chunk_closed (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+static void
+drop_chunk (struct chunk *c)
+{
+  uv_close ((uv_handle_t *)&c->timer, on_chunk_closed);
+}
+
+static void
+on_written (uv_write_t *w, int status)
+{
+  struct chunk *c = w->data;
+
+  if (status && status != UV_ECANCELED)
+    close_pair (c->pair, false);
+  drop_chunk (c);
+}
+
+static bool
+alive (const struct pair *p)
+{
+  const struct pair *k;
+
+  LIST_FOREACH (k, &pairs, entry)
+  if (k == p)
+    return !k->closing;
+  return false;
+}
+
+static void
+on_due (uv_timer_t *t)
+{
+  struct chunk *c = t->data;
+  uv_buf_t buf = uv_buf_init (c->bytes, (unsigned)c->len);
+
+  if (!alive (c->pair)
+      || uv_write (&c->write, (uv_stream_t *)&c->pair->end[c->to], &buf, 1,
+                   on_written))
+    drop_chunk (c);
+}
+
+static bool
+holds (const struct link *l, int to)
+{
+  return l->mode == MODE_SILENT || (l->mode == MODE_THERE && to == 0)
+         || (l->mode == MODE_BACK && to == 1);
+}
+
+static void
+forward (struct pair *p, int to, const char *bytes, size_t len)
+{
+  uint64_t now_ms = uv_now (loop);
+  uint64_t due_ms
+      = now_ms + (p->link->mode == MODE_DELAY ? p->link->delay_ms : 0);
+  struct chunk *c = malloc (sizeof *c + len);
+
+  if (!c)
+    abort ();
+  if (due_ms < p->due_ms[to])
+    due_ms = p->due_ms[to];
+  p->due_ms[to] = due_ms;
+  c->pair = p;
+  c->to = to;
+  c->len = len;
+  memcpy (c->bytes, bytes, len);
+  uv_timer_init (loop, &c->timer);
+  c->timer.data = c;
+  c->write.data = c;
+  uv_timer_start (&c->timer, on_due, due_ms - now_ms, 0);
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+  static char bytes[BUFFER];
+
+  (void)h;
+  (void)size;
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  struct pair *p = s->data;
+
+  if (n < 0)
+    close_pair (p, n == UV_ECONNRESET);
+  else if (n > 0)
+    forward (p, s == (uv_stream_t *)&p->end[0], buf->base, (size_t)n);
+}
+
+/* What is not read stays with its sender's kernel. */
+static void
+read_open (struct pair *p)
+{
+  for (int i = 0; i < 2 && p->connected && !p->closing; i++)
+    if (holds (p->link, 1 - i))
+      uv_read_stop ((uv_stream_t *)&p->end[i]);
+    else
+      uv_read_start ((uv_stream_t *)&p->end[i], on_alloc, on_read);
+}
+
+static void
+on_connected (uv_connect_t *c, int status)
+{
+  struct pair *p = c->data;
+
+  if (status)
+    {
+      close_pair (p, true);
+      return;
+    }
+  p->connected = true;
+  read_open (p);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct link *l = listener->data;
+  struct pair *p = calloc (1, sizeof *p);
+  struct sockaddr_in to;
+
+  if (!p || status)
+    abort ();
+  p->link = l;
+  p->open = 2;
+  for (int i = 0; i < 2; i++)
+    {
+      uv_tcp_init (loop, &p->end[i]);
+      uv_tcp_nodelay (&p->end[i], 1);
+      p->end[i].data = p;
+    }
+  LIST_INSERT_HEAD (&pairs, p, entry);
+  if (uv_accept (listener, (uv_stream_t *)&p->end[0]) || l->mode == MODE_RESET)
+    {
+      close_pair (p, true);
+      return;
+    }
+  uv_ip4_addr ("127.0.0.1", l->target, &to);
+  p->connect.data = p;
+  if (uv_tcp_connect (&p->connect, &p->end[1], (struct sockaddr *)&to,
+                      on_connected))
+    close_pair (p, true);
+}
+
+static void
+set_mode (int no, const char *name, int ms)
+{
+  struct pair *p, *next;
+
+  if (no < 0 || no >= n_links)
+    return;
+  for (int m = 0; m < MODE_N; m++)
+    if (strcmp (name, mode_names[m]) == 0)
+      links[no].mode = (enum mode)m;
+  links[no].delay_ms = (uint64_t)ms;
+  for (p = LIST_FIRST (&pairs); p; p = next)
+    {
+      next = LIST_NEXT (p, entry);
+      if (p->link == &links[no] && links[no].mode == MODE_RESET)
+        close_pair (p, true);
+      else if (p->link == &links[no])
+        read_open (p);
+    }
+}
+
+static void
+on_command (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  static char text[4096];
+  static size_t len;
+  char *end;
+
+  (void)s;
+  if (n < 0)
+    exit (0);
+  for (ssize_t i = 0; i < n && len + 1 < sizeof text; i++)
+    text[len++] = buf->base[i];
+  text[len] = '\0';
+  while ((end = strchr (text, '\n')))
+    {
+      char name[16] = "";
+      int no = -1;
+      int ms = 0;
+      *end = '\0';
+      if (sscanf (text, "%d %15s %d", &no, name, &ms) >= 2)
+        set_mode (no, name, ms);
+      len -= (size_t)(end + 1 - text);
+      memmove (text, end + 1, len + 1);
+    }
+}
+
+static void
+add_link (const char *text)
+{
+  struct link *l = &links[n_links++];
+  struct sockaddr_in at;
+  int port;
+
+  if (n_links > LINKS_MAX || sscanf (text, "%d=%d", &port, &l->target) != 2)
+    {
+      fprintf (stderr, "soak-proxy: %s: not LISTEN=TARGET\n", text);
+      exit (64);
+    }
+  uv_ip4_addr ("127.0.0.1", port, &at);
+  uv_tcp_init (loop, &l->listener);
+  l->listener.data = l;
+  if (uv_tcp_bind (&l->listener, (struct sockaddr *)&at, 0)
+      || uv_listen ((uv_stream_t *)&l->listener, 512, on_connection))
+    {
+      fprintf (stderr, "soak-proxy: port %d: cannot listen\n", port);
+      exit (1);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static uv_pipe_t in;
+
+  loop = uv_default_loop ();
+  for (int i = 1; i < argc; i++)
+    add_link (argv[i]);
+  uv_pipe_init (loop, &in, 0);
+  uv_pipe_open (&in, 0);
+  uv_read_start ((uv_stream_t *)&in, on_alloc, on_command);
+  printf ("ready\n");
+  fflush (stdout);
+  return uv_run (loop, UV_RUN_DEFAULT);
+}
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -4,6 +4,13 @@
  * It speaks what platform/ speaks, over the table and the executors of the
  * simulation (regress/fsim), in real time.  Executor K listens on the port
  * after the table's by 1 + K; the advice service on the one after the last.
+ *
+ * Each broken promise that its executors see is a line "violation ...".  Lines
+ * of standard input are faults and questions:
+ *   table down MS | table lost SHARE | table compact
+ *   exec K crash | exec K reborn | exec K cut MS | exec K fails 0 or 1
+ *   config FILE      the operator's next configuration
+ *   started FILE     write the ids of all jobs that have started
  */
 #include "fsim.h"
 #include "httpd.h"
@@ -44,6 +51,9 @@
 static TAILQ_HEAD (, wait) waits = TAILQ_HEAD_INITIALIZER (waits);
 static struct fsim *sim;
 static struct server table;
+static struct server *execs;
+static int n_execs;
+static int advertise; /* executors' entries name their ports and so much */
 static struct server advice;
 static int64_t began_ms;
 
@@ -161,7 +171,8 @@
   out[n] = '\0';
 }
 
-static void
+/* 0, or -1 for a transaction that cannot be read. */
+static int
 read_op (const struct hreq *rq, struct store_op *op)
 {
   char name[128], part[128], from[256], number[32];
@@ -187,7 +198,7 @@
           store_put (op, key, value);
         }
       op->kind = STORE_TXN;
-      return;
+      return op->n_puts ? 0 : -1;
     }
   query (rq->path, "table", name, sizeof name);
   query (rq->path, "part", part, sizeof part);
@@ -200,12 +211,13 @@
       op->since = atoll (number);
       query (rq->path, "wait_ms", number, sizeof number);
       op->wait_ms = atoll (number);
-      return;
+      return 0;
     }
   op->kind = STORE_LIST;
   if (asprintf (&op->key, "%s%s%s/", name, *part ? ":" : "", part) < 0
       || (*from && asprintf (&op->after, "%s%s", op->key, from) < 0))
     abort ();
+  return 0;
 }
 
 /* A list begins with the row that it is asked from, which the simulated table
@@ -252,8 +264,31 @@
 
   w->server = arg;
   w->no = rq->no;
-  read_op (rq, &w->op);
+  if (read_op (rq, &w->op))
+    {
+      answer (&table, rq->no, 400, json_object ());
+      codec_free (&store_op_desc, &w->op);
+      free (w);
+      return;
+    }
   w->until_ms = now () + w->op.wait_ms;
+  if (now () < sim->table.down_until_ms)
+    {
+      answer (&table, rq->no, 503, json_object ());
+      codec_free (&store_op_desc, &w->op);
+      free (w);
+      return;
+    }
+  if (w->op.kind == STORE_TXN && fsim_random (sim) < sim->table.lost)
+    {
+      struct store_rep rep = { 0 };
+      /* Done, and never answered. */
+      ftable_apply (&sim->table, &w->op, &rep);
+      codec_free (&store_rep_desc, &rep);
+      codec_free (&store_op_desc, &w->op);
+      free (w);
+      return;
+    }
   if (!try_op (rq->no, &w->op, w->until_ms))
     {
       TAILQ_INSERT_TAIL (&waits, w, link);
@@ -367,6 +402,12 @@
   sim->now_ms = now ();
   w->server = arg;
   w->no = rq->no;
+  if (!w->server->exec->up || now () < w->server->exec->cut_until_ms)
+    {
+      /* Dark: the caller gives up. */
+      free (w);
+      return;
+    }
   read_order (rq, &w->order);
   learn_job (&w->order);
   w->until_ms = now () + w->order.wait_ms;
@@ -407,6 +448,18 @@
       }
 }
 
+static void
+tell_violations (void)
+{
+  static int told;
+
+  if (sim->violations == told)
+    return;
+  printf ("violation %d, first %s\n", sim->violations, sim->first);
+  fflush (stdout);
+  told = sim->violations;
+}
+
 static void
 on_timer (uv_timer_t *t)
 {
@@ -415,6 +468,7 @@
   (void)t;
   sim->now_ms = now ();
   fexec_tick (sim);
+  tell_violations ();
   TAILQ_FOREACH_SAFE (w, &waits, link, next)
     {
       bool over = now () >= w->until_ms;
@@ -457,8 +511,13 @@
       "address", s->addr, "zone", "a", "state", "ready", "capacity", "cpu",
       (json_int_t)s->exec->room.millicores, "mem_mb",
       (json_int_t)s->exec->room.mem_mb, "gpu", 0, "labels", "kind", "r1");
-  clb_auto char *text = json_dumps (entry, JSON_COMPACT);
+  char addr[CLB_ADDR_MAX];
+  clb_auto char *text = NULL;
 
+  snprintf (addr, sizeof addr, "127.0.0.1:%d",
+            atoi (strchr (s->addr, ':') + 1) + advertise);
+  json_object_set_new (entry, "address", json_string (addr));
+  text = json_dumps (entry, JSON_COMPACT);
   snprintf (key, sizeof key, "servers/%s", s->exec->id);
   ftable_put (sim, key, text);
 }
@@ -478,21 +537,119 @@
   return text;
 }
 
+static void
+write_started (const char *path)
+{
+  FILE *f = fopen (path, "w");
+  struct fjob *j;
+
+  if (!f)
+    return;
+  RB_FOREACH (j, fjob_tree, &sim->jobs)
+    fprintf (f, "%s\n", j->id);
+  fclose (f);
+}
+
+static void
+spoil_table (const char *what, double x)
+{
+  if (strcmp (what, "down") == 0)
+    sim->table.down_until_ms = now () + (int64_t)x;
+  else if (strcmp (what, "lost") == 0)
+    sim->table.lost = x;
+  else if (strcmp (what, "compact") == 0)
+    sim->table.oldest = sim->table.ver;
+}
+
+static void
+spoil_exec (int k, const char *what, double x)
+{
+  struct fexec *e;
+
+  if (k < 0 || k >= n_execs)
+    return;
+  e = execs[k].exec;
+  sim->now_ms = now ();
+  if (strcmp (what, "crash") == 0)
+    fexec_crash (sim, e);
+  else if (strcmp (what, "reborn") == 0)
+    {
+      fexec_reborn (sim, e);
+      list_exec (&execs[k]);
+    }
+  else if (strcmp (what, "cut") == 0)
+    e->cut_until_ms = now () + (int64_t)x;
+  else if (strcmp (what, "fails") == 0)
+    e->fails = x > 0;
+}
+
+static void
+command (const char *line)
+{
+  char what[16] = "";
+  char path[256] = "";
+  double x = 0;
+  int k = -1;
+
+  if (sscanf (line, "table %15s %lf", what, &x) >= 1)
+    spoil_table (what, x);
+  else if (sscanf (line, "exec %d %15s %lf", &k, what, &x) >= 2)
+    spoil_exec (k, what, x);
+  else if (sscanf (line, "config %255s", path) == 1)
+    {
+      clb_auto char *text = read_file (path);
+      ftable_put (sim, "op/config", text);
+    }
+  else if (sscanf (line, "started %255s", path) == 1)
+    write_started (path);
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+  static char bytes[1024];
+
+  (void)h;
+  (void)size;
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+on_commands (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  static char line[1024];
+  static size_t len;
+
+  if (n < 0)
+    uv_close ((uv_handle_t *)s, NULL);
+  for (ssize_t i = 0; i < n; i++)
+    if (buf->base[i] == '\n')
+      {
+        line[len] = '\0';
+        command (line);
+        len = 0;
+      }
+    else if (len + 1 < sizeof line)
+      line[len++] = buf->base[i];
+}
+
 int
 main (int argc, char **argv)
 {
   struct job_need room = { .millicores = 16000, .mem_mb = 32768 };
   static uv_timer_t timer;
-  struct server *execs;
+  static uv_pipe_t in;
   int port, n;
 
-  if (argc != 4)
+  if (argc != 4 && argc != 5)
     {
-      fprintf (stderr, "usage: fleet-standin PORT EXECUTORS CONFIG\n");
+      fprintf (stderr, "usage: fleet-standin PORT EXECUTORS CONFIG "
+                       "[ADVERTISED-OFFSET]\n");
       return 64;
     }
   port = atoi (argv[1]);
-  n = atoi (argv[2]);
+  n = n_execs = atoi (argv[2]);
+  advertise = argc == 5 ? atoi (argv[4]) : 0;
   began_ms = now ();
   sim = fsim_new (1, 0, n, &room);
   serve (&table, port, on_table);
@@ -507,6 +664,9 @@
   ftable_put (sim, "op/config", read_file (argv[3]));
   uv_timer_init (uv_default_loop (), &timer);
   uv_timer_start (&timer, on_timer, RETRY_MS, RETRY_MS);
+  uv_pipe_init (uv_default_loop (), &in, 0);
+  if (uv_guess_handle (0) == UV_NAMED_PIPE && uv_pipe_open (&in, 0) == 0)
+    uv_read_start ((uv_stream_t *)&in, on_alloc, on_commands);
   printf ("ready\n");
   fflush (stdout);
   return uv_run (uv_default_loop (), UV_RUN_DEFAULT);
--- a/regress/standin/fleetload.c
+++ b/regress/standin/fleetload.c
@@ -2,6 +2,12 @@
  * fleet-load - hands jobs in at a rate, asks for their states, and tells how
  * long they took.  The last line is "N passed, N failed": a job passes when
  * it was accepted and is shown as completed.
+ *
+ * With -r a job that is not accepted is handed in again under its id, at the
+ * next instance, as a caller does.  One that every instance refused passes
+ * too, and "refused ID" is printed: it must never run.  One whose acceptance
+ * is not known, or that is accepted, must be completed; "lost ID" tells of one
+ * that is not.
  */
 #include "httpc.h"
 
@@ -14,6 +20,8 @@
 enum
 {
   ASK_MS = 250,
+  AGAIN_MS = 400, /* to the next try */
+  TRIES_MAX = 8,
   GIVE_UP_MS = 30000,
   JOBS_MAX = 100000,
 };
@@ -23,7 +31,9 @@
   int64_t sent_ms;
   int64_t done_ms;
   bool accepted;
+  bool maybe; /* a try may have been accepted */
   bool failed;
+  int tries;
   bool asking;
   int64_t next_ask_ms;
 };
@@ -39,6 +49,7 @@
 static char **addrs;
 static int n_addrs;
 static int first_id;
+static bool repeats;
 
 static int64_t
 now (void)
@@ -65,6 +76,8 @@
   (void)len;
   j->asking = false;
   j->next_ask_ms = now () + ASK_MS;
+  if (end == HTTPC_OK && status == 410 && j->tries >= TRIES_MAX)
+    finish (j, true);
   if (end != HTTPC_OK || status != 200 || !body)
     return;
   if (strstr (body, "completed"))
@@ -82,9 +95,18 @@
   (void)len;
   j->asking = false;
   j->accepted = end == HTTPC_OK && status == 200;
-  j->next_ask_ms = now () + ASK_MS;
-  if (!j->accepted)
-    finish (j, false);
+  j->next_ask_ms = now () + (j->accepted ? ASK_MS : AGAIN_MS);
+  if (end != HTTPC_OK || status != 503)
+    j->maybe = true;
+  if (j->accepted || (repeats && j->tries < TRIES_MAX))
+    return;
+  if (repeats && !j->maybe)
+    printf ("refused %016x\n", first_id + (int)(j - jobs));
+  /* What may have been accepted is asked for, and may also not be there. */
+  if (!repeats || !j->maybe)
+    finish (j, repeats);
+  else
+    j->accepted = true;
 }
 
 static void
@@ -103,12 +125,39 @@
                           .arg = &jobs[i],
                           .on_end = on_end };
 
-  snprintf (url, sizeof url, "http://%s/q/%016x", addrs[i % n_addrs],
-            first_id + i);
+  snprintf (url, sizeof url, "http://%s/q/%016x",
+            addrs[(i + jobs[i].tries) % n_addrs], first_id + i);
   jobs[i].asking = true;
   httpc_send (http, &rq);
 }
 
+static void
+hand_in (int i)
+{
+  send_to (i, "POST",
+           "{\"spec\":\"s\",\"steps\":[{\"task_count\":3,\"cpu\":500,"
+           "\"mem_mb\":100,\"estimate_ms\":300}]}",
+           on_accept);
+  jobs[i].tries++;
+}
+
+static void
+go_on (int i)
+{
+  struct load_job *j = &jobs[i];
+
+  if (now () - j->sent_ms > GIVE_UP_MS)
+    {
+      if (repeats)
+        printf ("lost %016x accepted %d\n", first_id + i, j->accepted);
+      finish (j, false);
+    }
+  else if (!j->accepted)
+    hand_in (i);
+  else
+    send_to (i, "GET", NULL, on_state);
+}
+
 static void
 on_timer (uv_timer_t *t)
 {
@@ -119,20 +168,12 @@
     {
       jobs[n_jobs].sent_ms = at;
       n_open++;
-      send_to (n_jobs, "POST",
-               "{\"spec\":\"s\",\"steps\":[{\"task_count\":3,\"cpu\":500,"
-               "\"mem_mb\":100,\"estimate_ms\":300}]}",
-               on_accept);
+      hand_in (n_jobs);
       n_jobs++;
     }
   for (int i = 0; i < n_jobs; i++)
     if (!jobs[i].done_ms && !jobs[i].asking && at >= jobs[i].next_ask_ms)
-      {
-        if (at - jobs[i].sent_ms > GIVE_UP_MS)
-          finish (&jobs[i], false);
-        else
-          send_to (i, "GET", NULL, on_state);
-      }
+      go_on (i);
   if (n_jobs == wanted && n_open == 0)
     {
       uv_timer_stop (t);
@@ -156,9 +197,13 @@
   static int64_t took[JOBS_MAX];
   int passed = 0;
 
+  repeats = argc > 1 && strcmp (argv[1], "-r") == 0;
+  argc -= repeats;
+  argv += repeats;
   if (argc < 5)
     {
-      fprintf (stderr, "usage: fleet-load JOBS RATE FIRST-ID IP:PORT...\n");
+      fprintf (stderr,
+               "usage: fleet-load [-r] JOBS RATE FIRST-ID IP:PORT...\n");
       return 64;
     }
   wanted = atoi (argv[1]) < JOBS_MAX ? atoi (argv[1]) : JOBS_MAX;
