--- a/core/lead.h
+++ b/core/lead.h
@@ -19,11 +19,11 @@
 
 enum
 {
-  LEAD_BEAT_MS = 300,   /* longest pause between writes of the journal row */
-  LEAD_STILL_MS = 1700, /* five beats: three may be lost or slow */
-  LEAD_ADMIT_MS = 1500, /* below LEAD_STILL_MS by what clocks may differ */
+  LEAD_BEAT_MS = 250,   /* longest pause between writes of the journal row */
+  LEAD_STILL_MS = 1300, /* five beats: three may be lost or slow */
+  LEAD_ADMIT_MS = 1100, /* below LEAD_STILL_MS by what clocks may differ */
   LEAD_ORDER_MS = 4000, /* a short outage of the table stops no starts */
-  LEAD_READ_MS = 300,   /* between looks at the rows while watching */
+  LEAD_READ_MS = 200,   /* between looks at the rows while watching */
   LEAD_IDLE_READ_MS = 3000,     /* between looks while the leader is heard */
   LEAD_SILENT_MS = 900,         /* the leader is heard every 400 ms */
   LEAD_RETRY_MS = 100,          /* after a refused or failed call */
--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -13,6 +13,7 @@
  * What did not arrive does so once the link is well again, as TCP would have
  * it: in order, or never if an end has given up.
  */
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -327,6 +328,7 @@
 {
   static uv_pipe_t in;
 
+  signal (SIGPIPE, SIG_IGN);
   loop = uv_default_loop ();
   for (int i = 1; i < argc; i++)
     add_link (argv[i]);
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -17,6 +17,7 @@
 #include "platform.h"
 
 #include <openssl/evp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -647,6 +648,7 @@
                        "[ADVERTISED-OFFSET]\n");
       return 64;
     }
+  signal (SIGPIPE, SIG_IGN); /* connections may be reset at any time */
   port = atoi (argv[1]);
   n = n_execs = atoi (argv[2]);
   advertise = argc == 5 ? atoi (argv[4]) : 0;
