--- a/core/fleet.h
+++ b/core/fleet.h
@@ -261,7 +261,7 @@
 void gate_mesh (struct fleet *f, const struct mesh_msg *m);
 void gate_fini (struct fleet *f);
 
-/* load.c, used by fleet.c */
+/* fleet_load.c, used by fleet.c */
 void load_start (struct fleet *f);
 void load_stop (struct fleet *f);
 void load_tick (struct fleet *f);
