A young leader ranks nobody

Change: for its first 1.5 s a leader tells no ranks; a follower keeps the rank that it was told before.

Test: regress/unit/fleet_test.c, 'a young leader ranks nobody' and 'an earlier rank stands'; both failed before.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -523,7 +523,7 @@
 greet (struct fleet *f, const struct mesh_msg *m)
 {
   struct mesh_msg *r;
-  int rank = 0;
+  int rank = -1;
 
   if (f->lead.state != LEAD_HOLD)
     return;
@@ -531,7 +531,9 @@
     {
       cell_adviser (f->cell, m->from, m->addr, m->millicores,
                     f->now_ms - m->table_age_ms);
-      rank = cell_adviser_rank (f->cell, m->from);
+      /* Until all have greeted it, a new leader knows no order among them. */
+      if (f->now_ms - f->cell->claimed_ms >= FLEET_ACQUAINTED_MS)
+        rank = cell_adviser_rank (f->cell, m->from);
     }
   r = calloc (1, sizeof *r);
   if (!r)
@@ -542,7 +544,7 @@
   r->conf_age_ms = age (f, f->proved_ms);
   r->table_age_ms = age (f, f->store_heard_ms);
   point_to_peer (f, r);
-  r->rank = rank;
+  r->rank = rank + 1;
   fleet_send (f, m->addr, r);
 }
 
@@ -595,7 +597,7 @@
 static void
 hear_leader (struct fleet *f, const struct mesh_msg *m)
 {
-  lead_heard (&f->lead, f->now_ms, m->epoch, m->rank);
+  lead_heard (&f->lead, f->now_ms, m->epoch, m->rank - 1);
   if (strcmp (m->from, f->lead.holder) != 0)
     return;
   f->leader_heard_ms = f->now_ms;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -19,10 +19,12 @@
   FLEET_JOB_PARTS = 8,      /* of the table of jobs: each takes 300 writes/s */
   FLEET_FEED_WAIT_MS = 500, /* so often is the configuration proved fresh */
   FLEET_HELLO_MS = 400,
-  FLEET_ASK_MS = 250,       /* a leader that doesn't answer by then is passed
-                               over and the table is read */
-  FLEET_GIVE_UP_MS = 150,   /* before the caller does */
-  FLEET_WAIT_MS = 2500,     /* callers that don't say how long they wait */
+  FLEET_ACQUAINTED_MS = 1500, /* after its claim a leader has heard all: three
+                                 hellos */
+  FLEET_ASK_MS = 250,         /* a leader that doesn't answer by then is passed
+                                 over and the table is read */
+  FLEET_GIVE_UP_MS = 150,     /* before the caller does */
+  FLEET_WAIT_MS = 2500,       /* callers that don't say how long they wait */
   FLEET_RETRY_MS = 20,      /* after a call to the table failed; doubled ... */
   FLEET_RETRY_MAX_MS = 160, /* ... up to this */
   FLEET_REFUSED_TRIES = 4,  /* then the caller is refused */
--- a/core/lead.c
+++ b/core/lead.c
@@ -169,7 +169,8 @@
   if (epoch < l->epoch)
     return;
   l->heard_ms = now_ms;
-  l->rank = rank;
+  if (rank >= 0)
+    l->rank = rank;
   /* A leader that the rows in hand do not show yet. */
   if (epoch > l->epoch && l->state == LEAD_FOLLOW)
     l->read = false;
--- a/core/lead.h
+++ b/core/lead.h
@@ -118,7 +118,8 @@
 
 /**
  * lead_heard() - A message of the leader of @epoch came in.
- * @rank: how many stronger followers it has heard
+ * @rank: how many stronger followers it has heard; -1: not known yet, an
+ *        earlier leader's word stands
  */
 void lead_heard (struct lead *l, int64_t now_ms, int64_t epoch, int64_t rank);
 /** lead_tick() - Look at the rows or claim, when due. */
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -55,7 +55,8 @@
                            the table */
   int64_t delay_ms;     /* expected wait of new work for room */
   int64_t millicores;   /* the sender's share of a core */
-  int64_t rank;         /* how many stronger followers the leader has heard */
+  int64_t rank; /* 1 and how many stronger followers the leader has heard; 0:
+                   not known yet */
   char via[CLB_ADDR_MAX]; /* the leader does not reach the table, this
                              instance does */
   struct store_op op;
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -58,5 +58,56 @@
   fleet_fini (&second);
 }
 
+/* The rank that a leader tells whoever greets it now. */
+static int64_t
+rank_told (struct fleet *f, int64_t now_ms, const char *from)
+{
+  struct mesh_msg hello = { .kind = MESH_HELLO, .millicores = 120 };
+  struct out *o;
+  int64_t rank = -1;
+
+  clb_copy (hello.from, from, sizeof hello.from);
+  clb_copy (hello.addr, from, sizeof hello.addr);
+  fleet_mesh (f, now_ms, &hello);
+  while ((o = fleet_next_out (f)))
+    {
+      if (o->kind == OUT_MESH && o->u.mesh.msg->kind == MESH_LEADER)
+        rank = o->u.mesh.msg->rank;
+      out_free (o);
+    }
+  return rank;
+}
+
+/* The first to greet a new leader is not the strongest for that. */
+static void
+test_young_leader_ranks_nobody (void)
+{
+  struct fleet f;
+
+  start (&f, 1796352007000);
+  f.lead.state = LEAD_HOLD;
+  f.lead.renewed_ms = 1000;
+  f.cell = cell_new (&f.out, &f.tokens, 1000, 1, 0, &f.stats.cell);
+  CU_ASSERT_EQUAL (rank_told (&f, 1100, "n2"), 0);
+  CU_ASSERT_EQUAL (rank_told (&f, 2600, "n2"), 1);
+  fleet_fini (&f);
+}
+
+static void
+test_earlier_rank_stands (void)
+{
+  struct lead l;
+  struct outq out = TAILQ_HEAD_INITIALIZER (out);
+  uint64_t tokens = 0;
+
+  lead_init (&l, 0, "n1", "a", 1, 120, &out, &tokens);
+  lead_heard (&l, 100, 1, 8);
+  lead_heard (&l, 200, 2, -1);
+  CU_ASSERT_EQUAL (l.rank, 8);
+  lead_fini (&l);
+}
+
 UNIT_MAIN ("fleet",
-           { "two lives share no numbers", test_lives_share_no_numbers })
+           { "two lives share no numbers", test_lives_share_no_numbers },
+           { "a young leader ranks nobody", test_young_leader_ranks_nobody },
+           { "an earlier rank stands", test_earlier_rank_stands })
