A stop's answer from a new boot no longer touches a freed start

Change: exec_clock_seen() says whether it was a new boot; an acknowledged start is gone then and the answer ends there.

--- a/core/cell_exec.c
+++ b/core/cell_exec.c
@@ -420,13 +420,14 @@
   e->deadline_ms = clock_ms + CELL_LEASE_MS;
 }
 
-void
+bool
 exec_clock_seen (struct cell *c, struct exec *e, int64_t clock_ms)
 {
   if (!clock_fell (c, e, clock_ms))
-    return;
+    return false;
   new_boot (c, e, clock_ms, 0);
   exec_suspect (c, e);
+  return true;
 }
 
 static void
--- a/core/cell_impl.h
+++ b/core/cell_impl.h
@@ -75,8 +75,13 @@
 void exec_tick (struct cell *c, struct exec *e);
 void exec_hold_result (struct cell *c, struct exec *e,
                        const struct order_result *res);
-/** exec_clock_seen() - The clock in an answer: a new boot's begins anew. */
-void exec_clock_seen (struct cell *c, struct exec *e, int64_t clock_ms);
+/**
+ * exec_clock_seen() - The clock in an answer: a new boot's begins anew.
+ *
+ * Return: whether it is one.  Starts that the old boot had acknowledged are
+ * then freed.
+ */
+bool exec_clock_seen (struct cell *c, struct exec *e, int64_t clock_ms);
 /** exec_suspect() - It did not answer an order. */
 void exec_suspect (struct cell *c, struct exec *e);
 void exec_failed_run (struct cell *c, struct exec *e);
--- a/core/cell_start.c
+++ b/core/cell_start.c
@@ -267,8 +267,11 @@
 start_result (struct cell *c, struct start *r, int kind,
               const struct order_result *res)
 {
+  bool acked = r->acked_ms;
+
   r->order = 0;
-  exec_clock_seen (c, r->exec, res->clock_ms);
+  if (exec_clock_seen (c, r->exec, res->clock_ms) && acked)
+    return;
   if (kind == ORDER_START)
     start_answered (c, r, res);
   else if (res->outcome == ORDER_DONE)
