Log line about the load tells a busy instance from an idle one

Change: event=load has busy_ms, the time in which the event loop did not wait for input, and the number of jobs that wait for a placement by urgency class. Lines about jobs leave 100 of the 1,500 lines a second to those about the instance.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -76,8 +76,9 @@
   bool listener_closed;
   /* Value of boottime_ms() at the last log line about the load. */
   int64_t load_logged_ms;
-  /* CPU time of the process at the last log line about the load. */
-  int64_t load_cpu_ms;
+  /* Time that the event loop had waited for input at the last log line about
+     the load. */
+  int64_t load_idle_ms;
 };
 
 /* Returns the time of a clock that also advances while the machine is
@@ -308,42 +309,45 @@
     uv_stop (d->loop);
 }
 
-/* Returns the CPU time that the process has used. */
+/* Returns the time that the event loop has waited for input since the start of
+   the process.  Unlike the CPU time of the process, it also shows time in
+   which the platform did not let the process run. */
 static int64_t
-cpu_ms (void)
+loop_idle_ms (const struct fleetd *d)
 {
-  struct timespec ts;
-
-  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &ts);
-  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  return (int64_t)(uv_metrics_idle_time (d->loop) / 1000000);
 }
 
 /* Logs the load of the instance, unless the last such line is less than
-   LOAD_INTERVAL_MS old. */
+   LOAD_INTERVAL_MS old.  Of the scheduler's jobs, ready= counts those that
+   wait for a placement, by urgency class. */
 static void
 log_load (struct fleetd *d)
 {
   const struct fleet *f = &d->fleet;
+  const struct fsched *fs = f->fsched;
   const struct fsched_stats *s = &f->stats.fsched;
-  char line[256];
+  char line[320];
   int64_t now = boottime_ms ();
-  int64_t used_cpu_ms = cpu_ms ();
+  int64_t over_ms = now - d->load_logged_ms;
+  int64_t idle_ms = loop_idle_ms (d);
 
-  if (now - d->load_logged_ms < LOAD_INTERVAL_MS)
+  if (over_ms < LOAD_INTERVAL_MS)
     return;
-  snprintf (
-      line, sizeof line,
-      "event=load over_ms=%lld cpu_ms=%lld callers=%d leading=%d "
-      "jobs=%d starts=%llu questions=%llu passes=%llu dropped_lines=%llu",
-      (long long)(now - d->load_logged_ms),
-      (long long)(used_cpu_ms - d->load_cpu_ms), f->n_requests,
-      f->leader.state == LEADER_LEADING, f->fsched ? f->fsched->n_jobs : 0,
-      (unsigned long long)s->starts, (unsigned long long)s->queries,
-      (unsigned long long)s->passes,
-      (unsigned long long)logline_stats ()->dropped);
+  snprintf (line, sizeof line,
+            "event=load over_ms=%lld busy_ms=%lld callers=%d leading=%d "
+            "jobs=%d ready=%d/%d/%d starts=%llu questions=%llu "
+            "passes=%llu dropped_lines=%llu",
+            (long long)over_ms,
+            (long long)(over_ms - (idle_ms - d->load_idle_ms)), f->n_requests,
+            f->leader.state == LEADER_LEADING, fs ? fs->n_jobs : 0,
+            fs ? fs->n_ready[0] : 0, fs ? fs->n_ready[1] : 0,
+            fs ? fs->n_ready[2] : 0, (unsigned long long)s->starts,
+            (unsigned long long)s->queries, (unsigned long long)s->passes,
+            (unsigned long long)logline_stats ()->dropped);
   log_line (line);
   d->load_logged_ms = now;
-  d->load_cpu_ms = used_cpu_ms;
+  d->load_idle_ms = idle_ms;
 }
 
 static void
@@ -478,6 +482,7 @@
   logline_open (d.settings.id);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   d.loop = uv_default_loop ();
+  uv_loop_configure (d.loop, UV_METRICS_IDLE_TIME);
   init_fleet (&d);
   if (!open_all (&d))
     return EX_UNAVAILABLE;
@@ -485,6 +490,7 @@
   uv_timer_init (d.loop, &d.timer);
   d.timer.data = &d;
   uv_timer_start (&d.timer, on_timer, 0, 0);
+  d.load_logged_ms = boottime_ms ();
   log_line ("event=started");
   uv_run (d.loop, UV_RUN_DEFAULT);
   log_line ("event=stopped");
--- a/citronlbd/logline.c
+++ b/citronlbd/logline.c
@@ -14,7 +14,7 @@
 static struct logline_stats stats;
 /* Wall-clock time of the last call of logline_write(), in whole seconds. */
 static int64_t current_second;
-/* Number of calls of logline_write() in the second @current_second. */
+/* Number of lines that were not dropped in the second @current_second. */
 static int lines_in_second;
 /* Value of stats.dropped when an event=log-dropped line was last logged. */
 static uint64_t reported_dropped;
@@ -83,6 +83,14 @@
                         (long long)wall_ms, node_name, line);
 }
 
+/* Returns the number of lines in one second above which @line is dropped. */
+static int
+line_limit (const char *line)
+{
+  return strstr (line, " job=") ? LOGLINE_JOB_LINES_MAX
+                                : LOGLINE_PER_SECOND_MAX;
+}
+
 void
 logline_write (int64_t wall_ms, const char *line)
 {
@@ -100,10 +108,13 @@
           pass_to_log4c (wall_ms, dropped_line);
         }
     }
-  if (++lines_in_second > LOGLINE_PER_SECOND_MAX)
-    stats.dropped++;
-  else
-    pass_to_log4c (wall_ms, line);
+  if (lines_in_second >= line_limit (line))
+    {
+      stats.dropped++;
+      return;
+    }
+  lines_in_second++;
+  pass_to_log4c (wall_ms, line);
 }
 
 void
--- a/citronlbd/logline.h
+++ b/citronlbd/logline.h
@@ -12,6 +12,10 @@
 {
   /* Maximum number of lines per second; further lines are dropped. */
   LOGLINE_PER_SECOND_MAX = 1500,
+  /* Lines about a job are dropped once this many lines were written in the
+     second.  The rest is left for lines about the instance and its
+     dependencies, which are few and explain the others. */
+  LOGLINE_JOB_LINES_MAX = 1400,
   /* Size of the buffer for lines not yet written to standard output; lines
      that do not fit are dropped. */
   LOGLINE_BUFFER_SIZE = 256 << 10,
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -109,6 +109,20 @@
   START_STOPPING,    /* stop orders are sent until the run has ended */
 };
 
+/**
+ * enum urgency_class - how urgent a job is in a placing pass; a lower class is
+ * placed first
+ */
+enum urgency_class
+{
+  URGENCY_ON_TIME, /* the job meets its latency objective if started now */
+  URGENCY_LATE,    /* the job will miss its latency objective */
+  /* The job will be so late that its result has no value, or it exceeds the
+     share of its client account. */
+  URGENCY_LAST,
+  URGENCY_N,
+};
+
 /** struct start - one start of a task on one executor, until its run ends */
 struct start
 {
@@ -215,9 +229,7 @@
   /* When the job must have ended to meet its latency objective. */
   int64_t due_ms;
   int64_t critical_path_ms; /* see job_critical_path_ms() */
-  /* Class in the current placing pass; class 0 is placed first.  See
-     fsched_place.c. */
-  int urgency_class;
+  int urgency_class; /* enum urgency_class, in the current placing pass */
   /* The job was loaded when the term began, so an earlier leader may have
      started tasks of it. */
   bool inherited;
@@ -484,7 +496,10 @@
   bool short_adviser_free;    /* an instance is free for a short query */
   bool long_adviser_free;     /* an instance is free for a long query */
   int64_t next_exec_sweep_ms; /* time of the next check of all executors */
-  int64_t next_trim_ms;    /* earliest time of the next fsched_trim_jobs() */
+  int64_t next_trim_ms; /* earliest time of the next fsched_trim_jobs() */
+  /* Number of jobs with unplaced tasks at the last placing pass, by enum
+     urgency_class. */
+  int n_ready[URGENCY_N];
   struct job **ready_jobs; /* scratch array of a placing pass, owned */
   int ready_jobs_cap;      /* number of entries that ready_jobs has room for */
 };
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -240,11 +240,7 @@
     }
 }
 
-/*
- * Returns the urgency class of a job: 0 if it meets its latency objective when
- * started now, 1 if it will be late, 2 if it will be so late that its result
- * has no value, or if it exceeds the share of its client account.
- */
+/* Returns the enum urgency_class of a job. */
 static int
 job_urgency_class (const struct fsched *fs, const struct job *j)
 {
@@ -253,8 +249,9 @@
 
   if (j->over_share
       || fs->now_ms + remaining_ms > j->due_ms + 2 * objective_ms)
-    return 2;
-  return fs->now_ms + remaining_ms > j->due_ms ? 1 : 0;
+    return URGENCY_LAST;
+  return fs->now_ms + remaining_ms > j->due_ms ? URGENCY_LATE
+                                               : URGENCY_ON_TIME;
 }
 
 /* Compares jobs for qsort(): by urgency class, then priority 0 before all
@@ -344,10 +341,12 @@
       if (!fs->ready_jobs)
         abort ();
     }
+  memset (fs->n_ready, 0, sizeof fs->n_ready);
   TAILQ_FOREACH (j, &fs->queue, link)
     if (has_unplaced_tasks (j))
       {
         j->urgency_class = job_urgency_class (fs, j);
+        fs->n_ready[j->urgency_class]++;
         fs->ready_jobs[n++] = j;
       }
   fs->next_pass_ms = fs->now_ms + PASS_GAP_MS;
--- a/regress/process/fleetlog.sh
+++ b/regress/process/fleetlog.sh
@@ -67,6 +67,7 @@
 
 # 8001 requests with an unknown key, as fast as they are answered.
 before=$(wc -l <"$dir/1.log")
+loads_before=$(grep -c 'event=load ' "$dir/1.log")
 begin=$(date +%s)
 curl -s --no-progress-meter -Z --parallel-max 40 -o /dev/null -H 'Key: none' \
 	"http://$NET.1:8183/q/0000000000[100000-108000]" &
@@ -75,6 +76,16 @@
 check "the instance is ready during a flood of requests" 200 \
 	"$(status "http://$NET.1:8184/api/readiness")"
 wait $flood
+sleep 1.2
+loads=$(($(grep -c 'event=load ' "$dir/1.log") - loads_before))
+check "the load of the instance is logged during a flood of requests" yes \
+	"$([ $loads -ge $(($(date +%s) - begin - 1)) ] && echo yes ||
+	echo "$loads lines")"
+check "the time for which the event loop was busy is part of the load" yes \
+	"$(awk -F '[ =]' '/event=load / {
+		for (i = 1; i < NF; i++) v[$i] = $(i + 1)
+		if (("busy_ms" in v) && v["busy_ms"] + 0 < v["over_ms"] + 0) idle = 1 }
+	END { print idle ? "yes" : "no" }' "$dir/1.log")"
 seconds=$(($(date +%s) - begin + 2))
 lines=$(($(wc -l <"$dir/1.log") - before))
 # 7 refusals came before the 8001 of the flood.
