Placing passes stop while 64 starts are pending

Cause: one pass placed all that fitted. The queue stood in sockets, where it has no order. Change: a pass ends while 64 starts that it or an earlier pass placed are not answered; the rest waits in the scheduler, by urgency. Starts that wait for a slow table count for 40 ms, those to silent executors for 250 ms. Why this works: work is handed out as fast as the leader carries it out, so an urgent job waits for 64 starts at most.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -336,14 +336,15 @@
     return;
   snprintf (line, sizeof line,
             "event=load over_ms=%lld busy_ms=%lld callers=%d leading=%d "
-            "jobs=%d ready=%d/%d/%d starts=%llu questions=%llu "
+            "jobs=%d ready=%d/%d/%d pending=%d starts=%llu questions=%llu "
             "passes=%llu dropped_lines=%llu",
             (long long)over_ms,
             (long long)(over_ms - (idle_ms - d->load_idle_ms)), f->n_requests,
             f->leader.state == LEADER_LEADING, fs ? fs->n_jobs : 0,
             fs ? fs->n_ready[0] : 0, fs ? fs->n_ready[1] : 0,
-            fs ? fs->n_ready[2] : 0, (unsigned long long)s->starts,
-            (unsigned long long)s->queries, (unsigned long long)s->passes,
+            fs ? fs->n_ready[2] : 0, fs ? fs->n_pending_starts : 0,
+            (unsigned long long)s->starts, (unsigned long long)s->queries,
+            (unsigned long long)s->passes,
             (unsigned long long)logline_stats ()->dropped);
   log_line (line);
   d->load_logged_ms = now;
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -80,6 +80,16 @@
   /* Length of an executor's first quarantine; each further quarantine lasts
      twice as long as the one before. */
   FSCHED_QUARANTINE_MS = 4000,
+  /* Number of pending starts at which a placing pass ends.  Further work waits
+     in the order of its urgency, not behind the orders that the leader still
+     has to send and the answers that it has to process. */
+  FSCHED_PENDING_STARTS_MAX = 64,
+  /* A start whose order is not sent counts as pending for this long: when the
+     table service is slow, one write records many starts. */
+  FSCHED_PENDING_UNSENT_MS = 40,
+  /* A start whose order is not answered counts as pending for this long, so
+     that silent executors do not stop the placing of tasks. */
+  FSCHED_PENDING_UNANSWERED_MS = 250,
   /* Number of rows in the ring of intents: enough for 10 s at 25 writes/s. */
   INTENT_ROWS = 256,
 };
@@ -152,6 +162,7 @@
   /* An earlier leader started the run, and its executor has not answered this
      leader yet. */
   bool inherited;
+  bool pending;          /* the start counts in fsched::n_pending_starts */
   struct intent *intent; /* the record of the start; NULL: none */
   /* Name of the latest checkpoint that the executor reported; empty: none. */
   char checkpoint[JOB_CHECKPOINT_SIZE];
@@ -492,6 +503,9 @@
   struct intents intents;
   bool roster_dirty;   /* the roster must be recorded */
   bool roster_writing; /* the roster is in the outstanding write */
+  /* Number of starts by this leader that were placed or sent recently and are
+     not answered; see FSCHED_PENDING_STARTS_MAX. */
+  int n_pending_starts;
   int queries_left; /* advice queries that the current pass may still send */
   bool short_adviser_free;    /* an instance is free for a short query */
   bool long_adviser_free;     /* an instance is free for a long query */
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -170,7 +170,10 @@
  */
 void start_result (struct fsched *fs, struct start *r, int kind,
                    const struct order_result *res);
-/** start_tick() - Send a stop order for the run if one is due. */
+/**
+ * start_tick() - Send a stop order for the run if one is due, and end the time
+ * for which the start counts as pending.
+ */
 void start_tick (struct fsched *fs, struct start *r);
 
 /* Functions of fsched_exec.c. */
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -358,7 +358,8 @@
   fs->queries_left = FSCHED_PASS_QUERIES;
   advice_begin_pass (fs);
   qsort (fs->ready_jobs, (size_t)n, sizeof (struct job *), compare_urgency);
-  for (int i = 0; i < n; i++)
+  for (int i = 0; i < n && fs->n_pending_starts < FSCHED_PENDING_STARTS_MAX;
+       i++)
     {
       if (i % CAPACITY_CHECK_JOBS == 0 && !has_free_capacity (fs))
         break;
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -36,6 +36,19 @@
   t->used.accels += sign * s->need.accels;
 }
 
+/* Counts a start as pending, or no longer.  The next placing pass is due when
+   the number of pending starts falls below its maximum. */
+static void
+set_pending (struct fsched *fs, struct start *r, bool pending)
+{
+  if (r->pending == pending)
+    return;
+  r->pending = pending;
+  fs->n_pending_starts += pending ? 1 : -1;
+  if (!pending && fs->n_pending_starts == FSCHED_PENDING_STARTS_MAX - 1)
+    fs->pass_due = true;
+}
+
 void
 start_mark_job_started (struct job *j)
 {
@@ -67,6 +80,7 @@
   j->n_runs++;
   if (state != START_INTENT)
     start_mark_job_started (j);
+  set_pending (fs, r, state == START_INTENT);
   j->steps[step].n_running++;
   j->steps[step].n_queries = 0;
   TAILQ_INSERT_TAIL (&e->runs, r, exec_link);
@@ -110,6 +124,7 @@
             r->state);
   fsched_keep_checkpoint (j, step, index, r->checkpoint);
   adjust_use (fs, r, -1);
+  set_pending (fs, r, false);
   intent_ended (fs, r);
   TAILQ_REMOVE (&r->exec->runs, r, exec_link);
   start_get_task (r)->run = NULL;
@@ -155,6 +170,7 @@
   if (r->exec->index < s->n_permits && s->permits[r->exec->index].ticket)
     clb_copy (o->ticket, s->permits[r->exec->index].ticket, sizeof o->ticket);
   fs->stats->starts += r->tries++ == 0;
+  set_pending (fs, r, true);
   out_line (fs->out,
             "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
             "lease_ms=%d saved=%s used=%lld/%lld contact_age_ms=%lld",
@@ -197,9 +213,21 @@
   start_tick (fs, r);
 }
 
+/* Ends the time for which a start without an answer counts as pending. */
+static void
+expire_pending (struct fsched *fs, struct start *r)
+{
+  int64_t limit_ms = r->state == START_INTENT ? FSCHED_PENDING_UNSENT_MS
+                                              : FSCHED_PENDING_UNANSWERED_MS;
+
+  if (r->pending && fs->now_ms - r->sent_ms >= limit_ms)
+    set_pending (fs, r, false);
+}
+
 void
 start_tick (struct fsched *fs, struct start *r)
 {
+  expire_pending (fs, r);
   /* No stop order is sent while the start order is unanswered: the stop could
      reach the executor first, and the leader would not notice. */
   if (r->state != START_STOPPING || r->order_id || r->stop_acked_ms
@@ -286,6 +314,7 @@
   bool acked = r->start_acked_ms;
 
   r->order_id = 0;
+  set_pending (fs, r, false);
   if (exec_detect_reboot (fs, r->exec, res->clock_ms) && acked)
     return;
   if (kind == ORDER_START)
--- a/regress/fleet/load.lua
+++ b/regress/fleet/load.lua
@@ -48,3 +48,50 @@
   end
   expect(n_unfinished == 0, n_unfinished .. " of " .. #sent .. " not completed")
 end)
+
+-- Submits a quick job every 40 ms for the given time in ms.
+--
+-- Return: share of the jobs whose tasks were all reported as done within their
+-- latency objective.
+local function share_in_time(first, for_ms, run_ms, objective_ms)
+  local n, waiting, in_time = 0, {}, 0
+  for t = 0, for_ms + 3000, 20 do
+    if t < for_ms and t % 40 == 0 then
+      local job_id = id(first + n)
+      job{id = job_id, queue = "quick", advice_base_us = 5600,
+          advice_per_exec_us = 80,
+          steps = {{tasks = 2, cpu = 500, ms = run_ms}}}
+      submit((leader() + 1 + n % 3) % 6, job_id)
+      waiting[#waiting + 1] = {id = job_id, at = now()}
+      n = n + 1
+    end
+    run(20)
+    for i = #waiting, 1, -1 do
+      local _, _, done0 = task(waiting[i].id, 0, 0)
+      local _, _, done1 = task(waiting[i].id, 0, 1)
+      if done0 and done1 then
+        if now() - waiting[i].at <= objective_ms then in_time = in_time + 1 end
+        table.remove(waiting, i)
+      end
+    end
+  end
+  return in_time / n
+end
+
+-- A new leader finds 3000 tasks that fit at once.  Each order and each answer
+-- takes it 0.3 ms of CPU time, so it needs some three seconds for their starts.
+scenario("quick jobs meet their objective while a new leader starts a backlog",
+  function()
+  start_fleet{instances = 6, execs = 60, cores = 32, permitted_percent = 70}
+  for i = 0, 5 do instance(i, "io-cost", 0.3) end
+  instance(leader(), "kill")
+  for n = 1, 100 do
+    job{id = id(n), queue = "many", advice_base_us = 0, advice_per_exec_us = 0,
+        steps = {{tasks = 30, cpu = 500, ms = 8000}}}
+    submit(1 + n % 5, id(n))
+    run(10)
+  end
+  while leader() < 0 do run(10) end
+  local share = share_in_time(1000, 3000, 640, 250 + 1.5 * 640)
+  expect(share >= 0.9, string.format("%.2f are in time", share))
+end)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -366,14 +366,14 @@
   struct fsim_instance *in = s->inst[d->inst];
 
   if (in->up && in->incarnation == d->incarnation
-      && in->frozen_until_ms > s->now_ms)
+      && fsim_hold_input (s, d->inst) > 0)
     {
-      fsim_schedule (s, in->frozen_until_ms - s->now_ms + 1, deliver_result,
-                     d);
+      fsim_schedule (s, fsim_hold_input (s, d->inst), deliver_result, d);
       return;
     }
   if (in->up && in->incarnation == d->incarnation && !d->drop_result)
     {
+      fsim_charge_io (s, d->inst);
       fleet_order_result (&in->fleet, s->now_ms, &d->order, &d->res);
       fsim_process_outputs (s, d->inst);
     }
@@ -494,11 +494,12 @@
 {
   struct fexec *e = find_exec (s, o->exec);
   struct order_delivery *d = order_delivery_new (s, i, o);
+  int64_t sent_in_ms = fsim_busy_ms (s, i);
 
   if (!e || e->refuses_connections)
     {
       d->res.outcome = ORDER_UNREACHED;
-      fsim_schedule (s, FSIM_LINK_MS, deliver_result, d);
+      fsim_schedule (s, sent_in_ms + FSIM_LINK_MS, deliver_result, d);
       return;
     }
   if (o->kind != ORDER_POLL && fsim_random (s) < e->delayed_order_share)
@@ -512,7 +513,8 @@
       fsim_schedule (s, o->timeout_ms, deliver_result, d);
       return;
     }
-  fsim_schedule (s, FSIM_LINK_MS, deliver_order, d);
+  d->poll_deadline_ms += sent_in_ms;
+  fsim_schedule (s, sent_in_ms + FSIM_LINK_MS, deliver_order, d);
 }
 
 /* Return: true if the advice service permits executor @exec for the step.  The
@@ -558,9 +560,10 @@
   double cost_ms = j ? j->spec.advice.base_ms
                            + j->spec.advice.per_exec_ms * (double)o->n_execs
                      : 1;
-  int64_t begin_ms = in->advice_busy_until_ms > s->now_ms
+  int64_t sent_ms = s->now_ms + fsim_busy_ms (s, i);
+  int64_t begin_ms = in->advice_busy_until_ms > sent_ms
                          ? in->advice_busy_until_ms
-                         : s->now_ms;
+                         : sent_ms;
 
   s->n_advice_queries++;
   in->advice_busy_until_ms = begin_ms + (int64_t)cost_ms;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -211,6 +211,11 @@
   /* The advice service is working on the instance's earlier queries until
      this time. */
   int64_t advice_busy_until_ms;
+  /* CPU time of each input and each output of the process, in microseconds. */
+  int64_t io_cost_us;
+  /* The process handles earlier inputs and outputs until this time, in
+     microseconds of simulated time. */
+  int64_t busy_until_us;
   /* Added to the simulated wall clock to give the instance's wall clock. */
   int64_t clock_offset_ms;
   /* Incremented at each start and each kill of a process.  A message that was
@@ -288,6 +293,18 @@
 void fsim_kill_instance (struct fsim *s, int i);
 /** fsim_process_outputs() - Execute the pending outputs of instance @i. */
 void fsim_process_outputs (struct fsim *s, int i);
+/**
+ * fsim_busy_ms() - Return: the time for which instance @i is still busy with
+ * earlier inputs and outputs, in ms, rounded up.
+ */
+int64_t fsim_busy_ms (const struct fsim *s, int i);
+/** fsim_charge_io() - Let one input or output of instance @i use CPU time. */
+void fsim_charge_io (struct fsim *s, int i);
+/**
+ * fsim_hold_input() - Return: time in ms after which an input of instance @i
+ * can be handled, because the process is frozen or busy; 0: now.
+ */
+int64_t fsim_hold_input (const struct fsim *s, int i);
 /** fsim_find_job() - Return: the job with this id, or NULL. */
 struct fjob *fsim_find_job (struct fsim *s, const char *id);
 /** fsim_leader() - Return: index of the leading instance, -1 if none leads. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -132,6 +132,34 @@
          && e->partitioned_until_ms <= s->now_ms;
 }
 
+int64_t
+fsim_busy_ms (const struct fsim *s, int i)
+{
+  int64_t us = s->inst[i]->busy_until_us - 1000 * s->now_ms;
+
+  return us > 0 ? (us + 999) / 1000 : 0;
+}
+
+void
+fsim_charge_io (struct fsim *s, int i)
+{
+  struct fsim_instance *in = s->inst[i];
+
+  if (in->busy_until_us < 1000 * s->now_ms)
+    in->busy_until_us = 1000 * s->now_ms;
+  in->busy_until_us += in->io_cost_us;
+}
+
+int64_t
+fsim_hold_input (const struct fsim *s, int i)
+{
+  const struct fsim_instance *in = s->inst[i];
+
+  if (in->frozen_until_ms > s->now_ms)
+    return in->frozen_until_ms - s->now_ms + 1;
+  return fsim_busy_ms (s, i);
+}
+
 /* Functions for struct fleet_codec, which read and write documents.  In the
    simulation, documents are lines of words instead of the platform's JSON. */
 
@@ -270,8 +298,8 @@
   return -1;
 }
 
-/* Passes a message to its receiver and frees the delivery.  A frozen receiver
-   gets the message when its freeze is over. */
+/* Passes a message to its receiver and frees the delivery.  A frozen or busy
+   receiver gets the message afterwards. */
 static void
 deliver_mesh_msg (struct fsim *s, void *arg)
 {
@@ -279,15 +307,15 @@
   struct fsim_instance *in = s->inst[d->receiver];
 
   if (in->up && in->incarnation == d->incarnation
-      && in->frozen_until_ms > s->now_ms)
+      && fsim_hold_input (s, d->receiver) > 0)
     {
-      fsim_schedule (s, in->frozen_until_ms - s->now_ms + 1, deliver_mesh_msg,
-                     d);
+      fsim_schedule (s, fsim_hold_input (s, d->receiver), deliver_mesh_msg, d);
       return;
     }
   if (in->up && in->incarnation == d->incarnation
       && in->partitioned_until_ms <= s->now_ms)
     {
+      fsim_charge_io (s, d->receiver);
       fleet_mesh_msg (&in->fleet, s->now_ms, d->msg);
       fsim_process_outputs (s, d->receiver);
     }
@@ -312,7 +340,8 @@
   d->receiver = receiver;
   d->incarnation = s->inst[receiver]->incarnation;
   d->msg = m;
-  fsim_schedule (s, FSIM_LINK_MS, deliver_mesh_msg, d);
+  fsim_schedule (s, fsim_busy_ms (s, from) + FSIM_LINK_MS, deliver_mesh_msg,
+                 d);
 }
 
 /* Stores the answer to a caller's request in fsim::calls. */
@@ -335,6 +364,8 @@
 
   while ((o = fleet_next_out (&in->fleet)))
     {
+      if (o->kind != OUT_LOG_LINE)
+        fsim_charge_io (s, i);
       switch (o->kind)
         {
         case OUT_ANSWER:
@@ -385,6 +416,11 @@
     }
   if (in->frozen && s->now_ms >= in->frozen_until_ms)
     in->frozen = false;
+  if (!in->frozen && fsim_busy_ms (s, t->inst) > 0)
+    {
+      fsim_schedule (s, fsim_busy_ms (s, t->inst), on_instance_timer, t);
+      return;
+    }
   if (!in->frozen)
     {
       fleet_tick (&in->fleet, s->now_ms,
@@ -417,6 +453,7 @@
   fleet_init (&in->fleet, &settings, s->now_ms);
   in->up = true;
   in->frozen = false;
+  in->busy_until_us = 0;
   in->incarnation++;
   t->inst = i;
   t->incarnation = in->incarnation;
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -193,8 +193,8 @@
     }
 }
 
-/* Passes the reply to the instance and frees the call.  A frozen instance
-   gets the reply when its freeze is over. */
+/* Passes the reply to the instance and frees the call.  A frozen or busy
+   instance gets the reply afterwards. */
 static void
 deliver_reply (struct fsim *s, void *arg)
 {
@@ -202,13 +202,14 @@
   struct fsim_instance *in = s->inst[q->inst];
 
   if (in->up && in->incarnation == q->incarnation
-      && in->frozen_until_ms > s->now_ms)
+      && fsim_hold_input (s, q->inst) > 0)
     {
-      fsim_schedule (s, in->frozen_until_ms - s->now_ms + 1, deliver_reply, q);
+      fsim_schedule (s, fsim_hold_input (s, q->inst), deliver_reply, q);
       return;
     }
   if (in->up && in->incarnation == q->incarnation)
     {
+      fsim_charge_io (s, q->inst);
       fleet_store_reply (&in->fleet, s->now_ms, q->token, &q->rep);
       fsim_process_outputs (s, q->inst);
     }
@@ -295,7 +296,7 @@
 {
   struct ftable *t = &s->table;
   struct table_call *q = table_call_new (s, i, token, op);
-  int64_t delay_ms = FSIM_LINK_MS;
+  int64_t delay_ms = fsim_busy_ms (s, i) + FSIM_LINK_MS;
   bool write = op->kind == STORE_TXN;
 
   t->n_calls++;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -248,6 +248,8 @@
    stop             orders the process to stop
    freeze           the process makes no progress for ms
    clock            sets the instance's wall clock ahead of the others by ms
+   io-cost          from now on, each input and each output of the instance's
+                    processes takes ms of CPU time; a fraction is possible
    partition        no message between the instance and other instances or
                     executors arrives for ms
    partition-store  the instance's calls to the table get no answer for ms
@@ -274,6 +276,8 @@
       in->frozen = true;
       in->frozen_until_ms = until;
     }
+  else if (strcmp (what, "io-cost") == 0)
+    in->io_cost_us = (int64_t)(1000 * luaL_checknumber (l, 3));
   else if (strcmp (what, "clock") == 0)
     in->clock_offset_ms = until - sim->now_ms;
   else if (strcmp (what, "partition") == 0)
