A weak leader yields to a stronger instance

Cause: while the table was slow the leader could not renew for 5.6 s, and of all instances that claimed one with 0.12 cores and 10 Mbit/s won. Claims are ordered by strength with steps of 100 ms, less than one slow answer. Once it led nothing took the lead from it: it had not loaded when it lost it 12 s later, while at least four instances of 0.5 cores ran. Change: a leader gives up leadership when a follower with twice its share of a core or more says hello and has reached the table lately. The stronger ones claim first, as after a planned stop. Why this works: whoever wins the race, the lead moves to an instance that can carry it at its next hello, 0.4 s, and before the loading if that is slow.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -587,6 +587,27 @@
   r->table_age_ms = f->now_ms - a->table_contact_ms;
 }
 
+/* Returns whether the follower that sent hello @m can lead the fleet so much
+   better than this instance that a change of the leader is worth the time. */
+static bool
+should_yield (const struct fleet *f, const struct mesh_msg *m)
+{
+  return f->settings.millicores > 0
+         && m->millicores >= LEADER_YIELD_FACTOR * f->settings.millicores
+         && m->table_age_ms < FLEET_PEER_FRESH_MS && !f->leader.stopping
+         && !f->leader.yielding;
+}
+
+/* Gives up leadership in favour of the follower that sent hello @m. */
+static void
+yield_lead (struct fleet *f, const struct mesh_msg *m)
+{
+  out_line (&f->out, "event=lead-yielded epoch=%lld to=%s millicores=%lld",
+            (long long)f->leader.epoch, m->from, (long long)m->millicores);
+  drop_scheduler (f);
+  leader_yield (&f->leader, f->now_ms);
+}
+
 /* Handles a follower's hello.  Only the leader replies to it. */
 static void
 handle_hello (struct fleet *f, const struct mesh_msg *m)
@@ -596,6 +617,11 @@
 
   if (f->leader.state != LEADER_LEADING)
     return;
+  if (should_yield (f, m))
+    {
+      yield_lead (f, m);
+      return;
+    }
   if (f->fsched)
     {
       fsched_adviser_seen (f->fsched, m->from, m->addr, m->millicores,
--- a/core/leader.c
+++ b/core/leader.c
@@ -241,7 +241,8 @@
 void
 leader_tick (struct leader *l, int64_t now_ms)
 {
-  if (l->state == LEADER_LEADING && l->stopping && !l->write && !l->token)
+  if (l->state == LEADER_LEADING && (l->stopping || l->yielding) && !l->write
+      && !l->token)
     write_release (l, now_ms);
   /* A write can safely be sent twice, as it is conditional: one send takes
      effect, and the other one fails and returns the value that the first one
@@ -315,6 +316,8 @@
   clb_copy (l->holder_addr, l->addr, sizeof l->holder_addr);
   l->holder_boot = l->boot;
   l->released = false;
+  l->releasing = false;
+  l->yielding = false;
   discard_write (l);
   return LEADER_ELECTED;
 }
@@ -459,8 +462,8 @@
 bool
 leader_can_write (const struct leader *l, int64_t now_ms)
 {
-  return l->state == LEADER_LEADING && !l->stopping && !l->write && !l->token
-         && now_ms >= l->next_ms;
+  return l->state == LEADER_LEADING && !l->stopping && !l->yielding
+         && !l->write && !l->token && now_ms >= l->next_ms;
 }
 
 bool
@@ -492,10 +495,18 @@
   leader_tick (l, now_ms);
 }
 
+void
+leader_yield (struct leader *l, int64_t now_ms)
+{
+  l->yielding = true;
+  l->rank = LEADER_RANK_MAX;
+  leader_tick (l, now_ms);
+}
+
 bool
 leader_may_order (const struct leader *l, int64_t now_ms)
 {
-  return l->state == LEADER_LEADING && !l->stopping
+  return l->state == LEADER_LEADING && !l->stopping && !l->yielding
          && now_ms - l->renewed_ms < LEADER_MAY_ORDER_MS;
 }
 
--- a/core/leader.h
+++ b/core/leader.h
@@ -79,6 +79,9 @@
   LEADER_WATCHERS = 3,
   /* Maximum number of stronger followers for which a claim is delayed. */
   LEADER_RANK_MAX = 6,
+  /* A leader gives up leadership to a follower whose share of a core is larger
+     than its own by at least this factor. */
+  LEADER_YIELD_FACTOR = 2,
 };
 
 /* Name of the part of the tables to which the leader writes.  One transaction
@@ -175,6 +178,7 @@
      write is known; NULL: no write is in progress. */
   struct store_op *write;
   bool stopping;  /* true: leader_release() was called */
+  bool yielding;  /* true: leader_yield() was called in this term */
   bool releasing; /* true: the write in progress gives up leadership */
 };
 
@@ -236,6 +240,10 @@
  * claim leadership again. */
 void leader_release (struct leader *l, int64_t now_ms);
 
+/** leader_yield() - Give up leadership, if this instance leads, in favour of
+ * stronger instances.  This instance may claim again, after all others. */
+void leader_yield (struct leader *l, int64_t now_ms);
+
 /** leader_may_order() - Return true if this instance may give orders to
  * executors. */
 bool leader_may_order (const struct leader *l, int64_t now_ms);
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -211,3 +211,28 @@
   run(4000)
   expect_completed(1, 4, other_instance(l))
 end)
+
+scenario("a leader with a small share of a core yields to a stronger instance",
+  function()
+  start_fleet{instances = 4}
+  instance(0, "cpu-share", 500)
+  instance(1, "cpu-share", 500)
+  instance(2, "cpu-share", 120)
+  instance(3, "cpu-share", 120)
+  run(4000)
+  expect(leader() == 0 or leader() == 1, "no strong instance leads at first")
+  instance(0, "partition-store", 6000)
+  instance(1, "partition-store", 6000)
+  instance(0, "partition", 6000)
+  instance(1, "partition", 6000)
+  run(5500)
+  expect(leader() == 2 or leader() == 3, "no instance leads in the partition")
+  for n = 1, 6 do
+    job{id = id(n), steps = {{tasks = 3, ms = 2500, cpu = 2000}}}
+    submit(2 + n % 2, id(n))
+  end
+  run(4000)
+  expect(leader() == 0 or leader() == 1, "a weak instance still leads")
+  run(3000)
+  expect_completed(1, 6, 2)
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -221,6 +221,9 @@
   /* The process handles earlier inputs and outputs until this time, in
      microseconds of simulated time. */
   int64_t busy_until_us;
+  /* Share of a core that the next process of the instance has, in thousandths;
+     0: not known to the process. */
+  int64_t millicores;
   /* Added to the simulated wall clock to give the instance's wall clock. */
   int64_t clock_offset_ms;
   /* Incremented at each start and each kill of a process.  A message that was
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -255,6 +255,8 @@
    partition        no message between the instance and other instances or
                     executors arrives for ms
    partition-store  the instance's calls to the table get no answer for ms
+   cpu-share        ends the process and starts one that has ms thousandths of
+                    a core
    refuse-store     the table refuses the instance's calls for ms */
 static int
 verb_instance (lua_State *l)
@@ -288,6 +290,12 @@
     in->partitioned_until_ms = until;
   else if (strcmp (what, "partition-store") == 0)
     in->store_partitioned_until_ms = until;
+  else if (strcmp (what, "cpu-share") == 0)
+    {
+      in->millicores = luaL_checkinteger (l, 3);
+      fsim_kill_instance (sim, i);
+      fsim_start_instance (sim, i);
+    }
   else if (strcmp (what, "refuse-store") == 0)
     in->store_refused_until_ms = until;
   return 0;
