A leader with a slow link loads in smaller pages

Cause: the eight parts of the table of jobs are listed in parallel, 500 rows or 1 MB a call. Over 10 Mbit/s eight such answers take 6 s, each call times out after 2.5 s, and the same eight calls were sent again, for ever. The same holds for the records that are read before. Why this works: the answers shrink until they arrive in time.

--- a/core/fleet.h
+++ b/core/fleet.h
@@ -276,8 +276,9 @@
 {
   /* Token of the outstanding call to the table service; 0: none. */
   uint64_t token;
-  char *after;   /* owned: last key read so far; NULL: none */
-  bool complete; /* true: all records of the kind have been read */
+  char *after;       /* owned: last key read so far; NULL: none */
+  int64_t page_rows; /* number of rows that the next call lists */
+  bool complete;     /* true: all records of the kind have been read */
 };
 
 /** struct fleet - one instance on the fleet */
--- a/core/fleet_load.c
+++ b/core/fleet_load.c
@@ -34,6 +34,8 @@
 fleet_load_start (struct fleet *f)
 {
   fleet_load_stop (f);
+  for (int i = 0; i < FLEET_LOAD_N; i++)
+    f->loads[i].page_rows = FOLLOW_PAGE_ROWS;
   f->loading = true;
   f->load_retry_ms = f->now_ms;
 }
@@ -50,6 +52,7 @@
   o->u.store.op.kind = kind == FLEET_LOAD_ROSTER ? STORE_GET : STORE_LIST;
   o->u.store.op.key = strdup (load_keys[kind]);
   o->u.store.op.after = l->after ? strdup (l->after) : NULL;
+  o->u.store.op.limit = l->page_rows;
 }
 
 void
@@ -147,6 +150,8 @@
       if (!token || f->loads[i].token != token)
         continue;
       f->loads[i].token = 0;
+      f->loads[i].page_rows
+          = follow_smaller_page (f->loads[i].page_rows, rep->err);
       if (rep->err && rep->err != CLB_ENOTFOUND)
         f->load_retry_ms = f->now_ms + RETRY_DELAY_MS;
       else
--- a/core/follow.c
+++ b/core/follow.c
@@ -40,11 +40,20 @@
     }
 }
 
+int64_t
+follow_smaller_page (int64_t rows, int64_t err)
+{
+  if (err != CLB_EOUTCOME || rows <= FOLLOW_PAGE_ROWS_MIN)
+    return rows;
+  return rows / 2 > FOLLOW_PAGE_ROWS_MIN ? rows / 2 : FOLLOW_PAGE_ROWS_MIN;
+}
+
 void
 follow_start (struct table_follower *f, int64_t now_ms)
 {
   restart_listing (f);
   f->active = true;
+  f->page_rows = FOLLOW_PAGE_ROWS;
   f->token = 0;
   f->next_ms = now_ms;
 }
@@ -86,6 +95,7 @@
   op->kind = STORE_LIST;
   op->key = strdup (prefix);
   op->after = l->last_key ? strdup (l->last_key) : NULL;
+  op->limit = f->page_rows;
 }
 
 /* Sends a call of the feed that reads the changes since version f->ver. */
@@ -188,6 +198,8 @@
     }
   if (rep->err || !use_rows)
     {
+      if (l)
+        f->page_rows = follow_smaller_page (f->page_rows, rep->err);
       f->next_ms = now_ms + FOLLOW_RETRY_MS;
       return FOLLOW_NONE;
     }
--- a/core/follow.h
+++ b/core/follow.h
@@ -13,6 +13,12 @@
 {
   FOLLOW_RETRY_MS = 150, /* pause after a failed call to the table service */
   FOLLOW_PARTS_MAX = 8,  /* maximum number of parts of a table */
+  /* Number of rows that one call lists at first.  The pages of all parts are
+     read in parallel, and an instance with a slow link must receive them
+     before the calls time out. */
+  FOLLOW_PAGE_ROWS = 100,
+  /* Smallest number of rows that one call lists. */
+  FOLLOW_PAGE_ROWS_MIN = 10,
 };
 
 /** enum follow_event - what an answer of the table service holds */
@@ -54,6 +60,7 @@
   int64_t batch_ms;
   struct outq *out;     /* borrowed: queue of calls to be sent */
   uint64_t *last_token; /* borrowed: last token given to a call */
+  int64_t page_rows;    /* number of rows that the next call lists */
   bool active;          /* true between follow_start() and follow_stop() */
   bool listed; /* true: all parts have been listed, and the feed is read */
   struct part_listing listings[FOLLOW_PARTS_MAX]; /* indexed by part */
@@ -78,6 +85,14 @@
  */
 void follow_init (struct table_follower *f, const char *table, int parts,
                   int64_t wait_ms, struct outq *out, uint64_t *last_token);
+/**
+ * follow_smaller_page() - Return the number of rows to list next after a call
+ * for @rows rows failed with @err.
+ *
+ * A call without an answer may have asked for more than the link transfers in
+ * time, so that the same call would fail again.
+ */
+int64_t follow_smaller_page (int64_t rows, int64_t err);
 /** follow_start() - Begin, or begin again, to list the table. */
 void follow_start (struct table_follower *f, int64_t now_ms);
 /** follow_stop() - Stop following the table; answers to outstanding calls are
--- a/core/msg.c
+++ b/core/msg.c
@@ -188,6 +188,7 @@
   FLD_ARRAY (struct store_op, puts, n_puts, &put_desc, NUMBER_MAX),
   FLD_INT (struct store_op, since, 0, INT64_MAX),
   FLD_INT (struct store_op, wait_ms, 0, DURATION_MS_MAX),
+  FLD_INT (struct store_op, limit, 0, NUMBER_MAX),
 };
 DESC (store_op_desc, struct store_op, store_op_fields);
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -290,6 +290,9 @@
   /* For STORE_FEED: version up to which the caller knows the changes. */
   int64_t since;
   int64_t wait_ms; /* for STORE_FEED: longest wait for a change */
+  /* For STORE_LIST: largest number of rows to read; 0: as many as the service
+     returns in one answer. */
+  int64_t limit;
 };
 extern const struct desc store_op_desc;
 
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -212,6 +212,23 @@
   expect_completed(1, 4, other_instance(l))
 end)
 
+-- The instances receive at most 60 rows of the table before a call times out.
+-- Each of the eight parts of the table of jobs has 75 rows.
+scenario("a new leader with a slow link finishes loading", function()
+  start_fleet{execs = 20}
+  for n = 1, 600 do
+    job{id = id(n), steps = {{tasks = 1, ms = 300}}}
+    submit(n % 3, id(n))
+    if n % 10 == 0 then run(20) end
+  end
+  local l = leader()
+  for i = 0, 2 do instance(i, "slow-link", 60) end
+  instance(l, "kill")
+  run(5000)
+  expect(leader() >= 0, "no instance has loaded within 5 s")
+  expect_completed(590, 600, leader())
+end)
+
 scenario("a leader with a small share of a core yields to a stronger instance",
   function()
   start_fleet{instances = 4}
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -205,6 +205,9 @@
   int64_t store_partitioned_until_ms;
   /* The table refuses the instance's calls until this time. */
   int64_t store_refused_until_ms;
+  /* Replies of the table with more rows time out before the instance has
+     received them; 0: no limit. */
+  size_t reply_rows_max;
   /* The instance reaches no other instance and no executor until this time.
    */
   int64_t partitioned_until_ms;
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -4,6 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  LIST_ROWS_MAX = 500, /* largest number of rows in the reply to a list */
+};
+
 /* struct table_call - a call of an instance to the table, and the reply */
 struct table_call
 {
@@ -113,7 +118,7 @@
     {
       if (op->after && strcmp (r->key, op->after) == 0)
         continue;
-      if (rep->n_rows == 500)
+      if (rep->n_rows == (op->limit ? (size_t)op->limit : LIST_ROWS_MAX))
         {
           rep->more = true;
           return;
@@ -245,6 +250,9 @@
   struct table_call *q = arg;
 
   ftable_apply (&s->table, &q->op, &q->rep);
+  q->drop_reply = q->drop_reply
+                  || (s->inst[q->inst]->reply_rows_max
+                      && q->rep.n_rows > s->inst[q->inst]->reply_rows_max);
   if (q->op.kind == STORE_FEED && q->rep.err == 0 && q->rep.n_rows == 0
       && s->now_ms < q->feed_deadline_ms)
     fsim_schedule (s, 5, execute_call, q);
@@ -272,6 +280,7 @@
   to->after = op->after ? strdup (op->after) : NULL;
   to->since = op->since;
   to->wait_ms = op->wait_ms;
+  to->limit = op->limit;
   for (size_t i = 0; i < op->n_conds; i++)
     store_cond (to, op->conds[i].key, op->conds[i].ver);
   for (size_t i = 0; i < op->n_puts; i++)
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -257,6 +257,8 @@
    partition-store  the instance's calls to the table get no answer for ms
    cpu-share        ends the process and starts one that has ms thousandths of
                     a core
+   slow-link        replies of the table with more than ms rows time out before
+                    the instance has received them
    refuse-store     the table refuses the instance's calls for ms */
 static int
 verb_instance (lua_State *l)
@@ -296,6 +298,8 @@
       fsim_kill_instance (sim, i);
       fsim_start_instance (sim, i);
     }
+  else if (strcmp (what, "slow-link") == 0)
+    in->reply_rows_max = (size_t)luaL_checkinteger (l, 3);
   else if (strcmp (what, "refuse-store") == 0)
     in->store_refused_until_ms = until;
   return 0;
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -252,6 +252,8 @@
       return 0;
     }
   op->kind = STORE_LIST;
+  query_param (rq->path, "limit", number, sizeof number);
+  op->limit = atoll (number);
   if (asprintf (&op->key, "%s%s%s/", name, *part ? ":" : "", part) < 0
       || (*from && asprintf (&op->after, "%s%s", op->key, from) < 0))
     abort ();
