Listings begin with whole pages

What callers saw: nothing yet; found before the landing. Change: a listing asks for 500 rows again, and for a quarter as many after a call without an answer, so that a slow link costs one or two timeouts.

--- a/core/follow.c
+++ b/core/follow.c
@@ -43,9 +43,11 @@
 int64_t
 follow_smaller_page (int64_t rows, int64_t err)
 {
-  if (err != CLB_EOUTCOME || rows <= FOLLOW_PAGE_ROWS_MIN)
+  int64_t smaller = rows / FOLLOW_PAGE_DIVISOR;
+
+  if (err != CLB_EOUTCOME)
     return rows;
-  return rows / 2 > FOLLOW_PAGE_ROWS_MIN ? rows / 2 : FOLLOW_PAGE_ROWS_MIN;
+  return smaller > FOLLOW_PAGE_ROWS_MIN ? smaller : FOLLOW_PAGE_ROWS_MIN;
 }
 
 void
--- a/core/follow.h
+++ b/core/follow.h
@@ -11,12 +11,11 @@
 
 enum
 {
-  FOLLOW_RETRY_MS = 150, /* pause after a failed call to the table service */
-  FOLLOW_PARTS_MAX = 8,  /* maximum number of parts of a table */
-  /* Number of rows that one call lists at first.  The pages of all parts are
-     read in parallel, and an instance with a slow link must receive them
-     before the calls time out. */
-  FOLLOW_PAGE_ROWS = 100,
+  FOLLOW_RETRY_MS = 150,  /* pause after a failed call to the table service */
+  FOLLOW_PARTS_MAX = 8,   /* maximum number of parts of a table */
+  FOLLOW_PAGE_ROWS = 500, /* number of rows that one call lists at first */
+  /* The number of rows is divided by this after a call without an answer. */
+  FOLLOW_PAGE_DIVISOR = 4,
   /* Smallest number of rows that one call lists. */
   FOLLOW_PAGE_ROWS_MIN = 10,
 };
