A gang renews its tickets together and asks for twice its room

Cause: the members of a gang need valid tickets at the same time. A query named again only the executors whose tickets had expired already; the other tickets, valid 1.5 s, expired while it was answered (0.6 to 1.3 s), so the renewals ran in turns and the tickets were never valid together. And while the gang was a few members short, it asked for room for just these; by the answer other work had taken more. Change: a gang's query names each permitted executor with room whose ticket would expire before the longest query is answered, and unknown ones until twice the gang is expected to be permitted.

--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -224,13 +224,32 @@
   int n_unknown;      /* number of usable executors with PERMIT_UNKNOWN */
 };
 
+/*
+ * Returns the time at which a ticket must still be valid to be of use after
+ * the answer to a query that is sent now.  The members of a gang need valid
+ * tickets at the same time, so a ticket that expires before the answer to the
+ * longest query is no use to a gang.
+ */
+static int64_t
+ticket_needed_until_ms (const struct fsched *fs, const struct job *j, int step)
+{
+  const struct job_advice *advice = &j->spec.advice;
+
+  if (!j->spec.steps[step].gang)
+    return fs->now_ms;
+  return fs->now_ms + QUEUED_MAX_MS
+         + (int64_t)(advice->base_ms
+                     + advice->per_exec_ms * ORDER_ADVICE_EXECS_MAX);
+}
+
 /* Adds to @out the permitted executors that have capacity but whose tickets
-   have expired.  Also computes out->permitted_fits and out->n_unknown. */
+   expire too early.  Also computes out->permitted_fits and out->n_unknown. */
 static void
 add_expired (struct fsched *fs, struct job *j, int step,
              struct named_execs *out)
 {
   struct jstep *s = &j->steps[step];
+  int64_t until_ms = ticket_needed_until_ms (fs, j, step);
 
   for (int i = 0; i < fs->n_eligible; i++)
     {
@@ -247,7 +266,8 @@
         continue;
       fits = exec_fit_count (e, j, step, s->n_tasks);
       out->permitted_fits += fits;
-      if (fits > 0 && !permit_valid (fs, s, e)
+      if (fits > 0
+          && (!permit_valid (fs, s, e) || p->valid_until_ms < until_ms)
           && out->n < ORDER_ADVICE_EXECS_MAX)
         out->list[out->n++] = (struct candidate){ e, fits };
     }
@@ -400,7 +420,8 @@
   add_expired (fs, j, step, &execs);
   if (execs.permitted_fits < n_waiting && execs.n_unknown > 0)
     add_unknown (fs, j, step, &execs,
-                 SPARE_FACTOR * (n_waiting - execs.permitted_fits));
+                 gang ? SPARE_FACTOR * n_waiting - execs.permitted_fits
+                      : SPARE_FACTOR * (n_waiting - execs.permitted_fits));
   /* A gang starts only when all members fit.  Tickets that the gang got sooner
      would expire unused. */
   else if (gang && execs.permitted_fits < n_waiting)
--- a/regress/fleet/gang.lua
+++ b/regress/fleet/gang.lua
@@ -64,3 +64,46 @@
     expect(state(1, id(n)) == "completed", "job is not completed")
   end
 end)
+
+-- Six gangs of 35 to 60 tasks compete for room with each other and with urgent
+-- tasks, which take half of the fleet.  Each gang alone fits into the free
+-- executors that it may run on.
+scenario("wide gangs that compete for room all start", function()
+  local JOBS_PER_20_MS, GANGS = 2, 6
+  CONFIG = CONFIG:gsub("310 4.4", "540 7.7")
+  start_fleet{instances = 8, execs = 200, cores = 32, mem = 128000,
+              permitted_percent = 30, ticket_ms = 1500}
+  local n = 1000
+  local function submit_urgent_jobs(for_ms)
+    for _ = 1, for_ms / 20 do
+      for _ = 1, JOBS_PER_20_MS do
+        n = n + 1
+        job{id = id(n), steps = {{tasks = 1 + math.floor(3 * random()),
+                                  cpu = math.floor(8000 + 8000 * random()),
+                                  mem = math.floor(30000 + 50000 * random()),
+                                  ms = math.floor(500 + 1500 * random())}}}
+        submit(n % 8, id(n))
+      end
+      run(20)
+    end
+  end
+  submit_urgent_jobs(3000)
+  for g = 1, GANGS do
+    job{id = id(g), queue = "wide", advice_base_us = 540000,
+        advice_per_exec_us = 7700,
+        steps = {{tasks = 30 + 5 * g, cpu = 7350, mem = 36368, gang = true,
+                  ms = 2000}}}
+    submit(0, id(g))
+  end
+  local waiting = GANGS
+  for _ = 1, 150 do
+    if waiting > 0 then
+      submit_urgent_jobs(100)
+      waiting = 0
+      for g = 1, GANGS do
+        if task(id(g), 0, 0) == 0 then waiting = waiting + 1 end
+      end
+    end
+  end
+  expect(waiting == 0, waiting .. " gangs have not started after 15 s")
+end)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -35,8 +35,6 @@
   RECENT_FAULT_MS = 6000,
   /* A lease ends no later than this time after the order that extends it. */
   LEASE_MAX_MS = 6000,
-  /* Time for which an answer of the advice service is valid. */
-  ADVICE_VALID_MS = 2000,
 };
 
 /* struct order_delivery - an order of an instance and the executor's result,
@@ -540,7 +538,7 @@
                      struct order_result *res)
 {
   res->outcome = ORDER_DONE;
-  res->valid_ms = ADVICE_VALID_MS;
+  res->valid_ms = s->ticket_ms;
   res->permitted = calloc (o->n_execs + 1, sizeof *res->permitted);
   for (size_t k = 0; k < o->n_execs; k++)
     if (is_permitted (s, o->task.job, o->task.step, o->execs[k]))
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -37,9 +37,10 @@
   return value;
 }
 
-/* fleet{instances=, execs=, cores=, mem=, permitted_percent=}: replaces the
-   simulation.  Cores and memory (MB) are those of each executor; the advice
-   service permits permitted_percent of the executors for a step. */
+/* fleet{instances=, execs=, cores=, mem=, permitted_percent=, ticket_ms=}:
+   replaces the simulation.  Cores and memory (MB) are those of each executor;
+   the advice service permits permitted_percent of the executors for a step,
+   with tickets that are valid for ticket_ms. */
 static int
 verb_fleet (lua_State *l)
 {
@@ -54,6 +55,7 @@
   sim->verbose = verbose;
   sim->permitted_share
       = (double)int_field (l, 1, "permitted_percent", 100) / 100;
+  sim->ticket_ms = int_field (l, 1, "ticket_ms", 2000);
   return 0;
 }
 
