--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -252,7 +252,8 @@
   int n_exec;
   /* Share (0 to 1) of executors that the advice service permits for a step. */
   double permitted_share;
-  int64_t ticket_ms; /* time for which the advice service's tickets are valid */
+  int64_t
+      ticket_ms; /* time for which the advice service's tickets are valid */
   struct fjob_tree jobs;
   /* All requests of callers so far. */
   struct fsim_call *calls;
