Sort no empty array; load line names the urgency classes

Cause: reading the diff: a pass without jobs called qsort() with a null pointer, which the sanitizers refuse; the load line indexed the classes by bare numbers. Change: both. No other behaviour.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -324,8 +324,9 @@
 static void
 log_load (struct fleetd *d)
 {
+  static const struct fsched no_scheduler;
   const struct fleet *f = &d->fleet;
-  const struct fsched *fs = f->fsched;
+  const struct fsched *fs = f->fsched ? f->fsched : &no_scheduler;
   const struct fsched_stats *s = &f->stats.fsched;
   char line[320];
   int64_t now = boottime_ms ();
@@ -340,9 +341,9 @@
             "passes=%llu dropped_lines=%llu",
             (long long)over_ms,
             (long long)(over_ms - (idle_ms - d->load_idle_ms)), f->n_requests,
-            f->leader.state == LEADER_LEADING, fs ? fs->n_jobs : 0,
-            fs ? fs->n_ready[0] : 0, fs ? fs->n_ready[1] : 0,
-            fs ? fs->n_ready[2] : 0, fs ? fs->n_pending_starts : 0,
+            f->leader.state == LEADER_LEADING, fs->n_jobs,
+            fs->n_ready[URGENCY_ON_TIME], fs->n_ready[URGENCY_LATE],
+            fs->n_ready[URGENCY_LAST], fs->n_pending_starts,
             (unsigned long long)s->starts, (unsigned long long)s->queries,
             (unsigned long long)s->passes,
             (unsigned long long)logline_stats ()->dropped);
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -363,7 +363,8 @@
   if (with_last)
     fs->next_last_jobs_ms
         = fs->now_ms + fs->n_ready[URGENCY_LAST] / PASS_LAST_JOBS_PER_MS;
-  qsort (fs->ready_jobs, (size_t)n, sizeof (struct job *), compare_urgency);
+  if (n > 0)
+    qsort (fs->ready_jobs, (size_t)n, sizeof (struct job *), compare_urgency);
   return n;
 }
 
