No advice is asked for while no executor has room

Change: once a step has had an answer that led to no start, it asks again only if an executor that the query would name has room.

--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -397,6 +397,16 @@
     }
 }
 
+/* Returns whether any executor that a query names has capacity for a task. */
+static bool
+any_has_room (const struct named_execs *execs)
+{
+  for (size_t i = 0; i < execs->n; i++)
+    if (execs->list[i].fits > 0)
+      return true;
+  return false;
+}
+
 void
 advice_query (struct fsched *fs, struct job *j, int step)
 {
@@ -426,7 +436,8 @@
      would expire unused. */
   else if (gang && execs.permitted_fits < n_waiting)
     return;
-  if (execs.n == 0)
+  /* Without room, the tickets of a further answer would expire unused. */
+  if (execs.n == 0 || (s->n_queries > 0 && !any_has_room (&execs)))
     return;
   duration_ms = advice->base_ms + advice->per_exec_ms * (double)execs.n;
   adviser = pick_adviser (fs, duration_ms);
--- a/regress/fleet/load.lua
+++ b/regress/fleet/load.lua
@@ -120,3 +120,24 @@
   local share = share_in_time(10000, 120)
   expect(share >= 0.9, string.format("%.2f are in time", share))
 end)
+
+-- For five seconds no executor has room for a task.  The answers to further
+-- advice queries would expire before any of the waiting tasks can start.
+scenario("no advice is asked for again while no executor has room", function()
+  start_fleet{instances = 6, execs = 120, cores = 16, permitted_percent = 70}
+  job{id = id(1), steps = {{tasks = 120, cpu = 15000, ms = 6000}}}
+  submit(0, id(1))
+  run(500)
+  for n = 2, 101 do
+    job{id = id(n), queue = "quick", advice_base_us = 5600,
+        advice_per_exec_us = 80, steps = {{tasks = 2, cpu = 1400, ms = 640}}}
+    submit(n % 6, id(n))
+  end
+  run(4500)
+  local _, n_queries = calls()
+  expect(n_queries <= 200, n_queries .. " queries for 100 jobs")
+  run(6000)
+  for n = 2, 101 do
+    expect(state(0, id(n)) == "completed", "job " .. n .. " is not completed")
+  end
+end)
