A new leader schedules once it knows what changed while it loaded

Cause: front-bp-b-9 (0.12 cores, 10 Mbit/s) read the job's part of the table at its claim and was loaded 6.8 s later. It started what it had read at once, while the feed with the changes since then was still to come; and that answer, more than the link carries in 1.5 s, timed out again and again. Change: loading ends with the first answer of the feeds of jobs and executors, which is asked for without a wait. A feed whose calls are twice in a row without an answer, while the table answers others, is replaced by a new listing, in pages. Each part of a listing learns its own page size; one lost answer of each of eight parts had shrunk all pages at once. Why this works: a start follows a read of the tables that was made after the listing, one round trip old, as with a quick leader before.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -302,6 +302,17 @@
   fleet_send (f, addr, m);
 }
 
+/* Lists a table again if its feed is stuck although the table service can be
+   reached. */
+static void
+relist_if_stuck (struct fleet *f, struct table_follower *feed)
+{
+  if (!follow_feed_stuck (feed) || proxy_table_unreachable (f))
+    return;
+  out_line (&f->out, "event=feed-stuck table=%s", feed->table);
+  follow_relist (feed);
+}
+
 /* If call @token was made by the feed of jobs, handles @rep and returns true;
    otherwise returns false. */
 static bool
@@ -321,6 +332,7 @@
   if (event != FOLLOW_NONE)
     for (size_t i = 0; i < rep->n_rows; i++)
       apply_job_row (f, &rep->rows[i]);
+  relist_if_stuck (f, &f->job_feed);
   fleet_load_finish (f);
   return true;
 }
@@ -366,6 +378,7 @@
   if (event != FOLLOW_NONE)
     for (size_t i = 0; i < rep->n_rows; i++)
       apply_exec_row (f, &rep->rows[i]);
+  relist_if_stuck (f, &f->exec_feed);
   if (event == FOLLOW_LISTED)
     fsched_exec_list (f->fsched, false);
   else if (listed && !f->exec_feed.listed)
--- a/core/fleet_load.c
+++ b/core/fleet_load.c
@@ -164,7 +164,9 @@
 void
 fleet_load_finish (struct fleet *f)
 {
-  if (f->loading || !f->job_feed.listed || !f->exec_feed.listed
+  /* What was cancelled or began to drain during a long listing is known only
+     once the changes since then are read. */
+  if (f->loading || !f->job_feed.current || !f->exec_feed.current
       || f->fsched->loaded)
     return;
   fsched_load_done (f->fsched);
--- a/core/follow.c
+++ b/core/follow.c
@@ -27,16 +27,19 @@
 }
 
 /* Resets the listings of all parts, so that each part is listed again from its
-   beginning. */
+   beginning.  The sizes of the pages stay. */
 static void
 restart_listing (struct table_follower *f)
 {
   f->listed = false;
+  f->current = false;
+  f->n_unanswered = 0;
   f->list_ver = 0;
   for (int i = 0; i < n_parts_to_list (f); i++)
     {
       free (f->listings[i].last_key);
-      f->listings[i] = (struct part_listing){ 0 };
+      f->listings[i]
+          = (struct part_listing){ .page_rows = f->listings[i].page_rows };
     }
 }
 
@@ -54,12 +57,20 @@
 follow_start (struct table_follower *f, int64_t now_ms)
 {
   restart_listing (f);
+  for (int i = 0; i < n_parts_to_list (f); i++)
+    f->listings[i].page_rows = FOLLOW_PAGE_ROWS;
   f->active = true;
-  f->page_rows = FOLLOW_PAGE_ROWS;
   f->token = 0;
   f->next_ms = now_ms;
 }
 
+void
+follow_relist (struct table_follower *f)
+{
+  restart_listing (f);
+  f->token = 0;
+}
+
 void
 follow_stop (struct table_follower *f)
 {
@@ -97,7 +108,7 @@
   op->kind = STORE_LIST;
   op->key = strdup (prefix);
   op->after = l->last_key ? strdup (l->last_key) : NULL;
-  op->limit = f->page_rows;
+  op->limit = l->page_rows;
 }
 
 /* Sends a call of the feed that reads the changes since version f->ver. */
@@ -109,7 +120,7 @@
   op->kind = STORE_FEED;
   op->key = strdup (f->table);
   op->since = f->ver;
-  op->wait_ms = f->wait_ms;
+  op->wait_ms = f->current ? f->wait_ms : FOLLOW_CATCH_UP_WAIT_MS;
 }
 
 void
@@ -124,6 +135,12 @@
       send_listing (f, now_ms, i);
 }
 
+bool
+follow_feed_stuck (const struct table_follower *f)
+{
+  return f->n_unanswered >= FOLLOW_UNANSWERED_MAX;
+}
+
 /* Returns the listing whose outstanding call is @token, or NULL. */
 static struct part_listing *
 find_listing (struct table_follower *f, uint64_t token)
@@ -174,6 +191,8 @@
 {
   if (rep->ver > f->ver)
     f->ver = rep->ver;
+  f->current = true;
+  f->n_unanswered = 0;
   f->next_ms = now_ms + f->batch_ms;
   return FOLLOW_CHANGES;
 }
@@ -201,7 +220,9 @@
   if (rep->err || !use_rows)
     {
       if (l)
-        f->page_rows = follow_smaller_page (f->page_rows, rep->err);
+        l->page_rows = follow_smaller_page (l->page_rows, rep->err);
+      else
+        f->n_unanswered += rep->err == CLB_EOUTCOME;
       f->next_ms = now_ms + FOLLOW_RETRY_MS;
       return FOLLOW_NONE;
     }
--- a/core/follow.h
+++ b/core/follow.h
@@ -18,6 +18,11 @@
   FOLLOW_PAGE_DIVISOR = 4,
   /* Smallest number of rows that one call lists. */
   FOLLOW_PAGE_ROWS_MIN = 10,
+  /* Number of calls of the feed in a row without an answer after which the
+     feed counts as stuck. */
+  FOLLOW_UNANSWERED_MAX = 2,
+  /* Wait of the first call of the feed after a listing: not at all. */
+  FOLLOW_CATCH_UP_WAIT_MS = 1,
 };
 
 /** enum follow_event - what an answer of the table service holds */
@@ -41,9 +46,10 @@
 {
   /* Token of the outstanding call to the table service; 0: none. */
   uint64_t token;
-  int64_t sent_ms; /* time at which the last call was sent */
-  char *last_key;  /* owned: key of the last row read; NULL: none */
-  bool complete;   /* true: all rows of the part have been read */
+  int64_t sent_ms;   /* time at which the last call was sent */
+  int64_t page_rows; /* number of rows that the next call lists */
+  char *last_key;    /* owned: key of the last row read; NULL: none */
+  bool complete;     /* true: all rows of the part have been read */
 };
 
 /** struct table_follower - reader of one table and of the changes to it */
@@ -59,9 +65,13 @@
   int64_t batch_ms;
   struct outq *out;     /* borrowed: queue of calls to be sent */
   uint64_t *last_token; /* borrowed: last token given to a call */
-  int64_t page_rows;    /* number of rows that the next call lists */
   bool active;          /* true between follow_start() and follow_stop() */
   bool listed; /* true: all parts have been listed, and the feed is read */
+  /* True: the changes that were made during the listing have been read, too.
+   */
+  bool current;
+  int n_unanswered; /* number of calls of the feed in a row without an answer
+                     */
   struct part_listing listings[FOLLOW_PARTS_MAX]; /* indexed by part */
   /* Lowest table version at which a page was listed; the feed is read from
      this version on.  0: no page was read. */
@@ -94,6 +104,17 @@
 int64_t follow_smaller_page (int64_t rows, int64_t err);
 /** follow_start() - Begin, or begin again, to list the table. */
 void follow_start (struct table_follower *f, int64_t now_ms);
+/**
+ * follow_feed_stuck() - Return whether the feed's answers do not arrive.
+ *
+ * If the table service answers other calls, the changes since the last answer
+ * are more than the link transfers before a call times out.  A new listing
+ * reads the table in pages.
+ */
+bool follow_feed_stuck (const struct table_follower *f);
+/** follow_relist() - List the table again, in pages as small as those that
+ * arrived last. */
+void follow_relist (struct table_follower *f);
 /** follow_stop() - Stop following the table; answers to outstanding calls are
  * then ignored. */
 void follow_stop (struct table_follower *f);
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -253,3 +253,40 @@
   run(3000)
   expect_completed(1, 6, 2)
 end)
+
+-- Return: id of job number n in part p of the table of jobs.
+local function id_in_part(n, p) return id(16 * n + p) end
+
+-- The new leader receives at most 60 rows before a call times out.  It lists
+-- the single row of part 1 seconds before the last of the 600 rows of part 0.
+-- Meanwhile the job of part 1 is cancelled and 80 other jobs come, more rows
+-- than one answer of the feed can hold.
+scenario("a job cancelled while a new leader loads is not started", function()
+  start_fleet{execs = 20}
+  for n = 1, 600 do
+    job{id = id_in_part(n, 0), steps = {{tasks = 1, ms = 300}}}
+    submit(n % 3, id_in_part(n, 0))
+    if n % 10 == 0 then run(20) end
+  end
+  local l = leader()
+  for i = 0, 2 do instance(i, "slow-link", 60) end
+  instance(l, "kill")
+  local follower = (l + 1) % 3
+  local cancelled = id_in_part(1, 1)
+  job{id = cancelled, steps = {{tasks = 2, ms = 300}}}
+  submit(follower, cancelled)
+  run(3400)
+  expect(leader() < 0, "the new leader has loaded too early")
+  local call = request(follower, cancelled, "cancel")
+  for n = 601, 680 do
+    job{id = id_in_part(n, 2), steps = {{tasks = 1, ms = 300}}}
+    submit(n % 3 == l and follower or n % 3, id_in_part(n, 2))
+  end
+  run(8000)
+  expect(answer(call) == 200, "the cancellation is not accepted")
+  expect(leader() >= 0, "no instance leads")
+  expect(task(cancelled, 0, 0) == 0, "a task of the cancelled job has started")
+  expect(state(follower, cancelled) == "cancelled", "job is not cancelled")
+  expect(state(follower, id_in_part(601, 2)) == "completed",
+         "a job that came while the leader loaded is not completed")
+end)
