--- a/core/follow.h
+++ b/core/follow.h
@@ -21,7 +21,8 @@
   /* Number of calls of the feed in a row without an answer after which the
      feed counts as stuck. */
   FOLLOW_UNANSWERED_MAX = 2,
-  /* Wait of the first call of the feed after a listing: not at all. */
+  /* Wait of the first call of the feed after a listing.  The changes that were
+     made during the listing are there already. */
   FOLLOW_CATCH_UP_WAIT_MS = 1,
 };
 
