A weak leader does not yield to an instance that stops

What callers would have seen: no leader for the three seconds in which the only strong instance of a fleet stops as planned: it goes on saying hello, and each weak successor yields to it. Cause: the hello of a stopping instance reports its share of a core, though it no longer claims. Change: it reports none, which also ranks it last among those that may claim.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -488,7 +488,8 @@
     abort ();
   m->kind = MESH_HELLO;
   m->seq = f->now_ms;
-  m->millicores = f->settings.millicores;
+  /* A stopping instance does not claim, however strong it is. */
+  m->millicores = f->stopping ? 0 : f->settings.millicores;
   m->table_age_ms = message_age_ms (f, f->store_last_contact_ms);
   fleet_send (f, f->leader.holder_addr, m);
 }
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -290,3 +290,20 @@
   expect(state(follower, id_in_part(601, 2)) == "completed",
          "a job that came while the leader loaded is not completed")
 end)
+
+-- A stopping instance still serves its callers and says hello for some seconds.
+scenario("a weak leader does not yield to an instance that stops", function()
+  start_fleet{instances = 4}
+  instance(0, "cpu-share", 500)
+  for i = 1, 3 do instance(i, "cpu-share", 120) end
+  run(4000)
+  expect(leader() == 0, "the strong instance does not lead at first")
+  instance(0, "stop")
+  run(1500)
+  local l = leader()
+  expect(l > 0, "no other instance leads")
+  for _ = 1, 30 do
+    run(100)
+    expect(leader() == l, "the leader has changed")
+  end
+end)
