Process tests try other ports when those of the stand-in are in use

Ports are chosen by process id, in ranges that overlap with the soak's; a stand-in that could not listen printed 'address already in use', in which the test found the 'ready' that it waits for, and went on without a platform. Change: the test waits for the line 'ready', tries up to eight ports, and says why the stand-in did not start. No check is changed.

--- a/regress/process/fleetlib.sh
+++ b/regress/process/fleetlib.sh
@@ -6,11 +6,13 @@
 #
 # The test may override, after it has sourced this file:
 #   $standin_in    file from which the stand-in reads commands
+#   $port_tries    number of ports that are tried for the stand-in
 #   $advertise     number added to the executors' ports in the table's rows
 #   table_port N   function that prints the port on which instance N reaches
 #                  the table
 BUILD=${BUILD:-build}
 standin_in=/dev/null
+port_tries=8
 advertise=0
 table_port() { echo "$PORT"; }
 # The process id selects ports and addresses, so that several runs can go on at
@@ -61,6 +63,31 @@
 	pids="$pids $!"
 }
 
+# start_standin: starts the stand-in of the platform on $PORT and the ports after
+# it.  If one of them is in use, tries others, $port_tries times in all.  Sets
+# standin to the process id.
+start_standin() {
+	for try in $(seq 1 "$port_tries"); do
+		[ "$try" = 1 ] || PORT=$((20000 + (PORT + 1013) % 10000))
+		"$BUILD/regress/fleet-standin" "$PORT" "$execs" "$dir/config.json" \
+			"$advertise" <"$standin_in" >"$dir/standin.log" 2>&1 &
+		standin=$!
+		i=0
+		until grep -qx ready "$dir/standin.log"; do
+			sleep 0.1
+			i=$((i + 1))
+			kill -0 "$standin" 2>/dev/null && [ $i -lt 50 ] || break
+		done
+		if grep -qx ready "$dir/standin.log"; then
+			pids="$pids $standin"
+			return
+		fi
+		kill -9 "$standin" 2>/dev/null
+	done
+	echo "the stand-in did not start: $(cat "$dir/standin.log")"
+	exit 1
+}
+
 # fleet_up EXECUTORS INSTANCES: starts the stand-in of the platform and the
 # daemons of all instances.  Sets execs and instances to the arguments, and
 # standin to the process id of the stand-in.
@@ -84,16 +111,7 @@
 "services":[{"name":"svc"}],
 "tenants":[{"name":"red","api_keys":["k"],"weight":1000}]}
 JSON
-	"$BUILD/regress/fleet-standin" "$PORT" "$execs" "$dir/config.json" \
-		"$advertise" <"$standin_in" >"$dir/standin.log" 2>&1 &
-	standin=$!
-	pids="$pids $!"
-	i=0
-	until grep -q ready "$dir/standin.log"; do
-		sleep 0.1
-		i=$((i + 1))
-		[ $i -lt 50 ] || { echo "the stand-in did not start within 5 s"; exit 1; }
-	done
+	start_standin
 	for n in $(seq 1 "$instances"); do
 		write_settings "$n"
 		start_instance "$n"
