The log names a refused configuration; metrics count it and show its age

How large the row was, which version stayed in force and that all instances were concerned had to be put together from the operators' log and other metrics. Change: event=config-refused names the row's version, its size and the version in force; event=config names the size; citronlb_config_refused_total and citronlb_config_age_ms. No decision changes.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -172,8 +172,13 @@
   if (err)
     {
       f->stats.bad_rows++;
-      out_line (&f->out, "event=config-refused error=%s field=%s",
-                clb_err_name (err), ce.path);
+      f->stats.configs_refused++;
+      out_line (&f->out,
+                "event=config-refused error=%s field=%s row=%lld bytes=%zu "
+                "in_force=%lld",
+                clb_err_name (err), ce.path, (long long)row->ver,
+                strlen (row->value),
+                f->conf ? (long long)f->conf->version : 0);
       return;
     }
   if (f->conf && conf->version <= f->conf->version)
@@ -182,10 +187,10 @@
       return;
     }
   out_line (&f->out,
-            "event=config version=%lld row=%lld queues=%zu "
+            "event=config version=%lld row=%lld bytes=%zu queues=%zu "
             "tenants=%zu",
-            (long long)conf->version, (long long)row->ver, conf->n_queues,
-            conf->n_tenants);
+            (long long)conf->version, (long long)row->ver, strlen (row->value),
+            conf->n_queues, conf->n_tenants);
   fconf_free (f->conf);
   f->conf = conf;
   if (f->fsched)
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -248,6 +248,8 @@
   uint64_t retries;
   uint64_t proxied;  /* calls to the table service sent through a peer */
   uint64_t bad_rows; /* damaged rows read from the platform's tables */
+  /* Configurations that were read and could not be used. */
+  uint64_t configs_refused;
   /* Time from a request's arrival to its answer, by enum fleet_verb. */
   struct hist request_ms[FLEET_VERB_N];
   /* Time from the first send of a leader's write to the answer that reports
--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -62,6 +62,10 @@
   metric_print (out, "bad_rows_total", NULL, NULL, f->stats.bad_rows);
   metric_print (out, "config_version", NULL, NULL,
                 f->conf ? (uint64_t)f->conf->version : 0);
+  metric_print (out, "config_age_ms", NULL, NULL,
+                f->conf ? (uint64_t)(f->now_ms - f->conf_current_ms) : 0);
+  metric_print (out, "config_refused_total", NULL, NULL,
+                f->stats.configs_refused);
   metric_print (out, "leading", NULL, NULL, f->leader.state == LEADER_LEADING);
   for (int i = 0; i < FLEET_VERB_N; i++)
     hist_print (out, "request_ms", "verb", fleet_verb_names[i],
