Failing tests: configurations that are refused, or that a call cannot carry

Cause: no test had a configuration of more than a few queues, and no link of the simulated fleet had a rate. The simulated table sends its replies over a link with a rate and gives a call up by the timeouts of the adapter, which stand in core/msg.c now for that (moved, not changed).

--- a/core/msg.c
+++ b/core/msg.c
@@ -16,6 +16,13 @@
   MEMBERS_MAX = 1024,
   /* Longest duration: 20 days. */
   DURATION_MS_MAX = 20 * 86400 * 1000,
+  /* Timeout of a transaction.  An answer takes a few milliseconds, or 250 when
+     the table service is slow. */
+  WRITE_TIMEOUT_MS = 700,
+  /* Timeout of a read of one row and of a call of a feed.  For a feed, the
+     time for which the call waits is added. */
+  READ_TIMEOUT_MS = 1000,
+  LIST_TIMEOUT_MS = 2500, /* timeout of a read of a page of rows */
   /* Largest text of a row or object, in bytes. */
   ROW_TEXT_MAX = 16 << 20,
   /* Largest text of decisions in a reply, in bytes. */
@@ -289,6 +296,20 @@
 };
 DESC (event_desc, struct event, event_fields);
 
+int64_t
+store_timeout_ms (const struct store_op *op)
+{
+  switch (op->kind)
+    {
+    case STORE_TXN:
+      return WRITE_TIMEOUT_MS;
+    case STORE_LIST:
+      return LIST_TIMEOUT_MS;
+    default:
+      return READ_TIMEOUT_MS + op->wait_ms;
+    }
+}
+
 /* Returns the description of the member of pmsg::u that a message of @kind
    uses. */
 static const struct desc *
--- a/core/msg.h
+++ b/core/msg.h
@@ -295,6 +295,9 @@
   int64_t limit;
 };
 extern const struct desc store_op_desc;
+/** store_timeout_ms() - Return the timeout of operation @op of the platform's
+ * table service, in milliseconds. */
+int64_t store_timeout_ms (const struct store_op *op);
 
 /**
  * struct store_rep - reply to a store operation
--- /dev/null
+++ b/regress/fleet/config.lua
@@ -0,0 +1,83 @@
+dofile("regress/fleet/lib.lua")
+
+-- Return: a configuration of the version with count queues more than CONFIG,
+-- named x1, x2 and so on.
+local function large_config(version, count)
+  local first = CONFIG:gsub("version 1", "version " .. version)
+  local lines = {first}
+  for n = 1, count do
+    lines[#lines + 1] = "queue x" .. n .. " 0 3 1.5 250 0 0\n"
+  end
+  return table.concat(lines)
+end
+
+-- Return: HTTP status of the answer of instance i to a query for the number of
+-- waiting jobs of the queue, and the delay for a retry.
+local function count_status(i, queue, key)
+  local c = waiting(i, queue, key)
+  run(50)
+  local status, _, retry_ms = answer(c)
+  return status, retry_ms
+end
+
+scenario("a configuration larger than a call carries in time comes into force",
+  function()
+  start_fleet{}
+  local slow = (leader() + 1) % 3
+  instance(slow, "link-rate", 100)
+  config(large_config(2, 6000))
+  run(4000)
+  expect(count_status((slow + 1) % 3, "x6000") == 200, "not in force elsewhere")
+  expect(count_status(slow, "x6000") == 200, "not in force on the slow link")
+end)
+
+scenario("an instance with a slow link reads a large configuration at its start",
+  function()
+  start_fleet{}
+  config(large_config(2, 6000))
+  run(1000)
+  local slow = (leader() + 1) % 3
+  instance(slow, "kill")
+  instance(slow, "link-rate", 50)
+  instance(slow, "start")
+  run(6500)
+  expect(count_status(slow, "x6000") == 200, "no configuration is in force")
+end)
+
+scenario("an instance that receives a newer configuration denies no queue or key",
+  function()
+  start_fleet{}
+  local slow = (leader() + 1) % 3
+  instance(slow, "link-rate", 20)
+  config(large_config(2, 6000):gsub("0 k\n", "0 k2\n"))
+  run(1000)
+  local status, retry_ms = count_status(slow, "x6000", "k2")
+  expect(status == 503 and retry_ms > 0, "new queue: " .. status)
+  expect(count_status(slow, "q", "k2") == 503, "the new key is denied")
+  expect(count_status(slow, "q", "k") == 200, "the old key is refused at once")
+  run(2500)
+  expect(count_status(slow, "q", "k") == 503,
+         "the earlier configuration is used for too long")
+end)
+
+scenario("an unusable configuration is not taken for the one before", function()
+  start_fleet{}
+  config("version 2\nunusable\n")
+  run(1000)
+  for i = 0, 2 do
+    expect(count_status(i, "q") == 200, "a known queue is refused at once")
+    expect(count_status(i, "new") == 503, "an unknown queue is denied")
+    expect(count_status(i, "q", "new") == 503, "an unknown key is denied")
+  end
+  run(2500)
+  for i = 0, 2 do
+    local status, retry_ms = count_status(i, "q")
+    expect(status == 503 and retry_ms > 0,
+           "the earlier configuration is used for too long")
+  end
+  config(large_config(3, 1))
+  run(1000)
+  for i = 0, 2 do
+    expect(count_status(i, "x1") == 200, "the next version is not in force")
+  end
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -211,6 +211,12 @@
   /* Replies of the table with more rows time out before the instance has
      received them; 0: no limit. */
   size_t reply_rows_max;
+  /* Rate at which the instance receives the table's replies, one after the
+     other, in bytes per ms; 0: no limit. */
+  int64_t link_bytes_per_ms;
+  /* The instance's link is occupied by earlier replies of the table until this
+     time. */
+  int64_t link_busy_until_ms;
   /* The instance reaches no other instance and no executor until this time.
    */
   int64_t partitioned_until_ms;
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -208,8 +208,10 @@
      version N
      queue NAME PRIORITY ATTEMPTS SLACK TARGET BASE PER_EXEC
      tenant NAME WEIGHT MILLICORES [KEY]
+     unusable
    TARGET, BASE and PER_EXEC are in ms; BASE is the cost of a query for
-   advice, PER_EXEC the additional cost for each executor in the query. */
+   advice, PER_EXEC the additional cost for each executor in the query.  A
+   configuration with the line "unusable" is refused. */
 static int
 read_conf (const char *text, struct fconf **out, struct codec_err *ce)
 {
@@ -218,6 +220,14 @@
   char *save = NULL;
 
   ce->err = 0;
+  if (strstr (text, "unusable\n"))
+    {
+      free (copy);
+      free (c);
+      ce->err = CLB_EFIELD;
+      clb_copy (ce->path, "unusable", sizeof ce->path);
+      return CLB_EFIELD;
+    }
   for (char *line = strtok_r (copy, "\n", &save); line;
        line = strtok_r (NULL, "\n", &save))
     {
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -7,6 +7,8 @@
 enum
 {
   LIST_ROWS_MAX = 500, /* largest number of rows in the reply to a list */
+  /* Size of a reply without rows, and of a row without its key and value. */
+  OVERHEAD_BYTES = 100,
 };
 
 /* struct table_call - a call of an instance to the table, and the reply */
@@ -17,6 +19,7 @@
   uint64_t token;
   struct store_op op;
   struct store_rep rep;
+  int64_t sent_ms; /* time at which the instance sent the call */
   /* A feed is answered at this time at the latest, even if there are no
      changes. */
   int64_t feed_deadline_ms;
@@ -232,12 +235,52 @@
   fsim_schedule (s, after_ms, deliver_reply, q);
 }
 
+/* Return: the size of @rep in the table service's format, in which values are
+   in base64. */
+static int64_t
+reply_bytes (const struct store_rep *rep)
+{
+  size_t n = OVERHEAD_BYTES;
+
+  for (size_t i = 0; i < rep->n_rows; i++)
+    n += OVERHEAD_BYTES + strlen (rep->rows[i].key)
+         + (rep->rows[i].value ? strlen (rep->rows[i].value) * 4 / 3 : 0);
+  return (int64_t)n;
+}
+
+/* Sends the reply over the instance's link.  The instance gives the call up
+   when its timeout has passed; until then the reply occupies the link. */
+static void
+send_over_slow_link (struct fsim *s, struct table_call *q)
+{
+  struct fsim_instance *in = s->inst[q->inst];
+  int64_t timeout_at_ms = q->sent_ms + store_timeout_ms (&q->op);
+  int64_t begin_ms = s->now_ms + FSIM_LINK_MS;
+  int64_t end_ms;
+
+  if (begin_ms < in->link_busy_until_ms)
+    begin_ms = in->link_busy_until_ms;
+  end_ms = begin_ms + reply_bytes (&q->rep) / in->link_bytes_per_ms;
+  if (end_ms > timeout_at_ms)
+    {
+      if (in->link_busy_until_ms < timeout_at_ms)
+        in->link_busy_until_ms = timeout_at_ms;
+      fail_call (s, q, CLB_EOUTCOME, timeout_at_ms - s->now_ms);
+      return;
+    }
+  in->link_busy_until_ms = end_ms;
+  fsim_schedule (s, end_ms - s->now_ms, deliver_reply, q);
+}
+
 static void
 send_reply (struct fsim *s, struct table_call *q)
 {
-  if (s->inst[q->inst]->store_partitioned_until_ms > s->now_ms
-      || q->drop_reply)
+  const struct fsim_instance *in = s->inst[q->inst];
+
+  if (in->store_partitioned_until_ms > s->now_ms || q->drop_reply)
     fail_call (s, q, CLB_EOUTCOME, 700);
+  else if (in->link_bytes_per_ms)
+    send_over_slow_link (s, q);
   else
     fsim_schedule (s, FSIM_LINK_MS, deliver_reply, q);
 }
@@ -296,6 +339,7 @@
   q->inst = i;
   q->incarnation = s->inst[i]->incarnation;
   q->token = token;
+  q->sent_ms = s->now_ms;
   copy_op (&q->op, op);
   return q;
 }
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -261,6 +261,8 @@
                     a core
    slow-link        replies of the table with more than ms rows time out before
                     the instance has received them
+   link-rate        the instance receives replies of the table at ms bytes per
+                    ms; 0: no limit
    refuse-store     the table refuses the instance's calls for ms */
 static int
 verb_instance (lua_State *l)
@@ -302,6 +304,8 @@
     }
   else if (strcmp (what, "slow-link") == 0)
     in->reply_rows_max = (size_t)luaL_checkinteger (l, 3);
+  else if (strcmp (what, "link-rate") == 0)
+    in->link_bytes_per_ms = luaL_checkinteger (l, 3);
   else if (strcmp (what, "refuse-store") == 0)
     in->store_refused_until_ms = until;
   return 0;
