An instance that is behind denies nothing, and serves by the old version for a bound only

Cause: a row of the configuration that could not be used counted as a proof that the one before was current, like every answer of the feed. The age of the configuration stayed under 1.7 s, which also kept withdrawn keys working and the instance in rotation. And an instance that its leader tells of a newer version made no use of it. Change: an instance knows that it is behind when a row was refused or the leader's version is newer. Then a missing queue or key is answered 503 at once, with when to come back, and everything is once config_apply_ms have passed since the last proof. Without that knowledge, as in a failure domain that is cut off, requests are served as before; a queue or key is denied only within config_apply_ms of a proof.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -379,9 +379,10 @@
       log_line ("event=settings-refused");
       return;
     }
-  /* Only grace_ms and revoke_ms can change while the process runs. */
+  /* Only these settings can change while the process runs. */
   d->settings.grace_ms = new_settings.grace_ms;
   d->fleet.settings.revoke_ms = new_settings.revoke_ms;
+  d->fleet.settings.conf_apply_ms = new_settings.conf_apply_ms;
   log_line ("event=settings-reloaded");
 }
 
@@ -420,10 +421,12 @@
 static void
 init_fleet (struct fleetd *d)
 {
-  struct fleet_settings settings = { .boot = wall_ms (),
-                                     .revoke_ms = d->settings.revoke_ms,
-                                     .millicores = d->settings.millicores,
-                                     .codec = pf_codec };
+  struct fleet_settings settings
+      = { .boot = wall_ms (),
+          .revoke_ms = d->settings.revoke_ms,
+          .conf_apply_ms = d->settings.conf_apply_ms,
+          .millicores = d->settings.millicores,
+          .codec = pf_codec };
 
   clb_copy (settings.id, d->settings.id, sizeof settings.id);
   clb_copy (settings.zone, d->settings.zone, sizeof settings.zone);
--- a/core/api.c
+++ b/core/api.c
@@ -283,6 +283,24 @@
          < f->settings.revoke_ms - FLEET_KEY_MARGIN_MS;
 }
 
+/* Returns true if a queue or key that the configuration lacks can be denied: a
+   newer configuration with it would be in force here, or need not be yet. */
+static bool
+conf_can_deny (const struct fleet *f)
+{
+  return !fleet_conf_behind (f)
+         && f->now_ms - f->conf_current_ms < f->settings.conf_apply_ms;
+}
+
+/* Returns true if requests must not be allowed by the configuration, as a
+   newer one is known to exist and would have to be in force. */
+static bool
+conf_outdated (const struct fleet *f)
+{
+  return fleet_conf_behind (f)
+         && f->now_ms - f->conf_current_ms >= f->settings.conf_apply_ms;
+}
+
 /* Returns true if the table service has been unreachable from this instance
    for FLEET_REFUSE_WRITES_MS and no peer is known that reaches the service. */
 static bool
@@ -335,14 +353,15 @@
     return refuse_request (f, rq, ANSWER_NO_CONFIG, "");
   q = fconf_queue_for (f->conf, rq->host, rq->path);
   if (!q)
-    return refuse_request (f, rq, ANSWER_NO_QUEUE, rq->host);
+    return refuse_request (
+        f, rq, conf_can_deny (f) ? ANSWER_NO_QUEUE : ANSWER_CONF_STALE,
+        rq->host);
   if (rq->key)
     t = fconf_tenant_of_key (f->conf, rq->key);
   if (!q->is_public && !t)
     return refuse_request (
-        f, rq, conf_fresh_for_keys (f) ? ANSWER_BAD_KEY : ANSWER_CONF_STALE,
-        "");
-  if (!q->is_public && !conf_fresh_for_keys (f))
+        f, rq, conf_can_deny (f) ? ANSWER_BAD_KEY : ANSWER_CONF_STALE, "");
+  if (conf_outdated (f) || (!q->is_public && !conf_fresh_for_keys (f)))
     return refuse_request (f, rq, ANSWER_CONF_STALE, "");
   if (f->n_requests >= FLEET_REQUESTS_MAX)
     return refuse_request (f, rq, ANSWER_TOO_MANY, "");
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -51,6 +51,7 @@
                &f->out, &f->last_token);
   f->job_feed.batch_ms = FLEET_JOBS_BATCH_MS;
   f->conf_current_ms = INT64_MIN / 2;
+  f->conf_superseded_ms = INT64_MIN / 2;
   f->proxy_peer_fresh_ms = INT64_MIN / 2;
   proxy_init (f);
   follow_start (&f->conf_feed, now_ms);
@@ -149,14 +150,31 @@
 
 /* Configuration. */
 
+bool
+fleet_conf_behind (const struct fleet *f)
+{
+  return f->conf && f->conf_superseded_ms > f->conf_current_ms;
+}
+
 /* Records that f->conf was the newest configuration at @at_ms. */
 static void
 set_conf_current (struct fleet *f, int64_t at_ms)
 {
-  if (f->conf && at_ms > f->conf_current_ms)
+  if (f->conf && !f->conf_refused && at_ms > f->conf_current_ms)
     f->conf_current_ms = at_ms;
 }
 
+/* Records that a newer configuration than f->conf exists now. */
+static void
+set_conf_superseded (struct fleet *f)
+{
+  if (f->conf && !fleet_conf_behind (f))
+    out_line (&f->out, "event=config-behind in_force=%lld age_ms=%lld",
+              (long long)f->conf->version,
+              (long long)(f->now_ms - f->conf_current_ms));
+  f->conf_superseded_ms = f->now_ms;
+}
+
 /* Replaces the configuration by the one in @row, if @row holds a newer
    version. */
 static void
@@ -179,8 +197,11 @@
                 clb_err_name (err), ce.path, (long long)row->ver,
                 strlen (row->value),
                 f->conf ? (long long)f->conf->version : 0);
+      f->conf_refused = true;
+      set_conf_superseded (f);
       return;
     }
+  f->conf_refused = false;
   if (f->conf && conf->version <= f->conf->version)
     {
       fconf_free (conf);
@@ -193,6 +214,7 @@
             conf->n_queues, conf->n_tenants);
   fconf_free (f->conf);
   f->conf = conf;
+  f->conf_superseded_ms = INT64_MIN / 2;
   if (f->fsched)
     fsched_set_conf (f->fsched, conf);
 }
@@ -725,6 +747,8 @@
             sizeof f->proxy_peer_addr);
   if (f->conf && m->conf_version == f->conf->version)
     set_conf_current (f, m->seq - m->conf_age_ms);
+  else if (f->conf && m->conf_version > f->conf->version)
+    set_conf_superseded (f);
 }
 
 void
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -146,6 +146,8 @@
   int64_t boot; /* wall clock at the start of the process, milliseconds */
   /* Longest time for which a withdrawn key may still work. */
   int64_t revoke_ms;
+  /* Longest time until a change of the configuration is in force. */
+  int64_t conf_apply_ms;
   /* This instance's share of a core, in thousandths; 0: not known. */
   int64_t millicores;
   struct fleet_codec codec;
@@ -206,7 +208,8 @@
   ANSWER_WAITING,
   /* No configuration has been read yet. */
   ANSWER_NO_CONFIG,
-  /* The configuration is too old to check a key against it. */
+  /* The configuration may not be the newest one, so that the request can be
+     neither allowed nor denied. */
   ANSWER_CONF_STALE,
   /* No queue is configured for the host and path of the request. */
   ANSWER_NO_QUEUE,
@@ -342,6 +345,11 @@
 
   /* Last time at which conf is known to have been the newest configuration. */
   int64_t conf_current_ms;
+  /* Last time at which a newer configuration than conf is known to have
+     existed. */
+  int64_t conf_superseded_ms;
+  /* True if the newest configuration that was read could not be used. */
+  bool conf_refused;
   bool stopping; /* true: fleet_stop() was called */
   struct fleet_stats stats;
 };
@@ -405,6 +413,9 @@
 /** fleet_ready() - Return true if this instance is ready for callers: its
  * configuration is recent, and fleet_stop() was not called. */
 bool fleet_ready (const struct fleet *f, int64_t now_ms);
+/** fleet_conf_behind() - Return true if a newer configuration than the one in
+ * force here is known to exist. */
+bool fleet_conf_behind (const struct fleet *f);
 /** fleet_metrics() - Return the counters as Prometheus text, which the caller
  * frees. */
 char *fleet_metrics (struct fleet *f);
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -462,6 +462,7 @@
   struct fleet_settings settings
       = { .boot = WALL_CLOCK_START_MS + s->now_ms,
           .revoke_ms = 5000,
+          .conf_apply_ms = 3000,
           .millicores = in->millicores,
           .codec = { .decode_conf = read_conf,
                      .decode_exec = read_discovery_entry,
