A read is given up when its answer is silent, not when it is long

What callers would see: an instance on a slow link never gets a configuration whose row needs longer than the feed's call has (1.5 s, and 2.5 s for the listing at its start), and denies what it adds; its link is full of attempts. Cause: the time limit of a read of the table covered the whole answer, and the read was repeated as it was. A row cannot be split into smaller pages. The class is a call that cannot end before its timeout and is repeated as it was. Change: a read (row, page, feed, object; fleet and failure domains alike) is given up when no byte of its answer arrives for that time. A write keeps its limit, as its outcome is then unknown. The HTTP client reports that more of an answer follows: the feed of the configuration answers in pieces only if there is a change, so that the instance knows that it is behind, and the table counts as reachable meanwhile. After an answer that took long the next call of a feed waits for nothing, which proves at once that it is the newest.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -181,6 +181,14 @@
   process_outputs (d);
 }
 
+static void
+on_store_partial (void *arg, uint64_t token)
+{
+  struct fleetd *d = arg;
+
+  fleet_store_partial (&d->fleet, boottime_ms (), token);
+}
+
 static void
 on_order_result (void *arg, const struct order *o,
                  const struct order_result *result)
@@ -453,7 +461,7 @@
   httpc_limit (d->exec_http_client, CONNECTIONS_PER_EXEC_MAX,
                EXEC_IDLE_CONNECTIONS_MAX);
   d->store = (struct pf_store){ d->store_http_client, d->settings.store_addr,
-                                d, on_store_reply };
+                                d, on_store_reply, on_store_partial };
   d->orders = (struct pf_orders){ d->exec_http_client,
                                   d->settings.advice_service_addr, d,
                                   on_order_result };
--- a/citronlbd/platform.c
+++ b/citronlbd/platform.c
@@ -16,7 +16,10 @@
 
 enum
 {
+  /* Timeout of a write, and longest silence of the answer to a read. */
   STORE_TIMEOUT_MS = 2000,
+  /* Timeout of a read whose answer keeps arriving. */
+  STORE_READ_MAX_MS = 60000,
   STORE_CONNECT_TIMEOUT_MS = 1000,
   /* HTTP status with which the platform answers an operation that had no
      effect. */
@@ -71,7 +74,9 @@
   struct httpc_req rq = {
     .method = "POST",
     .content_type = "application/json",
-    .timeout_ms = STORE_TIMEOUT_MS,
+    .timeout_ms
+    = store_is_read (op->kind) ? STORE_READ_MAX_MS : STORE_TIMEOUT_MS,
+    .silence_ms = store_is_read (op->kind) ? STORE_TIMEOUT_MS : 0,
     .connect_timeout_ms = STORE_CONNECT_TIMEOUT_MS,
     .on_end = on_end,
   };
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -572,6 +572,17 @@
   send_due_output (f);
 }
 
+void
+fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token)
+{
+  f->now_ms = now_ms;
+  f->store_last_contact_ms = now_ms;
+  f->store_failures = 0;
+  /* The feed answers in pieces only if there are changes. */
+  if (follow_is_feed_call (&f->conf_feed, token))
+    set_conf_superseded (f);
+}
+
 /* Sends the result of a query for advice to the leader that requested it. */
 static void
 send_advice_reply (struct fleet *f, const struct order *o,
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -382,6 +382,9 @@
  * borrowed, to call @token. */
 void fleet_store_reply (struct fleet *f, int64_t now_ms, uint64_t token,
                         const struct store_rep *rep);
+/** fleet_store_partial() - Handle that a part of the table service's answer to
+ * call @token has arrived and more of it follows. */
+void fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token);
 /** fleet_order_result() - Handle the result @res of order @o; both are
  * borrowed. */
 void fleet_order_result (struct fleet *f, int64_t now_ms,
--- a/core/follow.c
+++ b/core/follow.c
@@ -120,7 +120,11 @@
   op->kind = STORE_FEED;
   op->key = strdup (f->table);
   op->since = f->ver;
-  op->wait_ms = f->current ? f->wait_ms : FOLLOW_CATCH_UP_WAIT_MS;
+  /* After an answer that took long to arrive, the next one shows at once
+     whether there are further changes. */
+  op->wait_ms = f->current && now_ms - f->fresh_ms < 2 * f->wait_ms
+                    ? f->wait_ms
+                    : FOLLOW_CATCH_UP_WAIT_MS;
 }
 
 void
@@ -159,6 +163,12 @@
              || find_listing ((struct table_follower *)f, token));
 }
 
+bool
+follow_is_feed_call (const struct table_follower *f, uint64_t token)
+{
+  return f->active && token && token == f->token;
+}
+
 /* Handles a page of the part that @l lists; returns enum follow_event.  The
    feed is read from the lowest version at which a page was read, so that no
    change is missed. */
--- a/core/follow.h
+++ b/core/follow.h
@@ -21,8 +21,8 @@
   /* Number of calls of the feed in a row without an answer after which the
      feed counts as stuck. */
   FOLLOW_UNANSWERED_MAX = 2,
-  /* Wait of the first call of the feed after a listing.  The changes that were
-     made during the listing are there already. */
+  /* Wait of a call of the feed after a listing, or after an answer that took
+     long.  The changes that were made meanwhile are there already. */
   FOLLOW_CATCH_UP_WAIT_MS = 1,
 };
 
@@ -123,6 +123,9 @@
 void follow_tick (struct table_follower *f, int64_t now_ms);
 /** follow_owns() - Return true if @token is an outstanding call of @f. */
 bool follow_owns (const struct table_follower *f, uint64_t token);
+/** follow_is_feed_call() - Return true if @token is the outstanding call of
+ * @f's feed. */
+bool follow_is_feed_call (const struct table_follower *f, uint64_t token);
 /**
  * follow_store_reply() - Handle the table service's answer @rep to a call.
  * @token: token of the call
--- a/core/msg.c
+++ b/core/msg.c
@@ -296,6 +296,12 @@
 };
 DESC (event_desc, struct event, event_fields);
 
+bool
+store_is_read (int kind)
+{
+  return kind != STORE_TXN && kind != STORE_OBJ_PUT;
+}
+
 int64_t
 store_timeout_ms (const struct store_op *op)
 {
--- a/core/msg.h
+++ b/core/msg.h
@@ -295,8 +295,19 @@
   int64_t limit;
 };
 extern const struct desc store_op_desc;
-/** store_timeout_ms() - Return the timeout of operation @op of the platform's
- * table service, in milliseconds. */
+/** store_is_read() - Return true if an operation of @kind (enum store_kind)
+ * only reads, so that its answer may be large and the operation may take any
+ * time without a doubt about its effect. */
+bool store_is_read (int kind);
+/**
+ * store_timeout_ms() - Return the timeout of operation @op of the platform's
+ * table service, in milliseconds.
+ *
+ * A write that is not answered within the time is given up.  A read is given
+ * up if no byte of its answer arrives for that time: an answer that is large
+ * for the link would never arrive if it was given up while it arrives, and
+ * asked for again.
+ */
 int64_t store_timeout_ms (const struct store_op *op);
 
 /**
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -17,6 +17,8 @@
   /* Maximum number of bytes in a response body that is collected for on_end; a
      longer body fails the request. */
   RESPONSE_MAX = 64 << 20,
+  /* Time for which the silence of a request is confirmed. */
+  SILENCE_CONFIRM_MS = 1,
 };
 
 /* struct xfer - a request that has not ended */
@@ -34,6 +36,9 @@
      has arrived or the request has on_data. */
   char *response;
   size_t response_len;
+  /* Value of clock_ms() when the last byte of the response's body arrived or,
+     before the first one, when the request was started. */
+  uint64_t last_byte_ms;
   /* True once on_head has been called. */
   bool head_delivered;
   /* True while the response is paused, as on_data has returned false. */
@@ -45,6 +50,13 @@
 {
   uv_loop_t *loop;
   uv_timer_t timer;
+  /* Ends requests whose httpc_req::silence_ms has passed.  Runs at the
+     earliest time at which that of one of them can have passed. */
+  uv_timer_t silence_timer;
+  /* True if the silence timer has found a silent request, which it ends unless
+     bytes have arrived when it runs again: they may have been waiting in the
+     socket while the loop was busy. */
+  bool silence_found;
   CURLM *multi;
   struct xfer_tree xfers;
   /* Poll handles indexed by file descriptor; NULL for a descriptor that
@@ -77,6 +89,14 @@
   int events;
 };
 
+/* Returns the time of a monotonic clock.  Unlike uv_now(), it advances during
+   an iteration of the loop. */
+static uint64_t
+clock_ms (void)
+{
+  return uv_hrtime () / 1000000;
+}
+
 static int
 xfer_cmp (const struct xfer *a, const struct xfer *b)
 {
@@ -258,6 +278,65 @@
   return 0;
 }
 
+/* Returns the time at which @x has been silent for too long, UINT64_MAX if its
+   silence is not limited. */
+static uint64_t
+silence_end_ms (const struct xfer *x)
+{
+  return x->rq.silence_ms ? x->last_byte_ms + (uint64_t)x->rq.silence_ms
+                          : UINT64_MAX;
+}
+
+/* Returns the request that is the first to be silent for too long; NULL if
+   there is none. */
+static struct xfer *
+next_silent_xfer (struct httpc *c)
+{
+  struct xfer *x;
+  struct xfer *next = NULL;
+  uint64_t earliest_ms = UINT64_MAX;
+
+  RB_FOREACH (x, xfer_tree, &c->xfers)
+    if (silence_end_ms (x) < earliest_ms)
+      {
+        next = x;
+        earliest_ms = silence_end_ms (x);
+      }
+  return next;
+}
+
+static void
+on_silence_timer (uv_timer_t *t)
+{
+  struct httpc *c = t->data;
+  struct xfer *x = next_silent_xfer (c);
+  uint64_t now_ms = clock_ms ();
+
+  if (x && silence_end_ms (x) <= now_ms && !c->silence_found)
+    {
+      c->silence_found = true;
+      uv_timer_start (t, on_silence_timer, SILENCE_CONFIRM_MS, 0);
+      return;
+    }
+  c->silence_found = false;
+  for (; x && silence_end_ms (x) <= now_ms; x = next_silent_xfer (c))
+    xfer_end (x, CURLE_OPERATION_TIMEDOUT);
+  if (x)
+    uv_timer_start (t, on_silence_timer, silence_end_ms (x) - now_ms, 0);
+}
+
+/* Starts the silence timer for @x, unless it will run earlier. */
+static void
+watch_silence (struct xfer *x)
+{
+  uv_timer_t *t = &x->c->silence_timer;
+
+  if (x->rq.silence_ms
+      && (!uv_is_active ((uv_handle_t *)t)
+          || uv_timer_get_due_in (t) > (uint64_t)x->rq.silence_ms))
+    uv_timer_start (t, on_silence_timer, (uint64_t)x->rq.silence_ms, 0);
+}
+
 struct httpc *
 httpc_new (uv_loop_t *loop)
 {
@@ -269,6 +348,8 @@
   RB_INIT (&c->xfers);
   uv_timer_init (loop, &c->timer);
   c->timer.data = c;
+  uv_timer_init (loop, &c->silence_timer);
+  c->silence_timer.data = c;
   c->multi = curl_multi_init ();
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, set_socket_events);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
@@ -286,6 +367,17 @@
   curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, max_idle);
 }
 
+/* Returns true if, by its Content-Length, the response has bytes that have not
+   arrived. */
+static bool
+more_to_come (const struct xfer *x)
+{
+  curl_off_t total = -1;
+
+  curl_easy_getinfo (x->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &total);
+  return total > (curl_off_t)x->response_len;
+}
+
 /* CURLOPT_WRITEFUNCTION: passes a piece of the response's body to on_data, or
    appends it to the collected body.  A return value other than the size of
    @data fails the transfer, except for CURL_WRITEFUNC_PAUSE. */
@@ -296,6 +388,7 @@
   size_t len = size * n;
   char *new_response;
 
+  x->last_byte_ms = clock_ms ();
   if (x->rq.on_data)
     {
       deliver_head (x);
@@ -313,6 +406,8 @@
   memcpy (x->response + x->response_len, data, len);
   x->response_len += len;
   x->response[x->response_len] = '\0';
+  if (x->rq.on_partial && more_to_come (x))
+    x->rq.on_partial (x->rq.arg);
   return len;
 }
 
@@ -411,6 +506,8 @@
   curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, (long)rq->new_connection);
   curl_easy_setopt (e, CURLOPT_FORBID_REUSE, (long)rq->new_connection);
   curl_multi_add_handle (c->multi, e);
+  x->last_byte_ms = clock_ms ();
+  watch_silence (x);
   return x->id;
 }
 
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -47,6 +47,10 @@
   /* Maximum time of the whole request, from httpc_send() to the end of the
      response; 0 for no limit. */
   int64_t timeout_ms;
+  /* Maximum time without a byte of the response's body, from httpc_send() to
+     the first one and between two of them; 0 for no limit.  Unlike with
+     timeout_ms, a long response may arrive over a slow link. */
+  int64_t silence_ms;
   /* Maximum time to connect; 0 selects libcurl's default. */
   int64_t connect_timeout_ms;
   /* True if the request gets a connection of its own.  On a reused connection
@@ -66,6 +70,12 @@
    * passed to on_end.
    */
   bool (*on_data) (void *arg, const char *data, size_t len);
+  /**
+   * on_partial - Called after each piece of the response's body after which,
+   * by the response's Content-Length, others follow.  May be NULL; not called
+   * if on_data is set.
+   */
+  void (*on_partial) (void *arg);
   /**
    * on_end - Called exactly once, as the last callback.
    * @result: enum httpc_result
--- a/regress/fleet/config.lua
+++ b/regress/fleet/config.lua
@@ -31,6 +31,19 @@
   expect(count_status(slow, "x6000") == 200, "not in force on the slow link")
 end)
 
+-- The row arrives 4.6 s after the change.  A single instance has no leader that
+-- proves the configuration to be current.
+scenario("a configuration that has arrived is proved to be current at once",
+  function()
+  start_fleet{instances = 1}
+  instance(0, "link-rate", 50)
+  config(large_config(2, 6000))
+  run(4400)
+  expect(count_status(0, "q") == 503, "the row has arrived too early")
+  run(350)
+  expect(count_status(0, "q") == 200, "the configuration counts as too old")
+end)
+
 scenario("an instance with a slow link reads a large configuration at its start",
   function()
   start_fleet{}
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -9,6 +9,11 @@
   LIST_ROWS_MAX = 500, /* largest number of rows in the reply to a list */
   /* Size of a reply without rows, and of a row without its key and value. */
   OVERHEAD_BYTES = 100,
+  /* A reply of at most this size shares a link with larger ones instead of
+     waiting for them. */
+  PACKET_BYTES = 1400,
+  /* Interval at which an instance is told that a reply is arriving. */
+  PARTIAL_MS = 50,
 };
 
 /* struct table_call - a call of an instance to the table, and the reply */
@@ -20,6 +25,8 @@
   struct store_op op;
   struct store_rep rep;
   int64_t sent_ms; /* time at which the instance sent the call */
+  /* Time at which all of the reply has arrived over a link with a rate. */
+  int64_t received_ms;
   /* A feed is answered at this time at the latest, even if there are no
      changes. */
   int64_t feed_deadline_ms;
@@ -248,28 +255,48 @@
   return (int64_t)n;
 }
 
-/* Sends the reply over the instance's link.  The instance gives the call up
-   when its timeout has passed; until then the reply occupies the link. */
+/* Tells the instance at intervals that its reply is arriving, and passes the
+   reply on when all of it has arrived. */
+static void
+receive_reply (struct fsim *s, void *arg)
+{
+  struct table_call *q = arg;
+  struct fsim_instance *in = s->inst[q->inst];
+  int64_t left_ms = q->received_ms - s->now_ms;
+
+  if (left_ms <= 0)
+    {
+      deliver_reply (s, q);
+      return;
+    }
+  if (in->up && in->incarnation == q->incarnation && !in->frozen)
+    fleet_store_partial (&in->fleet, s->now_ms, q->token);
+  fsim_schedule (s, left_ms < PARTIAL_MS ? left_ms : PARTIAL_MS, receive_reply,
+                 q);
+}
+
+/* Sends the reply over the instance's link, after the large replies before it.
+   The instance gives a read up if the first byte of the reply does not arrive
+   within the call's timeout, and a write if all of it does not. */
 static void
 send_over_slow_link (struct fsim *s, struct table_call *q)
 {
   struct fsim_instance *in = s->inst[q->inst];
   int64_t timeout_at_ms = q->sent_ms + store_timeout_ms (&q->op);
+  int64_t n_bytes = reply_bytes (&q->rep);
   int64_t begin_ms = s->now_ms + FSIM_LINK_MS;
-  int64_t end_ms;
 
-  if (begin_ms < in->link_busy_until_ms)
+  if (begin_ms < in->link_busy_until_ms && n_bytes > PACKET_BYTES)
     begin_ms = in->link_busy_until_ms;
-  end_ms = begin_ms + reply_bytes (&q->rep) / in->link_bytes_per_ms;
-  if (end_ms > timeout_at_ms)
+  q->received_ms = begin_ms + n_bytes / in->link_bytes_per_ms;
+  if ((store_is_read (q->op.kind) ? begin_ms : q->received_ms) > timeout_at_ms)
     {
-      if (in->link_busy_until_ms < timeout_at_ms)
-        in->link_busy_until_ms = timeout_at_ms;
       fail_call (s, q, CLB_EOUTCOME, timeout_at_ms - s->now_ms);
       return;
     }
-  in->link_busy_until_ms = end_ms;
-  fsim_schedule (s, end_ms - s->now_ms, deliver_reply, q);
+  if (in->link_busy_until_ms < q->received_ms)
+    in->link_busy_until_ms = q->received_ms;
+  fsim_schedule (s, begin_ms - s->now_ms, receive_reply, q);
 }
 
 static void
