An unusable item of the configuration does not keep the rest from being in force

What callers would see: one queue, client account or service that the decoder cannot use (a name that is too long, a number out of range) kept the whole version from being in force, on every instance. A key that was too long was left out without a word, and its holder was answered 401. Change: such an item is left out and counted; the line event=config names the number and the first one, metric config_unusable_items. While a version with such items is in force, a queue or key that is missing is answered 503 instead of 404 or 401: it may be one of them.

--- a/core/api.c
+++ b/core/api.c
@@ -283,12 +283,13 @@
          < f->settings.revoke_ms - FLEET_KEY_MARGIN_MS;
 }
 
-/* Returns true if a queue or key that the configuration lacks can be denied: a
-   newer configuration with it would be in force here, or need not be yet. */
+/* Returns true if a queue or key that the configuration lacks can be denied:
+   it is not among the items that could not be used, and a newer configuration
+   with it would be in force here, or need not be yet. */
 static bool
 conf_can_deny (const struct fleet *f)
 {
-  return !fleet_conf_behind (f)
+  return !f->conf->n_unusable && !fleet_conf_behind (f)
          && f->now_ms - f->conf_current_ms < f->settings.conf_apply_ms;
 }
 
--- a/core/fconf.h
+++ b/core/fconf.h
@@ -75,6 +75,10 @@
   size_t n_tenants;
   struct fconf_service *services;
   size_t n_services;
+  /* Number of queues, client accounts, keys and services of the document that
+     could not be used and are missing here. */
+  size_t n_unusable;
+  char first_unusable[128]; /* place of the first one in the document */
   int64_t body_max; /* maximum size of a request's body, in bytes */
 };
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -209,9 +209,10 @@
     }
   out_line (&f->out,
             "event=config version=%lld row=%lld bytes=%zu queues=%zu "
-            "tenants=%zu",
+            "tenants=%zu unusable=%zu first_unusable=\"%s\"",
             (long long)conf->version, (long long)row->ver, strlen (row->value),
-            conf->n_queues, conf->n_tenants);
+            conf->n_queues, conf->n_tenants, conf->n_unusable,
+            conf->first_unusable);
   fconf_free (f->conf);
   f->conf = conf;
   f->conf_superseded_ms = INT64_MIN / 2;
--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -65,6 +65,8 @@
   metric_print (out, "config_age_ms", NULL, NULL,
                 f->conf ? (uint64_t)(f->now_ms - f->conf_current_ms) : 0);
   metric_print (out, "config_behind", NULL, NULL, fleet_conf_behind (f));
+  metric_print (out, "config_unusable_items", NULL, NULL,
+                f->conf ? f->conf->n_unusable : 0);
   metric_print (out, "config_refused_total", NULL, NULL,
                 f->stats.configs_refused);
   metric_print (out, "leading", NULL, NULL, f->leader.state == LEADER_LEADING);
--- a/regress/fleet/config.lua
+++ b/regress/fleet/config.lua
@@ -94,3 +94,14 @@
     expect(count_status(i, "x1") == 200, "the next version is not in force")
   end
 end)
+
+scenario("an item that cannot be used is not denied", function()
+  start_fleet{}
+  config(large_config(2, 1) .. "unusable-item\n")
+  run(1000)
+  for i = 0, 2 do
+    expect(count_status(i, "x1") == 200, "a usable queue is not in force")
+    expect(count_status(i, "x2") == 503, "a missing queue is denied")
+    expect(count_status(i, "q", "new") == 503, "a missing key is denied")
+  end
+end)
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -209,9 +209,11 @@
      queue NAME PRIORITY ATTEMPTS SLACK TARGET BASE PER_EXEC
      tenant NAME WEIGHT MILLICORES [KEY]
      unusable
+     unusable-item
    TARGET, BASE and PER_EXEC are in ms; BASE is the cost of a query for
    advice, PER_EXEC the additional cost for each executor in the query.  A
-   configuration with the line "unusable" is refused. */
+   configuration with the line "unusable" is refused; in one with the line
+   "unusable-item", a queue or client account could not be used. */
 static int
 read_conf (const char *text, struct fconf **out, struct codec_err *ce)
 {
@@ -237,6 +239,8 @@
       long long n, priority, attempts, target, millicores;
       if (sscanf (line, "version %lld", &n) == 1)
         c->version = n;
+      else if (strcmp (line, "unusable-item") == 0)
+        c->n_unusable++;
       else if (sscanf (line, "queue %47s %lld %lld %lf %lld %lf %lf", q.name,
                        &priority, &attempts, &q.slack, &target,
                        &q.advice.base_ms, &q.advice.per_exec_ms)
--- a/regress/unit/documents_test.c
+++ b/regress/unit/documents_test.c
@@ -61,6 +61,43 @@
   fconf_free (c);
 }
 
+/* Queue 1 and account 0 have a name that is too long, key 0 of account 1 is a
+   number, queue 3 has a priority out of range. */
+static const char partly_usable_json[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\"},"
+      "{\"name\":"
+      "\"bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\","
+      "\"host\":\"h\",\"prefix\":\"/b/\",\"service\":\"s\"},"
+      "{\"name\":\"c\",\"host\":\"h\",\"prefix\":\"/c/\",\"service\":\"s\"},"
+      "{\"name\":\"d\",\"host\":\"h\",\"prefix\":\"/d/\",\"service\":\"s\","
+      "\"priority\":-1}],\"tenants\":[{\"name\":"
+      "\"tttttttttttttttttttttttttttttttttttttttttttttttttttttttttttttttt\","
+      "\"api_keys\":[\"k0\"]},"
+      "{\"name\":\"t1\",\"api_keys\":[5,\"k1\"],\"weight\":1}]}";
+
+static void
+test_unusable_item_costs_only_itself (void)
+{
+  struct fconf *c;
+  struct codec_err ce;
+
+  CU_ASSERT_EQUAL_FATAL (pf_codec.decode_conf (partly_usable_json, &c, &ce),
+                         0);
+  CU_ASSERT_EQUAL (c->version, 7);
+  CU_ASSERT_PTR_NOT_NULL (fconf_queue_for (c, "h", "/a/"));
+  CU_ASSERT_PTR_NULL (fconf_queue_for (c, "h", "/b/"));
+  CU_ASSERT_PTR_NOT_NULL (fconf_queue_for (c, "h", "/c/"));
+  CU_ASSERT_PTR_NULL (fconf_queue_for (c, "h", "/d/"));
+  CU_ASSERT_PTR_NULL (fconf_tenant_of_key (c, "k0"));
+  CU_ASSERT_PTR_NOT_NULL (fconf_tenant_of_key (c, "k1"));
+  CU_ASSERT_EQUAL (c->n_unusable, 4);
+  CU_ASSERT_STRING_EQUAL (c->first_unusable, "routes[1].name");
+  fconf_free (c);
+}
+
 UNIT_MAIN ("documents",
            { "a configuration may have any number of queues and accounts",
-             test_number_of_items_is_not_limited })
+             test_number_of_items_is_not_limited },
+           { "an item that cannot be used costs only itself",
+             test_unusable_item_costs_only_itself })
