The queue of a request is found by binary search

Cause: each request looked at every queue of the configuration. With configurations of thousands of queues that is a cost for each request that grows with them, on instances that have 0.12 of a core. Change: the queues are sorted by host and prefix when a configuration is read; the longest prefix of a path is found in a few steps.

--- a/core/fconf.h
+++ b/core/fconf.h
@@ -68,8 +68,8 @@
 /** struct fconf - one version of the configuration; owns its arrays */
 struct fconf
 {
-  int64_t version; /* grows with each change of the configuration */
-  struct fconf_queue *queues;
+  int64_t version;            /* grows with each change of the configuration */
+  struct fconf_queue *queues; /* sorted by fconf_sort_queues() */
   size_t n_queues;
   struct fconf_tenant *tenants;
   size_t n_tenants;
@@ -79,9 +79,11 @@
      could not be used and are missing here. */
   size_t n_unusable;
   char first_unusable[128]; /* place of the first one in the document */
-  int64_t body_max; /* maximum size of a request's body, in bytes */
+  int64_t body_max;         /* maximum size of a request's body, in bytes */
 };
 
+/** fconf_sort_queues() - Sort the queues of @c for fconf_queue_for(). */
+void fconf_sort_queues (struct fconf *c);
 /**
  * fconf_queue_for() - Find the queue of a request.
  * @host: the request's host, without the port
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -269,6 +269,7 @@
         }
     }
   free (copy);
+  fconf_sort_queues (c);
   *out = c;
   return 0;
 }
