A job counts as started once a task is known to have begun

Cause, as far as tests show it: the leader counted a job as started when it sent a start order, and a new leader when it found the record of one. To executors that cannot be reached the order does not arrive; the job went on waiting, uncounted, for good. Change: a job counts as started when an executor acknowledges a start, lists a run or its end, or when the recorded progress holds an end. The state that callers see follows. Why this works: each of these is the executor's own word, and the count is too high at most until the executor answers.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -499,6 +499,8 @@
       if (task->index >= s->n_tasks)
         continue;
       struct jtask *t = &s->tasks[task->index];
+      if (task->done || task->n_failed)
+        start_mark_job_started (j);
       for (size_t r = 0; r < task->n_failed; r++)
         add_failed_run (t, task->failed[r].id);
       if (task->done)
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -245,7 +245,7 @@
      started tasks of it. */
   bool inherited;
   bool over_share;   /* the job exceeds the share of its client account */
-  bool task_started; /* a task has been started, by any leader */
+  bool task_started; /* a task is known to have begun on an executor */
   /* This leader has sent a start order for a task of the job. */
   bool start_sent;
   bool dirty;    /* the progress has changed and must be recorded */
@@ -682,7 +682,7 @@
 int fsched_job_state (const struct fsched *fs, const char *id);
 /**
  * fsched_jobs_waiting() - Count the jobs of a queue that have not ended and of
- * which no task was started.
+ * which no task is known to have begun.
  */
 int64_t fsched_jobs_waiting (const struct fsched *fs, const char *queue);
 
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -300,6 +300,8 @@
     return;
   e->seen_end_seq = row->seq;
   fs->record_due = true;
+  if (j)
+    start_mark_job_started (j);
   if (r)
     {
       clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
@@ -380,6 +382,7 @@
     }
   r->in_list = true;
   r->inherited = false;
+  start_mark_job_started (r->job);
   if (!r->start_acked_ms)
     r->start_acked_ms = fs->now_ms;
   if (r->state == START_SENT || r->state == START_UNCONFIRMED)
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -140,7 +140,8 @@
  */
 struct start *start_new (struct fsched *fs, struct job *j, int step, int index,
                          struct exec *e, int64_t run_id, int state);
-/** start_mark_job_started() - Mark @j as a job of which a task was started. */
+/** start_mark_job_started() - Mark @j as a job of which a task has begun on an
+ * executor. */
 void start_mark_job_started (struct job *j);
 /**
  * start_end() - End a start whose run has ended.
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -208,7 +208,6 @@
           r->state = START_SENT;
           r->sent_ms = fs->now_ms;
           mark_start_sent (fs, r->job);
-          start_mark_job_started (r->job);
           start_send (fs, r);
         }
     }
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -78,7 +78,7 @@
   if (run_id >= t->next_run_id)
     t->next_run_id = (int32_t)run_id + 1;
   j->n_runs++;
-  if (state != START_INTENT)
+  if (state == START_ACKED)
     start_mark_job_started (j);
   set_pending (fs, r, state == START_INTENT);
   j->steps[step].n_running++;
@@ -274,6 +274,7 @@
     {
     case ORDER_DONE:
       r->start_acked_ms = fs->now_ms;
+      start_mark_job_started (r->job);
       if (r->state == START_SENT)
         r->state = START_ACKED;
       return;
