--- a/core/follow.h
+++ b/core/follow.h
@@ -99,8 +99,9 @@
  * follow_smaller_page() - Return the number of rows to list next after a call
  * for @rows rows failed with @err.
  *
- * A call without an answer may have asked for more than the link transfers in
- * time, so that the same call would fail again.
+ * A call without an answer may have asked for more than can be sent in time by
+ * a peer, which forwards an answer as a whole, so that the same call would
+ * fail again.
  */
 int64_t follow_smaller_page (int64_t rows, int64_t err);
 /** follow_start() - Begin, or begin again, to list the table. */
@@ -109,8 +110,7 @@
  * follow_feed_stuck() - Return whether the feed's answers do not arrive.
  *
  * If the table service answers other calls, the changes since the last answer
- * are more than the link transfers before a call times out.  A new listing
- * reads the table in pages.
+ * are too many for one answer.  A new listing reads the table in pages.
  */
 bool follow_feed_stuck (const struct table_follower *f);
 /** follow_relist() - List the table again, in pages as small as those that
