--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -7,6 +7,8 @@
  * sets the mode of link N:
  *   N pass           forward bytes at once
  *   N delay MS       forward bytes MS ms later, in both directions
+ *   N rate BYTES     forward BYTES bytes per ms from the target to the client,
+ *                    on each connection
  *   N stall          forward nothing
  *   N stall-reply    forward nothing from the target to the client
  *   N stall-request  forward nothing from the client to the target
@@ -28,12 +30,16 @@
 {
   LINKS_MAX = 256,
   READ_SIZE = 65536, /* largest number of bytes in one read */
+  /* Largest number of bytes that are forwarded at once over a link with a
+     rate. */
+  RATE_CHUNK_BYTES = 4096,
 };
 
 enum mode
 {
   MODE_PASS,
   MODE_DELAY,
+  MODE_RATE,
   MODE_STALL,
   MODE_STALL_REPLY,
   MODE_STALL_REQUEST,
@@ -42,7 +48,8 @@
 };
 
 static const char *const mode_names[MODE_N]
-    = { "pass", "delay", "stall", "stall-reply", "stall-request", "reset" };
+    = { "pass",        "delay",         "rate", "stall",
+        "stall-reply", "stall-request", "reset" };
 
 /* struct link - a listening port and the port that it forwards to */
 struct link
@@ -51,6 +58,8 @@
   int target_port; /* port on 127.0.0.1 */
   enum mode mode;
   uint64_t delay_ms; /* delay in each direction, used in MODE_DELAY */
+  /* Bytes per ms from the target to the client, used in MODE_RATE. */
+  uint64_t rate;
 };
 
 /* struct conn_pair - a client's connection to the proxy and the connection of
@@ -171,10 +180,18 @@
          || (l->mode == MODE_STALL_REQUEST && receiving_end == 1);
 }
 
+/* Returns whether the link of @p has a rate for bytes to end @receiving_end, 0
+   for the client and 1 for the target. */
+static bool
+has_rate (const struct conn_pair *p, int receiving_end)
+{
+  return p->link->mode == MODE_RATE && receiving_end == 0 && p->link->rate > 0;
+}
+
 /* Schedules a copy of @bytes to be written to end @receiving_end, 0 for the
    client and 1 for the target, after the delay of the link. */
 static void
-forward_bytes (struct conn_pair *p, int receiving_end, const char *bytes,
+forward_chunk (struct conn_pair *p, int receiving_end, const char *bytes,
                size_t len)
 {
   uint64_t now_ms = uv_now (loop);
@@ -186,6 +203,8 @@
     abort ();
   if (due_ms < p->due_ms[receiving_end])
     due_ms = p->due_ms[receiving_end];
+  if (has_rate (p, receiving_end))
+    due_ms += len / p->link->rate;
   p->due_ms[receiving_end] = due_ms;
   c->pair = p;
   c->pair_id = p->id;
@@ -198,6 +217,21 @@
   uv_timer_start (&c->timer, on_chunk_due, due_ms - now_ms, 0);
 }
 
+/* Schedules copies of @bytes like forward_chunk(), in small chunks if the link
+   has a rate. */
+static void
+forward_bytes (struct conn_pair *p, int receiving_end, const char *bytes,
+               size_t len)
+{
+  while (has_rate (p, receiving_end) && len > RATE_CHUNK_BYTES)
+    {
+      forward_chunk (p, receiving_end, bytes, RATE_CHUNK_BYTES);
+      bytes += RATE_CHUNK_BYTES;
+      len -= RATE_CHUNK_BYTES;
+    }
+  forward_chunk (p, receiving_end, bytes, len);
+}
+
 static void
 on_alloc (uv_handle_t *h, size_t size, uv_buf_t *buf)
 {
@@ -277,8 +311,9 @@
     close_pair (p, true);
 }
 
+/* Sets the mode of a link by its name.  @value is the delay or the rate. */
 static void
-set_link_mode (int index, const char *name, int ms)
+set_link_mode (int index, const char *name, int value)
 {
   struct conn_pair *p, *next;
 
@@ -287,7 +322,8 @@
   for (int m = 0; m < MODE_N; m++)
     if (strcmp (name, mode_names[m]) == 0)
       links[index].mode = (enum mode)m;
-  links[index].delay_ms = (uint64_t)ms;
+  links[index].delay_ms = (uint64_t)value;
+  links[index].rate = (uint64_t)value;
   for (p = LIST_FIRST (&pairs); p; p = next)
     {
       next = LIST_NEXT (p, entry);
@@ -315,10 +351,10 @@
     {
       char name[16] = "";
       int index = -1;
-      int ms = 0;
+      int value = 0;
       *newline = '\0';
-      if (sscanf (text, "%d %15s %d", &index, name, &ms) >= 2)
-        set_link_mode (index, name, ms);
+      if (sscanf (text, "%d %15s %d", &index, name, &value) >= 2)
+        set_link_mode (index, name, value);
       len -= (size_t)(newline + 1 - text);
       memmove (text, newline + 1, len + 1);
     }
