A small answer of the feed that arrives in pieces is no change

What callers would see: 503 instead of 404 or 401 for up to a second, now and then, on an instance whose link is busy; and lines config-behind for changes that nobody made. Cause: an answer of the configuration's feed that arrived in pieces counted as a change. On a busy link an answer without changes can arrive in pieces, too. Change: it counts from 1,000 bytes on; an answer without changes has some 100. The HTTP client passes the Content-Length.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -182,11 +182,11 @@
 }
 
 static void
-on_store_partial (void *arg, uint64_t token)
+on_store_partial (void *arg, uint64_t token, size_t total)
 {
   struct fleetd *d = arg;
 
-  fleet_store_partial (&d->fleet, boottime_ms (), token);
+  fleet_store_partial (&d->fleet, boottime_ms (), token, total);
 }
 
 static void
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -574,13 +574,14 @@
 }
 
 void
-fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token)
+fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token,
+                     size_t total)
 {
   f->now_ms = now_ms;
   f->store_last_contact_ms = now_ms;
   f->store_failures = 0;
-  /* The feed answers in pieces only if there are changes. */
-  if (follow_is_feed_call (&f->conf_feed, token))
+  if (total > FLEET_NO_CHANGE_BYTES
+      && follow_is_feed_call (&f->conf_feed, token))
     set_conf_superseded (f);
 }
 
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -61,6 +61,9 @@
      current is younger than this.  The time covers two waits of the
      configuration's feed and slow answers. */
   FLEET_READY_CONF_AGE_MS = 1400,
+  /* Size of an answer of the configuration's feed, in bytes, above which it
+     holds a change.  One without changes is some 100 bytes. */
+  FLEET_NO_CHANGE_BYTES = 1000,
   /* Records that become due within this time are written together. */
   FLEET_RECORD_BATCH_MS = 25,
   /* Records of starts that become due within this time are written together.
@@ -383,8 +386,9 @@
 void fleet_store_reply (struct fleet *f, int64_t now_ms, uint64_t token,
                         const struct store_rep *rep);
 /** fleet_store_partial() - Handle that a part of the table service's answer to
- * call @token has arrived and more of it follows. */
-void fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token);
+ * call @token, of @total bytes, has arrived and more of it follows. */
+void fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token,
+                          size_t total);
 /** fleet_order_result() - Handle the result @res of order @o; both are
  * borrowed. */
 void fleet_order_result (struct fleet *f, int64_t now_ms,
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -367,15 +367,18 @@
   curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, max_idle);
 }
 
-/* Returns true if, by its Content-Length, the response has bytes that have not
-   arrived. */
-static bool
-more_to_come (const struct xfer *x)
+/* Calls on_partial if, by its Content-Length, the response has bytes that have
+   not arrived. */
+static void
+report_partial (struct xfer *x)
 {
   curl_off_t total = -1;
 
+  if (!x->rq.on_partial)
+    return;
   curl_easy_getinfo (x->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &total);
-  return total > (curl_off_t)x->response_len;
+  if (total > (curl_off_t)x->response_len)
+    x->rq.on_partial (x->rq.arg, (size_t)total);
 }
 
 /* CURLOPT_WRITEFUNCTION: passes a piece of the response's body to on_data, or
@@ -406,8 +409,7 @@
   memcpy (x->response + x->response_len, data, len);
   x->response_len += len;
   x->response[x->response_len] = '\0';
-  if (x->rq.on_partial && more_to_come (x))
-    x->rq.on_partial (x->rq.arg);
+  report_partial (x);
   return len;
 }
 
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -72,10 +72,10 @@
   bool (*on_data) (void *arg, const char *data, size_t len);
   /**
    * on_partial - Called after each piece of the response's body after which,
-   * by the response's Content-Length, others follow.  May be NULL; not called
-   * if on_data is set.
+   * by the response's Content-Length @total, others follow.  May be NULL; not
+   * called if on_data is set.
    */
-  void (*on_partial) (void *arg);
+  void (*on_partial) (void *arg, size_t total);
   /**
    * on_end - Called exactly once, as the last callback.
    * @result: enum httpc_result
--- a/regress/fleet/config.lua
+++ b/regress/fleet/config.lua
@@ -105,3 +105,16 @@
     expect(count_status(i, "q", "new") == 503, "a missing key is denied")
   end
 end)
+
+-- An answer of the feed without changes takes 100 ms on this link.
+scenario("an answer without changes that arrives in pieces is no change",
+  function()
+  start_fleet{}
+  local slow = (leader() + 1) % 3
+  instance(slow, "link-rate", 1)
+  run(1000)
+  for _ = 1, 40 do
+    expect(count_status(slow, "none") == 404, "an unknown queue is not denied")
+    run(17)
+  end
+end)
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -270,7 +270,8 @@
       return;
     }
   if (in->up && in->incarnation == q->incarnation && !in->frozen)
-    fleet_store_partial (&in->fleet, s->now_ms, q->token);
+    fleet_store_partial (&in->fleet, s->now_ms, q->token,
+                         (size_t)reply_bytes (&q->rep));
   fsim_schedule (s, left_ms < PARTIAL_MS ? left_ms : PARTIAL_MS, receive_reply,
                  q);
 }
--- a/regress/unit/httpc_test.c
+++ b/regress/unit/httpc_test.c
@@ -37,6 +37,7 @@
   int result; /* enum httpc_result */
   size_t len; /* length of the body */
   int n_partial;
+  size_t total;    /* length of the body, as on_partial was told */
   uint64_t end_ms; /* time from the start of the request to its end */
 };
 
@@ -124,9 +125,12 @@
 }
 
 static void
-on_partial (void *arg)
+on_partial (void *arg, size_t total)
 {
-  ((struct result *)arg)->n_partial++;
+  struct result *r = arg;
+
+  r->n_partial++;
+  r->total = total;
 }
 
 static void
@@ -177,6 +181,7 @@
   CU_ASSERT_EQUAL (r.len, BODY_BYTES);
   CU_ASSERT (r.end_ms > 2 * SILENCE_MS);
   CU_ASSERT (r.n_partial > 0 && r.n_partial < BODY_BYTES);
+  CU_ASSERT_EQUAL (r.total, BODY_BYTES);
 }
 
 static void
