--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -253,7 +253,10 @@
           snprintf (q.prefix, sizeof q.prefix, "/%.60s/", q.name);
           clb_copy (q.host, "h", sizeof q.host);
           clb_copy (q.service, "svc", sizeof q.service);
-          c->queues = realloc (c->queues, (c->n_queues + 1) * sizeof q);
+          /* The array is doubled whenever the number of queues is a power of
+             two. */
+          if ((c->n_queues & (c->n_queues - 1)) == 0)
+            c->queues = realloc (c->queues, (2 * c->n_queues + 1) * sizeof q);
           c->queues[c->n_queues++] = q;
         }
       else if (sscanf (line, "tenant %47s %lf %lld %63s", t.name, &t.weight,
