All instances of a large fleet advise and are ranked

Cause: the leader kept at most 64 other instances. Of the 97 of the large deployment 33 sent no advice queries and were told the first rank, so that they claimed a lost lead at once, however weak. Entries of removed and replaced instances stayed for the whole term and took up room. Change: the list grows; the entry of an instance without contact for 10 s is reused. An unknown instance has no rank. Test that fails on the code before: fsched_test, both cases.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -173,6 +173,7 @@
   fsched_intern_free (&fs->services);
   fsched_intern_free (&fs->racks);
   fsched_intern_free (&fs->labels);
+  free (fs->advisers);
   free (fs->eligible);
   free (fs->ready_jobs);
   free (fs);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -59,8 +59,6 @@
   /* Remaining lifetime that a ticket needs when its start order is sent: the
      order takes at most this long to arrive. */
   FSCHED_TICKET_MARGIN_MS = 120,
-  /* Maximum number of instances that advice queries are spread over. */
-  FSCHED_ADVISERS_MAX = 64,
   /* Maximum number of advice queries in one placing pass.  Passes over many
      jobs are rare; the limit leaves the leader time to process starts and ends
      and to renew its lease while there is a backlog. */
@@ -512,8 +510,9 @@
   /* Recorded progress of jobs that are not added yet. */
   struct early_tree early_progress;
   int64_t next_query_sweep_ms; /* time of the next search for lost queries */
-  struct adviser advisers[FSCHED_ADVISERS_MAX];
+  struct adviser *advisers;    /* owned */
   int n_advisers;
+  int advisers_cap; /* number of entries that advisers has room for */
   struct fsched_queueq queues;
   bool fenced; /* an executor has seen the fencing token of a later leader */
   bool loaded; /* the records are loaded; orders may be given */
@@ -667,7 +666,7 @@
  * that have a larger share of a core than instance @id, or the same share and
  * have been known for longer.
  *
- * Return: the count; 0 if @id is unknown.
+ * Return: the count; -1 if @id is unknown.
  */
 int fsched_adviser_rank (const struct fsched *fs, const char *id);
 /**
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -25,6 +25,9 @@
   /* An instance without contact for this long counts as unreachable: two of
      its hello messages were lost. */
   ADVISER_UNREACHABLE_MS = 1000,
+  /* The entry of an instance without contact for this long is given to a new
+     instance: the instance was removed, or replaced at another address. */
+  ADVISER_FORGET_MS = 10000,
   /* An instance whose queries are overdue by this long gets no further
      ones. */
   ADVISER_LATE_MS = 80,
@@ -92,6 +95,31 @@
          && p->valid_until_ms > fs->now_ms + FSCHED_TICKET_MARGIN_MS;
 }
 
+/* Adds an entry for a new instance, in place of that of an instance without
+   contact if there is one. */
+static struct adviser *
+add_adviser (struct fsched *fs)
+{
+  struct adviser *a = NULL;
+
+  for (int i = 0; i < fs->n_advisers && !a; i++)
+    if (*fs->advisers[i].addr && !fs->advisers[i].n_queries
+        && fs->now_ms - fs->advisers[i].last_contact_ms > ADVISER_FORGET_MS)
+      a = &fs->advisers[i];
+  if (!a && fs->n_advisers == fs->advisers_cap)
+    {
+      fs->advisers_cap = 2 * fs->advisers_cap + 32;
+      fs->advisers = realloc (fs->advisers,
+                              (size_t)fs->advisers_cap * sizeof *fs->advisers);
+      if (!fs->advisers)
+        abort ();
+    }
+  if (!a)
+    a = &fs->advisers[fs->n_advisers++];
+  memset (a, 0, sizeof *a);
+  return a;
+}
+
 void
 fsched_adviser_seen (struct fsched *fs, const char *id, const char *addr,
                      int64_t millicores, int64_t table_contact_ms)
@@ -101,12 +129,9 @@
   for (int i = 0; i < fs->n_advisers && !a; i++)
     if (strcmp (fs->advisers[i].id, id) == 0)
       a = &fs->advisers[i];
-  if (!a && fs->n_advisers == FSCHED_ADVISERS_MAX)
-    return;
   if (!a)
     {
-      a = &fs->advisers[fs->n_advisers++];
-      memset (a, 0, sizeof *a);
+      a = add_adviser (fs);
       clb_copy (a->id, id, sizeof a->id);
       fs->pass_due = true;
     }
@@ -138,7 +163,9 @@
   for (int i = 0; i < fs->n_advisers; i++)
     if (strcmp (fs->advisers[i].id, id) == 0)
       own = i;
-  for (int i = 0; i < fs->n_advisers && own >= 0; i++)
+  if (own < 0)
+    return -1;
+  for (int i = 0; i < fs->n_advisers; i++)
     {
       const struct adviser *a = &fs->advisers[i];
       if (*a->addr && fs->now_ms - a->last_contact_ms < ADVISER_UNREACHABLE_MS
--- /dev/null
+++ b/regress/unit/fsched_test.c
@@ -0,0 +1,78 @@
+/* Tests of the scheduler's knowledge of the other instances. */
+#include "fsched.h"
+#include "unit.h"
+
+#include <stdio.h>
+
+enum
+{
+  INSTANCES = 300,
+  STRONG = 250, /* the only instance with a large share of a core */
+};
+
+/* Reports instance @n of the fleet as reachable. */
+static void
+see_instance (struct fsched *fs, int n)
+{
+  char id[CLB_ID_MAX], addr[CLB_ADDR_MAX];
+
+  snprintf (id, sizeof id, "n%d", n);
+  snprintf (addr, sizeof addr, "10.0.0.1:%d", n);
+  fsched_adviser_seen (fs, id, addr, n == STRONG ? 500 : 120, fs->now_ms);
+}
+
+static struct fsched *
+new_scheduler (struct outq *out, struct fsched_stats *stats)
+{
+  static uint64_t last_token;
+  struct fsched *fs = fsched_new (out, &last_token, 1000, 1, 0, stats);
+
+  fsched_adviser_seen (fs, "", "", 0, 0);
+  return fs;
+}
+
+/* A follower that the leader does not rank, or ranks first by mistake, claims
+   the lead at once although it may be too weak. */
+static void
+test_all_instances_are_ranked (void)
+{
+  struct outq out = TAILQ_HEAD_INITIALIZER (out);
+  struct fsched_stats stats = { 0 };
+  struct fsched *fs = new_scheduler (&out, &stats);
+
+  for (int n = 1; n <= INSTANCES; n++)
+    see_instance (fs, n);
+  CU_ASSERT_EQUAL (fsched_adviser_rank (fs, "n250"), 0);
+  CU_ASSERT_EQUAL (fsched_adviser_rank (fs, "n1"), 1);
+  CU_ASSERT_EQUAL (fsched_adviser_rank (fs, "n300"), INSTANCES - 1);
+  CU_ASSERT_EQUAL (fsched_adviser_rank (fs, "unknown"), -1);
+  fsched_free (fs);
+}
+
+/* Instances that were removed must not take up room for ever. */
+static void
+test_removed_instances_are_forgotten (void)
+{
+  struct outq out = TAILQ_HEAD_INITIALIZER (out);
+  struct fsched_stats stats = { 0 };
+  struct fsched *fs = new_scheduler (&out, &stats);
+
+  for (int n = 1; n <= 10; n++)
+    see_instance (fs, n);
+  for (int n = 1000; n < 1200; n++)
+    {
+      fs->now_ms += 11000;
+      for (int kept = 1; kept <= 10; kept++)
+        see_instance (fs, kept);
+      see_instance (fs, n);
+    }
+  CU_ASSERT (fs->n_advisers <= 13);
+  CU_ASSERT_EQUAL (fsched_adviser_rank (fs, "n1199"), 10);
+  fsched_free (fs);
+}
+
+UNIT_MAIN ("fsched",
+           { "all instances of a large fleet are ranked",
+             test_all_instances_are_ranked },
+           { "removed instances are forgotten",
+             test_removed_instances_are_forgotten })
