Permitted executors with room are held for a gang that does not fit yet

What callers saw: gangs that needed several executors at once waited for 20 to 40 s beside work that was due much later. Change: in the order of a pass such a gang reserves the free capacity of its permitted executors, up to a quarter of all CPU over all gangs. Until the run times of a queue are known, its spread is 1: after a power failure of all instances a leader that knows none took hopeless jobs for jobs in time. Test that fails on the code before: "a gang starts beside a backlog of less urgent small tasks" (never started within 8 s, bound 3.4 s).

--- a/core/estim.c
+++ b/core/estim.c
@@ -6,7 +6,7 @@
 static const double DECAY = 1 - 1 / 256.0;
 /* Sum of weights from which on the prediction differs from the estimate. */
 static const double WEIGHT_MIN = 12;
-/* Spread until enough runs were added, and largest spread. */
+/* Largest spread. */
 static const double SPREAD_MAX = 3;
 
 static double
@@ -60,7 +60,7 @@
   double variance, spread;
 
   if (e->weight < WEIGHT_MIN)
-    return SPREAD_MAX;
+    return 1;
   variance = (e->sum_rr - 2 * b * e->sum_er + b * b * e->sum_ee) / e->weight;
   spread = variance > 0 ? exp (sqrt (variance)) : 1;
   return spread < SPREAD_MAX ? spread : SPREAD_MAX;
--- a/core/estim.h
+++ b/core/estim.h
@@ -42,7 +42,8 @@
 int64_t estim_predict (const struct estim *e, int64_t estimate_ms);
 /**
  * estim_spread() - Return the factor, at least 1, by which a run time exceeds
- * its prediction if it is one standard deviation longer.
+ * its prediction if it is one standard deviation longer; 1 until enough runs
+ * were added.
  */
 double estim_spread (const struct estim *e);
 
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -536,6 +536,8 @@
      not answered; see FSCHED_PENDING_STARTS_MAX. */
   int n_pending_starts;
   int queries_left; /* advice queries that the current pass may still send */
+  /* CPU that the current pass may still reserve for gangs that do not fit. */
+  int64_t gang_reserve_millicores;
   bool short_adviser_free;    /* an instance is free for a short query */
   bool long_adviser_free;     /* an instance is free for a long query */
   int64_t next_exec_sweep_ms; /* time of the next check of all executors */
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -403,10 +403,10 @@
     n_waiting -= reserve_capacity (execs->list[i].e, j, step, n_waiting);
 }
 
-/* Reserves capacity for @n_waiting tasks of a step whose query is outstanding,
-   on the executors that the query names and on permitted ones. */
+/* Reserves capacity for @n_waiting tasks of a step on the executors that are
+   permitted or that its outstanding query names. */
 static void
-reserve_queried (struct fsched *fs, struct job *j, int step, int n_waiting)
+reserve_permitted (struct fsched *fs, struct job *j, int step, int n_waiting)
 {
   struct jstep *s = &j->steps[step];
 
@@ -434,6 +434,22 @@
   return false;
 }
 
+/*
+ * Reserves the free capacity of permitted executors for a gang that does not
+ * fit yet.  Without this, less urgent tasks would take what becomes free, and
+ * there would never be room for all members at the same time.
+ */
+static void
+reserve_for_gang (struct fsched *fs, struct job *j, int step, int n_waiting)
+{
+  int64_t need = n_waiting * j->spec.steps[step].need.millicores;
+
+  if (!j->spec.steps[step].gang || need > fs->gang_reserve_millicores)
+    return;
+  fs->gang_reserve_millicores -= need;
+  reserve_permitted (fs, j, step, n_waiting);
+}
+
 void
 advice_query (struct fsched *fs, struct job *j, int step)
 {
@@ -447,13 +463,16 @@
 
   if (s->query_id)
     {
-      reserve_queried (fs, j, step, n_waiting);
+      reserve_permitted (fs, j, step, n_waiting);
       return;
     }
   if (fs->now_ms < s->next_query_ms || n_waiting <= 0 || fs->queries_left <= 0
       || !(advice->base_ms > LONG_QUERY_MS ? fs->long_adviser_free
                                            : fs->short_adviser_free))
-    return;
+    {
+      reserve_for_gang (fs, j, step, n_waiting);
+      return;
+    }
   add_expired (fs, j, step, &execs);
   if (execs.permitted_fits < n_waiting && execs.n_unknown > 0)
     add_unknown (fs, j, step, &execs,
@@ -462,10 +481,13 @@
   /* A gang starts only when all members fit.  Tickets that the gang got sooner
      would expire unused. */
   else if (gang && execs.permitted_fits < n_waiting)
-    return;
+    execs.n = 0;
   /* Without room, the tickets of a further answer would expire unused. */
   if (execs.n == 0 || (s->n_queries > 0 && !any_has_room (&execs)))
-    return;
+    {
+      reserve_for_gang (fs, j, step, n_waiting);
+      return;
+    }
   duration_ms = advice->base_ms + advice->per_exec_ms * (double)execs.n;
   adviser = pick_adviser (fs, duration_ms);
   reserve_named (j, step, &execs, n_waiting);
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -28,6 +28,9 @@
   /* Free CPU below which an executor counts as full.  No task seen so far
      needs less. */
   FREE_MIN_MILLICORES = 100,
+  /* One part in this many of all CPU may be reserved for gangs that do not fit
+     yet.  What is reserved stays idle until such a gang starts. */
+  GANG_RESERVE_FRACTION = 4,
 };
 
 /* Returns whether @n more tasks of the step keep the job's client account
@@ -272,12 +275,16 @@
   if (!fs->eligible)
     abort ();
   fs->n_eligible = 0;
+  fs->gang_reserve_millicores = 0;
   TAILQ_FOREACH (e, &fs->execs, link)
     {
       e->eligible = exec_eligible (fs, e);
       e->reserved = (struct job_need){ 0 };
-      if (e->eligible)
-        fs->eligible[fs->n_eligible++] = e;
+      if (!e->eligible)
+        continue;
+      fs->eligible[fs->n_eligible++] = e;
+      fs->gang_reserve_millicores
+          += e->rep.capacity.millicores / GANG_RESERVE_FRACTION;
     }
 }
 
--- a/regress/fleet/load.lua
+++ b/regress/fleet/load.lua
@@ -185,3 +185,28 @@
   end
   expect(in_time >= 10, in_time .. " of " .. #sent .. " completed in time")
 end)
+
+-- The executors are full, and a backlog of small tasks would take whatever
+-- becomes free.  The gang needs room on several executors at the same time.
+scenario("a gang starts beside a backlog of less urgent small tasks", function()
+  local n, started_ms = 0, nil
+  start_fleet{instances = 8, execs = 40, cores = 16, mem = 64000,
+              permitted_percent = 30}
+  for _ = 1, 150 do
+    n = n + 1
+    job{id = id(n), queue = "many",
+        steps = {{tasks = 20, cpu = 2000, ms = 1500 + 10 * (n % 50)}}}
+    submit(n % 8, id(n))
+    run(10)
+  end
+  job{id = id(5000), queue = "wide", advice_base_us = 310000,
+      advice_per_exec_us = 4400,
+      steps = {{tasks = 16, cpu = 4500, gang = true, ms = 2000}}}
+  submit(0, id(5000))
+  for t = 100, 8000, 100 do
+    run(100)
+    if not started_ms and task(id(5000), 0, 0) > 0 then started_ms = t end
+  end
+  expect(started_ms and started_ms <= 3400,
+         "the gang has started after " .. tostring(started_ms) .. " ms")
+end)
