--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,10 @@
 	-iquote citronlbd -iquote platform -iquote regress/standin -iquote regress -iquote regress/fsim -I/usr/include/lua5.4
 ALL_CFLAGS = -std=gnu17 -Wall -Wextra -Werror $(CFLAGS) $(SAN) -MMD -MP
 CORE_LIBS = -ljansson -lmsgpackc -lcrypto -lbsd -lm
-NET_LIBS = -lh2o -luv -lssl -lcrypto -lz -lcurl -lm
+NET_LIBS = -lh2o -luv -lssl -lcrypto -lz -lcurl -lhttp_parser -lbsd -lm
 
 CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
-NET = $(BUILD)/net/httpd.o $(BUILD)/net/httpc.o
+NET = $(BUILD)/net/httpd.o $(BUILD)/net/httpc.o $(BUILD)/net/hpool.o
 LINKS = $(BUILD)/net/links.o
 PLATFORM = $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 STANDIN = $(BUILD)/regress/standin/fstore.o $(BUILD)/regress/standin/fworker.o
--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -18,11 +18,14 @@
   TICK_LEADER_MS = 10,
   /* Interval at which the other instances call fleet_tick(). */
   TICK_FOLLOWER_MS = 25,
-  /* Maximum number of connections to one executor.  The daemon uses them to
-     poll for ended tasks and to start tasks. */
-  CONNECTIONS_PER_EXEC_MAX = 4,
-  /* Maximum number of idle connections kept open, over all executors. */
-  EXEC_IDLE_CONNECTIONS_MAX = 1500,
+  /* Maximum number of connections to one executor: one is used by the poll,
+     which the executor may answer late, and the others by orders. */
+  CONNECTIONS_PER_EXEC_MAX = 3,
+  /* Time for which an idle connection to an executor is kept, unless the
+     executor closes it before. */
+  EXEC_IDLE_CONNECTION_MS = 10000,
+  /* Maximum time to connect to an executor. */
+  EXEC_CONNECT_TIMEOUT_MS = 400,
   /* Maximum number of connections to the table service.  Three feeds, the
      journal and the writes of callers share them. */
   STORE_CONNECTIONS_MAX = 24,
@@ -54,8 +57,8 @@
   struct fleet fleet;
   /* HTTP client that sends requests to the table service. */
   struct httpc *store_http_client;
-  /* HTTP client that sends requests to executors. */
-  struct httpc *exec_http_client;
+  /* HTTP client that sends requests to executors and to the advice service. */
+  struct hpool *exec_http_client;
   struct pf_store store;
   struct pf_orders orders;
   /* Links to the other instances. */
@@ -257,12 +260,17 @@
   struct fleetd *d = arg;
   clb_auto char *fleet = fleet_metrics (&d->fleet);
   clb_auto char *text = NULL;
+  const struct hpool_stats *orders = hpool_stats (d->exec_http_client);
 
   if (asprintf (&text,
                 "%scitronlb_log_lines_total %llu\n"
-                "citronlb_log_dropped_total %llu\n",
+                "citronlb_log_dropped_total %llu\n"
+                "citronlb_exec_requests_total %llu\n"
+                "citronlb_exec_connections_total %llu\n",
                 fleet, (unsigned long long)logline_stats ()->written,
-                (unsigned long long)logline_stats ()->dropped)
+                (unsigned long long)logline_stats ()->dropped,
+                (unsigned long long)orders->requests,
+                (unsigned long long)orders->connections)
       < 0)
     abort ();
   httpd_answer (d->metrics_server, rq->id, 200, "text/plain; version=0.0.4",
@@ -453,13 +461,15 @@
                               .arg = d,
                               .on_message = on_message,
                               .on_received = on_received };
+  struct hpool_conf exec_conf
+      = { .max_per_host = CONNECTIONS_PER_EXEC_MAX,
+          .idle_ms = EXEC_IDLE_CONNECTION_MS,
+          .connect_timeout_ms = EXEC_CONNECT_TIMEOUT_MS };
 
   d->store_http_client = httpc_new (d->loop);
   httpc_limit (d->store_http_client, STORE_CONNECTIONS_MAX,
                STORE_IDLE_CONNECTIONS_MAX);
-  d->exec_http_client = httpc_new (d->loop);
-  httpc_limit (d->exec_http_client, CONNECTIONS_PER_EXEC_MAX,
-               EXEC_IDLE_CONNECTIONS_MAX);
+  d->exec_http_client = hpool_new (d->loop, &exec_conf);
   d->store = (struct pf_store){ d->store_http_client, d->settings.store_addr,
                                 d, on_store_reply, on_store_partial };
   d->orders = (struct pf_orders){ d->exec_http_client,
