Jobs are accepted while the table is slow, and its leader keeps its lease

A write waits for up to a second in its part, and was given up after 700 ms and sent again: every write took effect, and hardly any was known to have. The leader's own writes waited for one of 24 connections behind callers' writes and those made for its peers, so that it lost its lease. Change: 32 parts, by two digits of the id; specifications of ended jobs are removed once a part has 20 of them. The timeout of a write for a caller follows the latency of earlier ones, 700 to 1,700 ms. The leader election has connections of its own. The simulated table has parts that queue and refuse. The table of jobs must be empty when a deployment is upgraded.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -29,6 +29,10 @@
   /* Maximum number of connections to the table service.  Three feeds, the
      journal and the writes of callers share them. */
   STORE_CONNECTIONS_MAX = 24,
+  /* Maximum number of connections for the calls of the leader election.  They
+     must not wait behind callers' writes, or the leader loses its lease when
+     the table service is slow. */
+  LEADER_CONNECTIONS_MAX = 8,
   /* Maximum number of idle connections to the table service kept open. */
   STORE_IDLE_CONNECTIONS_MAX = 32,
   /* Maximum number of bytes in the body of a caller's request. */
@@ -57,6 +61,9 @@
   struct fleet fleet;
   /* HTTP client that sends requests to the table service. */
   struct httpc *store_http_client;
+  /* HTTP client that sends the calls of the leader election to the table
+     service. */
+  struct httpc *leader_http_client;
   /* HTTP client that sends requests to executors and to the advice service. */
   struct hpool *exec_http_client;
   struct pf_store store;
@@ -469,9 +476,13 @@
   d->store_http_client = httpc_new (d->loop);
   httpc_limit (d->store_http_client, STORE_CONNECTIONS_MAX,
                STORE_IDLE_CONNECTIONS_MAX);
+  d->leader_http_client = httpc_new (d->loop);
+  httpc_limit (d->leader_http_client, LEADER_CONNECTIONS_MAX,
+               LEADER_CONNECTIONS_MAX);
   d->exec_http_client = hpool_new (d->loop, &exec_conf);
-  d->store = (struct pf_store){ d->store_http_client, d->settings.store_addr,
-                                d, on_store_reply, on_store_partial };
+  d->store = (struct pf_store){ d->store_http_client,   d->leader_http_client,
+                                d->settings.store_addr, d,
+                                on_store_reply,         on_store_partial };
   d->orders = (struct pf_orders){ d->exec_http_client,
                                   d->settings.advice_service_addr, d,
                                   on_order_result };
--- a/core/api.c
+++ b/core/api.c
@@ -122,12 +122,38 @@
 
   c->token = ++f->last_token;
   c->retry_at_ms = 0;
+  c->call_ms = f->now_ms;
   c->tries++;
   o->u.store.token = c->token;
   o->u.store.op.kind = kind;
   return &o->u.store.op;
 }
 
+/* Returns the timeout of a write for a caller.  Under load, a part of the
+   table lets writes wait.  Giving up such a write and sending it again would
+   double the load, and the caller would not learn the outcome. */
+static int64_t
+write_timeout_ms (const struct fleet *f)
+{
+  int64_t ms = FLEET_WRITE_TIMEOUT_FACTOR * f->write_latency_ms;
+
+  if (ms < FLEET_WRITE_TIMEOUT_MIN_MS)
+    return FLEET_WRITE_TIMEOUT_MIN_MS;
+  return ms < FLEET_WRITE_TIMEOUT_MAX_MS ? ms : FLEET_WRITE_TIMEOUT_MAX_MS;
+}
+
+/* Adds the latency of a write to the average.  An answer that did not come
+   counts as half of the timeout, unless writes are slower anyway: it may have
+   been lost. */
+static void
+add_write_latency (struct fleet *f, int64_t ms, bool answered)
+{
+  if (answered)
+    f->write_latency_ms = (f->write_latency_ms + ms) / 2;
+  else if (f->write_latency_ms < ms / 2)
+    f->write_latency_ms = ms / 2;
+}
+
 /* Sends a write of the job's row on the condition that the row does not exist.
    Of several jobs with the same id, only the first one written is accepted,
    whichever instances handle them. */
@@ -139,6 +165,7 @@
 
   c->step = API_WRITING;
   job_key (c->job_id, "", key);
+  op->timeout_ms = write_timeout_ms (f);
   store_cond (op, key, 0);
   store_put (op, key, c->record);
 }
@@ -152,6 +179,7 @@
 
   c->step = API_WRITING;
   job_key (c->job_id, ".cancel", key);
+  op->timeout_ms = write_timeout_ms (f);
   store_put (op, key, "{}");
 }
 
@@ -519,6 +547,9 @@
       break;
   if (!c)
     return false;
+  if (c->step == API_WRITING && rep->err != CLB_EUNAVAIL)
+    add_write_latency (f, f->now_ms - c->call_ms,
+                       !rep->err || rep->err == CLB_ECONFLICT);
   if (rep->err && rep->err != CLB_ECONFLICT && rep->err != CLB_ENOTFOUND)
     handle_call_failure (f, c, rep->err);
   else if (c->step == API_WRITING)
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -31,6 +31,14 @@
   /* Time that the leader has to answer a query.  After it, a job's state is
      read from the table service instead, and a count is refused. */
   FLEET_QUERY_TIMEOUT_MS = 250,
+  /* Limits of the timeout of a write for a caller.  The longest one covers the
+     time for which a busy part of the table lets writes wait, and slow
+     answers. */
+  FLEET_WRITE_TIMEOUT_MIN_MS = 700,
+  FLEET_WRITE_TIMEOUT_MAX_MS = 1700,
+  /* The timeout of a write for a caller is this factor times the usual
+     latency of such a write. */
+  FLEET_WRITE_TIMEOUT_FACTOR = 4,
   /* A request is answered this long before the caller's own timeout ends. */
   FLEET_ANSWER_MARGIN_MS = 150,
   /* Timeout of a request that states none. */
@@ -186,6 +194,7 @@
   int64_t arrival_ms;        /* time at which the request arrived */
   int64_t deadline_ms; /* time by which the request is answered in any case */
   int64_t retry_at_ms; /* time of the next retry; 0: none is planned */
+  int64_t call_ms;     /* time at which the outstanding call was sent */
   int64_t query_ms;    /* time at which the leader was queried */
   int64_t query_seq;   /* number of the query to the leader */
   int tries;           /* calls and queries sent so far */
@@ -327,6 +336,8 @@
   /* Earliest time at which due records of starts cause a write. */
   int64_t next_intents_ms;
 
+  /* Moving average of the latency of writes for callers. */
+  int64_t write_latency_ms;
   struct api_request_tree requests; /* callers' requests in progress */
   int n_requests;                   /* number of requests in progress */
 
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -70,12 +70,17 @@
   FSCHED_UNLISTED_GRACE_MS = 2500,
   /* Interval between checks of all executors. */
   FSCHED_EXEC_SWEEP_MS = 4,
-  /* Number of parts of the table of jobs; each part accepts 300 writes/s. */
-  FSCHED_JOB_PARTS = 8,
+  /* Number of parts of the table of jobs.  Each part executes one write after
+     another: 300 a second, or five while the table service is slow. */
+  FSCHED_JOB_PARTS = 32,
   /* Interval between removals of ended jobs' specifications. */
   FSCHED_TRIM_MS = 2500,
   /* Maximum number of specifications removed by one write. */
   FSCHED_TRIM_ROWS = 90,
+  /* Number of ended jobs of a part whose specifications are removed by a write
+     at once; those of fewer jobs wait for FSCHED_TRIM_WAIT_MS. */
+  FSCHED_TRIM_ROWS_MIN = 20,
+  FSCHED_TRIM_WAIT_MS = 10000,
   /* Length of an executor's first quarantine; each further quarantine lasts
      twice as long as the one before. */
   FSCHED_QUARANTINE_MS = 4000,
@@ -542,6 +547,9 @@
   bool long_adviser_free;     /* an instance is free for a long query */
   int64_t next_exec_sweep_ms; /* time of the next check of all executors */
   int64_t next_trim_ms; /* earliest time of the next fsched_trim_jobs() */
+  /* Earliest time at which the specifications of any number of ended jobs are
+     removed. */
+  int64_t next_whole_trim_ms;
   /* Number of jobs with unplaced tasks at the last placing pass, by enum
      urgency_class. */
   int n_ready[URGENCY_N];
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -167,50 +167,70 @@
   intents_recorded (fs);
 }
 
+/* Returns the value of a hexadecimal digit. */
+static int
+hex_value (char c)
+{
+  return c <= '9' ? c - '0' : (c | 0x20) - 'a' + 10;
+}
+
 int
 fsched_job_part (const char *id)
 {
-  return (id[JOB_ID_SIZE - 2] & 0x0f) % FSCHED_JOB_PARTS;
+  int value
+      = 16 * hex_value (id[JOB_ID_SIZE - 3]) + hex_value (id[JOB_ID_SIZE - 2]);
+
+  return value % FSCHED_JOB_PARTS;
 }
 
-/*
- * Removes the specifications of ended jobs from one part of the table of jobs.
- * The rows themselves stay, so that a job id is never used again.  They are
- * kept short because the next leader reads all of them.  A write that fails is
- * not repeated: the long rows only cost the next leader some time.
- */
-static void
-trim_part (struct fsched *fs, int part)
+/* Removes the specification of an ended job with the write @op, which may be
+   NULL.  Returns the write. */
+static struct store_op *
+add_trim (struct fsched *fs, struct store_op *op, struct ended_job *ended)
 {
-  struct store_op *op = NULL;
-  struct ended_job *f;
+  char key[CLB_NAME_MAX];
 
-  RB_FOREACH (f, ended_job_tree, &fs->ended_jobs)
+  if (!op)
     {
-      char key[CLB_NAME_MAX];
-      if (!f->trim_due || fsched_job_part (f->id) != part)
-        continue;
-      if (!op)
-        {
-          struct out *o = out_new (fs->out, OUT_STORE);
-          o->u.store.token = ++*fs->last_token;
-          op = &o->u.store.op;
-          op->kind = STORE_TXN;
-        }
-      f->trim_due = false;
-      snprintf (key, sizeof key, "job:%d/%s", part, f->id);
-      store_put (op, key, FSCHED_TRIMMED);
-      if (op->n_puts == FSCHED_TRIM_ROWS)
-        return;
+      struct out *o = out_new (fs->out, OUT_STORE);
+      o->u.store.token = ++*fs->last_token;
+      op = &o->u.store.op;
+      op->kind = STORE_TXN;
     }
+  ended->trim_due = false;
+  snprintf (key, sizeof key, "job:%d/%s", fsched_job_part (ended->id),
+            ended->id);
+  store_put (op, key, FSCHED_TRIMMED);
+  return op;
 }
 
+/*
+ * Removes the specifications of ended jobs from the parts of the table of
+ * jobs that have many of them.  The rows themselves stay, so that a job id is
+ * never used again.  They are kept short because the next leader reads all of
+ * them.  A write that fails is not repeated: the long rows only cost the next
+ * leader some time.
+ */
 void
 fsched_trim_jobs (struct fsched *fs)
 {
+  struct store_op *ops[FSCHED_JOB_PARTS] = { NULL };
+  int n_due[FSCHED_JOB_PARTS] = { 0 };
+  struct ended_job *e;
+  bool whole = fs->now_ms >= fs->next_whole_trim_ms;
+
   if (fs->now_ms < fs->next_trim_ms)
     return;
   fs->next_trim_ms = fs->now_ms + FSCHED_TRIM_MS;
-  for (int part = 0; part < FSCHED_JOB_PARTS; part++)
-    trim_part (fs, part);
+  if (whole)
+    fs->next_whole_trim_ms = fs->now_ms + FSCHED_TRIM_WAIT_MS;
+  RB_FOREACH (e, ended_job_tree, &fs->ended_jobs)
+    n_due[fsched_job_part (e->id)] += e->trim_due;
+  RB_FOREACH (e, ended_job_tree, &fs->ended_jobs)
+    {
+      int part = fsched_job_part (e->id);
+      if (e->trim_due && (whole || n_due[part] >= FSCHED_TRIM_ROWS_MIN)
+          && (!ops[part] || ops[part]->n_puts < FSCHED_TRIM_ROWS))
+        ops[part] = add_trim (fs, ops[part], e);
+    }
 }
--- a/core/leader.c
+++ b/core/leader.c
@@ -98,6 +98,7 @@
   l->sent_ms = now_ms;
   o->u.store.token = l->token;
   o->u.store.op.kind = kind;
+  o->u.store.op.urgent = true;
   return &o->u.store.op;
 }
 
--- a/core/msg.c
+++ b/core/msg.c
@@ -196,6 +196,7 @@
   FLD_INT (struct store_op, since, 0, INT64_MAX),
   FLD_INT (struct store_op, wait_ms, 0, DURATION_MS_MAX),
   FLD_INT (struct store_op, limit, 0, NUMBER_MAX),
+  FLD_INT (struct store_op, timeout_ms, 0, DURATION_MS_MAX),
 };
 DESC (store_op_desc, struct store_op, store_op_fields);
 
@@ -308,7 +309,7 @@
   switch (op->kind)
     {
     case STORE_TXN:
-      return WRITE_TIMEOUT_MS;
+      return op->timeout_ms ? op->timeout_ms : WRITE_TIMEOUT_MS;
     case STORE_LIST:
       return LIST_TIMEOUT_MS;
     default:
--- a/core/msg.h
+++ b/core/msg.h
@@ -293,6 +293,12 @@
   /* For STORE_LIST: largest number of rows to read; 0: as many as the service
      returns in one answer. */
   int64_t limit;
+  /* For STORE_TXN: time after which a write without an answer is given up; 0:
+     the default. */
+  int64_t timeout_ms;
+  /* The call does not wait behind other calls of this instance; not passed on
+     to other instances. */
+  bool urgent;
 };
 extern const struct desc store_op_desc;
 /** store_is_read() - Return true if an operation of @kind (enum store_kind)
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -152,7 +152,8 @@
       || find_call (&f->proxy_serving, token) || !(peer = proxy_peer (f)))
     return false;
   c = add_call (&f->proxy_sent, token);
-  c->deadline_ms = f->now_ms + PEER_TIMEOUT_MS + o->u.store.op.wait_ms;
+  c->deadline_ms = f->now_ms + PEER_TIMEOUT_MS + o->u.store.op.wait_ms
+                   + o->u.store.op.timeout_ms;
   m = calloc (1, sizeof *m);
   if (!m)
     abort ();
--- a/regress/fleet/store.lua
+++ b/regress/fleet/store.lua
@@ -198,3 +198,22 @@
   expect(proxied() == proxied_before,
          proxied() - proxied_before .. " calls through other instances")
 end)
+
+-- While the table is slow, each of its parts executes five writes a second.
+-- Jobs come as on a usual day of a large deployment.
+scenario("jobs are accepted while each part of the table is slow", function()
+  local PER_S, SECONDS = 170, 6
+  start_fleet{instances = 9, execs = 60}
+  store("part-write-ms", 180)
+  local calls = {}
+  for n = 1, PER_S * SECONDS do
+    local job_id = string.format("%016x", n * 2654435761)
+    job{id = job_id, queue = "many", steps = {{tasks = 1, ms = 200}}}
+    calls[#calls + 1] = submit(n % 9, job_id)
+    run(1000 / PER_S)
+  end
+  run(3000)
+  local accepted = count_answers(calls, 200)
+  expect(accepted >= 0.9 * #calls,
+         accepted .. " of " .. #calls .. " jobs are accepted")
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -15,6 +15,7 @@
 {
   FSIM_INSTANCES_MAX = 64,
   FSIM_EXECS_MAX = 512,
+  FSIM_PARTS_MAX = 128,
   /* Latency of a message in one direction, between any two processes. */
   FSIM_LINK_MS = 2,
   /* Time in which the table executes three writes.  Writes are executed one
@@ -58,6 +59,14 @@
   char *key;
 };
 
+/** struct fpart - a part of the table */
+struct fpart
+{
+  char name[32];
+  /* The part is executing earlier writes until this time. */
+  int64_t busy_until_ms;
+};
+
 /** struct ftable - the simulated table service */
 struct ftable
 {
@@ -80,6 +89,11 @@
   double delayed_write_share;
   /* The table is executing earlier writes until this time. */
   int64_t busy_until_ms;
+  /* Time that a write takes its part of the table, which executes writes one
+     after another; 0: parts are not simulated. */
+  int64_t part_write_ms;
+  struct fpart parts[FSIM_PARTS_MAX];
+  int n_parts;
   uint64_t n_calls; /* number of calls that instances have sent to the table */
 };
 
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -14,6 +14,9 @@
   PACKET_BYTES = 1400,
   /* Interval at which an instance is told that a reply is arriving. */
   PARTIAL_MS = 50,
+  /* A part refuses a write if writes that take longer than this wait for
+     it. */
+  PART_WAIT_MAX_MS = 1000,
 };
 
 /* struct table_call - a call of an instance to the table, and the reply */
@@ -372,6 +375,40 @@
   return q;
 }
 
+/* Return: the part that the row with this key belongs to. */
+static struct fpart *
+find_part (struct ftable *t, const char *key)
+{
+  const char *colon = strchr (key, ':');
+  size_t len = colon ? strcspn (colon, "/") : 0;
+  struct fpart *p;
+
+  for (int i = 0; i < t->n_parts; i++)
+    if (strlen (t->parts[i].name) == len
+        && strncmp (t->parts[i].name, colon ? colon : "", len) == 0)
+      return &t->parts[i];
+  if (t->n_parts == FSIM_PARTS_MAX || len >= sizeof p->name)
+    abort ();
+  p = &t->parts[t->n_parts++];
+  memcpy (p->name, colon ? colon : "", len);
+  return p;
+}
+
+/* Adds a write to the queue of its part.  Return: the time until it is
+   executed; -1: the part refuses it. */
+static int64_t
+queue_in_part (struct fsim *s, const struct store_op *op)
+{
+  struct fpart *p = find_part (&s->table, op->puts[0].key);
+
+  if (p->busy_until_ms < s->now_ms)
+    p->busy_until_ms = s->now_ms;
+  if (p->busy_until_ms - s->now_ms > PART_WAIT_MAX_MS)
+    return -1;
+  p->busy_until_ms += s->table.part_write_ms;
+  return p->busy_until_ms - s->now_ms;
+}
+
 void
 ftable_send (struct fsim *s, int i, uint64_t token, const struct store_op *op)
 {
@@ -379,6 +416,7 @@
   struct table_call *q = table_call_new (s, i, token, op);
   int64_t delay_ms = fsim_busy_ms (s, i) + FSIM_LINK_MS;
   bool write = op->kind == STORE_TXN;
+  int64_t part_ms = 0;
 
   t->n_calls++;
   if (s->inst[i]->store_partitioned_until_ms > s->now_ms)
@@ -399,6 +437,14 @@
       fail_call (s, q, CLB_EOUTCOME, 700);
       return;
     }
+  if (write && t->part_write_ms && op->n_puts)
+    part_ms = queue_in_part (s, op);
+  if (part_ms < 0)
+    {
+      fail_call (s, q, CLB_EUNAVAIL, FSIM_LINK_MS);
+      return;
+    }
+  delay_ms += part_ms;
   q->drop_reply = write && fsim_random (s) < t->lost_reply_share;
   q->feed_deadline_ms = s->now_ms + op->wait_ms;
   if (write)
@@ -411,6 +457,13 @@
       delay_ms += t->busy_until_ms - s->now_ms;
     }
   delay_ms += FSIM_LINK_MS * (t->slow_factor ? t->slow_factor : 1);
+  if (part_ms && delay_ms + FSIM_LINK_MS > store_timeout_ms (op))
+    {
+      fsim_schedule (s, delay_ms, execute_delayed_write,
+                     table_call_new (s, i, token, op));
+      fail_call (s, q, CLB_EOUTCOME, store_timeout_ms (op));
+      return;
+    }
   fsim_schedule (s, delay_ms, execute_call, q);
 }
 
