The outcome of an unanswered write is found out from the leader

Cause: after a lost or late answer the instance only sent the write again, until the caller's time was over. The leader reads the table's feed of jobs, and knew long before. Change: while the outcome of a submission or cancellation is unknown, the instance asks the leader every 400 ms for the job's state, which the leader has only from records. A known job is accepted, a cancelled one is cancelled.

--- a/core/api.c
+++ b/core/api.c
@@ -603,6 +603,47 @@
   fleet_send (f, m->addr, r);
 }
 
+/* Answers a request that waits for a write, if the state of the job at the
+   leader shows that the write, or another one with the same effect, is
+   recorded: the leader learns of jobs and cancellations only from the
+   records. */
+static void
+answer_if_recorded (struct fleet *f, struct api_request *c, int state)
+{
+  if (c->verb == FLEET_VERB_SUBMIT)
+    finish_request (f, c, ANSWER_DUPLICATE, NULL);
+  else if (state == JOB_CANCELLED)
+    finish_request (f, c, ANSWER_CANCELLED, NULL);
+}
+
+/* Asks the leader whether the job or cancellation of @c is recorded. */
+static void
+ask_whether_recorded (struct fleet *f, struct api_request *c)
+{
+  const char *addr = fleet_leader_addr (f);
+  struct mesh_msg *m;
+
+  c->next_ask_ms = f->now_ms + FLEET_ASK_MS;
+  if (f->fsched && f->fsched->loaded)
+    {
+      int state = fsched_job_state (f->fsched, c->job_id);
+      if (state >= 0)
+        answer_if_recorded (f, c, state);
+      return;
+    }
+  if (!addr)
+    return;
+  m = calloc (1, sizeof *m);
+  if (!m)
+    abort ();
+  m->kind = MESH_STATE_QUERY;
+  c->query_seq = (int64_t)++f->last_token;
+  m->seq = c->query_seq;
+  clb_copy (m->id, c->job_id, sizeof m->id);
+  f->stats.queries++;
+  fleet_send (f, addr, m);
+}
+
 /* Handles the leader's reply to a query; a reply that comes too late is
    ignored. */
 static void
@@ -611,10 +652,17 @@
   struct api_request *c;
 
   RB_FOREACH (c, api_request_tree, &f->requests)
-    if (c->step == API_QUERYING && c->query_seq == m->seq)
+    if ((c->step == API_QUERYING || c->step == API_WRITING)
+        && c->query_seq == m->seq)
       break;
   if (!c)
     return;
+  if (c->step == API_WRITING)
+    {
+      if (m->known)
+        answer_if_recorded (f, c, (int)m->state);
+      return;
+    }
   if (m->kind == MESH_WAITING_REPLY)
     finish_request (f, c, ANSWER_WAITING,
                     f->settings.codec.count_body (m->n_waiting));
@@ -664,6 +712,9 @@
     }
   else if (c->retry_at_ms && f->now_ms >= c->retry_at_ms)
     send_retry (f, c);
+  else if (c->step == API_WRITING && c->outcome_unknown
+           && f->now_ms >= c->next_ask_ms)
+    ask_whether_recorded (f, c);
 }
 
 void
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -39,6 +39,9 @@
   /* The timeout of a write for a caller is this factor times the usual
      latency of such a write. */
   FLEET_WRITE_TIMEOUT_FACTOR = 4,
+  /* Interval at which the leader is asked whether a job or cancellation is
+     recorded whose write was not answered. */
+  FLEET_ASK_MS = 400,
   /* A request is answered this long before the caller's own timeout ends. */
   FLEET_ANSWER_MARGIN_MS = 150,
   /* Timeout of a request that states none. */
@@ -201,6 +204,7 @@
   /* True if the answer to a write was lost, so that the write may have taken
      effect or may still do so. */
   bool outcome_unknown;
+  int64_t next_ask_ms; /* earliest time of the next ask_whether_recorded() */
 };
 RB_HEAD (api_request_tree, api_request);
 
--- a/regress/fleet/store.lua
+++ b/regress/fleet/store.lua
@@ -217,3 +217,20 @@
   expect(accepted >= 0.9 * #calls,
          accepted .. " of " .. #calls .. " jobs are accepted")
 end)
+
+-- Most answers to writes are lost.  The leader reads of the jobs in the table,
+-- so that it can tell the other instances that they are recorded.
+scenario("callers learn that jobs are recorded although answers are lost",
+  function()
+  start_fleet{instances = 6}
+  store("lose-replies", 0.85)
+  local calls = submit_jobs(1, 40)
+  run(3500)
+  store("lose-replies", 0)
+  local accepted = count_answers(calls, 200)
+  expect(accepted >= 36, accepted .. " of 40 submissions are accepted")
+  run(6000)
+  for n = 1, 40 do
+    expect(state(1, id(n)) == "completed", "job is not completed")
+  end
+end)
