A failure domain that goes silent gets no tasks after 120 ms

Cause: each of the domain's executors had to be found unreachable by two lost orders of its own, a second, or by its poll, up to 1.9 s. Change: core/fsched_domain.c. A domain with four unanswered starts that has answered nothing for 120 ms, while another domain answers, gets no tasks until one of its executors answers. A leader that hears no domain draws no conclusion.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -77,6 +77,7 @@
   RB_INIT (&fs->early_progress);
   TAILQ_INIT (&fs->queue);
   TAILQ_INIT (&fs->execs);
+  TAILQ_INIT (&fs->domains);
   TAILQ_INIT (&fs->tenants);
   intents_init (&fs->intents);
   return fs;
@@ -169,6 +170,7 @@
       RB_REMOVE (pending_order_tree, &fs->orders, p);
       free (p);
     }
+  domain_free_all (fs);
   intents_fini (&fs->intents);
   fsched_intern_free (&fs->services);
   fsched_intern_free (&fs->racks);
@@ -707,6 +709,7 @@
       fs->next_exec_sweep_ms = now_ms + FSCHED_EXEC_SWEEP_MS;
       TAILQ_FOREACH (e, &fs->execs, link)
         exec_tick (fs, e);
+      domain_check_all (fs);
       exec_reconcile_check (fs);
       end_lost_queries (fs);
       fsched_trim_jobs (fs);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -283,12 +283,30 @@
 RB_HEAD (job_tree, job);
 TAILQ_HEAD (jobq, job);
 
+/**
+ * struct domain - answers of the executors of one failure domain, see
+ * fsched_domain.c
+ */
+struct domain
+{
+  TAILQ_ENTRY (domain) link;
+  char name[CLB_NAME_MAX];
+  int64_t last_answer_ms; /* when an executor of the domain last answered */
+  /* Number of start orders that were sent to executors of the domain since
+     the last answer, and the time of the first one. */
+  int n_unanswered;
+  int64_t first_unanswered_ms;
+  bool silent; /* no tasks are placed in the domain */
+};
+TAILQ_HEAD (domainq, domain);
+
 /** struct exec - a service executor */
 struct exec
 {
   TAILQ_ENTRY (exec) link;
   RB_ENTRY (exec) by_id;
   struct exec_report rep; /* the executor's latest entry in discovery */
+  struct domain *domain;  /* the executor's failure domain */
   int service_id;         /* interned id of the executor's service */
   int rack_id; /* interned id of the executor's rack; 0: none reported */
   /* Bit set of the interned ids of the executor's labels, see LABELS_MAX. */
@@ -502,6 +520,7 @@
   int n_jobs;
   struct execq execs;
   struct exec_tree execs_by_id;
+  struct domainq domains;
   /* Executors that may be given tasks in the current placing pass. */
   struct exec **eligible;
   int n_eligible;
--- /dev/null
+++ b/core/fsched_domain.c
@@ -0,0 +1,106 @@
+/*
+ * Failure domains that have gone silent.  When a domain is cut off, each of
+ * its executors would have to be found unreachable by orders of its own, and
+ * what was sent there waits until the executors' leases are over.  A few start
+ * orders without an answer, while no executor of the domain answers anything
+ * and executors of other domains do, show it for all of them at once.
+ */
+#include "fsched_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* Number of unanswered start orders from which on a domain may count as
+     silent: a single executor may have crashed. */
+  SILENT_STARTS_MIN = 4,
+  /* Time for which a domain must not have answered.  Answers take some 3 ms;
+     the leader may be busy for some tens of ms. */
+  SILENT_MS = 120,
+};
+
+struct domain *
+domain_get (struct fsched *fs, const char *name)
+{
+  struct domain *d;
+
+  TAILQ_FOREACH (d, &fs->domains, link)
+    if (strcmp (d->name, name) == 0)
+      return d;
+  d = fsched_zalloc (1, sizeof *d);
+  clb_copy (d->name, name, sizeof d->name);
+  TAILQ_INSERT_TAIL (&fs->domains, d, link);
+  return d;
+}
+
+void
+domain_start_sent (struct fsched *fs, const struct exec *e)
+{
+  struct domain *d = e->domain;
+
+  if (d && d->n_unanswered++ == 0)
+    d->first_unanswered_ms = fs->now_ms;
+}
+
+void
+domain_answered (struct fsched *fs, const struct exec *e)
+{
+  struct domain *d = e->domain;
+
+  if (!d)
+    return;
+  d->last_answer_ms = fs->now_ms;
+  d->n_unanswered = 0;
+  if (!d->silent)
+    return;
+  d->silent = false;
+  fs->pass_due = true;
+  out_line (fs->out, "event=domain-answers domain=%s exec=%s", d->name,
+            e->rep.id);
+}
+
+/* Returns whether an executor of another domain has answered since the first
+   unanswered order to @d was overdue.  If none has, this instance may be cut
+   off itself, or too busy to read answers. */
+static bool
+others_answer (const struct fsched *fs, const struct domain *d)
+{
+  const struct domain *other;
+
+  TAILQ_FOREACH (other, &fs->domains, link)
+    if (other != d
+        && other->last_answer_ms >= d->first_unanswered_ms + SILENT_MS / 2)
+      return true;
+  return false;
+}
+
+void
+domain_check_all (struct fsched *fs)
+{
+  struct domain *d;
+
+  TAILQ_FOREACH (d, &fs->domains, link)
+    {
+      if (d->silent || d->n_unanswered < SILENT_STARTS_MIN
+          || fs->now_ms - d->first_unanswered_ms < SILENT_MS
+          || !others_answer (fs, d))
+        continue;
+      d->silent = true;
+      out_line (fs->out, "event=domain-silent domain=%s starts=%d for_ms=%lld",
+                d->name, d->n_unanswered,
+                (long long)(fs->now_ms - d->last_answer_ms));
+    }
+}
+
+void
+domain_free_all (struct fsched *fs)
+{
+  struct domain *d;
+
+  while ((d = TAILQ_FIRST (&fs->domains)))
+    {
+      TAILQ_REMOVE (&fs->domains, d, link);
+      free (d);
+    }
+}
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -101,6 +101,7 @@
       fs->pass_due = true;
     }
   e->rep = *rep;
+  e->domain = domain_get (fs, rep->zone);
   fsched_intern_exec (fs, e);
   e->listed = true;
   e->in_list = true;
@@ -534,6 +535,8 @@
   bool first_answer = !e->answered;
 
   e->poll_id = 0;
+  if (order_was_answered (res))
+    domain_answered (fs, e);
   if (res->outcome != ORDER_DONE)
     {
       process_poll_failure (fs, e, res);
@@ -603,6 +606,7 @@
 {
   return recently_listed (fs, e) && e->answered && !e->unreachable
          && e->recorded && !e->n_orphans && !e->rep.draining
+         && !(e->domain && e->domain->silent)
          && fs->now_ms >= e->quarantine_until_ms;
 }
 
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -177,6 +177,19 @@
  */
 void start_tick (struct fsched *fs, struct start *r);
 
+/* Functions of fsched_domain.c. */
+
+/** domain_get() - Return failure domain @name, borrowed; add it if new. */
+struct domain *domain_get (struct fsched *fs, const char *name);
+/** domain_start_sent() - Report that a start order was sent to @e. */
+void domain_start_sent (struct fsched *fs, const struct exec *e);
+/** domain_answered() - Report that @e has answered an order. */
+void domain_answered (struct fsched *fs, const struct exec *e);
+/** domain_check_all() - Update domain::silent of all failure domains. */
+void domain_check_all (struct fsched *fs);
+/** domain_free_all() - Free all failure domains. */
+void domain_free_all (struct fsched *fs);
+
 /* Functions of fsched_exec.c. */
 
 /** exec_find() - Return executor @id, borrowed; NULL if it is unknown. */
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -193,6 +193,7 @@
     clb_copy (o->ticket, s->permits[r->exec->index].ticket, sizeof o->ticket);
   fs->stats->starts += r->tries++ == 0;
   set_pending (fs, r, true);
+  domain_start_sent (fs, r->exec);
   out_line (fs->out,
             "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
             "lease_ms=%d saved=%s used=%lld/%lld contact_age_ms=%lld",
@@ -338,6 +339,8 @@
 
   r->order_id = 0;
   set_pending (fs, r, false);
+  if (order_was_answered (res))
+    domain_answered (fs, r->exec);
   if (exec_detect_reboot (fs, r->exec, res->clock_ms) && acked)
     return;
   if (kind == ORDER_START)
--- a/core/order.c
+++ b/core/order.c
@@ -32,3 +32,9 @@
   free (r->permitted);
   memset (r, 0, sizeof *r);
 }
+
+bool
+order_was_answered (const struct order_result *r)
+{
+  return r->outcome != ORDER_LOST && r->outcome != ORDER_UNREACHED;
+}
--- a/core/order.h
+++ b/core/order.h
@@ -187,6 +187,9 @@
 extern const char *const order_refusal_names[REFUSED_N + 1];
 extern const char *const run_end_names[RUN_END_N + 1];
 
+/** order_was_answered() - Return whether the executor or service answered an
+ * order. */
+bool order_was_answered (const struct order_result *r);
 /** order_free() - Free an order and what it owns; @o may be NULL. */
 void order_free (struct order *o);
 /** order_result_clear() - Free what @r owns, then zero @r. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -190,6 +190,9 @@
     return CLB_EPARSE;
   clb_copy (out->id, id, sizeof out->id);
   clb_copy (out->addr, id, sizeof out->addr);
+  /* The last digit of an executor's number selects its failure domain. */
+  snprintf (out->zone, sizeof out->zone, "zone%c",
+            "012"[(id[strlen (id) - 1] - '0') % 3]);
   clb_copy (out->service, "svc", sizeof out->service);
   out->capacity.millicores = millicores;
   out->capacity.mem_mb = mem;
