Only an advice query is answered by a peer; fleet.c is split by job

Cause: a reply of another instance to an advice query was matched to any order by its number alone. Change: fsched_is_query(); messages between instances move to core/fleet_mesh.c, unchanged but for that check and the names of four functions that are shared. Test: "only queries are answered by peers" (new function; without it the case cannot be told).

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -18,8 +18,6 @@
      has to end, on a clock that is 2% slow. */
   EARLIER_RUNS_WAIT_MS = LEADER_MAY_ORDER_MS - LEADER_CLAIM_AFTER_MS
                          + FSCHED_LEASE_MS * 102 / 100 + 300,
-  /* Largest age in a message; a larger age is sent as AGE_MAX_MS. */
-  AGE_MAX_MS = 86400000,
   /* Number of low bits of a call's token that count the calls of one process.
      The higher bits hold the start time of the process, so that the tokens of
      the next process are larger than all tokens of this one. */
@@ -57,10 +55,8 @@
   follow_start (&f->conf_feed, now_ms);
 }
 
-/* Frees the scheduler, if there is one, and stops reading the scheduler's
-   inputs. */
-static void
-drop_scheduler (struct fleet *f)
+void
+fleet_drop_scheduler (struct fleet *f)
 {
   fsched_free (f->fsched);
   f->fsched = NULL;
@@ -76,7 +72,7 @@
 
   api_fini (f);
   proxy_fini (f);
-  drop_scheduler (f);
+  fleet_drop_scheduler (f);
   leader_fini (&f->leader);
   follow_stop (&f->conf_feed);
   fconf_free (f->conf);
@@ -156,17 +152,15 @@
   return f->conf && f->conf_superseded_ms > f->conf_current_ms;
 }
 
-/* Records that f->conf was the newest configuration at @at_ms. */
-static void
-set_conf_current (struct fleet *f, int64_t at_ms)
+void
+fleet_set_conf_current (struct fleet *f, int64_t at_ms)
 {
   if (f->conf && !f->conf_refused && at_ms > f->conf_current_ms)
     f->conf_current_ms = at_ms;
 }
 
-/* Records that a newer configuration than f->conf exists now. */
-static void
-set_conf_superseded (struct fleet *f)
+void
+fleet_set_conf_superseded (struct fleet *f)
 {
   if (f->conf && !fleet_conf_behind (f))
     out_line (&f->out, "event=config-behind in_force=%lld age_ms=%lld",
@@ -198,7 +192,7 @@
                 strlen (row->value),
                 f->conf ? (long long)f->conf->version : 0);
       f->conf_refused = true;
-      set_conf_superseded (f);
+      fleet_set_conf_superseded (f);
       return;
     }
   f->conf_refused = false;
@@ -245,7 +239,7 @@
   for (size_t i = 0; i < rep->n_rows; i++)
     apply_config_row (f, &rep->rows[i]);
   if (event == FOLLOW_CHANGES || event == FOLLOW_LISTED)
-    set_conf_current (f, f->conf_feed.fresh_ms);
+    fleet_set_conf_current (f, f->conf_feed.fresh_ms);
   return true;
 }
 
@@ -295,13 +289,8 @@
     fsched_cancel (f->fsched, id);
 }
 
-/* Handles the notice that job @id was recorded: adds the job to the scheduler.
-   If @record is NULL, the job was cancelled, and is cancelled in the
-   scheduler.  The feed of jobs reports the same, but later.  Like the rows of
-   the feed, the notice is used only while this instance's lease is valid; see
-   handle_jobs_reply(). */
-static void
-apply_job_notice (struct fleet *f, const char *id, const char *record)
+void
+fleet_apply_job_notice (struct fleet *f, const char *id, const char *record)
 {
   if (!f->fsched || !f->fsched->loaded
       || !leader_lease_valid (&f->leader, f->now_ms) || !job_id_ok (id))
@@ -318,7 +307,7 @@
   const char *addr = fleet_leader_addr (f);
   struct mesh_msg *m;
 
-  apply_job_notice (f, id, record);
+  fleet_apply_job_notice (f, id, record);
   if (!addr)
     return;
   m = calloc (1, sizeof *m);
@@ -423,7 +412,7 @@
   out_line (&f->out, "event=lead-taken epoch=%lld",
             (long long)f->leader.epoch);
   f->stats.leader_terms++;
-  drop_scheduler (f);
+  fleet_drop_scheduler (f);
   f->fsched = fsched_new (&f->out, &f->last_token, f->now_ms, f->leader.epoch,
                           EARLIER_RUNS_WAIT_MS, &f->stats.fsched);
   fsched_adviser_seen (f->fsched, "", "", 0, 0);
@@ -457,7 +446,7 @@
       out_line (&f->out, "event=lead-lost epoch=%lld renewed_ms_ago=%lld",
                 (long long)f->leader.epoch,
                 (long long)(f->now_ms - f->leader.renewed_ms));
-      drop_scheduler (f);
+      fleet_drop_scheduler (f);
       break;
     default:
       break;
@@ -490,38 +479,6 @@
   leader_write (&f->leader, f->now_ms, op);
 }
 
-/* Returns the time since @since_ms for use in a message: at most
-   AGE_MAX_MS. */
-static int64_t
-message_age_ms (const struct fleet *f, int64_t since_ms)
-{
-  int64_t ms = f->now_ms - since_ms;
-
-  return ms < AGE_MAX_MS ? ms : AGE_MAX_MS;
-}
-
-/* Sends a hello to the leader, if this instance follows and a hello is due. */
-static void
-send_hello (struct fleet *f)
-{
-  struct mesh_msg *m;
-
-  if (f->now_ms < f->next_hello_ms || f->leader.state == LEADER_LEADING
-      || !*f->leader.holder_addr
-      || strcmp (f->leader.holder, f->settings.id) == 0)
-    return;
-  f->next_hello_ms = f->now_ms + FLEET_HELLO_MS;
-  m = calloc (1, sizeof *m);
-  if (!m)
-    abort ();
-  m->kind = MESH_HELLO;
-  m->seq = f->now_ms;
-  /* A stopping instance does not claim, however strong it is. */
-  m->millicores = f->stopping ? 0 : f->settings.millicores;
-  m->table_age_ms = message_age_ms (f, f->store_last_contact_ms);
-  fleet_send (f, f->leader.holder_addr, m);
-}
-
 /* Queues all calls, writes and orders that are due.  Called after each
    input. */
 static void
@@ -582,34 +539,7 @@
   f->store_failures = 0;
   if (total > FLEET_NO_CHANGE_BYTES
       && follow_is_feed_call (&f->conf_feed, token))
-    set_conf_superseded (f);
-}
-
-/* Sends the result of a query for advice to the leader that requested it. */
-static void
-send_advice_reply (struct fleet *f, const struct order *o,
-                   const struct order_result *res)
-{
-  struct mesh_msg *m = calloc (1, sizeof *m);
-
-  if (!m)
-    abort ();
-  m->kind = MESH_ADVICE_REPLY;
-  m->seq = (int64_t)o->id;
-  m->outcome = res->outcome;
-  m->valid_ms = res->valid_ms;
-  m->execs
-      = calloc (res->n_permitted ? res->n_permitted : 1, sizeof *m->execs);
-  if (!m->execs)
-    abort ();
-  m->n_execs = res->n_permitted;
-  for (size_t i = 0; i < res->n_permitted; i++)
-    {
-      clb_copy (m->execs[i].exec, res->permitted[i].exec, CLB_ID_MAX);
-      clb_copy (m->execs[i].ticket, res->permitted[i].ticket,
-                ORDER_TICKET_SIZE);
-    }
-  fleet_send (f, o->reply_to, m);
+    fleet_set_conf_superseded (f);
 }
 
 void
@@ -618,183 +548,17 @@
 {
   f->now_ms = now_ms;
   if (*o->reply_to)
-    send_advice_reply (f, o, res);
+    fleet_send_advice_reply (f, o, res);
   else if (f->fsched)
     fsched_order_result (f->fsched, now_ms, o->id, res);
   send_due_output (f);
 }
 
-/* Messages from other instances. */
-
-/* Sets the address of an instance that reaches the table service in the reply
-   @r, if this instance, the leader, does not reach the service and knows an
-   instance that does. */
-static void
-set_proxy_peer (const struct fleet *f, struct mesh_msg *r)
-{
-  const struct adviser *a
-      = f->fsched ? fsched_adviser_freshest (f->fsched) : NULL;
-
-  if (!proxy_table_unreachable (f) || !a)
-    return;
-  clb_copy (r->proxy_peer_addr, a->addr, sizeof r->proxy_peer_addr);
-  r->table_age_ms = f->now_ms - a->table_contact_ms;
-}
-
-/* Returns whether the follower that sent hello @m can lead the fleet so much
-   better than this instance that a change of the leader is worth the time. */
-static bool
-should_yield (const struct fleet *f, const struct mesh_msg *m)
-{
-  return f->settings.millicores > 0
-         && m->millicores >= LEADER_YIELD_FACTOR * f->settings.millicores
-         && m->table_age_ms < FLEET_PEER_FRESH_MS && !f->leader.stopping
-         && !f->leader.yielding;
-}
-
-/* Gives up leadership in favour of the follower that sent hello @m. */
-static void
-yield_lead (struct fleet *f, const struct mesh_msg *m)
-{
-  out_line (&f->out, "event=lead-yielded epoch=%lld to=%s millicores=%lld",
-            (long long)f->leader.epoch, m->from, (long long)m->millicores);
-  drop_scheduler (f);
-  leader_yield (&f->leader, f->now_ms);
-}
-
-/* Handles a follower's hello.  Only the leader replies to it. */
-static void
-handle_hello (struct fleet *f, const struct mesh_msg *m)
-{
-  struct mesh_msg *r;
-  int rank = -1;
-
-  if (f->leader.state != LEADER_LEADING)
-    return;
-  if (should_yield (f, m))
-    {
-      yield_lead (f, m);
-      return;
-    }
-  if (f->fsched)
-    {
-      fsched_adviser_seen (f->fsched, m->from, m->addr, m->millicores,
-                           f->now_ms - m->table_age_ms);
-      /* No rank is reported until all followers have sent a hello. */
-      if (f->now_ms - f->fsched->claimed_ms >= FLEET_RANK_AFTER_MS)
-        rank = fsched_adviser_rank (f->fsched, m->from);
-    }
-  r = calloc (1, sizeof *r);
-  if (!r)
-    abort ();
-  r->kind = MESH_HELLO_REPLY;
-  r->seq = m->seq;
-  r->conf_version = f->conf ? f->conf->version : 0;
-  r->conf_age_ms = message_age_ms (f, f->conf_current_ms);
-  r->table_age_ms = message_age_ms (f, f->store_last_contact_ms);
-  set_proxy_peer (f, r);
-  r->rank = rank + 1;
-  fleet_send (f, m->addr, r);
-}
-
-/* Forwards the leader's query for advice in @m to the advice service. */
-static void
-forward_advice_query (struct fleet *f, const struct mesh_msg *m)
-{
-  struct order *o = calloc (1, sizeof *o);
-
-  if (!o)
-    abort ();
-  o->kind = ORDER_ADVISE;
-  o->id = (uint64_t)m->seq;
-  o->timeout_ms = m->valid_ms;
-  clb_copy (o->reply_to, m->addr, sizeof o->reply_to);
-  clb_copy (o->task.job, m->id, sizeof o->task.job);
-  o->task.occurrence = m->occurrence;
-  o->task.step = m->step;
-  o->execs = calloc (m->n_execs ? m->n_execs : 1, sizeof *o->execs);
-  if (!o->execs)
-    abort ();
-  for (size_t i = 0; i < m->n_execs; i++)
-    clb_copy (o->execs[i], m->execs[i].exec, CLB_ID_MAX);
-  o->n_execs = m->n_execs;
-  out_new (&f->out, OUT_ORDER)->u.order = o;
-}
-
-/* Passes to the scheduler the advice that another instance has obtained. */
-static void
-handle_advice_reply (struct fleet *f, const struct mesh_msg *m)
-{
-  struct order_result res = { .outcome = (int)m->outcome };
-
-  if (!f->fsched)
-    return;
-  res.valid_ms = m->valid_ms;
-  res.permitted = calloc (m->n_execs ? m->n_execs : 1, sizeof *res.permitted);
-  if (!res.permitted)
-    abort ();
-  res.n_permitted = m->n_execs;
-  for (size_t i = 0; i < m->n_execs; i++)
-    {
-      clb_copy (res.permitted[i].exec, m->execs[i].exec, CLB_ID_MAX);
-      clb_copy (res.permitted[i].ticket, m->execs[i].ticket,
-                ORDER_TICKET_SIZE);
-    }
-  fsched_order_result (f->fsched, f->now_ms, (uint64_t)m->seq, &res);
-  order_result_clear (&res);
-}
-
-/* Handles the leader's reply to a hello.  What the reply states was true after
-   the hello was sent, so that the ages in the reply are counted from the time
-   of the hello. */
-static void
-handle_hello_reply (struct fleet *f, const struct mesh_msg *m)
-{
-  leader_handle_contact (&f->leader, f->now_ms, m->epoch, m->rank - 1);
-  if (strcmp (m->from, f->leader.holder) != 0)
-    return;
-  f->leader_last_contact_ms = f->now_ms;
-  f->proxy_peer_fresh_ms = m->seq - m->table_age_ms;
-  clb_copy (f->proxy_peer_addr,
-            *m->proxy_peer_addr ? m->proxy_peer_addr : m->addr,
-            sizeof f->proxy_peer_addr);
-  if (f->conf && m->conf_version == f->conf->version)
-    set_conf_current (f, m->seq - m->conf_age_ms);
-  else if (f->conf && m->conf_version > f->conf->version)
-    set_conf_superseded (f);
-}
-
 void
 fleet_mesh_msg (struct fleet *f, int64_t now_ms, struct mesh_msg *m)
 {
   f->now_ms = now_ms;
-  switch (m->kind)
-    {
-    case MESH_HELLO:
-      handle_hello (f, m);
-      break;
-    case MESH_HELLO_REPLY:
-      handle_hello_reply (f, m);
-      break;
-    case MESH_ADVICE_QUERY:
-      forward_advice_query (f, m);
-      break;
-    case MESH_ADVICE_REPLY:
-      handle_advice_reply (f, m);
-      break;
-    case MESH_STORE_REQUEST:
-      proxy_serve (f, m);
-      break;
-    case MESH_STORE_REPLY:
-      proxy_peer_reply (f, m);
-      break;
-    case MESH_JOB_NOTICE:
-      apply_job_notice (f, m->id, m->record);
-      break;
-    default:
-      api_mesh_msg (f, m);
-      break;
-    }
+  fleet_handle_mesh_msg (f, m);
   send_due_output (f);
 }
 
@@ -803,7 +567,7 @@
 {
   f->now_ms = now_ms;
   f->wall_ms = wall_ms;
-  send_hello (f);
+  fleet_send_hello (f);
   proxy_tick (f);
   api_tick (f);
   send_due_output (f);
@@ -818,7 +582,7 @@
     out_line (&f->out, "event=lead-released epoch=%lld",
               (long long)f->leader.epoch);
   leader_release (&f->leader, now_ms);
-  drop_scheduler (f);
+  fleet_drop_scheduler (f);
 }
 
 bool
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -512,6 +512,43 @@
  * result is %CLB_EUNKNOWN. */
 void proxy_tick (struct fleet *f);
 
+/* Functions of fleet_mesh.c that fleet.c uses. */
+
+/** fleet_send_hello() - Send a hello to the leader, if this instance follows
+ * and a hello is due. */
+void fleet_send_hello (struct fleet *f);
+/** fleet_send_advice_reply() - Send the result @res of the query for advice @o
+ * to the leader that requested it. */
+void fleet_send_advice_reply (struct fleet *f, const struct order *o,
+                              const struct order_result *res);
+/** fleet_handle_mesh_msg() - Handle a message from another instance; see
+ * fleet_mesh_msg(). */
+void fleet_handle_mesh_msg (struct fleet *f, struct mesh_msg *m);
+
+/* Functions of fleet.c that fleet_mesh.c uses. */
+
+/** fleet_drop_scheduler() - Free the scheduler, if there is one, and stop
+ * reading the scheduler's inputs. */
+void fleet_drop_scheduler (struct fleet *f);
+/** fleet_set_conf_current() - Report that fleet::conf was the newest
+ * configuration at @at_ms. */
+void fleet_set_conf_current (struct fleet *f, int64_t at_ms);
+/** fleet_set_conf_superseded() - Report that a newer configuration than
+ * fleet::conf exists now. */
+void fleet_set_conf_superseded (struct fleet *f);
+/**
+ * fleet_apply_job_notice() - Add job @id, which was recorded, to the
+ * scheduler.
+ * @record: the job's record; NULL: the job was cancelled, and is cancelled in
+ *          the scheduler
+ *
+ * The feed of jobs reports the same, but later.  Like the rows of the feed,
+ * the notice is used only while this instance's lease is valid; see
+ * handle_jobs_reply().
+ */
+void fleet_apply_job_notice (struct fleet *f, const char *id,
+                             const char *record);
+
 /* Functions of fleet.c that api.c and proxy.c use. */
 
 /** fleet_dispatch_reply() - Pass @rep to the module that made call @token. */
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -649,6 +649,16 @@
             (long long)(fs->now_ms - fs->claimed_ms));
 }
 
+bool
+fsched_is_query (const struct fsched *fs, uint64_t order)
+{
+  struct pending_order key = { .id = order };
+  const struct pending_order *p = RB_FIND (
+      pending_order_tree, (struct pending_order_tree *)&fs->orders, &key);
+
+  return p && p->kind == ORDER_ADVISE;
+}
+
 void
 fsched_order_result (struct fsched *fs, int64_t now_ms, uint64_t order,
                      const struct order_result *res)
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -698,6 +698,9 @@
  * Return: the count; -1 if @id is unknown.
  */
 int fsched_adviser_rank (const struct fsched *fs, const char *id);
+/** fsched_is_query() - Return whether @order is an advice query without an
+ * answer. */
+bool fsched_is_query (const struct fsched *fs, uint64_t order);
 /**
  * fsched_order_result() - Process the result of an order.
  * @order: id of the order; an unknown one is ignored
--- a/regress/unit/fsched_test.c
+++ b/regress/unit/fsched_test.c
@@ -1,5 +1,5 @@
 /* Tests of the scheduler's knowledge of the other instances. */
-#include "fsched.h"
+#include "fsched_impl.h"
 #include "unit.h"
 
 #include <stdio.h>
@@ -71,8 +71,31 @@
   fsched_free (fs);
 }
 
+/* A peer's reply with the number of a start order must not be taken for the
+   executor's answer. */
+static void
+test_only_queries_are_answered_by_peers (void)
+{
+  struct outq out = TAILQ_HEAD_INITIALIZER (out);
+  struct fsched_stats stats = { 0 };
+  struct fsched *fs = new_scheduler (&out, &stats);
+  struct pending_order *pend;
+  uint64_t start = fsched_order_new (fs, ORDER_START, NULL, &pend)->id;
+  uint64_t query = fsched_order_new (fs, ORDER_ADVISE, NULL, &pend)->id;
+  struct out *o;
+
+  CU_ASSERT (!fsched_is_query (fs, start));
+  CU_ASSERT (fsched_is_query (fs, query));
+  CU_ASSERT (!fsched_is_query (fs, query + 1));
+  while ((o = out_take (&out)))
+    out_free (o);
+  fsched_free (fs);
+}
+
 UNIT_MAIN ("fsched",
            { "all instances of a large fleet are ranked",
              test_all_instances_are_ranked },
            { "removed instances are forgotten",
-             test_removed_instances_are_forgotten })
+             test_removed_instances_are_forgotten },
+           { "only queries are answered by peers",
+             test_only_queries_are_answered_by_peers })
