The roster of executors takes as many rows as it needs

Cause: the roster of executors that may hold work was one row of the table, some 30 bytes an executor. From about 2,180 executors on it exceeds the 65,536 bytes of a row, the leader's write with it is refused for ever, and no executor may be used before it is in the recorded roster. Change: 32 rows in a table of their own, by a hash of the executor's id; only rows that change are written. Followers, who read the leader's table five times a second when they may have to claim, read the roster no more. An id that is part of another is not taken for it, and one with only accelerators in use stays listed.

--- a/core/fleet_load.c
+++ b/core/fleet_load.c
@@ -13,11 +13,9 @@
   RETRY_DELAY_MS = 100, /* pause before a failed read is sent again */
 };
 
-/* Key or key prefix of each kind of records, by enum fleet_load_kind: the key
-   of the roster, and the prefixes of the recorded starts and of the jobs'
-   progress. */
+/* Key prefix of each kind of records, by enum fleet_load_kind. */
 static const char *const load_keys[FLEET_LOAD_N]
-    = { LEADER_KEY_ROSTER, FSCHED_KEY_INTENTS, FSCHED_KEY_PROGRESS };
+    = { FSCHED_KEY_ROSTER, FSCHED_KEY_INTENTS, FSCHED_KEY_PROGRESS };
 
 void
 fleet_load_stop (struct fleet *f)
@@ -49,7 +47,7 @@
 
   l->token = ++f->last_token;
   o->u.store.token = l->token;
-  o->u.store.op.kind = kind == FLEET_LOAD_ROSTER ? STORE_GET : STORE_LIST;
+  o->u.store.op.kind = STORE_LIST;
   o->u.store.op.key = strdup (load_keys[kind]);
   o->u.store.op.after = l->after ? strdup (l->after) : NULL;
   o->u.store.op.limit = l->page_rows;
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -94,6 +94,8 @@
   /* A start whose order is not answered counts as pending for this long, so
      that silent executors do not stop the placing of tasks. */
   FSCHED_PENDING_UNANSWERED_MS = 250,
+  /* Number of rows of the roster.  A row holds some 2,000 executors. */
+  FSCHED_ROSTER_ROWS = 32,
   /* Number of rows in the ring of intents: enough for 10 s at 25 writes/s. */
   INTENT_ROWS = 256,
 };
@@ -103,6 +105,10 @@
 /* Prefix of the keys of intent rows. */
 #define FSCHED_KEY_INTENTS "plan:" LEADER_PART "/"
 
+/* Prefix of the keys of the roster's rows.  The roster has a table of its own,
+   as each follower reads the leader's table again and again. */
+#define FSCHED_KEY_ROSTER "rost:" LEADER_PART "/"
+
 /* Value of an ended job's row once its specification has been removed. */
 #define FSCHED_TRIMMED "{}"
 
@@ -321,7 +327,8 @@
   bool reconciled; /* this leader knows all runs on the executor */
   /* An order or poll has failed, and no poll has succeeded since. */
   bool unreachable;
-  bool recorded; /* the recorded roster contains the executor */
+  int roster_row; /* number of the roster's row for the executor */
+  bool recorded;  /* the recorded roster contains the executor */
   /* The roster in the outstanding write contains the executor. */
   bool writing;
   struct startq runs;   /* starts on the executor, sent or not */
@@ -554,8 +561,10 @@
   bool record_due;        /* progress or the roster must be recorded */
   bool intents_write_due; /* starts wait for their intents to be written */
   struct intents intents;
-  bool roster_dirty;   /* the roster must be recorded */
-  bool roster_writing; /* the roster is in the outstanding write */
+  /* Bit sets of the roster's rows that must be recorded, and of those in the
+     outstanding write. */
+  uint32_t roster_dirty;
+  uint32_t roster_writing;
   /* Number of starts by this leader that were placed or sent recently and are
      not answered; see FSCHED_PENDING_STARTS_MAX. */
   int n_pending_starts;
@@ -612,6 +621,10 @@
  */
 void fsched_set_conf (struct fsched *fs, const struct fconf *conf);
 
+/** fsched_roster_row() - Return the number of the roster's row for executor
+ * @id. */
+int fsched_roster_row (const char *id);
+
 /* Loading.  The caller loads the roster, the intents and the progress, then
    adds the jobs, then calls fsched_load_done(). */
 
@@ -642,9 +655,8 @@
  */
 int fsched_load_intents (struct fsched *fs, const char *key, const char *text);
 /**
- * fsched_load_roster() - Load the executors that earlier leaders may have
- * used.
- * @text: value of the roster's row
+ * fsched_load_roster() - Load executors that earlier leaders may have used.
+ * @text: value of a row of the roster
  */
 void fsched_load_roster (struct fsched *fs, const char *text);
 /** fsched_load_done() - End loading and begin to schedule. */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -48,6 +48,7 @@
     abort ();
   clb_copy (e->rep.id, id, sizeof e->rep.id);
   e->index = fs->n_execs++;
+  e->roster_row = fsched_roster_row (id);
   TAILQ_INIT (&e->runs);
   TAILQ_INSERT_TAIL (&fs->execs, e, link);
   RB_INSERT (exec_tree, &fs->execs_by_id, e);
@@ -108,10 +109,7 @@
   if (addr_changed)
     e->next_poll_ms = fs->now_ms;
   if (!e->recorded)
-    {
-      fs->roster_dirty = true;
-      fs->record_due = true;
-    }
+    roster_mark_dirty (fs, e);
 }
 
 void
@@ -586,8 +584,7 @@
           if (!e->answered)
             end_expired_runs (fs, e);
           e->reconciled = true;
-          fs->roster_dirty = true;
-          fs->record_due = true;
+          roster_mark_dirty (fs, e);
         }
       unreconciled += !e->reconciled;
     }
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -120,6 +120,9 @@
 
 /* Functions of fsched_record.c. */
 
+/** roster_mark_dirty() - Mark the roster's row for @e as due to be
+ * recorded. */
+void roster_mark_dirty (struct fsched *fs, const struct exec *e);
 /**
  * fsched_trim_jobs() - Remove the specifications of ended jobs from the table
  * of jobs, if FSCHED_TRIM_MS have passed since the last removal.
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -59,37 +59,78 @@
   return text;
 }
 
-/* Returns the roster, which the caller frees: a line "id addr" for each
-   executor that tasks may be placed on or that may still run tasks. */
-static char *
-roster_text (const struct fsched *fs)
+int
+fsched_roster_row (const char *id)
+{
+  uint32_t hash = 0;
+
+  for (; *id; id++)
+    hash = 31 * hash + (unsigned char)*id;
+  return (int)(hash % FSCHED_ROSTER_ROWS);
+}
+
+void
+roster_mark_dirty (struct fsched *fs, const struct exec *e)
+{
+  fs->roster_dirty |= UINT32_C (1) << e->roster_row;
+  fs->record_due = true;
+}
+
+/* Returns whether the roster contains an executor: tasks may be placed on it,
+   or it may still run tasks. */
+static bool
+in_roster (const struct exec *e)
 {
-  const struct exec *e;
-  char *text = NULL;
+  return e->listed || !e->reconciled || e->used.millicores || e->used.mem_mb
+         || e->used.accels;
+}
+
+/* Adds row @number of the roster to a write: a line "id addr" for each of its
+   executors. */
+static void
+collect_roster_row (struct fsched *fs, struct store_op *op, int number)
+{
+  char key[sizeof FSCHED_KEY_ROSTER + 8];
+  clb_auto char *text = NULL;
   size_t len = 0;
+  struct exec *e;
   FILE *f = open_memstream (&text, &len);
 
   if (!f)
     abort ();
   TAILQ_FOREACH (e, &fs->execs, link)
-    if (e->listed || !e->reconciled || e->used.millicores || e->used.mem_mb)
-      fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
+    {
+      if (e->roster_row != number)
+        continue;
+      e->writing = in_roster (e);
+      if (e->writing)
+        fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
+    }
   fclose (f);
-  return text;
+  snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d", number);
+  store_put (op, key, text);
 }
 
-/* Adds the row of the roster to a write. */
-static void
-collect_roster (struct fsched *fs, struct store_op *op)
+/* Adds the roster's rows that must be recorded to a write, @max_rows at most.
+   Returns the number of rows added. */
+static int
+collect_roster (struct fsched *fs, struct store_op *op, int max_rows)
 {
-  clb_auto char *text = roster_text (fs);
-  struct exec *e;
+  int n = 0;
 
-  store_put (op, LEADER_KEY_ROSTER, text);
-  fs->roster_dirty = false;
-  fs->roster_writing = true;
-  TAILQ_FOREACH (e, &fs->execs, link)
-    e->writing = strstr (text, e->rep.id) != NULL;
+  for (int i = 0; i < FSCHED_ROSTER_ROWS && n < max_rows; i++)
+    {
+      uint32_t bit = UINT32_C (1) << i;
+      if (!(fs->roster_dirty & bit))
+        continue;
+      collect_roster_row (fs, op, i);
+      fs->roster_dirty &= ~bit;
+      fs->roster_writing |= bit;
+      n++;
+    }
+  if (fs->roster_dirty)
+    fs->record_due = true;
+  return n;
 }
 
 int
@@ -102,11 +143,7 @@
 
   fs->record_due = false;
   n = intents_collect (fs, op);
-  if (fs->roster_dirty)
-    {
-      collect_roster (fs, op);
-      n++;
-    }
+  n += collect_roster (fs, op, max_rows - n);
   TAILQ_FOREACH (j, &fs->queue, link)
     {
       char key[sizeof FSCHED_KEY_PROGRESS + JOB_ID_SIZE];
@@ -142,14 +179,12 @@
   struct exec *e;
 
   TAILQ_FOREACH (e, &fs->execs, link)
-    {
-      if (fs->roster_writing && e->writing && !e->recorded)
-        {
-          e->recorded = true;
-          fs->pass_due = true;
-        }
-    }
-  fs->roster_writing = false;
+    if (fs->roster_writing >> e->roster_row & 1 && e->writing && !e->recorded)
+      {
+        e->recorded = true;
+        fs->pass_due = true;
+      }
+  fs->roster_writing = 0;
   TAILQ_FOREACH (e, &fs->execs, link)
     if (e->writing_end_seq > e->recorded_end_seq)
       {
--- a/core/leader.h
+++ b/core/leader.h
@@ -90,7 +90,6 @@
    write to the unnamed part. */
 #define LEADER_PART "c"
 #define LEADER_TABLE "lead:" LEADER_PART "/"
-#define LEADER_KEY_ROSTER LEADER_TABLE "roster"
 
 /** enum leader_state - role of this instance in the election */
 enum leader_state
--- a/regress/fleet/store.lua
+++ b/regress/fleet/store.lua
@@ -234,3 +234,24 @@
     expect(state(1, id(n)) == "completed", "job is not completed")
   end
 end)
+
+-- A row of the platform's table holds some 2,000 lines of the roster.  The
+-- simulation has smaller rows, as it has at most 512 executors.
+scenario("the roster is recorded although it is longer than a row", function()
+  fleet{instances = 3, execs = 500, cores = 1}
+  store("row-bytes", 4000)
+  config(CONFIG)
+  run(2000)
+  for n = 1, 5 do
+    job{id = id(n), steps = {{tasks = 10, ms = 3000}}}
+    submit(n % 3, id(n))
+    run(200)
+  end
+  run(1000)
+  expect(running() == 50, running() .. " of 50 tasks are running")
+  instance(leader(), "kill")
+  run(9000)
+  for n = 1, 5 do
+    expect(state(leader(), id(n)) == "completed", "job is not completed")
+  end
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -89,6 +89,8 @@
   double delayed_write_share;
   /* The table is executing earlier writes until this time. */
   int64_t busy_until_ms;
+  /* The table refuses writes of longer values; 0: no limit. */
+  size_t row_bytes_max;
   /* Time that a write takes its part of the table, which executes writes one
      after another; 0: parts are not simulated. */
   int64_t part_write_ms;
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -96,6 +96,11 @@
 static void
 apply_txn (struct ftable *t, const struct store_op *op, struct store_rep *rep)
 {
+  for (size_t i = 0; i < op->n_puts && t->row_bytes_max; i++)
+    if (op->puts[i].value && strlen (op->puts[i].value) > t->row_bytes_max)
+      rep->err = CLB_EUNAVAIL;
+  if (rep->err)
+    return;
   for (size_t i = 0; i < op->n_conds; i++)
     {
       struct ftable_row *r = find_row (t, op->conds[i].key);
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -366,6 +366,7 @@
                  answered
    delay-writes  the share value (0 to 1) of writes is not answered, and is
                  executed 1 to 6 seconds later
+   row-bytes     writes of values of more than value bytes are refused
    part-write-ms each part of the table executes one write after another,
                  each of which takes value ms
    compact       compacts the table: from now on, a feed of changes since a
@@ -387,6 +388,8 @@
     t->delayed_write_share = value;
   else if (strcmp (what, "compact") == 0)
     t->compacted_ver = t->ver;
+  else if (strcmp (what, "row-bytes") == 0)
+    t->row_bytes_max = (size_t)value;
   else if (strcmp (what, "part-write-ms") == 0)
     t->part_write_ms = (int64_t)value;
   return 0;
