Failing tests: an old configuration is used by a process that was paused, or by a leader

What callers would see: a job accepted into a queue that the newest version drops, by a process that has just gone on after a pause of 3.3 s; and 404 for a queue of the newest version, or an answer by the old one, from a leader whose feed is silent. The simulation lost requests to a frozen process; they now wait for it, as in a socket. It can silence the configuration's feed of one instance.

--- a/regress/fleet/config.lua
+++ b/regress/fleet/config.lua
@@ -118,3 +118,33 @@
     run(17)
   end
 end)
+
+scenario("a request that waited in a paused process is not allowed by an old "
+         .. "configuration", function()
+  start_fleet{}
+  local paused = (leader() + 1) % 3
+  instance(paused, "freeze", 3300)
+  job{id = id(1), steps = {{tasks = 1}}}
+  local call = submit(paused, id(1))
+  run(100)
+  config((CONFIG:gsub("version 1", "version 2"):gsub("queue q ", "queue r ")))
+  run(4300)
+  expect(answer(call) == 503, "the job is accepted: " .. answer(call))
+  expect(count_status(paused, "q") == 404, "the new version is not in force")
+end)
+
+scenario("a leader that does not receive a configuration learns that there is "
+         .. "one", function()
+  start_fleet{}
+  local behind = leader()
+  instance(behind, "silence-conf", 9000)
+  run(100)
+  config((CONFIG:gsub("version 1", "version 2"):gsub("queue q ", "queue r ")))
+  run(1000)
+  expect(count_status(behind, "r") == 503, "the new queue is denied")
+  expect(count_status(behind, "q") == 200, "the old queue is refused at once")
+  run(2400)
+  expect(leader() == behind, "another instance leads")
+  expect(count_status(behind, "q") == 503,
+         "the earlier configuration is used for too long")
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -224,6 +224,8 @@
   int64_t store_partitioned_until_ms;
   /* The table refuses the instance's calls until this time. */
   int64_t store_refused_until_ms;
+  /* Calls of the configuration's feed get no answer until this time. */
+  int64_t conf_feed_silent_until_ms;
   /* Replies of the table with more rows time out before the instance has
      received them; 0: no limit. */
   size_t reply_rows_max;
@@ -355,6 +357,8 @@
  * @body: body of the request, or NULL
  * @key: API key
  *
+ * A frozen process gets the request when it goes on.
+ *
  * Return: index of the request in fsim::calls, where its answer is stored when
  * it arrives.
  */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -560,6 +560,54 @@
   return -1;
 }
 
+/* struct held_request - a caller's request that waits in the socket of a
+   frozen process */
+struct held_request
+{
+  int inst; /* index of the instance */
+  uint64_t incarnation;
+  struct fleet_request rq; /* owns its path, body and key */
+};
+
+static void
+pass_request (struct fsim *s, int i, const struct fleet_request *rq)
+{
+  fleet_request (&s->inst[i]->fleet, s->now_ms,
+                 WALL_CLOCK_START_MS + s->now_ms + s->inst[i]->clock_offset_ms,
+                 rq);
+  fsim_process_outputs (s, i);
+}
+
+static void
+deliver_held_request (struct fsim *s, void *arg)
+{
+  struct held_request *h = arg;
+
+  if (s->inst[h->inst]->up && s->inst[h->inst]->incarnation == h->incarnation)
+    pass_request (s, h->inst, &h->rq);
+  free ((char *)h->rq.path);
+  free ((char *)h->rq.body);
+  free ((char *)h->rq.key);
+  free (h);
+}
+
+/* Passes a copy of @rq to instance @i once its process is no longer frozen. */
+static void
+hold_request (struct fsim *s, int i, const struct fleet_request *rq)
+{
+  struct held_request *h = calloc (1, sizeof *h);
+
+  if (!h)
+    abort ();
+  h->inst = i;
+  h->incarnation = s->inst[i]->incarnation;
+  h->rq = *rq;
+  h->rq.path = strdup (rq->path);
+  h->rq.body = rq->body ? strdup (rq->body) : NULL;
+  h->rq.key = rq->key ? strdup (rq->key) : NULL;
+  fsim_schedule (s, fsim_hold_input (s, i), deliver_held_request, h);
+}
+
 size_t
 fsim_request (struct fsim *s, int instance, int verb, const char *path,
               const char *body, const char *key)
@@ -581,13 +629,12 @@
   rq.timeout_ms = 3000;
   rq.body = body;
   rq.body_len = body ? strlen (body) : 0;
-  if (!s->inst[instance]->up || s->inst[instance]->frozen)
+  if (!s->inst[instance]->up)
     return s->n_calls - 1;
-  fleet_request (&s->inst[instance]->fleet, s->now_ms,
-                 WALL_CLOCK_START_MS + s->now_ms
-                     + s->inst[instance]->clock_offset_ms,
-                 &rq);
-  fsim_process_outputs (s, instance);
+  if (s->inst[instance]->frozen)
+    hold_request (s, instance, &rq);
+  else
+    pass_request (s, instance, &rq);
   return s->n_calls - 1;
 }
 
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -429,6 +429,12 @@
       fail_call (s, q, CLB_EOUTCOME, 700);
       return;
     }
+  if (op->kind == STORE_FEED && strcmp (op->key, "op") == 0
+      && s->inst[i]->conf_feed_silent_until_ms > s->now_ms)
+    {
+      fail_call (s, q, CLB_EOUTCOME, store_timeout_ms (op));
+      return;
+    }
   if (t->down_until_ms > s->now_ms
       || s->inst[i]->store_refused_until_ms > s->now_ms)
     {
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -263,7 +263,8 @@
                     the instance has received them
    link-rate        the instance receives replies of the table at ms bytes per
                     ms; 0: no limit
-   refuse-store     the table refuses the instance's calls for ms */
+   refuse-store     the table refuses the instance's calls for ms
+   silence-conf     calls of the configuration's feed get no answer for ms */
 static int
 verb_instance (lua_State *l)
 {
@@ -308,6 +309,8 @@
     in->link_bytes_per_ms = luaL_checkinteger (l, 3);
   else if (strcmp (what, "refuse-store") == 0)
     in->store_refused_until_ms = until;
+  else if (strcmp (what, "silence-conf") == 0)
+    in->conf_feed_silent_until_ms = until;
   return 0;
 }
 
