A process that goes on after a pause does not use the configuration from before

What callers would see: a job accepted into a queue that the newest version drops, or by a public queue's old settings, from a process that was paused for more than config_apply_ms. Cause: such an instance counted as one that cannot tell whether there is a newer version, and these allow requests without a bound, so that a failure domain that is cut off goes on. But it is not cut off: the answer of the feed waits in its socket, behind the requests. Change: an instance whose last proof is older than config_apply_ms allows requests only if a call of the feed has failed, which an instance that is cut off knows after 1.5 s.

--- a/core/api.c
+++ b/core/api.c
@@ -321,12 +321,15 @@
          && f->now_ms - f->conf_current_ms < f->settings.conf_apply_ms;
 }
 
-/* Returns true if requests must not be allowed by the configuration, as a
-   newer one is known to exist and would have to be in force. */
+/* Returns true if requests must not be allowed by the configuration: a newer
+   one would have to be in force, and is known to exist or may exist without
+   this instance's knowledge.  The latter holds unless the configuration's feed
+   has failed: a process that goes on after a pause has not yet read what the
+   table service has sent meanwhile. */
 static bool
 conf_outdated (const struct fleet *f)
 {
-  return fleet_conf_behind (f)
+  return (fleet_conf_behind (f) || !f->conf_feed_failed)
          && f->now_ms - f->conf_current_ms >= f->settings.conf_apply_ms;
 }
 
