The leader learns of a newer configuration from the other instances

What callers would see: 404 for a queue of the newest version, and an answer by the old one for as long as it lasts, from a leader whose feed of the configuration is silent. Cause: the leader's reply to a hello states its version, and tells the others that they are behind; a hello stated none, so that nothing told the leader. Change: a hello states the sender's version, and a receiver with an older one counts as behind. It is no proof of being current, as the time of the message on its way is not known.

--- a/core/fleet_mesh.c
+++ b/core/fleet_mesh.c
@@ -41,6 +41,7 @@
   /* A stopping instance does not claim, however strong it is. */
   m->millicores = f->stopping ? 0 : f->settings.millicores;
   m->table_age_ms = message_age_ms (f, f->store_last_contact_ms);
+  m->conf_version = f->conf ? f->conf->version : 0;
   fleet_send (f, f->leader.holder_addr, m);
 }
 
@@ -106,6 +107,15 @@
   leader_yield (&f->leader, f->now_ms);
 }
 
+/* Marks the configuration as superseded if the sender of @m has a newer
+   one. */
+static void
+check_conf_version (struct fleet *f, const struct mesh_msg *m)
+{
+  if (f->conf && m->conf_version > f->conf->version)
+    fleet_set_conf_superseded (f);
+}
+
 /* Handles a follower's hello.  Only the leader replies to it. */
 static void
 handle_hello (struct fleet *f, const struct mesh_msg *m)
@@ -113,6 +123,7 @@
   struct mesh_msg *r;
   int rank = -1;
 
+  check_conf_version (f, m);
   if (f->leader.state != LEADER_LEADING)
     return;
   if (should_yield (f, m))
@@ -205,8 +216,7 @@
             sizeof f->proxy_peer_addr);
   if (f->conf && m->conf_version == f->conf->version)
     fleet_set_conf_current (f, m->seq - m->conf_age_ms);
-  else if (f->conf && m->conf_version > f->conf->version)
-    fleet_set_conf_superseded (f);
+  check_conf_version (f, m);
 }
 
 void
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -73,7 +73,7 @@
   /* In a query for advice, the timeout of the query; in the reply, the time
      for which the tickets are valid. */
   int64_t valid_ms;
-  int64_t conf_version; /* version of the leader's configuration; 0: none */
+  int64_t conf_version; /* version of the sender's configuration; 0: none */
   /* Time since the leader's configuration was last known to be current. */
   int64_t conf_age_ms;
   /* Time since the table service was last reached: by the instance at
