Failing tests: a task that crashes its executors is started again and again

What operators would see: one task takes down executor after executor, with all that runs there (BUDGET), for as long as the job lasts. The simulated executors can run such tasks: an executor crashes 300 ms after the start and boots again after 2 s, or after a time that the script sets. They report BUDGET at the third start after the third crash. Scenarios: an executor that is back soon, one that stays away for longer than a lease, a new leader after each crash, all instances lost after each crash; and a task that executors crash under six times within its run, which must not fail only because executors are rebooted for other reasons.

--- /dev/null
+++ b/regress/fleet/deadly.lua
@@ -0,0 +1,67 @@
+dofile("regress/fleet/lib.lua")
+
+-- Submits job n, whose first count tasks crash executors, and runs the
+-- simulation for ms.
+local function submit_deadly(n, tasks, count, ms)
+  job{id = id(n), steps = {{tasks = tasks, ms = 4000}}, deadly = count}
+  submit(n % 3, id(n))
+  run(ms)
+end
+
+scenario("a task that crashes its executors is given up", function()
+  start_fleet{execs = 12}
+  submit_deadly(1, 1, 1, 30000)
+  expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+  expect(crashes() <= 3, crashes() .. " executors have crashed")
+end)
+
+scenario("crashes count although executors stay away for longer than a lease",
+  function()
+  start_fleet{execs = 12}
+  for e = 0, 11 do exec(e, "boot-delay", 9000) end
+  submit_deadly(1, 1, 1, 60000)
+  expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+  expect(crashes() <= 5, crashes() .. " executors have crashed")
+end)
+
+scenario("crashes count although each one comes with a new leader", function()
+  start_fleet{execs = 12}
+  submit_deadly(1, 1, 1, 0)
+  for _ = 1, 8 do
+    local before = crashes()
+    for _ = 1, 400 do if crashes() > before then break end run(20) end
+    local old = leader()
+    if old >= 0 then instance(old, "kill") run(3500) instance(old, "start") end
+  end
+  run(20000)
+  expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+end)
+
+scenario("crashes count although all instances fail", function()
+  start_fleet{execs = 12}
+  submit_deadly(1, 1, 1, 0)
+  for _ = 1, 8 do
+    local before = crashes()
+    for _ = 1, 400 do if crashes() > before then break end run(20) end
+    for i = 0, 2 do instance(i, "kill") end
+    run(1500)
+    for i = 0, 2 do instance(i, "start") end
+    run(2500)
+  end
+  run(20000)
+  expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+end)
+
+scenario("a job whose executors crash for other reasons is not given up",
+  function()
+  start_fleet{execs = 12}
+  job{id = id(1), steps = {{tasks = 1, ms = 4000}}}
+  submit(0, id(1))
+  for _ = 1, 6 do
+    for _ = 1, 200 do if running() > 0 then break end run(20) end
+    run(1000)
+    for e = 0, 11 do if running(e) > 0 then exec(e, "reboot") end end
+  end
+  run(8000)
+  expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
+end)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -9,7 +9,9 @@
  *   TWICE    the task is running already, or the leader has acknowledged a
  *            successful end of the task
  *   LIMIT    the running tasks exceed the executor's capacity
- *   BUDGET   the task has failed as often as the queue allows
+ *   BUDGET   the task has failed as often as the queue allows, or has crashed
+ *            FSIM_CRASHES_MAX executors and is started the
+ *            FSIM_STARTS_AFTER_CRASHES_MAX-th time since
  *   REFUSED  the job's submission was refused
  *   UNASKED  the job or task does not exist
  *
@@ -33,6 +35,8 @@
   /* An executor reports no violation for an incomplete gang until this time
      has passed since its last fault (fexec::last_fault_ms). */
   RECENT_FAULT_MS = 6000,
+  /* A task that crashes executors does so this long after its start. */
+  DEADLY_AFTER_MS = 300,
   /* A lease ends no later than this time after the order that extends it. */
   LEASE_MAX_MS = 6000,
 };
@@ -127,6 +131,27 @@
   e->runs[i] = e->runs[--e->n_runs];
 }
 
+static void
+reboot_after_crash (struct fsim *s, void *arg)
+{
+  struct fexec *e = arg;
+
+  if (!e->up)
+    fexec_reboot (s, e);
+}
+
+/* Crashes the executor because of run @r.  The executor boots again later. */
+static void
+crash_by_run (struct fsim *s, struct fexec *e, const struct frun *r)
+{
+  struct ftask_stats *stats = find_task_stats (s, &r->task);
+
+  if (stats)
+    stats->n_crashes++;
+  fexec_crash (s, e);
+  fsim_schedule (s, e->boot_delay_ms, reboot_after_crash, e);
+}
+
 void
 fexec_tick (struct fsim *s)
 {
@@ -138,6 +163,8 @@
           struct frun *r = &e->runs[i];
           if (s->now_ms >= e->lease_until_ms)
             end_run (s, e, i, RUN_END_LAPSED);
+          else if (s->now_ms >= r->end_ms && r->deadly && !r->stop_ordered)
+            crash_by_run (s, e, r);
           else if (s->now_ms >= r->end_ms)
             end_run (s, e, i, r->stop_ordered ? RUN_END_STOPPED : r->run_end);
         }
@@ -223,6 +250,11 @@
                     o->task.job, (long long)o->task.step,
                     (long long)o->task.index, (long long)o->run_id,
                     stats->n_failed);
+  if (stats->n_crashes >= FSIM_CRASHES_MAX
+      && ++stats->n_starts_after_crashes >= FSIM_STARTS_AFTER_CRASHES_MAX)
+    fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d crashes", o->task.job,
+                    (long long)o->task.step, (long long)o->task.index,
+                    (long long)o->run_id, stats->n_crashes);
   if (j->refused)
     fsim_violation (s, "REFUSED %s: started although refused", o->task.job);
 }
@@ -252,6 +284,11 @@
     r->end_ms = s->now_ms + 50;
   if (e->hangs_runs)
     r->end_ms = INT64_MAX;
+  if (o->task.step == 0 && o->task.index < j->n_deadly)
+    {
+      r->deadly = true;
+      r->end_ms = s->now_ms + DEADLY_AFTER_MS;
+    }
   stats->n_running++;
   stats->n_starts++;
   if (j->spec.steps[o->task.step].gang && r->run_end == RUN_END_DONE)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -25,6 +25,12 @@
   /* Time for which a ticket of the advice service is valid, unless a script
      sets another one. */
   FSIM_TICKET_MS = 2000,
+  /* Value of fexec::boot_delay_ms unless a script sets another one. */
+  FSIM_BOOT_DELAY_MS = 2000,
+  /* After this many executors have crashed because they ran a task, fewer than
+     FSIM_STARTS_AFTER_CRASHES_MAX starts of the task are allowed. */
+  FSIM_CRASHES_MAX = 3,
+  FSIM_STARTS_AFTER_CRASHES_MAX = 3,
   /* Number of past changes that a feed of the table can return.  The simulated
      table does not enforce this limit. */
   FSIM_HISTORY_MAX = 100000,
@@ -108,6 +114,7 @@
   /* Time when the run ends, unless the executor's lease ends earlier. */
   int64_t end_ms;
   int run_end;       /* enum run_end: how the run ends at end_ms */
+  bool deadly;       /* the executor crashes at end_ms */
   bool stop_ordered; /* true after a stop order for the run */
   bool awaits_gang; /* true until all members of the run's gang have started */
   struct job_need need;
@@ -147,6 +154,8 @@
   bool fails_runs;
   /* True if runs that start on this executor never end by themselves. */
   bool hangs_runs;
+  /* Time after which the executor boots again if a task has crashed it. */
+  int64_t boot_delay_ms;
   /* Simulated time of the last injected fault that delayed an order to the
      executor or lost the result of an order; 0: none. */
   int64_t last_fault_ms;
@@ -175,6 +184,7 @@
   struct job_spec spec;
   int64_t task_ms[JOB_STEPS_MAX]; /* run time of a task, by step */
   bool always_fails;              /* every run of its tasks fails */
+  int n_deadly; /* number of tasks of its first step that crash executors */
   bool accepted;
   bool refused;         /* every submission of the job was refused */
   int64_t submitted_ms; /* time of the last submission */
@@ -194,8 +204,11 @@
   bool done;
   /* True if the leader acknowledged the end of a successful run. */
   bool end_acked;
-  int n_failed; /* failed runs whose ends the leader acknowledged */
-  int n_starts; /* runs that were started */
+  int n_failed;  /* failed runs whose ends the leader acknowledged */
+  int n_starts;  /* runs that were started */
+  int n_crashes; /* executors that have crashed because they ran the task */
+  /* Runs that were started after FSIM_CRASHES_MAX such crashes. */
+  int n_starts_after_crashes;
 };
 
 /** struct fsim_call - a caller's request to an instance */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -537,6 +537,7 @@
       e->index = i;
       e->listed = true;
       e->capacity = *capacity;
+      e->boot_delay_ms = FSIM_BOOT_DELAY_MS;
       fexec_reboot (s, e);
     }
   s->n_inst = instances;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -111,10 +111,11 @@
   s->estimate_ms = int_field (l, -1, "estimate", j->task_ms[i]);
 }
 
-/* job{id=, queue=, steps={...}, attempts=, always_fails=, advice_base_us=,
-   advice_per_exec_us=}: defines a job for submit().  Each step is a table with
-   the fields of read_step(); cpu is in millicores, mem in MB, ms is the run
-   time of a task. */
+/* job{id=, queue=, steps={...}, attempts=, always_fails=, deadly=,
+   advice_base_us=, advice_per_exec_us=}: defines a job for submit().  Each
+   step is a table with the fields of read_step(); cpu is in millicores, mem in
+   MB, ms is the run time of a task.  The first deadly= tasks of the first step
+   crash each executor that runs them. */
 static int
 verb_job (lua_State *l)
 {
@@ -133,6 +134,7 @@
   j->spec.advice.per_exec_ms
       = (double)int_field (l, 1, "advice_per_exec_us", 0) / 1000;
   j->always_fails = int_field (l, 1, "always_fails", 0);
+  j->n_deadly = (int)int_field (l, 1, "deadly", 0);
   j->spec.attempts = int_field (l, 1, "attempts", 3);
   j->last_state = -1;
   lua_getfield (l, 1, "steps");
@@ -224,6 +226,20 @@
   return 3;
 }
 
+/* crashes(): returns the number of executors that tasks have crashed so far */
+static int
+verb_crashes (lua_State *l)
+{
+  struct fjob *j;
+  int n = 0;
+
+  RB_FOREACH (j, fjob_tree, &sim->jobs)
+    for (int i = 0; i < j->n_stats; i++)
+      n += j->stats[i].n_crashes;
+  lua_pushinteger (l, n);
+  return 1;
+}
+
 /* task(id [, step [, index]]): returns three values of a task of the job:
    the number of starts;
    the number of failed runs whose ends the leader acknowledged;
@@ -328,6 +344,8 @@
                        fault
    hang-runs           with value 1, runs that start never end by themselves;
                        0 ends the fault
+   boot-delay          an executor that a task has crashed boots again after
+                       value ms
    drain               with value 1, the discovery entry says that the
                        executor drains; with 0, that it does not drain */
 static int
@@ -353,6 +371,8 @@
     e->refuses_connections = value > 0;
   else if (strcmp (what, "hang-runs") == 0)
     e->hangs_runs = value > 0;
+  else if (strcmp (what, "boot-delay") == 0)
+    e->boot_delay_ms = (int64_t)value;
   else if (strcmp (what, "drain") == 0)
     {
       e->draining = value > 0;
@@ -502,6 +522,7 @@
   { "request", verb_request },
   { "waiting", verb_waiting },
   { "answer", verb_answer },
+  { "crashes", verb_crashes },
   { "task", verb_task },
   { "instance", verb_instance },
   { "exec", verb_exec },
