The log and a metric count executors that crash under a task

What operators saw: executors that crash and come back, and hundreds of lines about other tasks that ran there; nothing led from a crash to the task under which executors crash. Nothing is decided by the count yet.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -93,6 +93,7 @@
         {
           free (s->tasks[t].checkpoint);
           free (s->tasks[t].failed_runs);
+          free (s->tasks[t].crashes);
         }
       free (s->tasks);
       advice_free (s);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -187,7 +187,10 @@
   /* Failed runs of the task, owned.  The failed runs of a gang are kept at its
      first task. */
   struct job_run *failed_runs;
-  int32_t n_failed;    /* number of entries of failed_runs */
+  int32_t n_failed; /* number of entries of failed_runs */
+  /* Runs of the task under which their executors crashed, owned. */
+  struct job_crash *crashes;
+  int32_t n_crashes;   /* number of entries of crashes */
   int32_t next_run_id; /* run id of the next start */
   /* Highest run id among the intents of earlier leaders; 0: none. */
   int32_t last_run_id;
@@ -486,6 +489,9 @@
   /* Number of runs that were ended because their lease expired. */
   uint64_t runs_lapsed;
   uint64_t quarantines; /* number of quarantines of executors */
+  /* Number of crashes of executors, counted once for each task that ran
+     there. */
+  uint64_t crashes;
   /* Time from the send of an order to its result, by enum order_kind. */
   struct hist order_ms[ORDER_KIND_N];
   /* Time from a job's arrival to its first start. */
--- /dev/null
+++ b/core/fsched_crash.c
@@ -0,0 +1,50 @@
+/*
+ * Tasks that crash executors.  An executor that crashes loses all its runs and
+ * reports no end of them, so that such a task would use up none of its
+ * attempts.  The scheduler counts the crashes under each task instead.
+ */
+#include "fsched_impl.h"
+
+#include <stdlib.h>
+
+/* Returns whether the crash under run @run_id of a task is counted already. */
+static bool
+is_counted (const struct jtask *t, int64_t run_id)
+{
+  for (int i = 0; i < t->n_crashes; i++)
+    if (t->crashes[i].run_id == run_id)
+      return true;
+  return false;
+}
+
+bool
+crash_add (struct jtask *t, int64_t run_id, const char *exec)
+{
+  if (is_counted (t, run_id) || t->n_crashes == JOB_CRASHES_MAX)
+    return false;
+  t->crashes
+      = realloc (t->crashes, (size_t)(t->n_crashes + 1) * sizeof *t->crashes);
+  if (!t->crashes)
+    abort ();
+  t->crashes[t->n_crashes] = (struct job_crash){ .run_id = run_id };
+  clb_copy (t->crashes[t->n_crashes].exec, exec,
+            sizeof t->crashes[t->n_crashes].exec);
+  t->n_crashes++;
+  return true;
+}
+
+void
+crash_count (struct fsched *fs, struct job *j, int step, int index,
+             int64_t run_id, const struct exec *e)
+{
+  struct jtask *t = &j->steps[step].tasks[index];
+
+  if (job_state_final (j->state) || t->done
+      || !crash_add (t, run_id, e->rep.id))
+    return;
+  fs->stats->crashes++;
+  out_line (fs->out,
+            "event=crash job=%s step=%d task=%d run=%lld exec=%s crashes=%d",
+            j->spec.id, step, index, (long long)run_id, e->rep.id,
+            t->n_crashes);
+}
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -180,6 +180,24 @@
  */
 void start_tick (struct fsched *fs, struct start *r);
 
+/* Functions of fsched_crash.c. */
+
+/**
+ * crash_add() - Add a crash of executor @exec under run @run_id to a task.
+ *
+ * Return: false if the crash has been added before, or the task has
+ * JOB_CRASHES_MAX of them.
+ */
+bool crash_add (struct jtask *t, int64_t run_id, const char *exec);
+/**
+ * crash_count() - Count a crash of executor @e under a run of a task.
+ * @step: index of the step
+ * @index: index of the task in its step
+ * @run_id: id of the run; its crash is counted once
+ */
+void crash_count (struct fsched *fs, struct job *j, int step, int index,
+                  int64_t run_id, const struct exec *e);
+
 /* Functions of fsched_domain.c. */
 
 /** domain_get() - Return failure domain @name, borrowed; add it if new. */
--- a/core/job.h
+++ b/core/job.h
@@ -24,6 +24,9 @@
   /* Maximum number of failed runs stored of one task; no queue allows more
      attempts. */
   JOB_FAILURES_MAX = 64,
+  /* Number of executors that may crash under one task.  After that many, the
+     task is not started again and its job fails. */
+  JOB_CRASHES_MAX = 3,
   /* Size in bytes of a checkpoint's name, with the NUL. */
   JOB_CHECKPOINT_SIZE = 64,
 };
@@ -121,6 +124,13 @@
   int64_t id; /* id of the run */
 };
 
+/** struct job_crash - a run of a task under which its executor crashed */
+struct job_crash
+{
+  int64_t run_id;
+  char exec[CLB_ID_MAX]; /* id of the executor */
+};
+
 /**
  * struct job_task_progress - recorded progress of one task
  *
