A task under which three executors have crashed is given up

What operators saw: a task that crashes each executor that starts it was started for as long as its job lasted, and took down executor after executor with all that ran there. Cause: only an end "failed" counts as an attempt; a run that is lost with its executor counted nothing. Change: after three crashes (JOB_CRASHES_MAX) the job fails. Two would be allowed; the third spares a job two of whose executors crash for other reasons. The scenario with executors that crash for other reasons had six crashes under one task: these cannot be told from a task that is the cause. It has two now, which must not fail the job, and passes as before.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -351,10 +351,8 @@
         start_stop (fs, j->steps[i].tasks[t].run);
 }
 
-/* Ends a job with a final state, and stops its runs unless it is completed.
-   @why: reason for the log line. */
-static void
-end_job (struct fsched *fs, struct job *j, int state, const char *why)
+void
+fsched_end_job (struct fsched *fs, struct job *j, int state, const char *why)
 {
   if (job_state_final (j->state))
     return;
@@ -388,7 +386,7 @@
   struct job *j = fsched_find_job (fs, id);
 
   if (j)
-    end_job (fs, j, JOB_CANCELLED, "cancelled");
+    fsched_end_job (fs, j, JOB_CANCELLED, "cancelled");
 }
 
 /* Marks a task as done.  If it is the last task of its step, the steps that
@@ -416,7 +414,7 @@
   j->n_steps_left--;
   mark_ready_steps (fs, j);
   if (j->n_steps_left == 0)
-    end_job (fs, j, JOB_COMPLETED, "all-tasks-done");
+    fsched_end_job (fs, j, JOB_COMPLETED, "all-tasks-done");
 }
 
 /* Marks all members of a gang as done once one of them is done.  The members
@@ -460,7 +458,7 @@
     return;
   fsched_mark_dirty (fs, j);
   if (t->n_failed >= j->spec.attempts)
-    end_job (fs, j, JOB_FAILED, "attempts-used-up");
+    fsched_end_job (fs, j, JOB_FAILED, "attempts-used-up");
 }
 
 void
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -47,4 +47,6 @@
             "event=crash job=%s step=%d task=%d run=%lld exec=%s crashes=%d",
             j->spec.id, step, index, (long long)run_id, e->rep.id,
             t->n_crashes);
+  if (t->n_crashes == JOB_CRASHES_MAX)
+    fsched_end_job (fs, j, JOB_FAILED, "crashes-executors");
 }
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -18,6 +18,14 @@
 bool fsched_forget_job (struct fsched *fs, struct job *j);
 /** fsched_find_job() - Return job @id, borrowed; NULL if it is unknown. */
 struct job *fsched_find_job (const struct fsched *fs, const char *id);
+/**
+ * fsched_end_job() - End a job with a final state, and stop its runs unless it
+ * is completed; no effect if the job has ended.
+ * @state: enum job_state
+ * @why: reason for the log line
+ */
+void fsched_end_job (struct fsched *fs, struct job *j, int state,
+                     const char *why);
 /** start_get_task() - Return the task that @r is a start of; borrowed. */
 struct jtask *start_get_task (const struct start *r);
 /** fsched_tenant() - Return client account @name, borrowed; add it if new. */
--- a/core/job.h
+++ b/core/job.h
@@ -113,7 +113,8 @@
   JOB_PENDING,   /* no task has been started */
   JOB_RUNNING,   /* a task has been started */
   JOB_COMPLETED, /* all tasks have succeeded */
-  JOB_FAILED,    /* a task has used up its attempts */
+  /* A task has used up its attempts, or executors crash under it. */
+  JOB_FAILED,
   JOB_CANCELLED, /* cancelled on request */
   JOB_STATE_N
 };
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -52,12 +52,12 @@
   expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
 end)
 
-scenario("a job whose executors crash for other reasons is not given up",
+scenario("a task whose executors crash twice for other reasons is not given up",
   function()
   start_fleet{execs = 12}
   job{id = id(1), steps = {{tasks = 1, ms = 4000}}}
   submit(0, id(1))
-  for _ = 1, 6 do
+  for _ = 1, 2 do
     for _ = 1, 200 do if running() > 0 then break end run(20) end
     run(1000)
     for e = 0, 11 do if running(e) > 0 then exec(e, "reboot") end end
