Crashes under a task are recorded with the job's progress

Cause: the count was kept in memory only. Change: the progress row has the run and the executor of each crash.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -505,10 +505,12 @@
       if (task->index >= s->n_tasks)
         continue;
       struct jtask *t = &s->tasks[task->index];
-      if (task->done || task->n_failed)
+      if (task->done || task->n_failed || task->n_crashes)
         start_mark_job_started (j);
       for (size_t r = 0; r < task->n_failed; r++)
         add_failed_run (t, task->failed[r].id);
+      for (size_t r = 0; r < task->n_crashes; r++)
+        crash_add (t, task->crashes[r].run_id, task->crashes[r].exec);
       if (task->done)
         mark_task_done (fs, j, (int)progress->step, (int)task->index);
     }
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -42,6 +42,7 @@
   if (job_state_final (j->state) || t->done
       || !crash_add (t, run_id, e->rep.id))
     return;
+  fsched_mark_dirty (fs, j);
   fs->stats->crashes++;
   out_line (fs->out,
             "event=crash job=%s step=%d task=%d run=%lld exec=%s crashes=%d",
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 /* Fills @out with the progress of those tasks of a step that are done or have
-   failed runs.  Returns the number of these tasks. */
+   failed runs or crashes.  Returns the number of these tasks. */
 static size_t
 fill_task_progress (const struct job *j, size_t step,
                     struct job_task_progress *out)
@@ -24,8 +24,10 @@
       struct job_task_progress m = { .index = t,
                                      .done = k->done,
                                      .failed = k->failed_runs,
-                                     .n_failed = (size_t)k->n_failed };
-      if (m.done || m.n_failed)
+                                     .n_failed = (size_t)k->n_failed,
+                                     .crashes = k->crashes,
+                                     .n_crashes = (size_t)k->n_crashes };
+      if (m.done || m.n_failed || m.n_crashes)
         out[n++] = m;
     }
   return n;
--- a/core/job.h
+++ b/core/job.h
@@ -143,13 +143,15 @@
   bool done;              /* a run of the task has succeeded */
   struct job_run *failed; /* failed runs, in no particular order */
   size_t n_failed;
+  struct job_crash *crashes; /* crashes of executors under the task */
+  size_t n_crashes;
 };
 
 /** struct job_step_progress - recorded progress of one step */
 struct job_step_progress
 {
   int64_t step; /* index of the step */
-  /* Tasks that are done or have failed runs. */
+  /* Tasks that are done, or have failed runs or crashes. */
   struct job_task_progress *tasks;
   size_t n_tasks;
 };
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -24,6 +24,30 @@
   expect(crashes() <= 5, crashes() .. " executors have crashed")
 end)
 
+-- Sets whether the discovery entries of all executors say that they drain.
+local function drain_all(draining)
+  for e = 0, 11 do exec(e, "drain", draining) end
+end
+
+scenario("the next leader knows of the crashes", function()
+  start_fleet{execs = 12}
+  submit_deadly(1, 1, 1, 0)
+  for _ = 1, 3 do
+    local before = crashes()
+    for _ = 1, 400 do if crashes() > before then break end run(20) end
+    drain_all(1)
+    run(3000)
+    local old = leader()
+    instance(old, "kill")
+    run(3500)
+    instance(old, "start")
+    drain_all(0)
+  end
+  run(5000)
+  expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+  expect(crashes() == 3, crashes() .. " executors have crashed")
+end)
+
 scenario("crashes count although each one comes with a new leader", function()
   start_fleet{execs = 12}
   submit_deadly(1, 1, 1, 0)
