A new leader counts a crash that came with the loss of the earlier one

Cause: the new leader finds the executor without the run and in a boot that it takes for the first, so that the run ended as not started. Change: an intent, which is recorded before each start, states the start of the executor's boot. If the executor answers in another boot, the run was lost in a crash. Rows of earlier versions, without the boot, are read as before.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -153,6 +153,8 @@
   int index;      /* index of the task in its step */
   int state;      /* enum start_state */
   int64_t run_id; /* number of the run among the runs of the task */
+  /* Start of the executor's boot that the task was placed on; 0: unknown. */
+  int64_t boot_start_ms;
   /* When the start was sent; until then, when it was created. */
   int64_t sent_ms;
   /* When the start was acknowledged, or the executor first listed the run; 0:
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -7,9 +7,8 @@
 
 #include <stdlib.h>
 
-/* Returns whether the crash under run @run_id of a task is counted already. */
-static bool
-is_counted (const struct jtask *t, int64_t run_id)
+bool
+crash_is_counted (const struct jtask *t, int64_t run_id)
 {
   for (int i = 0; i < t->n_crashes; i++)
     if (t->crashes[i].run_id == run_id)
@@ -20,7 +19,7 @@
 bool
 crash_add (struct jtask *t, int64_t run_id, const char *exec)
 {
-  if (is_counted (t, run_id) || t->n_crashes == JOB_CRASHES_MAX)
+  if (crash_is_counted (t, run_id) || t->n_crashes == JOB_CRASHES_MAX)
     return false;
   t->crashes
       = realloc (t->crashes, (size_t)(t->n_crashes + 1) * sizeof *t->crashes);
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -392,6 +392,15 @@
   clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
 }
 
+/* Returns whether the executor has booted since the boot that began at
+   @boot_start_ms; 0: unknown. */
+static bool
+exec_has_new_boot (const struct exec *e, int64_t boot_start_ms)
+{
+  return boot_start_ms && e->boot_start_ms
+         && e->boot_start_ms != boot_start_ms;
+}
+
 /* Processes a start whose run is missing in the list of running tasks that the
    executor returned for the last poll.  The list does not show the effect of
    orders that were sent after the poll. */
@@ -402,7 +411,9 @@
      any more: the poll made this leader's fencing token known to the executor,
      which refuses orders with lower ones. */
   if (r->inherited)
-    start_end (fs, r, RUN_END_NOT_STARTED);
+    start_end (fs, r,
+               exec_has_new_boot (e, r->boot_start_ms) ? RUN_END_REBOOTED
+                                                       : RUN_END_NOT_STARTED);
   else if (r->state == START_STOPPING && r->stop_acked_ms
            && r->stop_acked_ms <= e->poll_sent_ms)
     start_end (fs, r, RUN_END_NOT_STARTED);
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -190,6 +190,9 @@
 
 /* Functions of fsched_crash.c. */
 
+/** crash_is_counted() - Return whether run @run_id of a task was lost in a
+ * crash that is counted. */
+bool crash_is_counted (const struct jtask *t, int64_t run_id);
 /**
  * crash_add() - Add a crash of executor @exec under run @run_id to a task.
  *
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -34,7 +34,8 @@
   struct task_ref task;
   int64_t run_id;
   char exec[CLB_ID_MAX];
-  uint64_t end_seq; /* intents::n_ends at the start's end; 0: not ended */
+  int64_t boot_start_ms; /* as start::boot_start_ms */
+  uint64_t end_seq;      /* intents::n_ends at the start's end; 0: not ended */
 };
 
 void
@@ -78,6 +79,7 @@
   e->task.index = r->index;
   e->run_id = r->run_id;
   clb_copy (e->exec, r->exec->rep.id, sizeof e->exec);
+  e->boot_start_ms = r->boot_start_ms;
   r->intent = e;
   return e;
 }
@@ -147,9 +149,9 @@
     abort ();
   for (int n = 0; n < ROW_INTENTS_MAX && (e = TAILQ_FIRST (&p->waiting)); n++)
     {
-      fprintf (f, "%s %lld %lld %lld %s\n", e->task.job,
+      fprintf (f, "%s %lld %lld %lld %s %lld\n", e->task.job,
                (long long)e->task.step, (long long)e->task.index,
-               (long long)e->run_id, e->exec);
+               (long long)e->run_id, e->exec, (long long)e->boot_start_ms);
       TAILQ_REMOVE (&p->waiting, e, link);
       TAILQ_INSERT_TAIL (&p->writing, e, link);
     }
@@ -225,22 +227,34 @@
 
 /* Loading. */
 
-/* Parses a line "job step index run_id executor".  Returns false if it is
-   malformed. */
+/* Parses a line "job step index run_id executor boot_start".  Earlier versions
+   wrote no boot_start.  Returns false if the line is malformed. */
 static bool
 parse_line (char *line, struct intent *e)
 {
   long long step, index, run_id;
+  long long boot_start_ms = 0;
   int used = 0;
+  char *boot;
 
   if (sscanf (line, "%16s %lld %lld %lld %n", e->task.job, &step, &index,
               &run_id, &used)
           != 4
-      || !used || !line[used] || strlen (line + used) >= CLB_ID_MAX)
+      || !used || !line[used])
+    return false;
+  boot = strchr (line + used, ' ');
+  if (boot)
+    {
+      *boot++ = '\0';
+      if (sscanf (boot, "%lld", &boot_start_ms) != 1)
+        return false;
+    }
+  if (strlen (line + used) >= CLB_ID_MAX)
     return false;
   e->task.step = step;
   e->task.index = index;
   e->run_id = run_id;
+  e->boot_start_ms = boot_start_ms;
   clb_copy (e->exec, line + used, sizeof e->exec);
   return true;
 }
@@ -290,6 +304,8 @@
   for (int i = 0; i < t->n_failed; i++)
     if (t->failed_runs[i].id == e->run_id)
       return NULL;
+  if (crash_is_counted (t, e->run_id))
+    return NULL;
   *job = j;
   return t;
 }
@@ -308,6 +324,7 @@
     return;
   r = start_new (fs, j, (int)e->task.step, (int)e->task.index, exec, e->run_id,
                  START_UNCONFIRMED);
+  r->boot_start_ms = e->boot_start_ms;
   r->answer_lost_ms = fs->now_ms;
   r->inherited = true;
   r->intent = e;
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -71,6 +71,7 @@
   r->step = step;
   r->index = index;
   r->run_id = run_id;
+  r->boot_start_ms = e->boot_start_ms;
   r->state = state;
   r->sent_ms = fs->now_ms;
   r->percent_changed_ms = fs->now_ms;
