A crash is counted although the lease ends before the executor is back

Cause: such a run ends as lapsed, as one on an executor that is only cut off does, before the executor answers in its new boot. Change: the executor keeps its lapsed runs until it answers again; in a new boot, they count as crashes, otherwise not.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -116,6 +116,7 @@
       TAILQ_REMOVE (&e->runs, r, exec_link);
       free (r);
     }
+  crash_free_lapsed (e);
   free (e);
 }
 
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -311,6 +311,17 @@
 };
 TAILQ_HEAD (domainq, domain);
 
+/** struct lapsed_run - a run whose lease expired while its executor did not
+ * answer, see fsched_crash.c */
+struct lapsed_run
+{
+  TAILQ_ENTRY (lapsed_run) link;
+  struct task_ref task;
+  int64_t run_id;
+  int64_t boot_start_ms; /* as start::boot_start_ms */
+};
+TAILQ_HEAD (lapsed_runq, lapsed_run);
+
 /** struct exec - a service executor */
 struct exec
 {
@@ -336,7 +347,9 @@
   bool recorded;  /* the recorded roster contains the executor */
   /* The roster in the outstanding write contains the executor. */
   bool writing;
-  struct startq runs;   /* starts on the executor, sent or not */
+  struct startq runs; /* starts on the executor, sent or not */
+  /* Runs that lapsed since the executor last answered. */
+  struct lapsed_runq lapsed;
   struct job_need used; /* capacity taken by the starts in runs */
   /* Capacity kept free in the current placing pass for more urgent work that
      waits for advice. */
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -50,3 +50,43 @@
   if (t->n_crashes == JOB_CRASHES_MAX)
     fsched_end_job (fs, j, JOB_FAILED, "crashes-executors");
 }
+
+void
+crash_add_lapsed (struct exec *e, const struct start *r)
+{
+  struct lapsed_run *l = fsched_zalloc (1, sizeof *l);
+
+  clb_copy (l->task.job, r->job->spec.id, sizeof l->task.job);
+  l->task.step = r->step;
+  l->task.index = r->index;
+  l->run_id = r->run_id;
+  l->boot_start_ms = r->boot_start_ms;
+  TAILQ_INSERT_TAIL (&e->lapsed, l, link);
+}
+
+void
+crash_check_lapsed (struct fsched *fs, struct exec *e)
+{
+  const struct lapsed_run *l;
+
+  TAILQ_FOREACH (l, &e->lapsed, link)
+    {
+      struct job *j = fsched_task_job (fs, &l->task);
+      if (j && exec_has_new_boot (e, l->boot_start_ms))
+        crash_count (fs, j, (int)l->task.step, (int)l->task.index, l->run_id,
+                     e);
+    }
+  crash_free_lapsed (e);
+}
+
+void
+crash_free_lapsed (struct exec *e)
+{
+  struct lapsed_run *l;
+
+  while ((l = TAILQ_FIRST (&e->lapsed)))
+    {
+      TAILQ_REMOVE (&e->lapsed, l, link);
+      free (l);
+    }
+}
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -50,6 +50,7 @@
   e->index = fs->n_execs++;
   e->roster_row = fsched_roster_row (id);
   TAILQ_INIT (&e->runs);
+  TAILQ_INIT (&e->lapsed);
   TAILQ_INSERT_TAIL (&fs->execs, e, link);
   RB_INSERT (exec_tree, &fs->execs_by_id, e);
   return e;
@@ -229,6 +230,7 @@
   while ((r = TAILQ_FIRST (&e->runs)))
     {
       fs->stats->runs_lapsed++;
+      crash_add_lapsed (e, r);
       start_end (fs, r, RUN_END_LAPSED);
     }
 }
@@ -392,9 +394,7 @@
   clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
 }
 
-/* Returns whether the executor has booted since the boot that began at
-   @boot_start_ms; 0: unknown. */
-static bool
+bool
 exec_has_new_boot (const struct exec *e, int64_t boot_start_ms)
 {
   return boot_start_ms && e->boot_start_ms
@@ -509,6 +509,7 @@
     }
   e->boot_start_ms
       = res->boot_start_ms ? res->boot_start_ms : e->boot_start_ms;
+  crash_check_lapsed (fs, e);
   e->answered = true;
   e->unreachable = false;
   e->clock_ms = res->clock_ms;
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -209,6 +209,17 @@
 void crash_count (struct fsched *fs, struct job *j, int step, int index,
                   int64_t run_id, const struct exec *e);
 
+/** crash_add_lapsed() - Keep what identifies a run whose lease has expired,
+ * for crash_check_lapsed(). */
+void crash_add_lapsed (struct exec *e, const struct start *r);
+/**
+ * crash_check_lapsed() - Count the crash under the runs that lapsed, after the
+ * executor has answered: if it has a new boot, it did not only fail to answer.
+ */
+void crash_check_lapsed (struct fsched *fs, struct exec *e);
+/** crash_free_lapsed() - Free the lapsed runs of an executor. */
+void crash_free_lapsed (struct exec *e);
+
 /* Functions of fsched_domain.c. */
 
 /** domain_get() - Return failure domain @name, borrowed; add it if new. */
@@ -269,6 +280,12 @@
  */
 void exec_reconcile_check (struct fsched *fs);
 
+/**
+ * exec_has_new_boot() - Return whether the executor has booted since the boot
+ * that began at @boot_start_ms; false if either start is unknown (0).
+ */
+bool exec_has_new_boot (const struct exec *e, int64_t boot_start_ms);
+
 /** exec_eligible() - Return whether tasks may be placed on @e at present. */
 bool exec_eligible (const struct fsched *fs, const struct exec *e);
 /**
