An executor that drained before it went is no crash under its tasks

What callers would see: a job shown as failed, three of whose executors left as announced while its task ran there (release, spot machines). Cause: every run that is lost with its executor's boot counted as a crash. Change: a boot that discovery has listed as draining is remembered, and losses with it do not count. Discovery entries of the simulation state the start of the boot, as the platform's do.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -311,16 +311,16 @@
 };
 TAILQ_HEAD (domainq, domain);
 
-/** struct lapsed_run - a run whose lease expired while its executor did not
- * answer, see fsched_crash.c */
-struct lapsed_run
+/** struct lost_run - a run that was lost with its executor, or may have been,
+ * see fsched_crash.c */
+struct lost_run
 {
-  TAILQ_ENTRY (lapsed_run) link;
+  TAILQ_ENTRY (lost_run) link;
   struct task_ref task;
   int64_t run_id;
   int64_t boot_start_ms; /* as start::boot_start_ms */
 };
-TAILQ_HEAD (lapsed_runq, lapsed_run);
+TAILQ_HEAD (lost_runq, lost_run);
 
 /** struct exec - a service executor */
 struct exec
@@ -349,7 +349,7 @@
   bool writing;
   struct startq runs; /* starts on the executor, sent or not */
   /* Runs that lapsed since the executor last answered. */
-  struct lapsed_runq lapsed;
+  struct lost_runq lapsed;
   struct job_need used; /* capacity taken by the starts in runs */
   /* Capacity kept free in the current placing pass for more urgent work that
      waits for advice. */
@@ -358,7 +358,9 @@
   /* Number of orphans in the executor's last list: runs whose job is unknown
      or has ended, or whose task is done or has another run. */
   int n_orphans;
-  int64_t boot_start_ms;   /* start of the executor's boot; 0: unknown */
+  int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
+  /* Start of the last boot that discovery has listed as draining; 0: none. */
+  int64_t drained_boot_ms;
   int64_t clock_ms;        /* the executor's clock in its last answer */
   int64_t last_contact_ms; /* local time of the last answer */
   /* Latest end of the leases given to the executor, on the executor's
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -32,57 +32,76 @@
   return true;
 }
 
-void
-crash_count (struct fsched *fs, struct job *j, int step, int index,
-             int64_t run_id, const struct exec *e)
+/* Fills @to with what identifies the run of @r. */
+static void
+lost_run_init (struct lost_run *to, const struct start *r)
+{
+  clb_copy (to->task.job, r->job->spec.id, sizeof to->task.job);
+  to->task.step = r->step;
+  to->task.index = r->index;
+  to->run_id = r->run_id;
+  to->boot_start_ms = r->boot_start_ms;
+}
+
+/* Counts a crash of executor @e under a run, unless the executor drained: it
+   has then left as announced. */
+static void
+count_lost_run (struct fsched *fs, const struct exec *e,
+                const struct lost_run *l)
 {
-  struct jtask *t = &j->steps[step].tasks[index];
+  struct job *j = fsched_task_job (fs, &l->task);
+  struct jtask *t;
 
-  if (job_state_final (j->state) || t->done
-      || !crash_add (t, run_id, e->rep.id))
+  if (!j || job_state_final (j->state)
+      || (l->boot_start_ms && l->boot_start_ms == e->drained_boot_ms))
+    return;
+  t = &j->steps[l->task.step].tasks[l->task.index];
+  if (t->done || !crash_add (t, l->run_id, e->rep.id))
     return;
   fsched_mark_dirty (fs, j);
   fs->stats->crashes++;
   out_line (fs->out,
-            "event=crash job=%s step=%d task=%d run=%lld exec=%s crashes=%d",
-            j->spec.id, step, index, (long long)run_id, e->rep.id,
-            t->n_crashes);
+            "event=crash job=%s step=%lld task=%lld run=%lld exec=%s "
+            "crashes=%d",
+            l->task.job, (long long)l->task.step, (long long)l->task.index,
+            (long long)l->run_id, e->rep.id, t->n_crashes);
   if (t->n_crashes == JOB_CRASHES_MAX)
     fsched_end_job (fs, j, JOB_FAILED, "crashes-executors");
 }
 
 void
-crash_add_lapsed (struct exec *e, const struct start *r)
+crash_count (struct fsched *fs, const struct start *r)
+{
+  struct lost_run l = { 0 };
+
+  lost_run_init (&l, r);
+  count_lost_run (fs, r->exec, &l);
+}
+
+void
+crash_add_lapsed (const struct start *r)
 {
-  struct lapsed_run *l = fsched_zalloc (1, sizeof *l);
+  struct lost_run *l = fsched_zalloc (1, sizeof *l);
 
-  clb_copy (l->task.job, r->job->spec.id, sizeof l->task.job);
-  l->task.step = r->step;
-  l->task.index = r->index;
-  l->run_id = r->run_id;
-  l->boot_start_ms = r->boot_start_ms;
-  TAILQ_INSERT_TAIL (&e->lapsed, l, link);
+  lost_run_init (l, r);
+  TAILQ_INSERT_TAIL (&r->exec->lapsed, l, link);
 }
 
 void
 crash_check_lapsed (struct fsched *fs, struct exec *e)
 {
-  const struct lapsed_run *l;
+  const struct lost_run *l;
 
   TAILQ_FOREACH (l, &e->lapsed, link)
-    {
-      struct job *j = fsched_task_job (fs, &l->task);
-      if (j && exec_has_new_boot (e, l->boot_start_ms))
-        crash_count (fs, j, (int)l->task.step, (int)l->task.index, l->run_id,
-                     e);
-    }
+    if (exec_has_new_boot (e, l->boot_start_ms))
+      count_lost_run (fs, e, l);
   crash_free_lapsed (e);
 }
 
 void
 crash_free_lapsed (struct exec *e)
 {
-  struct lapsed_run *l;
+  struct lost_run *l;
 
   while ((l = TAILQ_FIRST (&e->lapsed)))
     {
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -103,6 +103,8 @@
       fs->pass_due = true;
     }
   e->rep = *rep;
+  if (rep->draining)
+    e->drained_boot_ms = rep->boot_start_ms;
   e->domain = domain_get (fs, rep->zone);
   fsched_intern_exec (fs, e);
   e->listed = true;
@@ -230,7 +232,7 @@
   while ((r = TAILQ_FIRST (&e->runs)))
     {
       fs->stats->runs_lapsed++;
-      crash_add_lapsed (e, r);
+      crash_add_lapsed (r);
       start_end (fs, r, RUN_END_LAPSED);
     }
 }
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -201,17 +201,16 @@
  */
 bool crash_add (struct jtask *t, int64_t run_id, const char *exec);
 /**
- * crash_count() - Count a crash of executor @e under a run of a task.
- * @step: index of the step
- * @index: index of the task in its step
- * @run_id: id of the run; its crash is counted once
+ * crash_count() - Count a crash of an executor under the run of @r, unless the
+ * executor drained.
+ *
+ * The crash is counted once, and fails the job if it is the last one that its
+ * task may cause.
  */
-void crash_count (struct fsched *fs, struct job *j, int step, int index,
-                  int64_t run_id, const struct exec *e);
-
-/** crash_add_lapsed() - Keep what identifies a run whose lease has expired,
- * for crash_check_lapsed(). */
-void crash_add_lapsed (struct exec *e, const struct start *r);
+void crash_count (struct fsched *fs, const struct start *r);
+/** crash_add_lapsed() - Keep what identifies the run of @r, whose lease has
+ * expired, for crash_check_lapsed(). */
+void crash_add_lapsed (const struct start *r);
 /**
  * crash_check_lapsed() - Count the crash under the runs that lapsed, after the
  * executor has answered: if it has a new boot, it did not only fail to answer.
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -124,7 +124,6 @@
   int step = r->step;
   int index = r->index;
   int64_t run_id = r->run_id;
-  struct exec *e = r->exec;
   struct pending_order key = { .id = r->order_id };
   struct pending_order *p = RB_FIND (pending_order_tree, &fs->orders, &key);
 
@@ -152,12 +151,12 @@
   j->n_runs--;
   j->steps[step].n_running--;
   if (run_end == RUN_END_FAILED)
-    exec_count_failure (fs, e);
+    exec_count_failure (fs, r->exec);
   else if (run_end == RUN_END_DONE)
-    e->failures_in_row = 0;
+    r->exec->failures_in_row = 0;
+  else if (run_end == RUN_END_REBOOTED)
+    crash_count (fs, r);
   free (r);
-  if (run_end == RUN_END_REBOOTED)
-    crash_count (fs, j, step, index, run_id, e);
   if (others_may_run && j->spec.steps[step].gang)
     start_stop_gang (fs, j, step);
   fsched_task_ended (fs, j, step, index, run_id, run_end);
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -24,6 +24,27 @@
   expect(crashes() <= 5, crashes() .. " executors have crashed")
 end)
 
+scenario("a task whose executors drain before they leave is not given up",
+  function()
+  start_fleet{execs = 12}
+  job{id = id(1), steps = {{tasks = 1, ms = 4000}}}
+  submit(0, id(1))
+  for _ = 1, 4 do
+    for _ = 1, 200 do if running() > 0 then break end run(20) end
+    for e = 0, 11 do
+      if running(e) > 0 then
+        exec(e, "drain", 1)
+        run(1000)
+        exec(e, "reboot")
+        exec(e, "drain", 0)
+      end
+    end
+    run(200)
+  end
+  run(8000)
+  expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
+end)
+
 -- Sets whether the discovery entries of all executors say that they drain.
 local function drain_all(draining)
   for e = 0, 11 do exec(e, "drain", draining) end
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -614,8 +614,9 @@
   char value[256];
 
   snprintf (key, sizeof key, "servers/%s", e->id);
-  snprintf (value, sizeof value, "%s %d %lld %lld", e->id, e->draining,
-            (long long)e->capacity.millicores, (long long)e->capacity.mem_mb);
+  snprintf (value, sizeof value, "%s %d %lld %lld %lld", e->id, e->draining,
+            (long long)e->capacity.millicores, (long long)e->capacity.mem_mb,
+            (long long)e->boot_start_ms);
   ftable_put (s, key, e->up && e->listed ? value : NULL);
 }
 
