A crash is counted although the executor is back under a new id after its lease

What operators saw: as before, on a platform that gives each life of an executor a new id: after the lease the earlier id is polled no more, so that nothing tells that it has crashed. Change: the address is the same. Executors of the simulation have an address apart from their id and answer an order for an earlier id as the platform's do, with "wrong boot".

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -107,7 +107,7 @@
 }
 
 static void
-exec_free (struct exec *e)
+exec_free (struct fsched *fs, struct exec *e)
 {
   struct start *r;
 
@@ -116,7 +116,7 @@
       TAILQ_REMOVE (&e->runs, r, exec_link);
       free (r);
     }
-  crash_free_lapsed (e);
+  crash_free_lapsed (fs, e);
   free (e);
 }
 
@@ -143,7 +143,7 @@
   while ((e = TAILQ_FIRST (&fs->execs)))
     {
       TAILQ_REMOVE (&fs->execs, e, link);
-      exec_free (e);
+      exec_free (fs, e);
     }
   while ((j = TAILQ_FIRST (&fs->queue)))
     job_free (fs, j);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -558,6 +558,7 @@
   struct fsched_intern_table racks;    /* names of racks */
   struct fsched_intern_table labels;   /* labels that steps require */
   int n_execs;                         /* number of entries of execs */
+  int n_lapsed; /* number of entries of exec::lapsed of all executors */
   struct fsched_tenantq tenants;
   struct ended_job_tree ended_jobs;
   struct pending_order_tree orders; /* orders without a result yet */
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -6,6 +6,7 @@
 #include "fsched_impl.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 bool
 crash_is_counted (const struct jtask *t, int64_t run_id)
@@ -79,12 +80,26 @@
 }
 
 void
-crash_add_lapsed (const struct start *r)
+crash_add_lapsed (struct fsched *fs, const struct start *r)
 {
   struct lost_run *l = fsched_zalloc (1, sizeof *l);
 
   lost_run_init (l, r);
   TAILQ_INSERT_TAIL (&r->exec->lapsed, l, link);
+  fs->n_lapsed++;
+}
+
+void
+crash_free_lapsed (struct fsched *fs, struct exec *e)
+{
+  struct lost_run *l;
+
+  while ((l = TAILQ_FIRST (&e->lapsed)))
+    {
+      TAILQ_REMOVE (&e->lapsed, l, link);
+      free (l);
+      fs->n_lapsed--;
+    }
 }
 
 void
@@ -95,17 +110,24 @@
   TAILQ_FOREACH (l, &e->lapsed, link)
     if (exec_has_new_boot (e, l->boot_start_ms))
       count_lost_run (fs, e, l);
-  crash_free_lapsed (e);
+  crash_free_lapsed (fs, e);
 }
 
 void
-crash_free_lapsed (struct exec *e)
+crash_exec_replaced (struct fsched *fs, const struct exec *successor)
 {
-  struct lost_run *l;
+  struct exec *e;
+  const struct lost_run *l;
 
-  while ((l = TAILQ_FIRST (&e->lapsed)))
+  if (!fs->n_lapsed)
+    return;
+  TAILQ_FOREACH (e, &fs->execs, link)
     {
-      TAILQ_REMOVE (&e->lapsed, l, link);
-      free (l);
+      if (e == successor || TAILQ_EMPTY (&e->lapsed)
+          || strcmp (e->rep.addr, successor->rep.addr) != 0)
+        continue;
+      TAILQ_FOREACH (l, &e->lapsed, link)
+        count_lost_run (fs, e, l);
+      crash_free_lapsed (fs, e);
     }
 }
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -110,7 +110,10 @@
   e->listed = true;
   e->in_list = true;
   if (addr_changed)
-    e->next_poll_ms = fs->now_ms;
+    {
+      e->next_poll_ms = fs->now_ms;
+      crash_exec_replaced (fs, e);
+    }
   if (!e->recorded)
     roster_mark_dirty (fs, e);
 }
@@ -232,7 +235,7 @@
   while ((r = TAILQ_FIRST (&e->runs)))
     {
       fs->stats->runs_lapsed++;
-      crash_add_lapsed (r);
+      crash_add_lapsed (fs, r);
       start_end (fs, r, RUN_END_LAPSED);
     }
 }
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -210,14 +210,19 @@
 void crash_count (struct fsched *fs, const struct start *r);
 /** crash_add_lapsed() - Keep what identifies the run of @r, whose lease has
  * expired, for crash_check_lapsed(). */
-void crash_add_lapsed (const struct start *r);
+void crash_add_lapsed (struct fsched *fs, const struct start *r);
 /**
  * crash_check_lapsed() - Count the crash under the runs that lapsed, after the
  * executor has answered: if it has a new boot, it did not only fail to answer.
  */
 void crash_check_lapsed (struct fsched *fs, struct exec *e);
+/**
+ * crash_exec_replaced() - Count the crash under the lapsed runs of the
+ * executor that had the address of @successor before.
+ */
+void crash_exec_replaced (struct fsched *fs, const struct exec *successor);
 /** crash_free_lapsed() - Free the lapsed runs of an executor. */
-void crash_free_lapsed (struct exec *e);
+void crash_free_lapsed (struct fsched *fs, struct exec *e);
 
 /* Functions of fsched_domain.c. */
 
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -45,6 +45,19 @@
   expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
 end)
 
+for _, delay_ms in ipairs{2000, 9000} do
+  scenario("crashes count although an executor is back under a new id after "
+           .. delay_ms .. " ms", function()
+    start_fleet{execs = 12}
+    for e = 0, 11 do
+      exec(e, "new-id", 1)
+      exec(e, "boot-delay", delay_ms)
+    end
+    submit_deadly(1, 1, 1, 60000)
+    expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+  end)
+end
+
 -- Sets whether the discovery entries of all executors say that they drain.
 local function drain_all(draining)
   for e = 0, 11 do exec(e, "drain", draining) end
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -61,11 +61,12 @@
   bool drop_result;
 };
 
+/* Return: the executor at address @addr, or NULL. */
 static struct fexec *
-find_exec (struct fsim *s, const char *id)
+find_exec_at (struct fsim *s, const char *addr)
 {
   for (int i = 0; i < s->n_exec; i++)
-    if (strcmp (s->exec[i]->id, id) == 0)
+    if (strcmp (s->exec[i]->addr, addr) == 0)
       return s->exec[i];
   return NULL;
 }
@@ -478,7 +479,7 @@
 deliver_order (struct fsim *s, void *arg)
 {
   struct order_delivery *d = arg;
-  struct fexec *e = find_exec (s, d->exec);
+  struct fexec *e = find_exec_at (s, d->order.addr);
   bool first_call;
 
   /* An order to an earlier boot is lost, and a waiting poll is lost if the
@@ -489,6 +490,11 @@
       d->res.outcome = ORDER_LOST;
       fsim_schedule (s, d->order.timeout_ms, deliver_result, d);
     }
+  else if (strcmp (e->id, d->exec) != 0)
+    {
+      d->res.outcome = ORDER_WRONG_BOOT;
+      send_result (s, d, e);
+    }
   else if (first_call = !d->boot_start_ms, d->boot_start_ms = e->boot_start_ms,
            fexec_apply (s, e, &d->order, first_call,
                         s->now_ms >= d->poll_deadline_ms, &d->res))
@@ -527,7 +533,7 @@
 void
 fexec_send_order (struct fsim *s, int i, const struct order *o)
 {
-  struct fexec *e = find_exec (s, o->exec);
+  struct fexec *e = find_exec_at (s, o->addr);
   struct order_delivery *d = order_delivery_new (s, i, o);
   int64_t sent_in_ms = fsim_busy_ms (s, i);
 
@@ -614,25 +620,37 @@
   char value[256];
 
   snprintf (key, sizeof key, "servers/%s", e->id);
-  snprintf (value, sizeof value, "%s %d %lld %lld %lld", e->id, e->draining,
+  snprintf (value, sizeof value, "%s %d %lld %lld %lld", e->addr, e->draining,
             (long long)e->capacity.millicores, (long long)e->capacity.mem_mb,
             (long long)e->boot_start_ms);
   ftable_put (s, key, e->up && e->listed ? value : NULL);
 }
 
-/* Deletes the discovery entry unless the executor is up again. */
+/* struct entry_removal - discovery entry of an executor that has crashed */
+struct entry_removal
+{
+  struct fexec *e;
+  char id[CLB_ID_MAX]; /* id of the boot that has crashed */
+};
+
+/* Deletes the discovery entry unless the executor is up again under its id. */
 static void
 delete_discovery_entry (struct fsim *s, void *arg)
 {
-  struct fexec *e = arg;
+  struct entry_removal *r = arg;
+  char key[CLB_ID_MAX + 16];
 
-  if (!e->up)
-    fexec_update_discovery_entry (s, e);
+  snprintf (key, sizeof key, "servers/%s", r->id);
+  if (!r->e->up || strcmp (r->e->id, r->id) != 0)
+    ftable_put (s, key, NULL);
+  free (r);
 }
 
 void
 fexec_crash (struct fsim *s, struct fexec *e)
 {
+  struct entry_removal *removal = calloc (1, sizeof *removal);
+
   e->up = false;
   for (int i = 0; i < e->n_runs; i++)
     {
@@ -647,7 +665,9 @@
   e->fencing_token = 0;
   /* The platform removes the discovery entry of a crashed executor after
      4500 ms. */
-  fsim_schedule (s, 4500, delete_discovery_entry, e);
+  removal->e = e;
+  clb_copy (removal->id, e->id, sizeof removal->id);
+  fsim_schedule (s, 4500, delete_discovery_entry, removal);
 }
 
 void
@@ -659,6 +679,9 @@
   /* The start of a boot must not be 0, which means in
      order_delivery::boot_start_ms that the boot is unknown. */
   e->boot_start_ms = s->now_ms + 1;
+  if (e->renames)
+    snprintf (e->id, sizeof e->id, "%s-%lld", e->addr,
+              (long long)e->boot_start_ms);
   e->lease_until_ms = 0;
   fexec_update_discovery_entry (s, e);
 }
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -131,6 +131,9 @@
 struct fexec
 {
   char id[CLB_ID_MAX];
+  char addr[CLB_ADDR_MAX]; /* address, the same in all boots */
+  /* True if the executor gets a new id at each boot. */
+  bool renames;
   int index;   /* index in fsim::exec */
   bool up;     /* true from the start of a boot until its crash */
   bool listed; /* true: the executor has a discovery entry while it is up */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -189,10 +189,9 @@
       != 5)
     return CLB_EPARSE;
   clb_copy (out->id, id, sizeof out->id);
-  clb_copy (out->addr, id, sizeof out->addr);
-  /* The last digit of an executor's number selects its failure domain. */
+  /* The last digit of an executor's address selects its failure domain. */
   snprintf (out->zone, sizeof out->zone, "zone%c",
-            "012"[(id[strlen (id) - 1] - '0') % 3]);
+            "012"[(out->addr[strlen (out->addr) - 1] - '0') % 3]);
   clb_copy (out->service, "svc", sizeof out->service);
   out->capacity.millicores = millicores;
   out->capacity.mem_mb = mem;
@@ -535,6 +534,7 @@
     {
       struct fexec *e = s->exec[i] = calloc (1, sizeof *e);
       snprintf (e->id, sizeof e->id, "e%03d", i);
+      clb_copy (e->addr, e->id, sizeof e->addr);
       e->index = i;
       e->listed = true;
       e->capacity = *capacity;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -346,6 +346,7 @@
                        0 ends the fault
    boot-delay          an executor that a task has crashed boots again after
                        value ms
+   new-id              with value 1, the executor gets a new id at each boot
    drain               with value 1, the discovery entry says that the
                        executor drains; with 0, that it does not drain */
 static int
@@ -371,6 +372,8 @@
     e->refuses_connections = value > 0;
   else if (strcmp (what, "hang-runs") == 0)
     e->hangs_runs = value > 0;
+  else if (strcmp (what, "new-id") == 0)
+    e->renames = value > 0;
   else if (strcmp (what, "boot-delay") == 0)
     e->boot_delay_ms = (int64_t)value;
   else if (strcmp (what, "drain") == 0)
