A crash is counted although it comes before the answer to the start

What operators saw: a task that crashes executors at once was started again and again, and its job stayed pending. Cause: the answer to such a start is lost with the executor, so that the start is stopped in the next boot, or under the next id, and ends as not started. Change: if the answer to a start was lost and the executor has a new boot, the crash counts.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -70,8 +70,14 @@
   TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
     if (r->start_acked_ms)
       start_end (fs, r, RUN_END_REBOOTED);
-    else if (r->state != START_SENT)
-      start_stop (fs, r);
+    else
+      {
+        /* The executor may have crashed before it could answer. */
+        if (r->answer_lost_ms)
+          crash_count (fs, r);
+        if (r->state != START_SENT)
+          start_stop (fs, r);
+      }
   e->seen_end_seq = 0;
   e->writing_end_seq = 0;
   e->recorded_end_seq = 0;
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -322,6 +322,8 @@
                 r->job->spec.id, r->step, r->index, (long long)r->run_id,
                 r->exec->rep.id);
       r->answer_lost_ms = fs->now_ms;
+      if (exec_has_new_boot (r->exec, r->boot_start_ms))
+        crash_count (fs, r);
       if (r->state != START_SENT)
         return;
       if (r->tries < FSCHED_START_TRIES && fs->may_order
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -1,9 +1,10 @@
 dofile("regress/fleet/lib.lua")
 
 -- Submits job n, whose first count tasks crash executors, and runs the
--- simulation for ms.
-local function submit_deadly(n, tasks, count, ms)
-  job{id = id(n), steps = {{tasks = tasks, ms = 4000}}, deadly = count}
+-- simulation for ms.  They do so deadly_ms (300) after their start.
+local function submit_deadly(n, tasks, count, ms, deadly_ms)
+  job{id = id(n), steps = {{tasks = tasks, ms = 4000}}, deadly = count,
+      deadly_ms = deadly_ms}
   submit(n % 3, id(n))
   run(ms)
 end
@@ -45,6 +46,16 @@
   expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
 end)
 
+for _, new_id in ipairs{0, 1} do
+  scenario("crashes count that come before the answer to the start, new id: "
+           .. new_id, function()
+    start_fleet{execs = 12}
+    for e = 0, 11 do exec(e, "new-id", new_id) end
+    submit_deadly(1, 1, 1, 60000, 0)
+    expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+  end)
+end
+
 for _, delay_ms in ipairs{2000, 9000} do
   scenario("crashes count although an executor is back under a new id after "
            .. delay_ms .. " ms", function()
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -35,8 +35,6 @@
   /* An executor reports no violation for an incomplete gang until this time
      has passed since its last fault (fexec::last_fault_ms). */
   RECENT_FAULT_MS = 6000,
-  /* A task that crashes executors does so this long after its start. */
-  DEADLY_AFTER_MS = 300,
   /* A lease ends no later than this time after the order that extends it. */
   LEASE_MAX_MS = 6000,
 };
@@ -153,6 +151,19 @@
   fsim_schedule (s, e->boot_delay_ms, reboot_after_crash, e);
 }
 
+/* Crashes the executor if one of its runs is due to do so. */
+static void
+crash_if_due (struct fsim *s, struct fexec *e)
+{
+  for (int i = 0; i < e->n_runs; i++)
+    if (e->runs[i].deadly && !e->runs[i].stop_ordered
+        && s->now_ms >= e->runs[i].end_ms)
+      {
+        crash_by_run (s, e, &e->runs[i]);
+        return;
+      }
+}
+
 void
 fexec_tick (struct fsim *s)
 {
@@ -288,7 +299,7 @@
   if (o->task.step == 0 && o->task.index < j->n_deadly)
     {
       r->deadly = true;
-      r->end_ms = s->now_ms + DEADLY_AFTER_MS;
+      r->end_ms = s->now_ms + j->deadly_ms;
     }
   stats->n_running++;
   stats->n_starts++;
@@ -425,7 +436,8 @@
 static void
 send_result (struct fsim *s, struct order_delivery *d, struct fexec *e)
 {
-  if (!fsim_can_reach (s, d->inst, e)
+  crash_if_due (s, e);
+  if (!fsim_can_reach (s, d->inst, e) || !e->up
       || fsim_random (s) < e->lost_result_share)
     {
       e->last_fault_ms = s->now_ms;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -188,6 +188,7 @@
   int64_t task_ms[JOB_STEPS_MAX]; /* run time of a task, by step */
   bool always_fails;              /* every run of its tasks fails */
   int n_deadly; /* number of tasks of its first step that crash executors */
+  int64_t deadly_ms; /* time from the start of such a task to the crash */
   bool accepted;
   bool refused;         /* every submission of the job was refused */
   int64_t submitted_ms; /* time of the last submission */
