A task is not placed again where an executor crashed under it

What callers would see: a job shown as failed because one executor crashes again and again, for reasons of its own, and is the best fit each time. Change: an executor that has crashed under a task of a step is the last choice for that step, for single tasks and for gangs. The record has the executor's address, as its next boot may have another id.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -511,7 +511,8 @@
       for (size_t r = 0; r < task->n_failed; r++)
         add_failed_run (t, task->failed[r].id);
       for (size_t r = 0; r < task->n_crashes; r++)
-        crash_add (t, task->crashes[r].run_id, task->crashes[r].exec);
+        crash_add (s, (int)task->index, task->crashes[r].run_id,
+                   task->crashes[r].addr);
       if (task->done)
         mark_task_done (fs, j, (int)progress->step, (int)task->index);
     }
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -226,6 +226,7 @@
   int n_tasks;
   int n_done;             /* number of tasks that are done */
   int n_running;          /* number of tasks that have a start, sent or not */
+  int n_crashes;          /* sum of jtask::n_crashes */
   bool ready;             /* all steps that this one depends on are done */
   int64_t ready_ms;       /* when the step became ready */
   struct permit *permits; /* indexed by exec::index, grown on demand */
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -18,8 +18,10 @@
 }
 
 bool
-crash_add (struct jtask *t, int64_t run_id, const char *exec)
+crash_add (struct jstep *s, int index, int64_t run_id, const char *addr)
 {
+  struct jtask *t = &s->tasks[index];
+
   if (crash_is_counted (t, run_id) || t->n_crashes == JOB_CRASHES_MAX)
     return false;
   t->crashes
@@ -27,12 +29,23 @@
   if (!t->crashes)
     abort ();
   t->crashes[t->n_crashes] = (struct job_crash){ .run_id = run_id };
-  clb_copy (t->crashes[t->n_crashes].exec, exec,
-            sizeof t->crashes[t->n_crashes].exec);
+  clb_copy (t->crashes[t->n_crashes].addr, addr,
+            sizeof t->crashes[t->n_crashes].addr);
   t->n_crashes++;
+  s->n_crashes++;
   return true;
 }
 
+bool
+crash_happened_on (const struct jstep *s, const struct exec *e)
+{
+  for (int i = 0; i < s->n_tasks && s->n_crashes; i++)
+    for (int k = 0; k < s->tasks[i].n_crashes; k++)
+      if (strcmp (s->tasks[i].crashes[k].addr, e->rep.addr) == 0)
+        return true;
+  return false;
+}
+
 /* Fills @to with what identifies the run of @r. */
 static void
 lost_run_init (struct lost_run *to, const struct start *r)
@@ -51,13 +64,15 @@
                 const struct lost_run *l)
 {
   struct job *j = fsched_task_job (fs, &l->task);
+  struct jstep *s;
   struct jtask *t;
 
   if (!j || job_state_final (j->state)
       || (l->boot_start_ms && l->boot_start_ms == e->drained_boot_ms))
     return;
-  t = &j->steps[l->task.step].tasks[l->task.index];
-  if (t->done || !crash_add (t, l->run_id, e->rep.id))
+  s = &j->steps[l->task.step];
+  t = &s->tasks[l->task.index];
+  if (t->done || !crash_add (s, (int)l->task.index, l->run_id, e->rep.addr))
     return;
   fsched_mark_dirty (fs, j);
   fs->stats->crashes++;
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -33,6 +33,10 @@
   GANG_RESERVE_FRACTION = 4,
 };
 
+/* Added to unfitness(), larger than any executor's millicores. */
+#define OTHER_RACK INT64_C (0x100000000)     /* not the rack of the data */
+#define CRASHED_BEFORE INT64_C (0x200000000) /* crashed under the step */
+
 /* Returns whether @n more tasks of the step keep the job's client account
    within its limit. */
 static bool
@@ -59,32 +63,45 @@
   return j->spec.advice.base_ms <= 0 || permit_valid (fs, &j->steps[step], e);
 }
 
+/* Returns how well an executor suits a task of the step; the executor with the
+   lowest value is chosen. */
+static int64_t
+unfitness (const struct job *j, int step, const struct exec *e)
+{
+  const struct jstep *s = &j->steps[step];
+  int64_t value = e->rep.capacity.millicores - e->used.millicores;
+
+  if (s->data_rack_id && s->data_rack_id != e->rack_id)
+    value += OTHER_RACK;
+  if (crash_happened_on (s, e))
+    value += CRASHED_BEFORE;
+  return value;
+}
+
 /*
  * Returns the usable executor with the least free CPU that has capacity for a
  * task of the step, or NULL.  Executors in the rack of the step's data are
- * preferred to all others.
+ * preferred to all others.  An executor that has crashed under the step is
+ * taken last: if the executor is the cause, the task has to run elsewhere.
  */
 static struct exec *
 best_fit (struct fsched *fs, const struct job *j, int step)
 {
-  int data_rack_id = j->steps[step].data_rack_id;
   struct exec *best = NULL;
-  int64_t best_spare = 0;
+  int64_t best_value = 0;
 
   for (int i = 0; i < fs->n_eligible; i++)
     {
       struct exec *e = fs->eligible[i];
-      int64_t spare;
+      int64_t value;
       if (!exec_usable (e, j, step) || !permitted (fs, j, step, e)
           || exec_fit_count (e, j, step, 1) < 1)
         continue;
-      spare = e->rep.capacity.millicores - e->used.millicores;
-      if (data_rack_id && data_rack_id != e->rack_id)
-        spare += INT32_MAX;
-      if (!best || spare < best_spare)
+      value = unfitness (j, step, e);
+      if (!best || value < best_value)
         {
           best = e;
-          best_spare = spare;
+          best_value = value;
         }
     }
   return best;
@@ -120,15 +137,19 @@
 {
   struct exec *e;
   int fits; /* number of members that the executor has capacity for */
+  bool crashed_before; /* the executor has crashed under the step */
 };
 
-/* Compares candidates for qsort(): most capacity first. */
+/* Compares candidates for qsort(): most capacity first, those that have
+   crashed under the step last. */
 static int
 compare_fits (const void *va, const void *vb)
 {
   const struct candidate *a = va;
   const struct candidate *b = vb;
 
+  if (a->crashed_before != b->crashed_before)
+    return a->crashed_before - b->crashed_before;
   if (a->fits != b->fits)
     return b->fits - a->fits;
   return a->e->index - b->e->index;
@@ -158,7 +179,9 @@
       fits = exec_fit_count (e, j, step, n_members);
       if (fits < 1)
         continue;
-      candidates[n++] = (struct candidate){ e, fits };
+      candidates[n++]
+          = (struct candidate){ e, fits,
+                                crash_happened_on (&j->steps[step], e) };
       n_fit += fits;
     }
   if (n_fit < n_members)
--- a/core/job.c
+++ b/core/job.c
@@ -72,7 +72,7 @@
 
 static const struct fld crash_fields[] = {
   FLD_INT_AS ("no", struct job_crash, run_id, 0, INT64_MAX),
-  FLD_CHARS (struct job_crash, exec, false),
+  FLD_CHARS (struct job_crash, addr, false),
 };
 static DESC (crash_desc, struct job_crash, crash_fields);
 
--- a/core/job.h
+++ b/core/job.h
@@ -129,7 +129,8 @@
 struct job_crash
 {
   int64_t run_id;
-  char exec[CLB_ID_MAX]; /* id of the executor */
+  /* Address of the executor, which may have a new id in its next boot. */
+  char addr[CLB_ADDR_MAX];
 };
 
 /**
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -69,6 +69,50 @@
   end)
 end
 
+-- Runs job 1 with the step while the executor that it has begun on crashes four
+-- times, with the same id or with a new one each time.
+local function run_with_sick_executor(step, new_id)
+  start_fleet{execs = 12}
+  for e = 0, 11 do exec(e, "new-id", new_id) end
+  job{id = id(1), steps = {step}}
+  submit(0, id(1))
+  run(500)
+  local sick = 0
+  while sick < 11 and running(sick) == 0 do sick = sick + 1 end
+  for _ = 1, 4 do
+    exec(sick, "reboot")
+    run(3000)
+  end
+  run(8000)
+  expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
+end
+
+for _, new_id in ipairs{0, 1} do
+  scenario("a job is not given up because one executor crashes again and "
+           .. "again, new id: " .. new_id, function()
+    run_with_sick_executor({tasks = 1, ms = 4000}, new_id)
+  end)
+  scenario("a gang is not given up because one executor crashes again and "
+           .. "again, new id: " .. new_id, function()
+    run_with_sick_executor({tasks = 4, ms = 4000, gang = 1, cpu = 6000},
+                           new_id)
+  end)
+end
+
+-- The jobs fill half of the executors.
+scenario("jobs beside tasks that crash executors are completed", function()
+  start_fleet{execs = 12}
+  for n = 2, 13 do
+    job{id = id(n), steps = {{tasks = 4, ms = 3000, cpu = 2000}}}
+    submit(n % 3, id(n))
+  end
+  submit_deadly(1, 4, 4, 30000)
+  expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
+  for n = 2, 13 do
+    expect(state(0, id(n)) == "completed", "job is " .. state(0, id(n)))
+  end
+end)
+
 -- Sets whether the discovery entries of all executors say that they drain.
 local function drain_all(draining)
   for e = 0, 11 do exec(e, "drain", draining) end
