LIMIT holds while executors' capacities shrink and grow

No change of product code was needed: each new discovery entry replaces the capacity, and a start takes room until its end is known. The simulated executors can change their capacity; they report LIMIT by the earlier one for 4.5 s after it has shrunk.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -238,17 +238,19 @@
              struct fjob *j, struct ftask_stats *stats)
 {
   struct job_need used = { 0 };
+  const struct job_need *capacity
+      = s->now_ms - e->shrunk_ms < FSIM_SHRUNK_AFTER_MS ? &e->earlier_capacity
+                                                        : &e->capacity;
 
   for (int i = 0; i < e->n_runs; i++)
     {
       used.millicores += e->runs[i].need.millicores;
       used.mem_mb += e->runs[i].need.mem_mb;
     }
-  if (used.millicores > e->capacity.millicores
-      || used.mem_mb > e->capacity.mem_mb)
+  if (used.millicores > capacity->millicores || used.mem_mb > capacity->mem_mb)
     fsim_violation (s, "LIMIT %s: %lld millicores used of %lld", e->id,
                     (long long)used.millicores,
-                    (long long)e->capacity.millicores);
+                    (long long)capacity->millicores);
   if (stats->n_running > 1)
     fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already running",
                     o->task.job, (long long)o->task.step,
@@ -638,6 +640,18 @@
   ftable_put (s, key, e->up && e->listed ? value : NULL);
 }
 
+void
+fexec_set_cores (struct fsim *s, struct fexec *e, int64_t cores)
+{
+  if (1000 * cores < e->capacity.millicores)
+    {
+      e->earlier_capacity = e->capacity;
+      e->shrunk_ms = s->now_ms;
+    }
+  e->capacity.millicores = 1000 * cores;
+  fexec_update_discovery_entry (s, e);
+}
+
 /* struct entry_removal - discovery entry of an executor that has crashed */
 struct entry_removal
 {
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -25,6 +25,9 @@
   /* Time for which a ticket of the advice service is valid, unless a script
      sets another one. */
   FSIM_TICKET_MS = 2000,
+  /* Time after which a reduced capacity counts for LIMIT: the users' contact
+     time and one heartbeat. */
+  FSIM_SHRUNK_AFTER_MS = 4500,
   /* Value of fexec::boot_delay_ms unless a script sets another one. */
   FSIM_BOOT_DELAY_MS = 2000,
   /* After this many executors have crashed because they ran a task, fewer than
@@ -166,6 +169,10 @@
      sent to it. */
   bool refuses_connections;
   struct job_need capacity;
+  /* Before FSIM_SHRUNK_AFTER_MS have passed since the capacity was last
+     reduced: the capacity before, and the time of the change. */
+  struct job_need earlier_capacity;
+  int64_t shrunk_ms;
   struct frun runs[256];
   int n_runs;
   /* Reports of ended runs.  A report is kept until a poll of the leader
@@ -442,6 +449,9 @@
  * delete the entry if the executor is down or not listed.
  */
 void fexec_update_discovery_entry (struct fsim *s, struct fexec *e);
+/** fexec_set_cores() - Change the executor's capacity.  Its discovery entry
+ * shows the new one at once. */
+void fexec_set_cores (struct fsim *s, struct fexec *e, int64_t cores);
 /**
  * fexec_crash() - End the executor's boot.  Its runs are lost, and so are the
  * reports of ended runs that the leader has not acknowledged.  A later event
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -538,6 +538,7 @@
       e->index = i;
       e->listed = true;
       e->capacity = *capacity;
+      e->shrunk_ms = -FSIM_SHRUNK_AFTER_MS;
       e->boot_delay_ms = FSIM_BOOT_DELAY_MS;
       fexec_reboot (s, e);
     }
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -345,6 +345,8 @@
                        fault
    hang-runs           with value 1, runs that start never end by themselves;
                        0 ends the fault
+   cores               from now on, the executor has value cores; what runs on
+                       it goes on
    boot-delay          an executor that a task has crashed boots again after
                        value ms
    new-id              with value 1, the executor gets a new id at each boot
@@ -373,6 +375,8 @@
     e->refuses_connections = value > 0;
   else if (strcmp (what, "hang-runs") == 0)
     e->hangs_runs = value > 0;
+  else if (strcmp (what, "cores") == 0)
+    fexec_set_cores (sim, e, (int64_t)value);
   else if (strcmp (what, "new-id") == 0)
     e->renames = value > 0;
   else if (strcmp (what, "boot-delay") == 0)
