--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -300,6 +300,7 @@
     {
     case ORDER_DONE:
       r->start_acked_ms = fs->now_ms;
+      r->boot_start_ms = r->exec->boot_start_ms;
       start_mark_job_started (r->job);
       if (r->state == START_SENT)
         r->state = START_ACKED;
--- a/regress/unit/platform_test.c
+++ b/regress/unit/platform_test.c
@@ -163,6 +163,20 @@
   order_result_clear (&res);
 }
 
+/* A reading of 0 must not be taken for a missing one. */
+static void
+test_clock_of_new_boot (void)
+{
+  struct order_result res;
+
+  pf_order_decode (ORDER_START, HTTPC_OK, 200, "{\"clock_ms\":0}", 14, &res);
+  CU_ASSERT_TRUE (res.clock_ms > 0);
+  order_result_clear (&res);
+  pf_order_decode (ORDER_START, HTTPC_OK, 200, "{}", 2, &res);
+  CU_ASSERT_EQUAL (res.clock_ms, 0);
+  order_result_clear (&res);
+}
+
 static void
 test_order_outcomes (void)
 {
@@ -291,6 +305,8 @@
            { "invalid jobs are refused", test_refused_jobs },
            { "the reply to a poll is decoded without its invalid rows",
              test_poll_lists },
+           { "the clock of a boot's first millisecond is reported",
+             test_clock_of_new_boot },
            { "the reply to an order gives its outcome", test_order_outcomes },
            { "task names are parsed and printed", test_task_names },
            { "damaged documents are decoded safely", test_damaged_documents })
