The random walk plays tasks that crash executors, capacities that change and executors that leave

Deadly tasks of three speeds, also in gangs; executors with other capacities, new ids and long boots; executors that drain and come back. The simulated clock of a boot begins at 1, as an answer with 0 would count as one without a clock.

--- a/regress/fleet/walk.lua
+++ b/regress/fleet/walk.lua
@@ -13,6 +13,9 @@
       job{id = id(n), steps = {{tasks = 4, gang = true, cpu = 3000, ms = 900}}}
     elseif kind < 0.25 then
       job{id = id(n), always_fails = true, steps = {{tasks = 2}}}
+    elseif kind < 0.27 then
+      job{id = id(n), deadly = 1, deadly_ms = math.floor(random() * 3) * 200,
+          steps = {{tasks = 2, gang = random() < 0.3, ms = 900}}}
     elseif kind < 0.6 then
       job{id = id(n), queue = "quick", advice_base_us = 5000,
           advice_per_exec_us = 100, steps = {{tasks = 2, cpu = 1500, ms = 400}}}
@@ -57,6 +60,15 @@
       return function() store("delay-writes", 0) end end,
     function() store("slow", 30) return function() store("slow", 1) end end,
     function() store("compact") end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "cores", 4 + math.floor(random() * 8))
+      return function() exec(e, "cores", 16) end end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "boot-delay", 500 + random() * 9000)
+      exec(e, "new-id", math.floor(random() * 2)) end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "drain", 1)
+      return function() exec(e, "reboot") exec(e, "drain", 0) end end,
   }
   -- Functions that end the faults of the present round.
   local end_functions = {}
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -17,7 +17,7 @@
  *
  * At the end of a run the executor reports GANG if the run was a member of a
  * gang that was still incomplete when the member's wait time was over, unless
- * an order to the executor was delayed or its result lost within
+ * an order to the executor was delayed or lost, or its result lost, within
  * RECENT_FAULT_MS before.
  */
 #include "fsim.h"
@@ -459,6 +459,8 @@
 
   fexec_tick (s);
   res->clock_ms = s->now_ms - e->boot_start_ms;
+  if (res->clock_ms < 1)
+    res->clock_ms = 1;
   res->boot_start_ms = e->boot_start_ms;
   res->outcome = ORDER_DONE;
   if (o->fencing_token < e->fencing_token)
@@ -501,6 +503,8 @@
   if (!e->up || !fsim_can_reach (s, d->inst, e)
       || (d->boot_start_ms && d->boot_start_ms != e->boot_start_ms))
     {
+      if (!fsim_can_reach (s, d->inst, e))
+        e->last_fault_ms = s->now_ms;
       d->res.outcome = ORDER_LOST;
       fsim_schedule (s, d->order.timeout_ms, deliver_result, d);
     }
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -162,8 +162,8 @@
   bool hangs_runs;
   /* Time after which the executor boots again if a task has crashed it. */
   int64_t boot_delay_ms;
-  /* Simulated time of the last injected fault that delayed an order to the
-     executor or lost the result of an order; 0: none. */
+  /* Simulated time of the last injected fault that delayed or lost an order to
+     the executor, or lost the result of an order; 0: none. */
   int64_t last_fault_ms;
   /* True if connections to the executor fail at once, so that no order is
      sent to it. */
