A crash counts in full only if the executor acknowledged the start

What callers would see: a job shown as failed although no executor has crashed under its task: three starts were sent to executors that were down already, which cannot be told from a task that crashes them before they answer. Change: a crash after a start that was never acknowledged is recorded as unconfirmed. A job fails after three crashes of which two are confirmed, or after four of any kind, which leaves two starts fewer than the rule forbids (the third one after the third crash).

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -511,8 +511,7 @@
       for (size_t r = 0; r < task->n_failed; r++)
         add_failed_run (t, task->failed[r].id);
       for (size_t r = 0; r < task->n_crashes; r++)
-        crash_add (s, (int)task->index, task->crashes[r].run_id,
-                   task->crashes[r].addr);
+        crash_add (s, (int)task->index, &task->crashes[r]);
       if (task->done)
         mark_task_done (fs, j, (int)progress->step, (int)task->index);
     }
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -320,6 +320,7 @@
   struct task_ref task;
   int64_t run_id;
   int64_t boot_start_ms; /* as start::boot_start_ms */
+  bool unconfirmed;      /* as job_crash::unconfirmed */
 };
 TAILQ_HEAD (lost_runq, lost_run);
 
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -18,24 +18,35 @@
 }
 
 bool
-crash_add (struct jstep *s, int index, int64_t run_id, const char *addr)
+crash_add (struct jstep *s, int index, const struct job_crash *crash)
 {
   struct jtask *t = &s->tasks[index];
 
-  if (crash_is_counted (t, run_id) || t->n_crashes == JOB_CRASHES_MAX)
+  if (crash_is_counted (t, crash->run_id)
+      || t->n_crashes == JOB_CRASHES_ANY_MAX)
     return false;
   t->crashes
       = realloc (t->crashes, (size_t)(t->n_crashes + 1) * sizeof *t->crashes);
   if (!t->crashes)
     abort ();
-  t->crashes[t->n_crashes] = (struct job_crash){ .run_id = run_id };
-  clb_copy (t->crashes[t->n_crashes].addr, addr,
-            sizeof t->crashes[t->n_crashes].addr);
-  t->n_crashes++;
+  t->crashes[t->n_crashes++] = *crash;
   s->n_crashes++;
   return true;
 }
 
+/* Returns whether the crashes under a task are so many that its job fails. */
+static bool
+too_many_crashes (const struct jtask *t)
+{
+  int n_confirmed = 0;
+
+  for (int i = 0; i < t->n_crashes; i++)
+    n_confirmed += !t->crashes[i].unconfirmed;
+  return t->n_crashes >= JOB_CRASHES_ANY_MAX
+         || (t->n_crashes >= JOB_CRASHES_MAX
+             && n_confirmed >= JOB_CRASHES_CONFIRMED_MIN);
+}
+
 bool
 crash_happened_on (const struct jstep *s, const struct exec *e)
 {
@@ -55,6 +66,7 @@
   to->task.index = r->index;
   to->run_id = r->run_id;
   to->boot_start_ms = r->boot_start_ms;
+  to->unconfirmed = !r->start_acked_ms && !r->inherited;
 }
 
 /* Counts a crash of executor @e under a run, unless the executor drained: it
@@ -64,6 +76,8 @@
                 const struct lost_run *l)
 {
   struct job *j = fsched_task_job (fs, &l->task);
+  struct job_crash crash
+      = { .run_id = l->run_id, .unconfirmed = l->unconfirmed };
   struct jstep *s;
   struct jtask *t;
 
@@ -72,16 +86,17 @@
     return;
   s = &j->steps[l->task.step];
   t = &s->tasks[l->task.index];
-  if (t->done || !crash_add (s, (int)l->task.index, l->run_id, e->rep.addr))
+  clb_copy (crash.addr, e->rep.addr, sizeof crash.addr);
+  if (t->done || !crash_add (s, (int)l->task.index, &crash))
     return;
   fsched_mark_dirty (fs, j);
   fs->stats->crashes++;
   out_line (fs->out,
             "event=crash job=%s step=%lld task=%lld run=%lld exec=%s "
-            "crashes=%d",
+            "crashes=%d confirmed=%d",
             l->task.job, (long long)l->task.step, (long long)l->task.index,
-            (long long)l->run_id, e->rep.id, t->n_crashes);
-  if (t->n_crashes == JOB_CRASHES_MAX)
+            (long long)l->run_id, e->rep.id, t->n_crashes, !l->unconfirmed);
+  if (too_many_crashes (t))
     fsched_end_job (fs, j, JOB_FAILED, "crashes-executors");
 }
 
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -194,14 +194,14 @@
  * crash that is counted. */
 bool crash_is_counted (const struct jtask *t, int64_t run_id);
 /**
- * crash_add() - Add a crash under run @run_id to a task.
+ * crash_add() - Add a crash to a task.
  * @index: index of the task in the step
- * @addr: address of the executor that crashed
+ * @crash: copied
  *
- * Return: false if the crash has been added before, or the task has
- * JOB_CRASHES_MAX of them.
+ * Return: false if a crash under the same run has been added before, or the
+ * task has JOB_CRASHES_ANY_MAX of them.
  */
-bool crash_add (struct jstep *s, int index, int64_t run_id, const char *addr);
+bool crash_add (struct jstep *s, int index, const struct job_crash *crash);
 /** crash_happened_on() - Return whether the executor at the address of @e has
  * crashed under a task of the step. */
 bool crash_happened_on (const struct jstep *s, const struct exec *e);
--- a/core/job.c
+++ b/core/job.c
@@ -73,6 +73,7 @@
 static const struct fld crash_fields[] = {
   FLD_INT_AS ("no", struct job_crash, run_id, 0, INT64_MAX),
   FLD_CHARS (struct job_crash, addr, false),
+  FLD_FLAG (struct job_crash, unconfirmed),
 };
 static DESC (crash_desc, struct job_crash, crash_fields);
 
@@ -82,7 +83,7 @@
   FLD_ARRAY (struct job_task_progress, failed, n_failed, &run_desc,
              JOB_FAILURES_MAX),
   FLD_ARRAY (struct job_task_progress, crashes, n_crashes, &crash_desc,
-             JOB_CRASHES_MAX),
+             JOB_CRASHES_ANY_MAX),
 };
 static DESC (task_progress_desc, struct job_task_progress,
              task_progress_fields);
--- a/core/job.h
+++ b/core/job.h
@@ -25,8 +25,13 @@
      attempts. */
   JOB_FAILURES_MAX = 64,
   /* Number of executors that may crash under one task.  After that many, the
-     task is not started again and its job fails. */
+     task is not started again and its job fails, unless fewer than
+     JOB_CRASHES_CONFIRMED_MIN of the crashes are confirmed. */
   JOB_CRASHES_MAX = 3,
+  JOB_CRASHES_CONFIRMED_MIN = 2,
+  /* Number of crashes under one task, confirmed or not, after which its job
+     fails in any case. */
+  JOB_CRASHES_ANY_MAX = 4,
   /* Size in bytes of a checkpoint's name, with the NUL. */
   JOB_CHECKPOINT_SIZE = 64,
 };
@@ -131,6 +136,9 @@
   int64_t run_id;
   /* Address of the executor, which may have a new id in its next boot. */
   char addr[CLB_ADDR_MAX];
+  /* The executor did not acknowledge the start, so that it may have crashed
+     before. */
+  bool unconfirmed;
 };
 
 /**
--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/deadly.lua
@@ -99,6 +99,24 @@
   end)
 end
 
+-- Each start goes to an executor that is down already, so that none crashes
+-- under the task.
+scenario("a task that never reached its executors is not given up", function()
+  start_fleet{execs = 12}
+  job{id = id(1), steps = {{tasks = 1, ms = 1000}}}
+  exec(0, "crash")
+  submit(0, id(1))
+  for e = 0, 2 do
+    run(2100)
+    exec(e, "reboot")
+    run(900)
+    if e < 2 then exec(e + 1, "crash") end
+  end
+  expect(task(id(1)) == 0, "the task was started")
+  run(12000)
+  expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
+end)
+
 -- The jobs fill half of the executors.
 scenario("jobs beside tasks that crash executors are completed", function()
   start_fleet{execs = 12}
--- a/regress/unit/crash_test.c
+++ b/regress/unit/crash_test.c
@@ -39,10 +39,12 @@
   struct fsched *fs = scheduler_with_job (&out, &stats);
   struct jstep *s = &fsched_find_job (fs, JOB_ID)->steps[0];
   struct exec e = { .rep = { .addr = "10.0.0.1:80" } };
+  struct job_crash on_1 = { .run_id = 1, .addr = "10.0.0.1:80" };
+  struct job_crash on_2 = { .run_id = 1, .addr = "10.0.0.2:80" };
 
-  CU_ASSERT (crash_add (s, 0, 1, "10.0.0.1:80"));
-  CU_ASSERT (!crash_add (s, 0, 1, "10.0.0.1:80"));
-  CU_ASSERT (crash_add (s, 1, 1, "10.0.0.2:80"));
+  CU_ASSERT (crash_add (s, 0, &on_1));
+  CU_ASSERT (!crash_add (s, 0, &on_1));
+  CU_ASSERT (crash_add (s, 1, &on_2));
   CU_ASSERT_EQUAL (s->tasks[0].n_crashes, 1);
   CU_ASSERT_EQUAL (s->n_crashes, 2);
   CU_ASSERT (crash_happened_on (s, &e));
@@ -55,7 +57,8 @@
 static void
 test_crashes_are_recorded (void)
 {
-  struct job_crash crash = { .run_id = 7, .addr = "10.0.0.1:80" };
+  struct job_crash crash
+      = { .run_id = 7, .addr = "10.0.0.1:80", .unconfirmed = true };
   struct job_task_progress task
       = { .index = 1, .crashes = &crash, .n_crashes = 1 };
   struct job_step_progress step = { .tasks = &task, .n_tasks = 1 };
@@ -72,6 +75,7 @@
   CU_ASSERT_EQUAL (read.steps[0].tasks[0].crashes[0].run_id, 7);
   CU_ASSERT_STRING_EQUAL (read.steps[0].tasks[0].crashes[0].addr,
                           "10.0.0.1:80");
+  CU_ASSERT (read.steps[0].tasks[0].crashes[0].unconfirmed);
   codec_free (&job_progress_desc, &read);
 }
 
