Runs that a rebooted executor has started already are not lost to the count of its ends

What callers would see: a task that has run is run again. Cause: an executor that reboots under its id less than 1.5 s after its last boot is not noticed by its clock. It accepts starts, and the poll that shows the new boot acknowledges ends by the numbers of the earlier boot, so that the executor forgets them unseen; its runs are taken for runs of the earlier boot. Change: the start of the boot in a discovery entry resets the numbers before the next poll, and a run that the new boot's answer lists is one of the new boot.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -56,31 +56,72 @@
   return e;
 }
 
-/*
- * Ends the runs of an executor's earlier boot, and resets the sequence numbers
- * and failures of that boot.  A start that is not acknowledged may still reach
- * the new boot, so it is stopped instead of ended.  A start in START_SENT is
- * left as it is: its result is still to come.
- */
-static void
-end_boot_runs (struct fsched *fs, struct exec *e)
+/* Returns whether @t and @run_id identify the run of @r. */
+static bool
+is_run_of (const struct start *r, const struct task_ref *t, int64_t run_id)
 {
-  struct start *r, *next;
+  return r->run_id == run_id && r->step == t->step && r->index == t->index
+         && strcmp (r->job->spec.id, t->job) == 0;
+}
 
-  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    if (r->start_acked_ms)
+/* Returns whether the answer to a poll lists the run of @r as running or
+   ended.  @res may be NULL. */
+static bool
+is_listed_run (const struct start *r, const struct order_result *res)
+{
+  for (size_t i = 0; res && i < res->n_runs; i++)
+    if (is_run_of (r, &res->runs[i].task, res->runs[i].run_id))
+      return true;
+  for (size_t i = 0; res && i < res->n_ends; i++)
+    if (is_run_of (r, &res->ends[i].task, res->ends[i].run_id))
+      return true;
+  return false;
+}
+
+/* Ends a start that belongs to an earlier boot of its executor.  A start that
+   is not acknowledged may still reach the new boot, so it is stopped instead
+   of ended.  A start in START_SENT is left as it is: its result is still to
+   come. */
+static void
+end_boot_run (struct fsched *fs, struct start *r)
+{
+  if (r->start_acked_ms)
+    {
       start_end (fs, r, RUN_END_REBOOTED);
-    else
-      {
-        /* The executor may have crashed before it could answer. */
-        if (r->answer_lost_ms)
-          crash_count (fs, r);
-        if (r->state != START_SENT)
-          start_stop (fs, r);
-      }
+      return;
+    }
+  /* The executor may have crashed before it could answer. */
+  if (r->answer_lost_ms)
+    crash_count (fs, r);
+  if (r->state != START_SENT)
+    start_stop (fs, r);
+}
+
+/* Resets the sequence numbers of the executor's ends, so that none of the new
+   boot is acknowledged unseen. */
+static void
+reset_end_seqs (struct exec *e)
+{
   e->seen_end_seq = 0;
   e->writing_end_seq = 0;
   e->recorded_end_seq = 0;
+}
+
+/* Ends the runs of an executor's earlier boot, and resets the sequence numbers
+   and failures of that boot.  @res: the new boot's answer to a poll, which may
+   list runs that the boot has started already; NULL: not known. */
+static void
+end_boot_runs (struct fsched *fs, struct exec *e,
+               const struct order_result *res)
+{
+  struct start *r, *next;
+
+  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
+    if (is_listed_run (r, res))
+      r->boot_start_ms = res->boot_start_ms;
+    else
+      end_boot_run (fs, r);
+  reset_end_seqs (e);
   e->failures_in_row = 0;
   e->quarantine_until_ms = 0;
   e->quarantine_ms = 0;
@@ -109,6 +150,8 @@
       fs->pass_due = true;
     }
   e->rep = *rep;
+  if (exec_has_new_boot (e, rep->boot_start_ms))
+    reset_end_seqs (e);
   if (rep->draining)
     e->drained_boot_ms = rep->boot_start_ms;
   e->domain = domain_get (fs, rep->zone);
@@ -295,8 +338,7 @@
   struct start *r;
 
   TAILQ_FOREACH (r, &e->runs, exec_link)
-    if (r->run_id == run_id && r->step == t->step && r->index == t->index
-        && strcmp (r->job->spec.id, t->job) == 0)
+    if (is_run_of (r, t, run_id))
       return r;
   return NULL;
 }
@@ -474,15 +516,18 @@
 }
 
 /* Ends the runs of the executor's earlier boot and resets its state for the
-   new boot.  @boot_start_ms: start of the new boot; 0: unknown. */
+   new boot, which has answered an order.  @res: the answer, if the order was a
+   poll; NULL: it was not.  @clock_ms: the executor's clock in the answer. */
 static void
 process_new_boot (struct fsched *fs, struct exec *e, int64_t clock_ms,
-                  int64_t boot_start_ms)
+                  const struct order_result *res)
 {
+  int64_t boot_start_ms = res ? res->boot_start_ms : 0;
+
   out_line (fs->out,
             "event=exec-rebooted exec=%s clock_ms=%lld boot_start=%lld",
             e->rep.id, (long long)clock_ms, (long long)boot_start_ms);
-  end_boot_runs (fs, e);
+  end_boot_runs (fs, e, res);
   e->boot_start_ms = boot_start_ms;
   e->clock_ms = clock_ms;
   e->last_contact_ms = fs->now_ms;
@@ -494,7 +539,7 @@
 {
   if (!clock_went_back (fs, e, clock_ms))
     return false;
-  process_new_boot (fs, e, clock_ms, 0);
+  process_new_boot (fs, e, clock_ms, NULL);
   exec_mark_unreachable (fs, e);
   return true;
 }
@@ -508,7 +553,7 @@
   if (clock_went_back (fs, e, res->clock_ms)
       || (e->answered && res->boot_start_ms && e->boot_start_ms
           && res->boot_start_ms != e->boot_start_ms))
-    process_new_boot (fs, e, res->clock_ms, res->boot_start_ms);
+    process_new_boot (fs, e, res->clock_ms, res);
   if (!e->answered || e->unreachable)
     {
       out_line (
@@ -536,7 +581,7 @@
   if (res->outcome == ORDER_REFUSED && res->reason == REFUSED_FENCE)
     fs->fenced = true;
   if (res->outcome == ORDER_WRONG_BOOT)
-    end_boot_runs (fs, e);
+    end_boot_runs (fs, e, NULL);
   if (!e->unreachable)
     {
       e->unreachable_since_ms = fs->now_ms;
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -163,6 +163,31 @@
   expect_completed(1, 6, leader())
 end)
 
+-- The clock of a boot that is less than 1.5 s old does not tell the next boot.
+scenario("what an executor has run since it rebooted is not run again",
+  function()
+  fleet{execs = 1}
+  config(CONFIG)
+  run(100)
+  for n = 1, 4 do
+    job{id = id(n), steps = {{tasks = 2, ms = 100}}}
+    submit(n % 3, id(n))
+  end
+  run(600)
+  exec(0, "reboot")
+  run(40)
+  for n = 5, 7 do
+    job{id = id(n), steps = {{tasks = 2, ms = 300}}}
+    submit(n % 3, id(n))
+  end
+  run(6000)
+  for n = 5, 7 do
+    for t = 0, 1 do
+      expect(task(id(n), 0, t) == 1, task(id(n), 0, t) .. " starts")
+    end
+  end
+end)
+
 -- An executor crashes together with the leader.  Only tasks that may be running
 -- on that executor must wait for the end of its lease.
 scenario("an executor that crashes with the leader delays only its own tasks",
