The list of a new boot is searched only where there is one

The linter found the access without a list, which is_listed_run() had checked. No change of what is done.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -65,14 +65,14 @@
 }
 
 /* Returns whether the answer to a poll lists the run of @r as running or
-   ended.  @res may be NULL. */
+   ended. */
 static bool
 is_listed_run (const struct start *r, const struct order_result *res)
 {
-  for (size_t i = 0; res && i < res->n_runs; i++)
+  for (size_t i = 0; i < res->n_runs; i++)
     if (is_run_of (r, &res->runs[i].task, res->runs[i].run_id))
       return true;
-  for (size_t i = 0; res && i < res->n_ends; i++)
+  for (size_t i = 0; i < res->n_ends; i++)
     if (is_run_of (r, &res->ends[i].task, res->ends[i].run_id))
       return true;
   return false;
@@ -117,7 +117,7 @@
   struct start *r, *next;
 
   TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    if (is_listed_run (r, res))
+    if (res && is_listed_run (r, res))
       r->boot_start_ms = res->boot_start_ms;
     else
       end_boot_run (fs, r);
