--- a/regress/fleet/deadly.lua
+++ b/regress/fleet/crashes.lua
@@ -1,17 +1,17 @@
 dofile("regress/fleet/lib.lua")
 
 -- Submits job n, whose first count tasks crash executors, and runs the
--- simulation for ms.  They do so deadly_ms (300) after their start.
-local function submit_deadly(n, tasks, count, ms, deadly_ms)
-  job{id = id(n), steps = {{tasks = tasks, ms = 4000}}, deadly = count,
-      deadly_ms = deadly_ms}
+-- simulation for ms.  They do so crash_after_ms (300) after their start.
+local function submit_crashing(n, tasks, count, ms, crash_after_ms)
+  job{id = id(n), steps = {{tasks = tasks, ms = 4000}}, crashing = count,
+      crash_after_ms = crash_after_ms}
   submit(n % 3, id(n))
   run(ms)
 end
 
 scenario("a task that crashes its executors is given up", function()
   start_fleet{execs = 12}
-  submit_deadly(1, 1, 1, 30000)
+  submit_crashing(1, 1, 1, 30000)
   expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
   expect(crashes() <= 3, crashes() .. " executors have crashed")
 end)
@@ -20,7 +20,7 @@
   function()
   start_fleet{execs = 12}
   for e = 0, 11 do exec(e, "boot-delay", 9000) end
-  submit_deadly(1, 1, 1, 60000)
+  submit_crashing(1, 1, 1, 60000)
   expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
   expect(crashes() <= 5, crashes() .. " executors have crashed")
 end)
@@ -51,7 +51,7 @@
            .. new_id, function()
     start_fleet{execs = 12}
     for e = 0, 11 do exec(e, "new-id", new_id) end
-    submit_deadly(1, 1, 1, 60000, 0)
+    submit_crashing(1, 1, 1, 60000, 0)
     expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
   end)
 end
@@ -64,23 +64,23 @@
       exec(e, "new-id", 1)
       exec(e, "boot-delay", delay_ms)
     end
-    submit_deadly(1, 1, 1, 60000)
+    submit_crashing(1, 1, 1, 60000)
     expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
   end)
 end
 
 -- Runs job 1 with the step while the executor that it has begun on crashes four
 -- times, with the same id or with a new one each time.
-local function run_with_sick_executor(step, new_id)
+local function run_with_crashing_executor(step, new_id)
   start_fleet{execs = 12}
   for e = 0, 11 do exec(e, "new-id", new_id) end
   job{id = id(1), steps = {step}}
   submit(0, id(1))
   run(500)
-  local sick = 0
-  while sick < 11 and running(sick) == 0 do sick = sick + 1 end
+  local crashing = 0
+  while crashing < 11 and running(crashing) == 0 do crashing = crashing + 1 end
   for _ = 1, 4 do
-    exec(sick, "reboot")
+    exec(crashing, "reboot")
     run(3000)
   end
   run(8000)
@@ -90,17 +90,16 @@
 for _, new_id in ipairs{0, 1} do
   scenario("a job is not given up because one executor crashes again and "
            .. "again, new id: " .. new_id, function()
-    run_with_sick_executor({tasks = 1, ms = 4000}, new_id)
+    run_with_crashing_executor({tasks = 1, ms = 4000}, new_id)
   end)
   scenario("a gang is not given up because one executor crashes again and "
            .. "again, new id: " .. new_id, function()
-    run_with_sick_executor({tasks = 4, ms = 4000, gang = 1, cpu = 6000},
+    run_with_crashing_executor({tasks = 4, ms = 4000, gang = 1, cpu = 6000},
                            new_id)
   end)
 end
 
--- Each start goes to an executor that is down already, so that none crashes
--- under the task.
+-- Each start goes to an executor that is down already.
 scenario("a task that never reached its executors is not given up", function()
   start_fleet{execs = 12}
   job{id = id(1), steps = {{tasks = 1, ms = 1000}}}
@@ -124,7 +123,7 @@
     job{id = id(n), steps = {{tasks = 4, ms = 3000, cpu = 2000}}}
     submit(n % 3, id(n))
   end
-  submit_deadly(1, 4, 4, 30000)
+  submit_crashing(1, 4, 4, 30000)
   expect(state(0, id(1)) == "failed", "state is " .. state(0, id(1)))
   for n = 2, 13 do
     expect(state(0, id(n)) == "completed", "job is " .. state(0, id(n)))
@@ -138,7 +137,7 @@
 
 scenario("the next leader knows of the crashes", function()
   start_fleet{execs = 12}
-  submit_deadly(1, 1, 1, 0)
+  submit_crashing(1, 1, 1, 0)
   for _ = 1, 3 do
     local before = crashes()
     for _ = 1, 400 do if crashes() > before then break end run(20) end
@@ -157,7 +156,7 @@
 
 scenario("crashes count although each one comes with a new leader", function()
   start_fleet{execs = 12}
-  submit_deadly(1, 1, 1, 0)
+  submit_crashing(1, 1, 1, 0)
   for _ = 1, 8 do
     local before = crashes()
     for _ = 1, 400 do if crashes() > before then break end run(20) end
@@ -170,7 +169,7 @@
 
 scenario("crashes count although all instances fail", function()
   start_fleet{execs = 12}
-  submit_deadly(1, 1, 1, 0)
+  submit_crashing(1, 1, 1, 0)
   for _ = 1, 8 do
     local before = crashes()
     for _ = 1, 400 do if crashes() > before then break end run(20) end
--- a/regress/fleet/walk.lua
+++ b/regress/fleet/walk.lua
@@ -14,7 +14,7 @@
     elseif kind < 0.25 then
       job{id = id(n), always_fails = true, steps = {{tasks = 2}}}
     elseif kind < 0.27 then
-      job{id = id(n), deadly = 1, deadly_ms = math.floor(random() * 3) * 200,
+      job{id = id(n), crashing = 1, crash_after_ms = math.floor(random() * 3) * 200,
           steps = {{tasks = 2, gang = random() < 0.3, ms = 900}}}
     elseif kind < 0.6 then
       job{id = id(n), queue = "quick", advice_base_us = 5000,
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -156,7 +156,7 @@
 crash_if_due (struct fsim *s, struct fexec *e)
 {
   for (int i = 0; i < e->n_runs; i++)
-    if (e->runs[i].deadly && !e->runs[i].stop_ordered
+    if (e->runs[i].crashes_exec && !e->runs[i].stop_ordered
         && s->now_ms >= e->runs[i].end_ms)
       {
         crash_by_run (s, e, &e->runs[i]);
@@ -175,7 +175,8 @@
           struct frun *r = &e->runs[i];
           if (s->now_ms >= e->lease_until_ms)
             end_run (s, e, i, RUN_END_LAPSED);
-          else if (s->now_ms >= r->end_ms && r->deadly && !r->stop_ordered)
+          else if (s->now_ms >= r->end_ms && r->crashes_exec
+                   && !r->stop_ordered)
             crash_by_run (s, e, r);
           else if (s->now_ms >= r->end_ms)
             end_run (s, e, i, r->stop_ordered ? RUN_END_STOPPED : r->run_end);
@@ -298,10 +299,10 @@
     r->end_ms = s->now_ms + 50;
   if (e->hangs_runs)
     r->end_ms = INT64_MAX;
-  if (o->task.step == 0 && o->task.index < j->n_deadly)
+  if (o->task.step == 0 && o->task.index < j->n_crashing)
     {
-      r->deadly = true;
-      r->end_ms = s->now_ms + j->deadly_ms;
+      r->crashes_exec = true;
+      r->end_ms = s->now_ms + j->crash_after_ms;
     }
   stats->n_running++;
   stats->n_starts++;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -117,7 +117,7 @@
   /* Time when the run ends, unless the executor's lease ends earlier. */
   int64_t end_ms;
   int run_end;       /* enum run_end: how the run ends at end_ms */
-  bool deadly;       /* the executor crashes at end_ms */
+  bool crashes_exec; /* the executor crashes at end_ms */
   bool stop_ordered; /* true after a stop order for the run */
   bool awaits_gang; /* true until all members of the run's gang have started */
   struct job_need need;
@@ -194,8 +194,8 @@
   struct job_spec spec;
   int64_t task_ms[JOB_STEPS_MAX]; /* run time of a task, by step */
   bool always_fails;              /* every run of its tasks fails */
-  int n_deadly; /* number of tasks of its first step that crash executors */
-  int64_t deadly_ms; /* time from the start of such a task to the crash */
+  int n_crashing; /* number of tasks of its first step that crash executors */
+  int64_t crash_after_ms; /* time from the start of such a task to the crash */
   bool accepted;
   bool refused;         /* every submission of the job was refused */
   int64_t submitted_ms; /* time of the last submission */
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -111,11 +111,12 @@
   s->estimate_ms = int_field (l, -1, "estimate", j->task_ms[i]);
 }
 
-/* job{id=, queue=, steps={...}, attempts=, always_fails=, deadly=, deadly_ms=,
-   advice_base_us=, advice_per_exec_us=}: defines a job for submit().  Each
-   step is a table with the fields of read_step(); cpu is in millicores, mem in
-   MB, ms is the run time of a task.  The first deadly= tasks of the first step
-   crash each executor that runs them, deadly_ms= (300) after their start. */
+/* job{id=, queue=, steps={...}, attempts=, always_fails=, crashing=,
+   crash_after_ms=, advice_base_us=, advice_per_exec_us=}: defines a job for
+   submit().  Each step is a table with the fields of read_step(); cpu is in
+   millicores, mem in MB, ms is the run time of a task.  The first crashing=
+   tasks of the first step crash each executor that runs them, crash_after_ms=
+   (300) after their start. */
 static int
 verb_job (lua_State *l)
 {
@@ -134,8 +135,8 @@
   j->spec.advice.per_exec_ms
       = (double)int_field (l, 1, "advice_per_exec_us", 0) / 1000;
   j->always_fails = int_field (l, 1, "always_fails", 0);
-  j->n_deadly = (int)int_field (l, 1, "deadly", 0);
-  j->deadly_ms = int_field (l, 1, "deadly_ms", 300);
+  j->n_crashing = (int)int_field (l, 1, "crashing", 0);
+  j->crash_after_ms = int_field (l, 1, "crash_after_ms", 300);
   j->spec.attempts = int_field (l, 1, "attempts", 3);
   j->last_state = -1;
   lua_getfield (l, 1, "steps");
