The leader reads the outcome of a slow write instead of sending it again; 64 parts for jobs

Its lease ended meanwhile, and notices and rows of new jobs were dropped without it. The 32 parts of the table of jobs took 105 writes a second, a burst brings more. The row shows that the write took effect (no answer needed), that another instance has claimed, or that it has not taken effect; it is sent again only once it has taken three times as long as that read, or if no read is answered. The simulated table executes the writes of different parts side by side, as the platform does.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -292,8 +292,7 @@
 void
 fleet_apply_job_notice (struct fleet *f, const char *id, const char *record)
 {
-  if (!f->fsched || !f->fsched->loaded
-      || !leader_lease_valid (&f->leader, f->now_ms) || !job_id_ok (id))
+  if (!f->fsched || !f->fsched->loaded || !job_id_ok (id))
     return;
   if (record)
     add_job (f, id, record);
@@ -337,12 +336,12 @@
                    const struct store_rep *rep)
 {
   bool mine;
-  /* Rows are used only while this instance's lease is valid.  A successor
-     relies on that: no earlier leader schedules a job that was recorded after
-     the successor's claim. */
+  /* Rows are used even if this instance's lease has ended, as it does for
+     moments while the table service is slow.  If a successor has claimed
+     leadership, no intent of this instance becomes durable any more, so no
+     task of these jobs is started. */
   int event
-      = follow_store_reply (&f->job_feed, f->now_ms, token, rep,
-                            leader_lease_valid (&f->leader, f->now_ms), &mine);
+      = follow_store_reply (&f->job_feed, f->now_ms, token, rep, true, &mine);
 
   if (!mine)
     return false;
--- a/core/follow.h
+++ b/core/follow.h
@@ -12,7 +12,7 @@
 enum
 {
   FOLLOW_RETRY_MS = 150,  /* pause after a failed call to the table service */
-  FOLLOW_PARTS_MAX = 32,  /* maximum number of parts of a table */
+  FOLLOW_PARTS_MAX = 64,  /* maximum number of parts of a table */
   FOLLOW_PAGE_ROWS = 500, /* number of rows that one call lists at first */
   /* The number of rows is divided by this after a call without an answer. */
   FOLLOW_PAGE_DIVISOR = 4,
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -71,8 +71,8 @@
   /* Interval between checks of all executors. */
   FSCHED_EXEC_SWEEP_MS = 4,
   /* Number of parts of the table of jobs.  Each part executes one write after
-     another: 300 a second, or five while the table service is slow. */
-  FSCHED_JOB_PARTS = 32,
+     another: 300 a second, or three while the table service is slow. */
+  FSCHED_JOB_PARTS = 64,
   /* Interval between removals of ended jobs' specifications. */
   FSCHED_TRIM_MS = 2500,
   /* Maximum number of specifications removed by one write. */
--- a/core/leader.c
+++ b/core/leader.c
@@ -74,6 +74,7 @@
 discard_write (struct leader *l)
 {
   l->n_attempts = 0;
+  l->probe_token = 0;
   if (!l->write)
     return;
   codec_free (&store_op_desc, l->write);
@@ -111,6 +112,23 @@
   op->key = strdup (LEADER_TABLE);
 }
 
+/* Sends a read of the holder and journal rows that shows whether the write in
+   progress took effect.  The part of the table that the leader writes to
+   executes one write after another, so sending the write again would delay it
+   further while the table service is slow; reads do not wait for writes. */
+static void
+send_probe (struct leader *l, int64_t now_ms)
+{
+  struct out *o = out_new (l->out, OUT_STORE);
+
+  l->probe_token = ++*l->last_token;
+  l->probe_sent_ms = now_ms;
+  o->u.store.token = l->probe_token;
+  o->u.store.op.kind = STORE_LIST;
+  o->u.store.op.urgent = true;
+  o->u.store.op.key = strdup (LEADER_TABLE);
+}
+
 /* Formats into @out the value that this instance's latest write in term @epoch
    stores in the journal row.  The value holds the term, this instance's boot
    and the number of the write in the term, so that reading the row shows
@@ -211,17 +229,55 @@
     l->rows_known = false;
 }
 
-/* Returns the delay before a write without an answer is sent again, in
+/* Returns the delay before the outcome of an unanswered write is read, in
    milliseconds. */
 static int64_t
-resend_delay_ms (const struct leader *l)
+probe_delay_ms (const struct leader *l)
 {
   int64_t ms = LEADER_RESEND_FACTOR * l->latency_ms;
 
-  if (ms < LEADER_RESEND_MIN_MS)
-    ms = LEADER_RESEND_MIN_MS;
-  ms <<= l->n_attempts;
-  return ms < LEADER_RESEND_MAX_MS ? ms : LEADER_RESEND_MAX_MS;
+  if (ms < LEADER_PROBE_MIN_MS)
+    return LEADER_PROBE_MIN_MS;
+  return ms < LEADER_RESEND_MS ? ms : LEADER_RESEND_MS;
+}
+
+/* Returns the delay before an unanswered write is sent again although no read
+   has shown that it did not take effect, in milliseconds. */
+static int64_t
+resend_delay_ms (const struct leader *l)
+{
+  int64_t call_ms = l->latency_ms > l->probe_ms ? l->latency_ms : l->probe_ms;
+  int64_t ms = LEADER_RESEND_FACTOR * call_ms;
+
+  return ms > LEADER_RESEND_MS ? ms : LEADER_RESEND_MS;
+}
+
+/* Prepares the write in progress to be sent again.  A write can safely be sent
+   twice, as it is conditional: one send takes effect, and the other one fails
+   and returns the value that the first one has written. */
+static void
+resend_write (struct leader *l)
+{
+  if (l->n_attempts < LEADER_ATTEMPTS_MAX)
+    l->attempts[l->n_attempts++]
+        = (struct leader_attempt){ l->token, l->sent_ms };
+  l->token = 0;
+  l->probe_token = 0;
+}
+
+/* Reads the outcome of the write in progress, or sends the write again, if
+   either is due. */
+static void
+check_unanswered_write (struct leader *l, int64_t now_ms)
+{
+  int64_t waited_ms = now_ms - l->sent_ms;
+
+  if (waited_ms >= resend_delay_ms (l)
+      && (!l->probe_token || now_ms - l->probe_sent_ms >= resend_delay_ms (l)))
+    resend_write (l);
+  else if (!l->probe_token && waited_ms >= probe_delay_ms (l)
+           && now_ms - l->probe_sent_ms >= LEADER_PROBE_MIN_MS)
+    send_probe (l, now_ms);
 }
 
 /* Writes to the holder row that this instance has released leadership.  The
@@ -245,17 +301,8 @@
   if (l->state == LEADER_LEADING && (l->stopping || l->yielding) && !l->write
       && !l->token)
     write_release (l, now_ms);
-  /* A write can safely be sent twice, as it is conditional: one send takes
-     effect, and the other one fails and returns the value that the first one
-     has written. */
-  if (l->state == LEADER_LEADING && l->write && l->token
-      && now_ms - l->sent_ms >= resend_delay_ms (l))
-    {
-      if (l->n_attempts < LEADER_ATTEMPTS_MAX)
-        l->attempts[l->n_attempts++]
-            = (struct leader_attempt){ l->token, l->sent_ms };
-      l->token = 0;
-    }
+  if (l->state == LEADER_LEADING && l->write && l->token)
+    check_unanswered_write (l, now_ms);
   if (l->state == LEADER_LEADING && l->write && !l->token
       && now_ms >= l->next_ms)
     {
@@ -430,12 +477,46 @@
   return become_follower (l, now_ms);
 }
 
+/* Handles the answer to a read of the outcome of the write in progress;
+   returns enum leader_event. */
+static int
+handle_probe_reply (struct leader *l, int64_t now_ms,
+                    const struct store_rep *rep)
+{
+  const struct row *journal;
+  char written[CLB_NAME_MAX];
+
+  l->probe_token = 0;
+  if (rep->err || !l->write)
+    return LEADER_NO_CHANGE;
+  l->probe_ms = now_ms - l->probe_sent_ms;
+  journal = find_row (rep, KEY_JOURNAL);
+  journal_value (l, l->epoch, written);
+  if (journal && journal->value && strcmp (journal->value, written) == 0)
+    {
+      l->token = 0;
+      return finish_write (l, journal->ver);
+    }
+  if (!journal || journal->ver != l->journal_ver)
+    {
+      l->token = 0;
+      return become_follower (l, now_ms);
+    }
+  if (l->token && now_ms - l->sent_ms >= LEADER_RESEND_FACTOR * l->probe_ms)
+    resend_write (l);
+  return LEADER_NO_CHANGE;
+}
+
 int
 leader_store_reply (struct leader *l, int64_t now_ms, uint64_t token,
                     const struct store_rep *rep, bool *mine)
 {
   const struct leader_attempt *earlier = NULL;
 
+  *mine = token && token == l->probe_token;
+  if (*mine)
+    return handle_probe_reply (l, now_ms, rep);
+
   for (int i = 0; i < l->n_attempts && l->state == LEADER_LEADING; i++)
     if (l->attempts[i].token == token)
       earlier = &l->attempts[i];
--- a/core/leader.h
+++ b/core/leader.h
@@ -50,14 +50,18 @@
   /* The leader is unreachable if no message from the leader has arrived for
      this long; a leader sends one every 400 ms. */
   LEADER_UNREACHABLE_MS = 900,
-  /* Shortest delay before an unanswered write is sent again.  An answer takes
-     10 ms, or 250 ms when the table service is slow. */
-  LEADER_RESEND_MIN_MS = 100,
-  /* The delay before an unanswered write is sent again is this factor times
-     the latency of the last answered write, and doubles with each resend. */
+  /* Shortest delay before the outcome of an unanswered write is read.  An
+     answer takes 10 ms. */
+  LEADER_PROBE_MIN_MS = 100,
+  /* The delay before the outcome of an unanswered write is read is this factor
+     times the latency of the last answered write.  A write that has not taken
+     effect is sent again once it has taken this factor times as long as the
+     read that showed it. */
   LEADER_RESEND_FACTOR = 3,
-  /* Longest delay before an unanswered write is sent again. */
-  LEADER_RESEND_MAX_MS = 450,
+  /* Longest delay before the outcome of an unanswered write is read, and
+     shortest delay before the write is sent again although no read of its
+     outcome is answered. */
+  LEADER_RESEND_MS = 450,
   /* Maximum number of earlier sends of one write whose answers are still
      accepted. */
   LEADER_ATTEMPTS_MAX = 8,
@@ -160,7 +164,12 @@
   struct leader_attempt attempts[LEADER_ATTEMPTS_MAX];
   int n_attempts;  /* number of entries in attempts */
   int64_t sent_ms; /* time at which the last call was sent */
-  int64_t next_ms; /* earliest time of the next call */
+  /* Token of the outstanding read of the outcome of the write in progress; 0:
+     none. */
+  uint64_t probe_token;
+  int64_t probe_sent_ms; /* time at which the last such read was sent */
+  int64_t probe_ms;      /* latency of the last such read, in milliseconds */
+  int64_t next_ms;       /* earliest time of the next call */
 
   /* The fields renewed_ms to write describe this instance's own claim and its
      term as the leader. */
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -15,7 +15,7 @@
 {
   FSIM_INSTANCES_MAX = 64,
   FSIM_EXECS_MAX = 512,
-  FSIM_PARTS_MAX = 128,
+  FSIM_PARTS_MAX = 256,
   /* Latency of a message in one direction, between any two processes. */
   FSIM_LINK_MS = 2,
   /* Time in which the table executes three writes.  Writes are executed one
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -458,7 +458,9 @@
   delay_ms += part_ms;
   q->drop_reply = write && fsim_random (s) < t->lost_reply_share;
   q->feed_deadline_ms = s->now_ms + op->wait_ms;
-  if (write)
+  /* Without a time for each part, the table executes all writes one after
+     another. */
+  if (write && !t->part_write_ms)
     {
       int64_t begin_ms
           = s->now_ms > t->busy_until_ms ? s->now_ms : t->busy_until_ms;
