The log tells how many cores of each failure domain are used, held, free and unusable

Whether a busy moment lacked executors or order could not be told from the logs. One line a domain and second beside event=load; the order of jobs is no longer guessed at.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -341,6 +341,29 @@
   return (int64_t)(uv_metrics_idle_time (d->loop) / 1000000);
 }
 
+/* Logs how much of the executors of each failure domain is in use. */
+static void
+log_domains (struct fleetd *d)
+{
+  struct fsched *fs = d->fleet.fsched;
+  const struct domain *domain;
+  char line[256];
+
+  if (!fs)
+    return;
+  domain_count_cores (fs);
+  TAILQ_FOREACH (domain, &fs->domains, link)
+    {
+      const struct domain_cores *c = &domain->cores;
+      snprintf (line, sizeof line,
+                "event=cores domain=%s used=%lld held=%lld free=%lld "
+                "unusable=%lld silent=%d",
+                domain->name, (long long)c->used, (long long)c->held,
+                (long long)c->free, (long long)c->unusable, domain->silent);
+      log_line (line);
+    }
+}
+
 /* Logs the load of the instance, unless the last such line is less than
    LOAD_INTERVAL_MS old.  Of the scheduler's jobs, ready= counts those that
    wait for a placement, by urgency class. */
@@ -371,6 +394,7 @@
             (unsigned long long)s->passes,
             (unsigned long long)logline_stats ()->dropped);
   log_line (line);
+  log_domains (d);
   d->load_logged_ms = now;
   d->load_idle_ms = idle_ms;
 }
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -295,6 +295,15 @@
 RB_HEAD (job_tree, job);
 TAILQ_HEAD (jobq, job);
 
+/** struct domain_cores - cores of the executors of one failure domain */
+struct domain_cores
+{
+  int64_t used; /* taken by starts, sent or not */
+  int64_t held; /* free, but kept for more urgent work and for gangs */
+  int64_t free;
+  int64_t unusable; /* free, but on executors that may not be given tasks */
+};
+
 /**
  * struct domain - answers of the executors of one failure domain, see
  * fsched_domain.c
@@ -309,6 +318,7 @@
   int n_unanswered;
   int64_t first_unanswered_ms;
   bool silent; /* no tasks are placed in the domain */
+  struct domain_cores cores; /* as of the last domain_count_cores() */
 };
 TAILQ_HEAD (domainq, domain);
 
@@ -775,6 +785,9 @@
  * is unknown.
  */
 int fsched_job_state (const struct fsched *fs, const char *id);
+/** domain_count_cores() - Bring domain::cores of all failure domains up to
+ * date. */
+void domain_count_cores (struct fsched *fs);
 /**
  * fsched_jobs_waiting() - Count the jobs of a queue that have not ended and of
  * which no task is known to have begun.
--- a/core/fsched_domain.c
+++ b/core/fsched_domain.c
@@ -93,6 +93,35 @@
     }
 }
 
+void
+domain_count_cores (struct fsched *fs)
+{
+  struct domain *d;
+  const struct exec *e;
+
+  TAILQ_FOREACH (d, &fs->domains, link)
+    d->cores = (struct domain_cores){ 0 };
+  TAILQ_FOREACH (e, &fs->execs, link)
+    {
+      struct domain_cores *c = e->domain ? &e->domain->cores : NULL;
+      int64_t free_millicores
+          = e->rep.capacity.millicores - e->used.millicores;
+      if (!c)
+        continue;
+      c->used += e->used.millicores / 1000;
+      if (!exec_eligible (fs, e))
+        c->unusable += free_millicores / 1000;
+      else
+        {
+          int64_t held = e->reserved.millicores < free_millicores
+                             ? e->reserved.millicores
+                             : free_millicores;
+          c->held += held / 1000;
+          c->free += (free_millicores - held) / 1000;
+        }
+    }
+}
+
 void
 domain_free_all (struct fsched *fs)
 {
