An instance without the table reads a new configuration through a peer; Retry-After by who can serve

Cause: the instances served well through a peer (accepts in 15 ms) until the configuration changed. The leader told them that a newer one exists; the feed of the configuration is always called directly, so they never got it, and refused every request as stale for ten seconds. Change: an instance that knows of a newer configuration and does not reach the table reads the row through the peer. What it serves then is as new as what the leader has; the proof of currency stays the leader's hello. core/fleet_retry.c: an instance that refuses for a reason of its own (it is cut off, or the others reach the table) sends Retry-After 0, as the next try reaches another instance; a reason that all may share (a newer configuration, the table down for all) keeps the 1 s.

--- a/core/api.c
+++ b/core/api.c
@@ -63,7 +63,7 @@
   o->u.answer.status = status;
   o->u.answer.body = body;
   if (status == 503)
-    o->u.answer.retry_ms = FLEET_RETRY_AFTER_MS;
+    o->u.answer.retry_ms = fleet_retry_after_ms (f, answer);
 }
 
 /* Removes @c from the requests in progress and frees it. */
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -214,6 +214,40 @@
     fsched_set_conf (f->fsched, conf);
 }
 
+/* Reads the configuration through a peer, if a newer one is known to exist and
+   this instance does not reach the table service.  The feed's own calls are
+   always sent directly. */
+static void
+fetch_config (struct fleet *f)
+{
+  struct out *o;
+
+  if (f->conf_fetch_token || !fleet_conf_behind (f) || f->conf_refused
+      || f->now_ms < f->next_conf_fetch_ms || !proxy_table_unreachable (f)
+      || !proxy_peer (f))
+    return;
+  f->next_conf_fetch_ms = f->now_ms + FLEET_CONF_FETCH_MS;
+  o = out_new (&f->out, OUT_STORE);
+  f->conf_fetch_token = ++f->last_token;
+  o->u.store.token = f->conf_fetch_token;
+  o->u.store.op.kind = STORE_GET;
+  o->u.store.op.key = strdup (f->settings.codec.conf_key);
+}
+
+/* If call @token was made by fetch_config(), handles @rep and returns true;
+   otherwise returns false. */
+static bool
+handle_fetch_reply (struct fleet *f, uint64_t token,
+                    const struct store_rep *rep)
+{
+  if (!token || token != f->conf_fetch_token)
+    return false;
+  f->conf_fetch_token = 0;
+  for (size_t i = 0; i < rep->n_rows && !rep->err; i++)
+    apply_config_row (f, &rep->rows[i]);
+  return true;
+}
+
 /* If call @token was made by the configuration's feed, handles @rep and
    returns true; otherwise returns false. */
 static bool
@@ -504,7 +538,8 @@
   if (f->fsched)
     f->fsched->now_ms = f->now_ms;
   if (!handle_election_reply (f, token, rep)
-      && !handle_config_reply (f, token, rep))
+      && !handle_config_reply (f, token, rep)
+      && !handle_fetch_reply (f, token, rep))
     if (!f->fsched
         || (!fleet_load_store_reply (f, token, rep)
             && !handle_jobs_reply (f, token, rep)
@@ -567,6 +602,7 @@
   f->now_ms = now_ms;
   f->wall_ms = wall_ms;
   fleet_send_hello (f);
+  fetch_config (f);
   proxy_tick (f);
   api_tick (f);
   send_due_output (f);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -72,6 +72,8 @@
      current is younger than this.  The time covers two waits of the
      configuration's feed and slow answers. */
   FLEET_READY_CONF_AGE_MS = 1400,
+  /* Shortest interval between reads of the configuration through a peer. */
+  FLEET_CONF_FETCH_MS = 200,
   /* Size of an answer of the configuration's feed, in bytes, above which it
      holds a change.  One without changes is some 100 bytes. */
   FLEET_NO_CHANGE_BYTES = 1000,
@@ -83,7 +85,8 @@
   /* Pause between calls of the feed of jobs.  If no instance notifies the
      leader of a job, the leader finds the job after at most this time. */
   FLEET_JOBS_BATCH_MS = 200,
-  /* Value of the Retry-After header of answers with status 503. */
+  /* Value of the Retry-After header of answers with status 503, unless other
+     instances can serve the request. */
   FLEET_RETRY_AFTER_MS = 1000,
   /* Maximum number of callers' requests in progress; a further request is
      refused. */
@@ -314,6 +317,10 @@
   struct fsched *fsched; /* scheduler; NULL unless this instance leads */
   struct fconf *conf;    /* configuration; NULL until the first one is read */
   struct table_follower conf_feed; /* reads the configuration's table */
+  /* Token of the outstanding read of the configuration through a peer; 0:
+     none. */
+  uint64_t conf_fetch_token;
+  int64_t next_conf_fetch_ms; /* earliest time of the next such read */
   /* Reads the executors' table; active only while this instance leads. */
   struct table_follower exec_feed;
   /* Reads the table of jobs; active only while this instance leads. */
@@ -564,6 +571,12 @@
 /** fleet_send() - Send @m to the instance at @addr.  The function takes
  * ownership of @m. */
 void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
+/**
+ * fleet_retry_after_ms() - Return the delay after which a caller should repeat
+ * a request that this instance refuses; MSG_RETRY_NOW: at once.
+ * @answer: the reason, enum fleet_answer
+ */
+int64_t fleet_retry_after_ms (const struct fleet *f, int answer);
 /** fleet_leader_addr() - Return the leader's address; NULL if the leader is
  * unreachable, unknown or this instance. */
 const char *fleet_leader_addr (const struct fleet *f);
--- /dev/null
+++ b/core/fleet_retry.c
@@ -0,0 +1,42 @@
+/*
+ * Retry-After of refusals.  A caller's next try reaches another instance.  If
+ * this instance refuses a request for a reason that only it has, the caller
+ * should try again at once; if the others have it too, the caller would use up
+ * its tries.  The policy answers instances that are cut off, or refused by the
+ * table service, while the others serve.
+ */
+#include "fleet.h"
+
+#include <string.h>
+
+/* Returns true if other instances can probably serve a request that this
+   instance refuses because it does not reach the table service. */
+static bool
+others_serve (const struct fleet *f)
+{
+  bool leader_known = *f->leader.holder_addr
+                      && strcmp (f->leader.holder, f->settings.id) != 0;
+
+  /* The others may have no newer configuration either. */
+  if (fleet_conf_behind (f))
+    return false;
+  /* The leader, or an instance that it names, reaches the service. */
+  if (proxy_peer (f))
+    return true;
+  /* This instance has lost the leader and the table service together, so the
+     cause lies between it and them. */
+  return leader_known && !fleet_leader_addr (f) && proxy_table_unreachable (f);
+}
+
+int64_t
+fleet_retry_after_ms (const struct fleet *f, int answer)
+{
+  switch (answer)
+    {
+    case ANSWER_CONF_STALE:
+    case ANSWER_TABLE_UNREACHABLE:
+      return others_serve (f) ? MSG_RETRY_NOW : FLEET_RETRY_AFTER_MS;
+    default:
+      return FLEET_RETRY_AFTER_MS;
+    }
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -536,6 +536,12 @@
 };
 extern const struct desc event_desc;
 
+enum
+{
+  /* Value of retry_ms: a retry may succeed at once, at another instance. */
+  MSG_RETRY_NOW = -1,
+};
+
 /** struct out - one output of the core */
 struct out
 {
@@ -545,10 +551,11 @@
   {
     struct
     {
-      uint64_t call;    /* request::http_call of the caller's request */
-      int status;       /* HTTP status */
-      int64_t retry_ms; /* delay for Retry-After; 0: no such header */
-      char *body;       /* the answer's body, freed by out_free() */
+      uint64_t call; /* request::http_call of the caller's request */
+      int status;    /* HTTP status */
+      /* Delay for Retry-After; 0: no such header; MSG_RETRY_NOW: no delay. */
+      int64_t retry_ms;
+      char *body; /* the answer's body, freed by out_free() */
     } answer;
     struct
     {
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -317,11 +317,11 @@
 {
   struct exchange *x = exchange_find (d, id);
   char retry_after[RETRY_AFTER_SIZE];
-  int64_t seconds = (retry_ms + 999) / 1000;
+  int64_t seconds = retry_ms > 0 ? (retry_ms + 999) / 1000 : 0;
 
   if (!x || x->streaming || x->ending)
     return;
-  if (retry_ms > 0)
+  if (retry_ms != 0)
     {
       int n = snprintf (retry_after, sizeof retry_after, "%lld",
                         (long long)seconds);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -133,7 +133,7 @@
  * @content_type: value of the Content-Type header, or NULL for none
  * @body: body of the response, with @len bytes; the function copies it
  * @retry_ms: value of the Retry-After header in milliseconds, sent in seconds
- *            and rounded up; 0 for no such header
+ *            and rounded up; 0 for no such header, less for the value 0
  */
 void httpd_answer (struct httpd *d, uint64_t id, int status,
                    const char *content_type, const char *body, size_t len,
