Accounts share a full fleet by what runs and waits now, not by a mark set at arrival

A new leader forgot the marks. Change: core/fsched_share.c. In each placing pass an account is entitled to the part of the fleet that its weight is of the weights of the accounts with work. What runs and the most urgent waiting jobs use it up; the others form a class of their own behind all jobs that can still be in time, and before those that are late. Weight 0 gives no part. The classes behind the first take part in a pass as seldom as marked jobs did. Kept for the accounts beside, and because it remembers nothing.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -383,15 +383,15 @@
     return;
   snprintf (line, sizeof line,
             "event=load over_ms=%lld busy_ms=%lld callers=%d leading=%d "
-            "jobs=%d ready=%d/%d/%d pending=%d starts=%llu questions=%llu "
+            "jobs=%d ready=%d/%d/%d/%d pending=%d starts=%llu questions=%llu "
             "passes=%llu dropped_lines=%llu",
             (long long)over_ms,
             (long long)(over_ms - (idle_ms - d->load_idle_ms)), f->n_requests,
             f->leader.state == LEADER_LEADING, fs->n_jobs,
-            fs->n_ready[URGENCY_ON_TIME], fs->n_ready[URGENCY_LATE],
-            fs->n_ready[URGENCY_LAST], fs->n_pending_starts,
-            (unsigned long long)s->starts, (unsigned long long)s->queries,
-            (unsigned long long)s->passes,
+            fs->n_ready[URGENCY_ON_TIME], fs->n_ready[URGENCY_OVER_SHARE],
+            fs->n_ready[URGENCY_LATE], fs->n_ready[URGENCY_LAST],
+            fs->n_pending_starts, (unsigned long long)s->starts,
+            (unsigned long long)s->queries, (unsigned long long)s->passes,
             (unsigned long long)logline_stats ()->dropped);
   log_line (line);
   log_domains (d);
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -227,8 +227,6 @@
       return t;
   t = fsched_zalloc (1, sizeof *t);
   clb_copy (t->name, name, sizeof t->name);
-  t->credited_ms = fs->now_ms;
-  t->share_credit = 1e9;
   TAILQ_INSERT_TAIL (&fs->tenants, t, link);
   return t;
 }
@@ -301,33 +299,6 @@
     }
 }
 
-/*
- * Subtracts one job from the share credit of a client account.  Returns
- * whether the job exceeds the account's share, see docs/OPERATIONS.md.  The
- * credit grows by the account's weight each second, up to four times the
- * weight.
- */
-static bool
-charge_share (struct fsched *fs, const char *tenant)
-{
-  const struct fconf_tenant *conf
-      = fs->conf ? fconf_tenant (fs->conf, tenant) : NULL;
-  struct fsched_tenant *t = fsched_tenant (fs, tenant);
-
-  if (!conf || conf->weight <= 0)
-    return false;
-  t->share_credit
-      += conf->weight * (double)(fs->now_ms - t->credited_ms) / 1000;
-  t->credited_ms = fs->now_ms;
-  if (t->share_credit > 4 * conf->weight)
-    t->share_credit = 4 * conf->weight;
-  t->share_credit -= 1;
-  if (t->share_credit >= 0)
-    return false;
-  t->share_credit = 0;
-  return true;
-}
-
 /* Stores the final state of a job.  @trim: whether the job's specification
    must still be removed from the table of jobs. */
 static void
@@ -553,7 +524,7 @@
   j->service_id = fsched_intern (&fs->services, j->spec.service);
   j->arrival_ms = fs->now_ms - age_ms;
   j->queue_stats = fsched_queue (fs, j->spec.queue);
-  j->over_share = !inherited && charge_share (fs, j->spec.tenant);
+  j->account = fsched_tenant (fs, j->spec.tenant);
   j->steps = fsched_zalloc (j->spec.n_steps, sizeof *j->steps);
   j->n_steps_left = (int)j->spec.n_steps;
   for (size_t i = 0; i < j->spec.n_steps; i++)
@@ -578,10 +549,9 @@
   if (fs->loaded)
     out_line (fs->out,
               "event=job-taken job=%s queue=%s tenant=%s steps=%zu "
-              "due_in_ms=%lld over_share=%d jobs=%d",
+              "due_in_ms=%lld jobs=%d",
               j->spec.id, j->spec.queue, j->spec.tenant, j->spec.n_steps,
-              (long long)(j->urgency.due_ms - fs->now_ms), j->over_share,
-              fs->n_jobs);
+              (long long)(j->urgency.due_ms - fs->now_ms), fs->n_jobs);
 }
 
 void
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -136,10 +136,11 @@
 enum urgency_class
 {
   URGENCY_ON_TIME, /* the job meets its latency objective if started now */
-  URGENCY_LATE,    /* the job will miss its latency objective */
-  /* The job will be so late that its result has no value, or it exceeds the
-     share of its client account. */
-  URGENCY_LAST,
+  /* As URGENCY_ON_TIME, but the job's client account has taken up its share,
+     see fsched_share.c. */
+  URGENCY_OVER_SHARE,
+  URGENCY_LATE, /* the job will miss its latency objective */
+  URGENCY_LAST, /* the job will be so late that its result has no value */
   URGENCY_N,
 };
 
@@ -280,11 +281,11 @@
   int n_steps_left;   /* number of steps that are not done */
   int64_t arrival_ms; /* when the job was accepted, on the local clock */
   struct fsched_queue *queue_stats; /* statistics of the job's queue */
+  struct fsched_tenant *account;    /* the job's client account */
   struct urgency urgency;
   /* The job was loaded when the term began, so an earlier leader may have
      started tasks of it. */
   bool inherited;
-  bool over_share;   /* the job exceeds the share of its client account */
   bool task_started; /* a task is known to have begun on an executor */
   /* This leader has sent a start order for a task of the job. */
   bool start_sent;
@@ -317,7 +318,7 @@
      the last answer, and the time of the first one. */
   int n_unanswered;
   int64_t first_unanswered_ms;
-  bool silent; /* no tasks are placed in the domain */
+  bool silent;               /* no tasks are placed in the domain */
   struct domain_cores cores; /* as of the last domain_count_cores() */
 };
 TAILQ_HEAD (domainq, domain);
@@ -455,10 +456,11 @@
   char name[CLB_NAME_MAX];
   /* Capacity taken by the account's starts, sent or not. */
   struct job_need used;
-  /* Number of jobs that may arrive now without exceeding the account's
-     share. */
-  double share_credit;
-  int64_t credited_ms; /* when the credit was last brought up to date */
+  /* Of the current placing pass, as parts of the fleet from 0 to 1: what the
+     account's starts and the jobs within its share take, and its share. */
+  double part_taken;
+  double part_entitled;
+  bool has_work; /* the account has starts or waiting jobs */
   TAILQ_ENTRY (fsched_tenant) link;
 };
 TAILQ_HEAD (fsched_tenantq, fsched_tenant);
@@ -566,6 +568,7 @@
   /* Executors that may be given tasks in the current placing pass. */
   struct exec **eligible;
   int n_eligible;
+  struct job_need capacity; /* sum of the capacity of these executors */
   struct fsched_intern_table services; /* names of services */
   struct fsched_intern_table racks;    /* names of racks */
   struct fsched_intern_table labels;   /* labels that steps require */
@@ -590,8 +593,9 @@
   bool may_order; /* orders may be given: the leadership is recent enough */
   bool pass_due;  /* a placing pass is due */
   int64_t next_pass_ms; /* earliest time of the next pass */
-  /* Earliest time of the next pass over the jobs of URGENCY_LAST. */
-  int64_t next_last_jobs_ms;
+  /* Earliest time of the next pass over the jobs of all classes; other passes
+     are over those that were URGENCY_ON_TIME in the pass before. */
+  int64_t next_whole_pass_ms;
   /* Time of the next pass if nothing changes before; 0: none. */
   int64_t retry_pass_ms;
   bool record_due;        /* progress or the roster must be recorded */
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -2,6 +2,7 @@
 #ifndef FSCHED_IMPL_H
 #define FSCHED_IMPL_H
 
+#include "ablate.h"
 #include "fsched.h"
 
 /* Functions of fsched.c. */
@@ -313,6 +314,22 @@
 int exec_fit_count (const struct exec *e, const struct job *j, int step,
                     int max);
 
+/* Functions of fsched_share.c. */
+
+/**
+ * share_begin_pass() - Compute the client accounts' shares for a placing pass.
+ * @jobs: jobs that take part in the pass
+ * @n: number of these jobs
+ */
+void share_begin_pass (struct fsched *fs, struct job **jobs, int n);
+/**
+ * share_take() - Take what the waiting tasks of @j need from the share of its
+ * client account.
+ *
+ * Return: true; false if the account has taken up its share.
+ */
+bool share_take (const struct fsched *fs, const struct job *j);
+
 /* Functions of fsched_urgency.c. */
 
 /**
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -18,10 +18,10 @@
   /* The interval between passes is longer by 1 ms for each this many waiting
      jobs, to limit the cost of passes over many jobs. */
   PASS_JOBS_PER_MS = 40,
-  /* Jobs of URGENCY_LAST take part in a pass only after 1 ms for each this
-     many of them: there may be thousands, which cost more than the other work.
-   */
-  PASS_LAST_JOBS_PER_MS = 10,
+  /* Jobs that are not URGENCY_ON_TIME take part in a pass only after 1 ms for
+     each this many of them: there may be thousands, which cost more than the
+     other work. */
+  PASS_OTHER_JOBS_PER_MS = 10,
   /* Number of jobs placed between checks of whether any executor has capacity
      left. */
   CAPACITY_CHECK_JOBS = 8,
@@ -69,7 +69,9 @@
 unfitness (const struct job *j, int step, const struct exec *e)
 {
   const struct jstep *s = &j->steps[step];
-  int64_t value = e->rep.capacity.millicores - e->used.millicores;
+  int64_t value = ABLATED (BEST_FIT)
+                      ? e->index
+                      : e->rep.capacity.millicores - e->used.millicores;
 
   if (s->data_rack_id && s->data_rack_id != e->rack_id)
     value += OTHER_RACK;
@@ -340,48 +342,82 @@
     abort ();
 }
 
-/* Fills fsched::ready_jobs with the jobs that take part in a pass, the most
-   urgent first.  Returns their number. */
+/* Returns whether a job takes part in passes that are not over all jobs. */
+static bool
+goes_first (const struct job *j)
+{
+  return j->urgency.class == URGENCY_ON_TIME;
+}
+
+/* Fills fsched::ready_jobs with the jobs that take part in a pass.  Returns
+   their number.  @whole: whether the pass is over the jobs of all classes */
 static int
-collect_ready_jobs (struct fsched *fs)
+collect_ready_jobs (struct fsched *fs, bool whole)
 {
-  bool with_last = fs->now_ms >= fs->next_last_jobs_ms;
   struct job *j;
   int n = 0;
 
   grow_ready_jobs (fs);
-  memset (fs->n_ready, 0, sizeof fs->n_ready);
   TAILQ_FOREACH (j, &fs->queue, link)
-    if (has_unplaced_tasks (j))
+    if (has_unplaced_tasks (j) && (whole || goes_first (j)))
       {
         urgency_update (fs, j);
-        fs->n_ready[j->urgency.class]++;
-        if (with_last || j->urgency.class != URGENCY_LAST)
-          fs->ready_jobs[n++] = j;
+        fs->ready_jobs[n++] = j;
       }
-  if (with_last)
-    fs->next_last_jobs_ms
-        = fs->now_ms + fs->n_ready[URGENCY_LAST] / PASS_LAST_JOBS_PER_MS;
-  if (n > 0)
-    qsort (fs->ready_jobs, (size_t)n, sizeof (struct job *), urgency_compare);
   return n;
 }
 
+/* Sorts the jobs of a pass, the most urgent first.  Jobs that exceed the share
+   of their client account change their class. */
+static void
+sort_ready_jobs (struct fsched *fs, int n)
+{
+  size_t size = sizeof (struct job *);
+  bool changed = false;
+
+  qsort (fs->ready_jobs, (size_t)n, size, urgency_compare);
+  share_begin_pass (fs, fs->ready_jobs, n);
+  for (int i = 0; i < n && goes_first (fs->ready_jobs[i]); i++)
+    if (!share_take (fs, fs->ready_jobs[i]))
+      {
+        fs->ready_jobs[i]->urgency.class = URGENCY_OVER_SHARE;
+        changed = true;
+      }
+  if (changed)
+    qsort (fs->ready_jobs, (size_t)n, size, urgency_compare);
+}
+
+/* Counts the jobs of a pass over all jobs by their class, and sets the time of
+   the next such pass. */
+static void
+count_ready_jobs (struct fsched *fs, int n)
+{
+  memset (fs->n_ready, 0, sizeof fs->n_ready);
+  for (int i = 0; i < n; i++)
+    fs->n_ready[fs->ready_jobs[i]->urgency.class]++;
+  fs->next_whole_pass_ms
+      = fs->now_ms
+        + (n - fs->n_ready[URGENCY_ON_TIME]) / PASS_OTHER_JOBS_PER_MS;
+}
+
 void
 place_pass (struct fsched *fs)
 {
+  bool whole = fs->now_ms >= fs->next_whole_pass_ms;
   int n;
 
   fs->pass_due = false;
   fs->stats->passes++;
-  n = collect_ready_jobs (fs);
+  n = collect_ready_jobs (fs, whole);
   fs->stats->jobs_considered += (uint64_t)n;
   fs->next_pass_ms = fs->now_ms + PASS_GAP_MS + n / PASS_JOBS_PER_MS;
-  fs->retry_pass_ms
-      = n || fs->n_ready[URGENCY_LAST] ? fs->now_ms + PASS_RETRY_MS : 0;
+  fs->retry_pass_ms = n || !whole ? fs->now_ms + PASS_RETRY_MS : 0;
+  collect_eligible (fs);
+  sort_ready_jobs (fs, n);
+  if (whole)
+    count_ready_jobs (fs, n);
   if (n == 0)
     return;
-  collect_eligible (fs);
   fs->queries_left = FSCHED_PASS_QUERIES;
   advice_begin_pass (fs);
   for (int i = 0; i < n && fs->n_pending_starts < FSCHED_PENDING_STARTS_MAX;
--- a/core/fsched_urgency.c
+++ b/core/fsched_urgency.c
@@ -90,9 +90,10 @@
 
   if (!u->computed_ms || fs->now_ms - u->computed_ms >= URGENCY_MAX_AGE_MS)
     compute_times (fs, j);
-  u->class = j->over_share || fs->now_ms > u->worthless_ms ? URGENCY_LAST
-             : fs->now_ms > u->late_ms                     ? URGENCY_LATE
-                                                           : URGENCY_ON_TIME;
+  u->class = ABLATED (URGENCY_CLASSES)      ? URGENCY_ON_TIME
+             : fs->now_ms > u->worthless_ms ? URGENCY_LAST
+             : fs->now_ms > u->late_ms      ? URGENCY_LATE
+                                            : URGENCY_ON_TIME;
 }
 
 void
