--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, demo, check, lint, format, bench, soak, deps, clean.
+# Targets: all, demo, check, lint, format, bench, ablate, soak, deps, clean.
 # BUILD is the directory that everything is built in.
 # SAN holds compiler flags that enable sanitizers.
 CC ?= cc
@@ -22,6 +22,9 @@
 UNITS = $(patsubst regress/unit/%.c,$(BUILD)/regress/unit/%,$(UNIT_SRC))
 SOURCES = $(wildcard core/*.[ch] net/*.[ch] citronlbd/*.[ch] \
 	platform/*.[ch] citronctl/*.[ch] regress/*.[ch] regress/*/*.[ch] bench/*.[ch])
+# Mechanisms that "make ablate" leaves out, see core/ablate.h.
+ABLATE_ALL = SHARES URGENCY_CLASSES PREDICTIONS UNCERTAINTY GANG_ROOM BEST_FIT \
+	SILENT_DOMAINS QUARANTINE WRITE_PROBES CONF_FETCH RETRY_NOW
 MANS = citronlbd/citronlbd.8 citronctl/citronctl.1 \
 	citronctl/citronlb.manifest.5
 
@@ -35,7 +38,7 @@
 print-flags:
 	@echo "$(CPPFLAGS) -std=gnu17 $(CFLAGS) $(SAN)"
 
-.PHONY: print-flags all deps demo check check-run lint format bench soak clean
+.PHONY: print-flags all deps demo check check-run lint format bench ablate soak clean
 all: $(PROGRAMS) $(UNITS) $(BUILD)/bench/policy $(BUILD)/bench/load
 
 # Installs the Debian packages that are missing.
@@ -64,6 +67,11 @@
 	@$(MAKE) -s all
 	@BUILD=$(BUILD) bench/run
 
+# Plays days of a deployment with builds that leave out one mechanism each, for
+# measurements only: make ablate BENCH=program SITE=file DAYS="..." SEEDS="..."
+ablate: deps
+	@bench/ablate $(BENCH) $(SITE) "$(DAYS)" "$(SEEDS)" $(or $(MECHANISMS),$(ABLATE_ALL))
+
 lint: deps
 	clang-format --dry-run -Werror $(SOURCES)
 	@echo $(filter %.c,$(SOURCES)) | tr ' ' '\n' | xargs -P 8 -n 4 \
--- a/core/estim.c
+++ b/core/estim.c
@@ -1,5 +1,7 @@
 #include "estim.h"
 
+#include "ablate.h"
+
 #include <math.h>
 
 /* Factor by which the weight of a run falls with each later run. */
@@ -47,7 +49,7 @@
 int64_t
 estim_predict (const struct estim *e, int64_t estimate_ms)
 {
-  if (e->weight < WEIGHT_MIN)
+  if (e->weight < WEIGHT_MIN || ABLATED (PREDICTIONS))
     return estimate_ms;
   return (int64_t)exp (
       e->mean_run + slope (e) * (log_ms (estimate_ms) - e->mean_estimate));
@@ -59,7 +61,7 @@
   double b = slope (e);
   double variance, spread;
 
-  if (e->weight < WEIGHT_MIN)
+  if (e->weight < WEIGHT_MIN || ABLATED (UNCERTAINTY))
     return 1;
   variance = (e->sum_rr - 2 * b * e->sum_er + b * b * e->sum_ee) / e->weight;
   spread = variance > 0 ? exp (sqrt (variance)) : 1;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -5,6 +5,8 @@
  */
 #include "fleet.h"
 
+#include "ablate.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -222,9 +224,9 @@
 {
   struct out *o;
 
-  if (f->conf_fetch_token || !fleet_conf_behind (f) || f->conf_refused
-      || f->now_ms < f->next_conf_fetch_ms || !proxy_table_unreachable (f)
-      || !proxy_peer (f))
+  if (ABLATED (CONF_FETCH) || f->conf_fetch_token || !fleet_conf_behind (f)
+      || f->conf_refused || f->now_ms < f->next_conf_fetch_ms
+      || !proxy_table_unreachable (f) || !proxy_peer (f))
     return;
   f->next_conf_fetch_ms = f->now_ms + FLEET_CONF_FETCH_MS;
   o = out_new (&f->out, OUT_STORE);
--- a/core/fleet_retry.c
+++ b/core/fleet_retry.c
@@ -7,6 +7,8 @@
  */
 #include "fleet.h"
 
+#include "ablate.h"
+
 #include <string.h>
 
 /* Returns true if other instances can probably serve a request that this
@@ -18,7 +20,7 @@
                       && strcmp (f->leader.holder, f->settings.id) != 0;
 
   /* The others may have no newer configuration either. */
-  if (fleet_conf_behind (f))
+  if (fleet_conf_behind (f) || ABLATED (RETRY_NOW))
     return false;
   /* The leader, or an instance that it names, reaches the service. */
   if (proxy_peer (f))
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -444,7 +444,8 @@
 {
   int64_t need = n_waiting * j->spec.steps[step].need.millicores;
 
-  if (!j->spec.steps[step].gang || need > fs->gang_reserve_millicores)
+  if (!j->spec.steps[step].gang || need > fs->gang_reserve_millicores
+      || ABLATED (GANG_ROOM))
     return;
   fs->gang_reserve_millicores -= need;
   reserve_permitted (fs, j, step, n_waiting);
--- a/core/fsched_domain.c
+++ b/core/fsched_domain.c
@@ -86,7 +86,7 @@
           || fs->now_ms - d->first_unanswered_ms < SILENT_MS
           || !others_answer (fs, d))
         continue;
-      d->silent = true;
+      d->silent = !ABLATED (SILENT_DOMAINS);
       out_line (fs->out, "event=domain-silent domain=%s starts=%d for_ms=%lld",
                 d->name, d->n_unanswered,
                 (long long)(fs->now_ms - d->last_answer_ms));
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -318,7 +318,7 @@
 void
 exec_count_failure (struct fsched *fs, struct exec *e)
 {
-  if (++e->failures_in_row < FSCHED_QUARANTINE_FAILURES
+  if (ABLATED (QUARANTINE) || ++e->failures_in_row < FSCHED_QUARANTINE_FAILURES
       || fs->now_ms < e->quarantine_until_ms)
     return;
   e->quarantine_ms
--- a/core/leader.c
+++ b/core/leader.c
@@ -4,6 +4,8 @@
  */
 #include "leader.h"
 
+#include "ablate.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -249,6 +251,8 @@
   int64_t call_ms = l->latency_ms > l->probe_ms ? l->latency_ms : l->probe_ms;
   int64_t ms = LEADER_RESEND_FACTOR * call_ms;
 
+  if (ABLATED (WRITE_PROBES))
+    return probe_delay_ms (l);
   return ms > LEADER_RESEND_MS ? ms : LEADER_RESEND_MS;
 }
 
