--- a/core/fsched_domain.c
+++ b/core/fsched_domain.c
@@ -82,11 +82,12 @@
 
   TAILQ_FOREACH (d, &fs->domains, link)
     {
-      if (d->silent || d->n_unanswered < SILENT_STARTS_MIN
+      if (ABLATED (SILENT_DOMAINS) || d->silent
+          || d->n_unanswered < SILENT_STARTS_MIN
           || fs->now_ms - d->first_unanswered_ms < SILENT_MS
           || !others_answer (fs, d))
         continue;
-      d->silent = !ABLATED (SILENT_DOMAINS);
+      d->silent = true;
       out_line (fs->out, "event=domain-silent domain=%s starts=%d for_ms=%lld",
                 d->name, d->n_unanswered,
                 (long long)(fs->now_ms - d->last_answer_ms));
