--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -375,6 +375,8 @@
   size_t size = sizeof (struct job *);
   bool changed = false;
 
+  if (n == 0)
+    return;
   qsort (fs->ready_jobs, (size_t)n, size, urgency_compare);
   share_begin_pass (fs, fs->ready_jobs, n);
   for (int i = 0; i < n && goes_first (fs->ready_jobs[i]); i++)
