The log tells what an account uses, its limit and the version it is from

No line said what the leader counted for the account, which limit it went by, nor which recorded starts a new leader does not count, so that a count that is too low could not be told from a limit that is too high.

event=start has both, with the version of the configuration; event=limit-held says what is held back; event=use-loaded and event=use-reconciled what a new leader has counted; event=intents-loaded what became of the recorded starts, by reason; event=stop-orphan why the run is not a start of the leader. Gauges for each account. At most 20 accounts are known so far; the lines come once a term, or once a second for each.

Use and limit of accounts move to core/fsched_account.c. No decision changes.

--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -7,6 +7,28 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Writes what each client account uses and may use to @out. */
+static void
+print_account_metrics (const struct fsched *fs, FILE *out)
+{
+  const struct fsched_tenant *t;
+
+  TAILQ_FOREACH (t, &fs->tenants, link)
+    {
+      struct job_need limit = account_limit (fs, t);
+      metric_print (out, "account_runs", "account", t->name,
+                    (uint64_t)t->n_runs);
+      metric_print (out, "account_used_millicores", "account", t->name,
+                    (uint64_t)t->used.millicores);
+      metric_print (out, "account_limit_millicores", "account", t->name,
+                    (uint64_t)limit.millicores);
+      metric_print (out, "account_used_mem_mb", "account", t->name,
+                    (uint64_t)t->used.mem_mb);
+      metric_print (out, "account_limit_mem_mb", "account", t->name,
+                    (uint64_t)limit.mem_mb);
+    }
+}
+
 /* Writes the counters of the scheduler to @out. */
 static void
 print_fsched_metrics (const struct fleet *f, FILE *out)
@@ -40,6 +62,8 @@
     hist_print (out, "job_ms", "state", job_state_names[i], &s->job_ms[i]);
   metric_print (out, "jobs_in_hand", NULL, NULL,
                 f->fsched ? (uint64_t)f->fsched->n_jobs : 0);
+  if (f->fsched)
+    print_account_metrics (f->fsched, out);
 }
 
 char *
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -619,6 +619,7 @@
             "took_ms=%lld",
             (long long)fs->epoch, fs->n_jobs, fs->n_execs,
             (long long)(fs->now_ms - fs->claimed_ms));
+  account_log_all (fs, "use-loaded");
 }
 
 bool
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -454,8 +454,11 @@
 struct fsched_tenant
 {
   char name[CLB_NAME_MAX];
-  /* Capacity taken by the account's starts, sent or not. */
+  /* Capacity taken by the account's starts, sent or not, and their number. */
   struct job_need used;
+  int n_runs;
+  /* When a log line last said that the limit holds the account back. */
+  int64_t held_line_ms;
   /* Of the current placing pass, as parts of the fleet from 0 to 1: what the
      account's starts and the jobs within its share take, and its share. */
   double part_taken;
@@ -789,6 +792,10 @@
  * is unknown.
  */
 int fsched_job_state (const struct fsched *fs, const char *id);
+/** account_limit() - Return what the account's runs may use together; an
+ * amount of 0: the resource is not limited. */
+struct job_need account_limit (const struct fsched *fs,
+                               const struct fsched_tenant *t);
 /** domain_count_cores() - Bring domain::cores of all failure domains up to
  * date. */
 void domain_count_cores (struct fsched *fs);
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -376,6 +376,20 @@
     }
 }
 
+/* Returns why a run that an executor reports is an orphan, for the log. */
+static const char *
+orphan_reason (const struct fsched *fs, const struct run_row *row)
+{
+  const struct job *j = fsched_task_job (fs, &row->task);
+
+  if (!j)
+    return "job-unknown";
+  if (job_state_final (j->state))
+    return "job-ended";
+  return j->steps[row->task.step].tasks[row->task.index].done ? "task-done"
+                                                              : "other-run";
+}
+
 /* Sends a stop order for an orphan, see exec::n_orphans. */
 static void
 stop_orphan (struct fsched *fs, struct exec *e, const struct run_row *row)
@@ -388,9 +402,10 @@
   fs->stats->stops++;
   out_line (fs->out,
             "event=stop-orphan job=%s step=%lld task=%lld run=%lld "
-            "exec=%s",
+            "exec=%s why=%s",
             row->task.job, (long long)row->task.step,
-            (long long)row->task.index, (long long)row->run_id, e->rep.id);
+            (long long)row->task.index, (long long)row->run_id, e->rep.id,
+            orphan_reason (fs, row));
 }
 
 /*
@@ -664,6 +679,7 @@
   out_line (fs->out, "event=reconciled epoch=%lld execs=%d after_ms=%lld",
             (long long)fs->epoch, fs->n_execs,
             (long long)(fs->now_ms - fs->claimed_ms));
+  account_log_all (fs, "use-reconciled");
 }
 
 bool
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -314,6 +314,25 @@
 int exec_fit_count (const struct exec *e, const struct job *j, int step,
                     int max);
 
+/* Functions of fsched_account.c. */
+
+/** account_conf_version() - Return the version of the configuration that the
+ * limits come from; 0: none is known. */
+int64_t account_conf_version (const struct fsched *fs);
+/**
+ * account_has_room() - Return whether @n more tasks of a step keep the job's
+ * client account within its limit.
+ */
+bool account_has_room (struct fsched *fs, const struct job *j, int step,
+                       int n);
+/** account_add() - Add a run that needs @need to the use of an account, or
+ * subtract it if @sign is -1. */
+void account_add (struct fsched_tenant *t, const struct job_need *need,
+                  int sign);
+/** account_log_all() - Log the use and the limit of each account that has
+ * runs, as @event. */
+void account_log_all (struct fsched *fs, const char *event);
+
 /* Functions of fsched_share.c. */
 
 /**
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -284,44 +284,64 @@
   return n_bad;
 }
 
+/* enum intent_fate - what a new leader concludes from a loaded intent */
+enum intent_fate
+{
+  FATE_RUNNING,      /* the run may still be running */
+  FATE_JOB_UNKNOWN,  /* the job or the task is not known */
+  FATE_JOB_ENDED,    /* the job has ended */
+  FATE_RUN_ENDED,    /* the task is done, or the run is known to have ended */
+  FATE_EARLIER_RUN,  /* the task has a later run */
+  FATE_EXEC_UNKNOWN, /* the executor is not in the roster */
+  FATE_N
+};
+
 /*
- * Returns the task of an intent, and sets @job to the task's job, if the run
- * may still be running.  Returns NULL if the job, the task or the run is known
- * to have ended, or if the job is unknown.
+ * Returns enum intent_fate as far as the records of the job tell it.  Sets
+ * @job to the job of the intent, and @task to the task, if the result is
+ * FATE_RUNNING.
  */
-static struct jtask *
-unfinished_task (const struct fsched *fs, const struct intent *e,
-                 struct job **job)
+static int
+recorded_fate (const struct fsched *fs, const struct intent *e,
+               struct job **job, struct jtask **task)
 {
   struct job *j = fsched_task_job (fs, &e->task);
   struct jtask *t;
 
-  if (!j || job_state_final (j->state))
-    return NULL;
+  if (!j)
+    return FATE_JOB_UNKNOWN;
+  if (job_state_final (j->state))
+    return FATE_JOB_ENDED;
   t = &j->steps[e->task.step].tasks[e->task.index];
   if (t->done)
-    return NULL;
+    return FATE_RUN_ENDED;
   for (int i = 0; i < t->n_failed; i++)
     if (t->failed_runs[i].id == e->run_id)
-      return NULL;
+      return FATE_RUN_ENDED;
   if (crash_is_counted (t, e->run_id))
-    return NULL;
+    return FATE_RUN_ENDED;
   *job = j;
-  return t;
+  *task = t;
+  return FATE_RUNNING;
 }
 
 /* Creates a start for a loaded intent whose run may still be running on an
-   executor that has not answered this leader. */
-static void
+   executor that has not answered this leader.  Returns enum intent_fate. */
+static int
 assume_running (struct fsched *fs, struct intent *e)
 {
   struct exec *exec = exec_find (fs, e->exec);
   struct job *j;
-  struct jtask *t = unfinished_task (fs, e, &j);
+  struct jtask *t;
   struct start *r;
-
-  if (!t || t->run || t->last_run_id != e->run_id || !exec || exec->reconciled)
-    return;
+  int fate = recorded_fate (fs, e, &j, &t);
+
+  if (fate != FATE_RUNNING)
+    return fate;
+  if (t->run || t->last_run_id != e->run_id)
+    return FATE_EARLIER_RUN;
+  if (!exec || exec->reconciled)
+    return FATE_EXEC_UNKNOWN;
   r = start_new (fs, j, (int)e->task.step, (int)e->task.index, exec, e->run_id,
                  START_UNCONFIRMED);
   r->boot_start_ms = e->boot_start_ms;
@@ -329,6 +349,7 @@
   r->inherited = true;
   r->intent = e;
   e->start = r;
+  return FATE_RUNNING;
 }
 
 void
@@ -337,14 +358,22 @@
   struct intent *e;
   struct job *j;
   struct jtask *t;
+  int n_fates[FATE_N] = { 0 };
 
   /* Only a task's last run may be running: a leader starts a task again only
      when its earlier run has certainly ended. */
   for (int i = 0; i < INTENT_ROWS; i++)
     TAILQ_FOREACH (e, &fs->intents.rows[i], link)
-      if ((t = unfinished_task (fs, e, &j)) && e->run_id > t->last_run_id)
+      if (recorded_fate (fs, e, &j, &t) == FATE_RUNNING
+          && e->run_id > t->last_run_id)
         t->last_run_id = (int32_t)e->run_id;
   for (int i = 0; i < INTENT_ROWS; i++)
     TAILQ_FOREACH (e, &fs->intents.rows[i], link)
-      assume_running (fs, e);
+      n_fates[assume_running (fs, e)]++;
+  out_line (fs->out,
+            "event=intents-loaded running=%d job_unknown=%d job_ended=%d "
+            "run_ended=%d earlier_run=%d exec_unknown=%d",
+            n_fates[FATE_RUNNING], n_fates[FATE_JOB_UNKNOWN],
+            n_fates[FATE_JOB_ENDED], n_fates[FATE_RUN_ENDED],
+            n_fates[FATE_EARLIER_RUN], n_fates[FATE_EXEC_UNKNOWN]);
 }
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -37,23 +37,6 @@
 #define OTHER_RACK INT64_C (0x100000000)     /* not the rack of the data */
 #define CRASHED_BEFORE INT64_C (0x200000000) /* crashed under the step */
 
-/* Returns whether @n more tasks of the step keep the job's client account
-   within its limit. */
-static bool
-within_limit (struct fsched *fs, const struct job *j, int step, int n)
-{
-  const struct fconf_tenant *conf
-      = fs->conf ? fconf_tenant (fs->conf, j->spec.tenant) : NULL;
-  const struct fsched_tenant *t = fsched_tenant (fs, j->spec.tenant);
-  const struct job_need *need = &j->spec.steps[step].need;
-
-  if (!conf)
-    return true;
-#define OVER(f) (conf->limit.f && t->used.f + n * need->f > conf->limit.f)
-  return !OVER (millicores) && !OVER (mem_mb) && !OVER (accels);
-#undef OVER
-}
-
 /* Returns whether the step needs no advice, or has a valid permit for the
    executor. */
 static bool
@@ -123,7 +106,7 @@
       struct exec *e;
       if (t->done || t->run)
         continue;
-      if (!within_limit (fs, j, step, 1))
+      if (!account_has_room (fs, j, step, 1))
         return true;
       e = best_fit (fs, j, step);
       if (!e)
@@ -227,7 +210,7 @@
 
   if (s->n_running > 0)
     return true; /* all members of the earlier run must end first */
-  if (!within_limit (fs, j, step, s->n_tasks))
+  if (!account_has_room (fs, j, step, s->n_tasks))
     return true;
   candidates = calloc ((size_t)fs->n_execs + 1, sizeof *candidates);
   if (!candidates)
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -25,15 +25,12 @@
 /* Adds the need of a start to the capacity used on its executor and by its
    client account, or subtracts it if @sign is -1. */
 static void
-adjust_use (struct fsched *fs, const struct start *r, int sign)
+adjust_use (const struct start *r, int sign)
 {
   const struct job_step *s = &r->job->spec.steps[r->step];
-  struct fsched_tenant *t = fsched_tenant (fs, r->job->spec.tenant);
 
   adjust_need (&r->exec->used, s, sign);
-  t->used.millicores += sign * s->need.millicores;
-  t->used.mem_mb += sign * s->need.mem_mb;
-  t->used.accels += sign * s->need.accels;
+  account_add (r->job->account, &s->need, sign);
 }
 
 /* Counts a start as pending, or no longer.  The next placing pass is due when
@@ -85,7 +82,7 @@
   j->steps[step].n_running++;
   j->steps[step].n_queries = 0;
   TAILQ_INSERT_TAIL (&e->runs, r, exec_link);
-  adjust_use (fs, r, 1);
+  adjust_use (r, 1);
   return r;
 }
 
@@ -143,7 +140,7 @@
             r->state);
   add_run_time (fs, r, run_end);
   fsched_keep_checkpoint (j, step, index, r->checkpoint);
-  adjust_use (fs, r, -1);
+  adjust_use (r, -1);
   set_pending (fs, r, false);
   intent_ended (fs, r);
   TAILQ_REMOVE (&r->exec->runs, r, exec_link);
@@ -179,6 +176,7 @@
   struct order *o = fsched_order_new (fs, ORDER_START, r->exec, &pend);
   struct jstep *s = &r->job->steps[r->step];
   const struct jtask *t = start_get_task (r);
+  struct job_need limit = account_limit (fs, r->job->account);
 
   pend->run = r;
   r->order_id = o->id;
@@ -199,12 +197,18 @@
   domain_start_sent (fs, r->exec);
   out_line (fs->out,
             "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
-            "lease_ms=%d saved=%s used=%lld/%lld contact_age_ms=%lld",
+            "lease_ms=%d saved=%s used=%lld/%lld contact_age_ms=%lld "
+            "tenant=%s tenant_used=%lld,%lld tenant_limit=%lld,%lld "
+            "config=%lld",
             r->job->spec.id, r->step, r->index, (long long)r->run_id,
             r->exec->rep.id, r->tries, FSCHED_LEASE_MS, o->checkpoint,
             (long long)r->exec->used.millicores,
             (long long)r->exec->rep.capacity.millicores,
-            (long long)(fs->now_ms - r->exec->last_contact_ms));
+            (long long)(fs->now_ms - r->exec->last_contact_ms),
+            r->job->account->name, (long long)r->job->account->used.millicores,
+            (long long)r->job->account->used.mem_mb,
+            (long long)limit.millicores, (long long)limit.mem_mb,
+            (long long)account_conf_version (fs));
 }
 
 static void
