--- a/regress/fleet/lib.lua
+++ b/regress/fleet/lib.lua
@@ -32,3 +32,53 @@
   local status, body = answer(c)
   return status == 200 and body or tostring(status)
 end
+
+-- Return: a list of functions, for four instances and eight executors of 16
+-- cores.  Each injects a random fault and returns a function that ends the
+-- fault, or nil if the fault ends by itself.
+function fault_list()
+  return {
+    function() local i = math.floor(random() * 4)
+      instance(i, "kill") return function() instance(i, "start") end end,
+    function()
+      instance(math.floor(random() * 4), "freeze", 500 + random() * 4000)
+    end,
+    function()
+      instance(math.floor(random() * 4), "partition-store",
+               500 + random() * 5000)
+    end,
+    function()
+      instance(math.floor(random() * 4), "partition", 500 + random() * 5000)
+    end,
+    function() local l = leader() if l >= 0 then instance(l, "kill")
+      return function() instance(l, "start") end end end,
+    function()
+      exec(math.floor(random() * 8), "partition", 500 + random() * 9000)
+    end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "crash") return function() exec(e, "reboot") end end,
+    function() exec(math.floor(random() * 8), "reboot") end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "lose-results", 0.3)
+      return function() exec(e, "lose-results", 0) end end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "delay-orders", 0.3)
+      return function() exec(e, "delay-orders", 0) end end,
+    function() store("down", 300 + random() * 4000) end,
+    function() store("lose-replies", 0.3)
+      return function() store("lose-replies", 0) end end,
+    function() store("delay-writes", 0.2)
+      return function() store("delay-writes", 0) end end,
+    function() store("slow", 30) return function() store("slow", 1) end end,
+    function() store("compact") end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "cores", 4 + math.floor(random() * 8))
+      return function() exec(e, "cores", 16) end end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "boot-delay", 500 + random() * 9000)
+      exec(e, "new-id", math.floor(random() * 2)) end,
+    function() local e = math.floor(random() * 8)
+      exec(e, "drain", 1)
+      return function() exec(e, "reboot") exec(e, "drain", 0) end end,
+  }
+end
--- /dev/null
+++ b/regress/fleet/quota.lua
@@ -0,0 +1,132 @@
+dofile("regress/fleet/lib.lua")
+
+-- The account blue may run ten cores; the simulation reports QUOTA at more than
+-- eleven and one more task.
+local function conf(version, limit, text)
+  return "version " .. version .. "\n" .. [[
+queue q 0 3 1.5 250 0 0
+tenant red 1000 0 k
+]] .. (text or ("tenant blue 1000 " .. limit .. " b\n"))
+end
+
+local function start(options)
+  fleet(options or {execs = 12, cores = 4})
+  config(conf(1, 10000))
+  run(1500)
+end
+
+-- Submits one job of blue, with tasks of one core each.
+local function submit_blue(n, tasks, ms, at)
+  job{id = id(n), steps = {{tasks = tasks, ms = ms}}}
+  return submit(at or n % 3, id(n), "b")
+end
+
+-- Cuts executors off, one after another, until count runs are on them.
+local function cut_runs(count, ms)
+  local n = 0
+  for k = 0, 11 do
+    if n < count and running(k) > 0 then
+      exec(k, "partition", ms)
+      n = n + running(k)
+    end
+  end
+  return n
+end
+
+local function submit_small_jobs(first, count, at)
+  for n = first, first + count - 1 do submit_blue(n, 1, 20000, at) end
+end
+
+scenario("an account at its limit gets no more", function()
+  start()
+  submit_blue(1, 10, 8000)
+  run(500)
+  expect(running() == 10, running() .. " tasks run")
+  submit_small_jobs(2, 11)
+  run(2000)
+  expect(running() == 10, running() .. " tasks run")
+end)
+
+scenario("runs of a cancelled job that are cut off count until they have ended",
+  function()
+  start()
+  submit_blue(1, 10, 20000)
+  run(700)
+  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  request(0, id(1), "cancel", "b")
+  run(600)
+  submit_small_jobs(2, 11)
+  run(9000)
+  expect(running() == 10, running() .. " tasks run after the leases have ended")
+end)
+
+scenario("a new leader counts the runs of a cancelled job until they have ended",
+  function()
+  start()
+  submit_blue(1, 10, 20000)
+  run(700)
+  local l = leader()
+  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  request((l + 1) % 3, id(1), "cancel", "b")
+  run(600)
+  instance(l, "kill")
+  submit_small_jobs(2, 11, (l + 1) % 3)
+  run(9000)
+  expect(running() == 10, running() .. " tasks run after the leases have ended")
+end)
+
+scenario("a new leader counts the runs of a job that was cancelled meanwhile",
+  function()
+  start()
+  submit_blue(1, 10, 20000)
+  run(700)
+  local l = leader()
+  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  instance(l, "kill")
+  run(200)
+  request((l + 1) % 3, id(1), "cancel", "b")
+  submit_small_jobs(2, 11, (l + 1) % 3)
+  run(9000)
+  expect(running() == 10, running() .. " tasks run after the leases have ended")
+end)
+
+scenario("a new leader counts the runs of a failed job until they have ended",
+  function()
+  start()
+  exec(0, "fail-runs", 1)
+  job{id = id(1), attempts = 1, steps = {{tasks = 10, ms = 20000}}}
+  config(conf(2, 10000):gsub("queue q 0 3", "queue q 0 1"))
+  run(200)
+  submit(0, id(1), "b")
+  while running() < 10 do run(1) end
+  for k = 1, 2 do exec(k, "partition", 20000) end
+  run(600)
+  local l = leader()
+  expect(state((l + 1) % 3, id(1)) == "failed", "the job is not failed")
+  instance(l, "kill")
+  submit_small_jobs(2, 11, (l + 1) % 3)
+  run(9000)
+end)
+
+scenario("the second leader after a cancellation counts its runs, too",
+  function()
+  start{instances = 4, execs = 12, cores = 4}
+  submit_blue(1, 10, 20000)
+  run(700)
+  local l = leader()
+  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  request((l + 1) % 3, id(1), "cancel", "b")
+  run(300)
+  instance(l, "stop")
+  run(900)
+  local second = leader()
+  expect(second >= 0 and second ~= l, "no second leader")
+  instance(second, "stop")
+  for i = 0, 3 do
+    if i ~= l and i ~= second then
+      submit_small_jobs(100 * i + 2, 11, i)
+      break
+    end
+  end
+  run(9000)
+end)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -9,6 +9,7 @@
  *   TWICE    the task is running already, or the leader has acknowledged a
  *            successful end of the task
  *   LIMIT    the running tasks exceed the executor's capacity
+ *   QUOTA    the tasks of the client account exceed its limit, see quota.c
  *   BUDGET   the task has failed as often as the queue allows, or has crashed
  *            FSIM_CRASHES_MAX executors and is started the
  *            FSIM_STARTS_AFTER_CRASHES_MAX-th time since
@@ -270,6 +271,7 @@
     fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d crashes", o->task.job,
                     (long long)o->task.step, (long long)o->task.index,
                     (long long)o->run_id, stats->n_crashes);
+  fquota_check (s, j, &j->spec.steps[o->task.step].need);
   if (j->refused)
     fsim_violation (s, "REFUSED %s: started although refused", o->task.job);
 }
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -34,6 +34,11 @@
      FSIM_STARTS_AFTER_CRASHES_MAX starts of the task are allowed. */
   FSIM_CRASHES_MAX = 3,
   FSIM_STARTS_AFTER_CRASHES_MAX = 3,
+  /* An account may run this much more than its limit, and one more task. */
+  FSIM_QUOTA_OVERAGE_PERCENT = 10,
+  /* A limit may be in force for this long after the next configuration was
+     written: the users' bound for the use of a new configuration. */
+  FSIM_CONF_APPLY_MS = 3000,
   /* Number of past changes that a feed of the table can return.  The simulated
      table does not enforce this limit. */
   FSIM_HISTORY_MAX = 100000,
@@ -207,6 +212,16 @@
 };
 RB_HEAD (fjob_tree, fjob);
 
+/** struct flimit - the limit of a client account in one configuration */
+struct flimit
+{
+  char tenant[CLB_NAME_MAX];
+  char key[FCONF_KEY_SIZE]; /* API key of the account; empty: none */
+  struct job_need limit;    /* an amount of 0: the resource is not limited */
+  /* INT64_MAX: the configuration is the newest one. */
+  int64_t in_force_until_ms;
+};
+
 /** struct ftask_stats - runs of a task, counted over all executors */
 struct ftask_stats
 {
@@ -306,6 +321,9 @@
   /* Time for which the advice service's tickets are valid. */
   int64_t ticket_ms;
   struct fjob_tree jobs;
+  /* Limits of all accounts in all configurations so far. */
+  struct flimit *limits;
+  int n_limits;
   /* All requests of callers so far. */
   struct fsim_call *calls;
   size_t n_calls;
@@ -394,6 +412,25 @@
  */
 bool fsim_can_reach (const struct fsim *s, int i, const struct fexec *e);
 
+/** fsim_set_conf() - Write @text to the table as the fleet's configuration. */
+void fsim_set_conf (struct fsim *s, const char *text);
+
+/* The following functions are defined in quota.c. */
+
+/** fquota_set_conf() - Learn the limits in a configuration that operators have
+ * written. */
+void fquota_set_conf (struct fsim *s, const struct fconf *conf);
+/** fquota_tenant_of_key() - Return the client account that had @key last,
+ * borrowed; empty if there is none. */
+const char *fquota_tenant_of_key (const struct fsim *s, const char *key);
+/**
+ * fquota_check() - Report a violation if the client account of @j runs more
+ * than it may.
+ * @need: what the task needs that has just started
+ */
+void fquota_check (struct fsim *s, const struct fjob *j,
+                   const struct job_need *need);
+
 /* The following functions are defined in table.c. */
 
 /**
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -280,6 +280,20 @@
   return 0;
 }
 
+void
+fsim_set_conf (struct fsim *s, const char *text)
+{
+  struct fconf *conf;
+  struct codec_err ce;
+
+  if (!read_conf (text, &conf, &ce))
+    {
+      fquota_set_conf (s, conf);
+      fconf_free (conf);
+    }
+  ftable_put (s, "op/config", text);
+}
+
 static char *
 state_body (int state)
 {
@@ -675,6 +689,7 @@
       free (s->exec[i]);
     }
   ftable_free (&s->table);
+  free (s->limits);
   free (s->events);
   free (s);
 }
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -63,7 +63,7 @@
 static int
 verb_config (lua_State *l)
 {
-  ftable_put (sim, "op/config", luaL_checkstring (l, 1));
+  fsim_set_conf (sim, luaL_checkstring (l, 1));
   return 0;
 }
 
@@ -169,10 +169,14 @@
 
   clb_copy (submitted.id, j->id, sizeof submitted.id);
   submitted.attempts = 0;
+  submitted.tenant[0] = '\0';
   clb_copy (submitted.service, "-", sizeof submitted.service);
   snprintf (path, sizeof path, "/%s/%s", j->spec.queue, j->id);
   body = codec_text (&job_spec_desc, &submitted);
   j->submitted_ms = sim->now_ms;
+  clb_copy (j->spec.tenant,
+            fquota_tenant_of_key (sim, luaL_optstring (l, 3, "k")),
+            sizeof j->spec.tenant);
   lua_pushinteger (l, (lua_Integer)fsim_request (sim, inst, FLEET_VERB_SUBMIT,
                                                  path, body,
                                                  luaL_optstring (l, 3, "k")));
@@ -180,8 +184,8 @@
   return 1;
 }
 
-/* request(instance, id [, "cancel"]): queries the state of the job or cancels
-   the job; returns the number of the request, for answer() */
+/* request(instance, id [, "cancel" [, key]]): queries the state of the job or
+   cancels the job; returns the number of the request, for answer() */
 static int
 verb_request (lua_State *l)
 {
@@ -195,7 +199,7 @@
       l, (lua_Integer)fsim_request (
              sim, (int)luaL_checkinteger (l, 1),
              strcmp (what, "cancel") ? FLEET_VERB_STATE : FLEET_VERB_CANCEL,
-             path, NULL, "k"));
+             path, NULL, luaL_optstring (l, 4, "k")));
   return 1;
 }
 
