A new leader counts the runs of ended jobs until they have ended

Cause: a new leader rebuilt an account's use from the tasks that it still has to bring to an end. Runs of a cancelled or failed job go on until their stop is carried out, on executors that are cut off until their leases end, up to 6 s. The leader that ended the job counts them; its successor dropped their intents and did not adopt them when executors reported them.

Change: the progress row of an ended job says whether runs of it may be left (runs_left), and is written again once there are none. A new leader loads such a job like any other, with its final state, creates starts for its intents, stops them, and adopts and stops what executors report. So they are counted for the account and for the executor by the same code as all others, and have an intent in the next term as well. The members of a gang that is done have ended and do not count.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -347,6 +347,11 @@
 {
   if (!j->recorded || j->n_runs > 0 || j->dirty || j->writing)
     return false;
+  if (j->runs_left_written)
+    {
+      fsched_mark_dirty (fs, j);
+      return false;
+    }
   add_ended_job (fs, j->spec.id, j->state, true);
   job_free (fs, j);
   return true;
@@ -501,6 +506,12 @@
   if (!e)
     return;
   RB_REMOVE (early_tree, &fs->early_progress, e);
+  if (job_state_final (e->progress.state))
+    {
+      j->state = e->progress.state;
+      j->recorded = true;
+      j->runs_left_written = true;
+    }
   for (size_t i = 0; i < e->progress.n_steps; i++)
     apply_step_progress (fs, j, &e->progress.steps[i]);
   early_free (e);
@@ -560,7 +571,7 @@
 {
   struct early_progress *e;
 
-  if (job_state_final (p->state))
+  if (job_state_final (p->state) && !p->runs_left)
     {
       add_ended_job (fs, id, p->state, false);
       codec_free (&job_progress_desc, p);
@@ -608,9 +619,27 @@
   return n;
 }
 
+/* Stores the final states of jobs that have runs left, but whose
+   specifications are not in the table. */
+static void
+add_ended_early_jobs (struct fsched *fs)
+{
+  struct early_progress *e, *next;
+
+  RB_FOREACH_SAFE (e, early_tree, &fs->early_progress, next)
+    {
+      if (!job_state_final (e->progress.state))
+        continue;
+      RB_REMOVE (early_tree, &fs->early_progress, e);
+      add_ended_job (fs, e->id, e->progress.state, false);
+      early_free (e);
+    }
+}
+
 void
 fsched_load_done (struct fsched *fs)
 {
+  add_ended_early_jobs (fs);
   intents_load_done (fs);
   fs->loaded = true;
   fs->pass_due = true;
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -292,6 +292,8 @@
   bool dirty;    /* the progress has changed and must be recorded */
   bool writing;  /* the progress is in the outstanding write */
   bool recorded; /* the final state is recorded */
+  /* The progress, as written last, says job_progress::runs_left. */
+  bool runs_left_written;
 };
 RB_HEAD (job_tree, job);
 TAILQ_HEAD (jobq, job);
@@ -368,8 +370,8 @@
      waits for advice. */
   struct job_need reserved;
   bool eligible; /* the current placing pass may give tasks to the executor */
-  /* Number of orphans in the executor's last list: runs whose job is unknown
-     or has ended, or whose task is done or has another run. */
+  /* Number of orphans in the executor's last list: runs whose job is unknown,
+     or whose task is done or has another run. */
   int n_orphans;
   int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
   /* Start of the last boot that discovery has listed as draining; 0: none. */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -384,8 +384,6 @@
 
   if (!j)
     return "job-unknown";
-  if (job_state_final (j->state))
-    return "job-ended";
   return j->steps[row->task.step].tasks[row->task.index].done ? "task-done"
                                                               : "other-run";
 }
@@ -409,17 +407,18 @@
 }
 
 /*
- * Creates a start for a run that an earlier leader started.  Returns NULL if
- * the run is an orphan: its job is unknown or has ended, or its task is done
- * or has another run.
+ * Creates a start for a run that an earlier leader started, and stops the run
+ * if its job has ended.  Returns NULL if the run is an orphan: its job is
+ * unknown, or its task is done or has another run.
  */
 static struct start *
 adopt_run (struct fsched *fs, struct exec *e, const struct run_row *row)
 {
   struct job *j = fsched_task_job (fs, &row->task);
   struct jtask *t;
+  struct start *r;
 
-  if (!j || job_state_final (j->state))
+  if (!j)
     return NULL;
   t = &j->steps[row->task.step].tasks[row->task.index];
   if (t->done || t->run)
@@ -430,8 +429,11 @@
             row->task.job, (long long)row->task.step,
             (long long)row->task.index, (long long)row->run_id, e->rep.id,
             (long long)row->percent);
-  return start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
-                    row->run_id, START_ACKED);
+  r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
+                 row->run_id, START_ACKED);
+  if (job_state_final (j->state))
+    start_stop (fs, r);
+  return r;
 }
 
 /* Processes a running task that an executor reports. */
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -289,7 +289,6 @@
 {
   FATE_RUNNING,      /* the run may still be running */
   FATE_JOB_UNKNOWN,  /* the job or the task is not known */
-  FATE_JOB_ENDED,    /* the job has ended */
   FATE_RUN_ENDED,    /* the task is done, or the run is known to have ended */
   FATE_EARLIER_RUN,  /* the task has a later run */
   FATE_EXEC_UNKNOWN, /* the executor is not in the roster */
@@ -310,8 +309,6 @@
 
   if (!j)
     return FATE_JOB_UNKNOWN;
-  if (job_state_final (j->state))
-    return FATE_JOB_ENDED;
   t = &j->steps[e->task.step].tasks[e->task.index];
   if (t->done)
     return FATE_RUN_ENDED;
@@ -349,6 +346,8 @@
   r->inherited = true;
   r->intent = e;
   e->start = r;
+  if (job_state_final (j->state))
+    start_stop (fs, r);
   return FATE_RUNNING;
 }
 
@@ -371,9 +370,9 @@
     TAILQ_FOREACH (e, &fs->intents.rows[i], link)
       n_fates[assume_running (fs, e)]++;
   out_line (fs->out,
-            "event=intents-loaded running=%d job_unknown=%d job_ended=%d "
-            "run_ended=%d earlier_run=%d exec_unknown=%d",
+            "event=intents-loaded running=%d job_unknown=%d run_ended=%d "
+            "earlier_run=%d exec_unknown=%d",
             n_fates[FATE_RUNNING], n_fates[FATE_JOB_UNKNOWN],
-            n_fates[FATE_JOB_ENDED], n_fates[FATE_RUN_ENDED],
-            n_fates[FATE_EARLIER_RUN], n_fates[FATE_EXEC_UNKNOWN]);
+            n_fates[FATE_RUN_ENDED], n_fates[FATE_EARLIER_RUN],
+            n_fates[FATE_EXEC_UNKNOWN]);
 }
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -33,14 +33,30 @@
   return n;
 }
 
+/* Returns whether runs of an ended job may still be going on.  The members of
+   a gang that is done have ended together, reported or not. */
+static bool
+runs_left (const struct job *j)
+{
+  int n_ended = 0;
+
+  if (!job_state_final (j->state))
+    return false;
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    if (j->spec.steps[i].gang && j->steps[i].n_done == j->steps[i].n_tasks)
+      n_ended += j->steps[i].n_running;
+  return j->n_runs > n_ended;
+}
+
 /* Returns the value of a job's progress row, which the caller frees. */
 static char *
 progress_text (const struct job *j)
 {
-  struct job_progress p = { .state = j->state };
+  struct job_progress p
+      = { .state = j->state, .runs_left = j->runs_left_written };
   char *text;
 
-  if (job_state_final (j->state))
+  if (job_state_final (j->state) && !p.runs_left)
     return codec_text (&job_progress_desc, &p);
   p.steps = fsched_zalloc (j->spec.n_steps, sizeof *p.steps);
   for (size_t i = 0; i < j->spec.n_steps; i++)
@@ -157,6 +173,7 @@
           fs->record_due = true;
           break;
         }
+      j->runs_left_written = runs_left (j);
       clb_auto char *text = progress_text (j);
       snprintf (key, sizeof key, FSCHED_KEY_PROGRESS "%s", j->spec.id);
       store_put (op, key, text);
@@ -198,7 +215,7 @@
       if (!j->writing)
         continue;
       j->writing = false;
-      j->recorded = job_state_final (j->state) && !j->dirty;
+      j->recorded = j->recorded || (job_state_final (j->state) && !j->dirty);
       fsched_forget_job (fs, j);
     }
   intents_recorded (fs);
--- a/core/job.c
+++ b/core/job.c
@@ -98,6 +98,7 @@
 
 static const struct fld progress_fields[] = {
   FLD_NAMED (struct job_progress, state, job_state_names),
+  FLD_FLAG (struct job_progress, runs_left),
   FLD_ARRAY (struct job_progress, steps, n_steps, &step_progress_desc,
              JOB_STEPS_MAX),
 };
--- a/core/job.h
+++ b/core/job.h
@@ -169,7 +169,10 @@
 struct job_progress
 {
   int state; /* enum job_state */
-  /* Steps that have progress; none if the state is final. */
+  /* The state is final, but runs of the job's tasks may still be going on. */
+  bool runs_left;
+  /* Steps that have progress; none if the state is final and no runs are
+     left. */
   struct job_step_progress *steps;
   size_t n_steps;
 };
