A leader that has read no configuration starts nothing

Cause: an instance that was started while the table was away claims the leadership as soon as the table answers, which may be before its feed of the configuration does. Without a configuration no account had a limit, and all that waited was placed at once.

Change: no task is placed until a configuration is known. Loading, adopting runs, leases and stops go on. An instance without a configuration reads it through a peer, as one that is behind does. event=lead-taken names the version.

The simulated table can now keep the listing of the configuration from an instance, too.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -216,17 +216,18 @@
     fsched_set_conf (f->fsched, conf);
 }
 
-/* Reads the configuration through a peer, if a newer one is known to exist and
-   this instance does not reach the table service.  The feed's own calls are
-   always sent directly. */
+/* Reads the configuration through a peer, if none has been read or a newer one
+   is known to exist, and this instance does not reach the table service.  The
+   feed's own calls are always sent directly. */
 static void
 fetch_config (struct fleet *f)
 {
   struct out *o;
+  bool wanted = !f->conf || fleet_conf_behind (f);
 
-  if (ABLATED (CONF_FETCH) || f->conf_fetch_token || !fleet_conf_behind (f)
-      || f->conf_refused || f->now_ms < f->next_conf_fetch_ms
-      || !proxy_table_unreachable (f) || !proxy_peer (f))
+  if (ABLATED (CONF_FETCH) || f->conf_fetch_token || !wanted || f->conf_refused
+      || f->now_ms < f->next_conf_fetch_ms || !proxy_table_unreachable (f)
+      || !proxy_peer (f))
     return;
   f->next_conf_fetch_ms = f->now_ms + FLEET_CONF_FETCH_MS;
   o = out_new (&f->out, OUT_STORE);
@@ -444,8 +445,9 @@
 static void
 begin_term (struct fleet *f)
 {
-  out_line (&f->out, "event=lead-taken epoch=%lld",
-            (long long)f->leader.epoch);
+  out_line (&f->out, "event=lead-taken epoch=%lld config=%lld",
+            (long long)f->leader.epoch,
+            f->conf ? (long long)f->conf->version : 0);
   f->stats.leader_terms++;
   fleet_drop_scheduler (f);
   f->fsched = fsched_new (&f->out, &f->last_token, f->now_ms, f->leader.epoch,
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -392,6 +392,10 @@
   int n;
 
   fs->pass_due = false;
+  /* The limits of the client accounts are not known; fsched_set_conf() makes
+     the next pass due. */
+  if (!fs->conf)
+    return;
   fs->stats->passes++;
   n = collect_ready_jobs (fs, whole);
   fs->stats->jobs_considered += (uint64_t)n;
--- a/regress/fleet/quota.lua
+++ b/regress/fleet/quota.lua
@@ -130,3 +130,23 @@
   end
   run(9000)
 end)
+
+scenario("a leader that has read no configuration starts nothing", function()
+  start()
+  submit_blue(1, 10, 20000)
+  run(500)
+  submit_small_jobs(2, 11)
+  run(500)
+  for i = 0, 2 do instance(i, "kill") end
+  for i = 0, 2 do
+    instance(i, "silence-conf", 1200)
+    instance(i, "start")
+  end
+  run(1100)
+  expect(running() == 10, running() .. " tasks run without a configuration")
+  request(0, id(1), "cancel", "b")
+  run(5000)
+  request(0, id(1), "cancel", "b")
+  run(2000)
+  expect(running() == 10, running() .. " tasks run with one")
+end)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -263,7 +263,8 @@
   int64_t store_partitioned_until_ms;
   /* The table refuses the instance's calls until this time. */
   int64_t store_refused_until_ms;
-  /* Calls of the configuration's feed get no answer until this time. */
+  /* Calls of the configuration's feed, and of the listing before it, get no
+     answer until this time. */
   int64_t conf_feed_silent_until_ms;
   /* Replies of the table with more rows time out before the instance has
      received them; 0: no limit. */
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -429,7 +429,8 @@
       fail_call (s, q, CLB_EOUTCOME, 700);
       return;
     }
-  if (op->kind == STORE_FEED && strcmp (op->key, "op") == 0
+  if (((op->kind == STORE_FEED && strcmp (op->key, "op") == 0)
+       || (op->kind == STORE_LIST && strcmp (op->key, "op/") == 0))
       && s->inst[i]->conf_feed_silent_until_ms > s->now_ms)
     {
       fail_call (s, q, CLB_EOUTCOME, store_timeout_ms (op));
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -286,7 +286,8 @@
    link-rate        the instance receives replies of the table at ms bytes per
                     ms; 0: no limit
    refuse-store     the table refuses the instance's calls for ms
-   silence-conf     calls of the configuration's feed get no answer for ms */
+   silence-conf     calls of the configuration's feed, and of the listing
+                   before it, get no answer for ms */
 static int
 verb_instance (lua_State *l)
 {
