A start beyond a limit that was lowered meanwhile is not sent

Cause: the limit was checked when a task is placed, but the start is sent only once its intent is durable. While the table is down or slow that takes seconds; a lower limit that came into force meanwhile was ignored, and event=start then has tenant_used above tenant_limit with the new version.

Change: the limit is checked again before a start is sent, with the configuration of that moment. Starts beyond it end unsent and the tasks wait; a gang is dropped whole.

--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -321,7 +321,8 @@
 int64_t account_conf_version (const struct fsched *fs);
 /**
  * account_has_room() - Return whether @n more tasks of a step keep the job's
- * client account within its limit.
+ * client account within its limit; with @n 0, whether it is within its limit
+ * now.
  */
 bool account_has_room (struct fsched *fs, const struct job *j, int step,
                        int n);
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -164,13 +164,14 @@
   return 1;
 }
 
-/* Returns whether a start may still be sent: the job, the executor or the
-   permit may have changed since the task was placed. */
+/* Returns whether a start may still be sent: the job, the executor, the permit
+   or the account's limit may have changed since the task was placed. */
 static bool
-may_send (const struct fsched *fs, const struct start *r)
+may_send (struct fsched *fs, const struct start *r)
 {
   return fs->may_order && !job_state_final (r->job->state)
          && exec_eligible (fs, r->exec)
+         && account_has_room (fs, r->job, r->step, 0)
          && (r->job->spec.advice.base_ms <= 0
              || permit_valid (fs, &r->job->steps[r->step], r->exec));
 }
