An executor that the roster no longer has is recorded again before it is used

What callers would see: tasks that run twice, and an account above its limit (TWICE, QUOTA), after a change of the leader.

Cause: exec.recorded was set when the roster's row with the executor was durable, and never cleared. A row that was written while an idle executor was not listed left it out; when it was listed again, tasks were placed on it at once. The next leader takes an executor that the roster lacks for one that no earlier leader used, and neither waits for its runs nor counts them.

Change: an executor that a row leaves out is no longer recorded, so that it is written again before tasks are placed on it.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -191,10 +191,8 @@
       fsched_exec_unlisted (fs, e->rep.id);
 }
 
-/* Returns whether discovery lists the executor, or ceased to list it so
-   recently that the platform may only have lost the entry in an outage. */
-static bool
-recently_listed (const struct fsched *fs, const struct exec *e)
+bool
+exec_recently_listed (const struct fsched *fs, const struct exec *e)
 {
   return e->listed
          || (e->unlisted_since_ms
@@ -293,8 +291,8 @@
 exec_tick (struct fsched *fs, struct exec *e)
 {
   struct start *r, *next;
-  bool idle
-      = !recently_listed (fs, e) && e->reconciled && TAILQ_EMPTY (&e->runs);
+  bool idle = !exec_recently_listed (fs, e) && e->reconciled
+              && TAILQ_EMPTY (&e->runs);
 
   if (!e->poll_id && !idle && fs->now_ms >= e->next_poll_ms)
     send_poll (fs, e);
@@ -687,7 +685,7 @@
 bool
 exec_eligible (const struct fsched *fs, const struct exec *e)
 {
-  return recently_listed (fs, e) && e->answered && !e->unreachable
+  return exec_recently_listed (fs, e) && e->answered && !e->unreachable
          && e->recorded && !e->n_orphans && !e->rep.draining
          && !(e->domain && e->domain->silent)
          && fs->now_ms >= e->quarantine_until_ms;
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -296,6 +296,12 @@
  */
 bool exec_has_new_boot (const struct exec *e, int64_t boot_start_ms);
 
+/**
+ * exec_recently_listed() - Return whether discovery lists the executor, or
+ * ceased to list it so recently that the platform may only have lost the entry
+ * in an outage.
+ */
+bool exec_recently_listed (const struct fsched *fs, const struct exec *e);
 /** exec_eligible() - Return whether tasks may be placed on @e at present. */
 bool exec_eligible (const struct fsched *fs, const struct exec *e);
 /**
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -97,10 +97,10 @@
 /* Returns whether the roster contains an executor: tasks may be placed on it,
    or it may still run tasks. */
 static bool
-in_roster (const struct exec *e)
+in_roster (const struct fsched *fs, const struct exec *e)
 {
-  return e->listed || !e->reconciled || e->used.millicores || e->used.mem_mb
-         || e->used.accels;
+  return exec_recently_listed (fs, e) || !e->reconciled || e->used.millicores
+         || e->used.mem_mb || e->used.accels;
 }
 
 /* Adds row @number of the roster to a write: a line "id addr" for each of its
@@ -120,9 +120,11 @@
     {
       if (e->roster_row != number)
         continue;
-      e->writing = in_roster (e);
+      e->writing = in_roster (fs, e);
       if (e->writing)
         fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
+      else
+        e->recorded = false;
     }
   fclose (f);
   snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d", number);
--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -332,3 +332,40 @@
     expect(leader() == l, "the leader has changed")
   end
 end)
+
+-- Return: the number of the roster's row for executor number k, as
+-- fsched_roster_row() computes it.
+local function roster_row(k)
+  local hash = 0
+  for c in string.format("e%03d", k):gmatch(".") do
+    hash = (31 * hash + c:byte()) % 2^32
+  end
+  return hash % 32
+end
+
+scenario("the next leader knows an executor that was unlisted for a while",
+  function()
+  fleet{execs = 40, cores = 4}
+  config(CONFIG)
+  local a, b = 0, 1
+  while roster_row(b) ~= roster_row(a) do b = b + 1 end
+  expect(b < 40, "no two executors share a row")
+  exec(b, "listed", 0)
+  run(1500)
+  exec(a, "listed", 0)
+  run(1000)
+  exec(b, "listed", 1)
+  run(300)
+  exec(a, "listed", 1)
+  run(300)
+  for k = 0, 39 do if k ~= a then exec(k, "cores", 0) end end
+  run(300)
+  submit_jobs(1, 2, {{tasks = 2, ms = 20000}})
+  run(500)
+  expect(running(a) == 4, running(a) .. " tasks run on the executor")
+  exec(a, "partition", 20000)
+  for k = 0, 39 do if k ~= a then exec(k, "cores", 4) end end
+  instance(leader(), "kill")
+  run(3000)
+  expect(running() == 4, running() .. " tasks run")
+end)
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -356,6 +356,8 @@
    boot-delay          an executor that a task has crashed boots again after
                        value ms
    new-id              with value 1, the executor gets a new id at each boot
+   listed              with value 0, discovery does not list the executor; 1
+                       ends the fault
    drain               with value 1, the discovery entry says that the
                        executor drains; with 0, that it does not drain */
 static int
@@ -387,6 +389,11 @@
     e->renames = value > 0;
   else if (strcmp (what, "boot-delay") == 0)
     e->boot_delay_ms = (int64_t)value;
+  else if (strcmp (what, "listed") == 0)
+    {
+      e->listed = value > 0;
+      fexec_update_discovery_entry (sim, e);
+    }
   else if (strcmp (what, "drain") == 0)
     {
       e->draining = value > 0;
