A late answer of an executor is not taken for a new boot

Cause: a clock in an answer that was more than 1.5 s behind the one expected at its arrival counted as that of a new boot, and the executor's acknowledged runs as lost. An answer that was held up by a slow link, or read by a leader that had been paused, has such a clock; the runs go on.

Change: what an answer proves is compared with what was known when the order was sent. A reading below the last one of that time shows a new boot, any other does not, however late the answer is; nothing is concluded for orders that were sent before a new boot was detected. Polls state the start of the boot besides, as before.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -268,6 +268,8 @@
     {
       clb_copy (o->exec, e->rep.id, sizeof o->exec);
       clb_copy (o->addr, e->rep.addr, sizeof o->addr);
+      p->exec_clock_ms = e->answered ? e->clock_ms : 0;
+      p->n_exec_boots = e->n_boots;
     }
   p->id = o->id;
   p->kind = kind;
@@ -677,14 +679,14 @@
   switch (p->kind)
     {
     case ORDER_POLL:
-      exec_poll_result (fs, p->exec, res);
+      exec_poll_result (fs, p, res);
       break;
     case ORDER_ADVISE:
       advice_result (fs, p, res);
       break;
     default:
       if (p->run)
-        start_result (fs, p->run, p->kind, res);
+        start_result (fs, p, res);
       break;
     }
   free (p);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -374,6 +374,7 @@
      or whose task is done or has another run. */
   int n_orphans;
   int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
+  int n_boots;           /* number of boots that this leader has detected */
   /* Start of the last boot that discovery has listed as draining; 0: none. */
   int64_t drained_boot_ms;
   int64_t clock_ms;        /* the executor's clock in its last answer */
@@ -424,7 +425,11 @@
   int kind;    /* enum order_kind */
   /* Start that a start or stop order is for; NULL once the run has ended. */
   struct start *run;
-  struct exec *exec;     /* of a poll: the executor that is polled */
+  struct exec *exec; /* of a poll: the executor that is polled */
+  /* Of an order to an executor: the last reading of its clock when the order
+     was sent, 0 if there was none, and the exec::n_boots at that time. */
+  int64_t exec_clock_ms;
+  int n_exec_boots;
   char job[JOB_ID_SIZE]; /* of an advice query: id of the job */
   int step;              /* of an advice query: index of the step */
   int adviser;           /* of an advice query: index into fsched::advisers */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -13,10 +13,6 @@
   /* Slowest rate of an executor's clock, in percent of the local clock's rate:
      it may lose 2%. */
   CLOCK_RATE_LOW = 98,
-  /* An executor's clock that is this far behind the expected reading belongs
-     to a new boot.  The value is far more than 2% of the longest time without
-     contact. */
-  CLOCK_RESET_MS = 1500,
   /* A stop order is sent again if the run is still listed this long after the
      executor acknowledged the stop. */
   STOP_RESEND_MS = 2000,
@@ -520,14 +516,15 @@
       r->stop_acked_ms = 0;
 }
 
-/* Returns whether the executor's clock has gone back.  The clock restarts with
-   each boot, so the executor has rebooted. */
+/* Returns whether the clock in the answer to order @p shows a new boot: the
+   clock restarts with each boot, and was past the reading that was known when
+   the order was sent.  How late the answer comes says nothing. */
 static bool
-clock_went_back (const struct fsched *fs, const struct exec *e,
+clock_went_back (const struct exec *e, const struct pending_order *p,
                  int64_t clock_ms)
 {
-  return e->answered && clock_ms > 0
-         && clock_ms + CLOCK_RESET_MS < exec_clock_now (fs, e);
+  return clock_ms > 0 && clock_ms < p->exec_clock_ms
+         && p->n_exec_boots == e->n_boots;
 }
 
 /* Ends the runs of the executor's earlier boot and resets its state for the
@@ -543,6 +540,7 @@
             "event=exec-rebooted exec=%s clock_ms=%lld boot_start=%lld",
             e->rep.id, (long long)clock_ms, (long long)boot_start_ms);
   end_boot_runs (fs, e, res);
+  e->n_boots++;
   e->boot_start_ms = boot_start_ms;
   e->clock_ms = clock_ms;
   e->last_contact_ms = fs->now_ms;
@@ -550,9 +548,10 @@
 }
 
 bool
-exec_detect_reboot (struct fsched *fs, struct exec *e, int64_t clock_ms)
+exec_detect_reboot (struct fsched *fs, struct exec *e,
+                    const struct pending_order *p, int64_t clock_ms)
 {
-  if (!clock_went_back (fs, e, clock_ms))
+  if (!clock_went_back (e, p, clock_ms))
     return false;
   process_new_boot (fs, e, clock_ms, NULL);
   exec_mark_unreachable (fs, e);
@@ -563,9 +562,9 @@
    new boot. */
 static void
 mark_reachable (struct fsched *fs, struct exec *e,
-                const struct order_result *res)
+                const struct pending_order *p, const struct order_result *res)
 {
-  if (clock_went_back (fs, e, res->clock_ms)
+  if (clock_went_back (e, p, res->clock_ms)
       || (e->answered && res->boot_start_ms && e->boot_start_ms
           && res->boot_start_ms != e->boot_start_ms))
     process_new_boot (fs, e, res->clock_ms, res);
@@ -610,9 +609,10 @@
 }
 
 void
-exec_poll_result (struct fsched *fs, struct exec *e,
+exec_poll_result (struct fsched *fs, const struct pending_order *p,
                   const struct order_result *res)
 {
+  struct exec *e = p->exec;
   bool first_answer = !e->answered;
 
   e->poll_id = 0;
@@ -623,7 +623,7 @@
       process_poll_failure (fs, e, res);
       return;
     }
-  mark_reachable (fs, e, res);
+  mark_reachable (fs, e, p, res);
   process_lists (fs, e, res);
   e->reconciled = true;
   /* While ends are not recorded, the next poll is delayed until they are, or
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -178,10 +178,10 @@
 void start_send (struct fsched *fs, struct start *r);
 /**
  * start_result() - Process the result of a start or stop order.
- * @kind: ORDER_START or ORDER_STOP
+ * @p: the order, of a start that has not ended; borrowed
  * @res: borrowed
  */
-void start_result (struct fsched *fs, struct start *r, int kind,
+void start_result (struct fsched *fs, const struct pending_order *p,
                    const struct order_result *res);
 /**
  * start_tick() - Send a stop order for the run if one is due, and end the time
@@ -259,13 +259,15 @@
 void exec_tick (struct fsched *fs, struct exec *e);
 /**
  * exec_poll_result() - Process the result of a poll.
+ * @p: the poll; borrowed
  * @res: borrowed
  */
-void exec_poll_result (struct fsched *fs, struct exec *e,
+void exec_poll_result (struct fsched *fs, const struct pending_order *p,
                        const struct order_result *res);
 /**
  * exec_detect_reboot() - Detect a new boot by the clock in an answer: the
  * clock restarts with each boot.
+ * @p: the order that was answered; borrowed
  * @clock_ms: the executor's clock; 0: not reported
  *
  * At a new boot, the starts that the earlier boot had acknowledged are ended
@@ -273,7 +275,8 @@
  *
  * Return: whether the executor has a new boot.
  */
-bool exec_detect_reboot (struct fsched *fs, struct exec *e, int64_t clock_ms);
+bool exec_detect_reboot (struct fsched *fs, struct exec *e,
+                         const struct pending_order *p, int64_t clock_ms);
 /**
  * exec_mark_unreachable() - Mark @e as unreachable until a poll of it
  * succeeds; meanwhile, no tasks are placed on it.
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -342,18 +342,19 @@
 }
 
 void
-start_result (struct fsched *fs, struct start *r, int kind,
+start_result (struct fsched *fs, const struct pending_order *p,
               const struct order_result *res)
 {
+  struct start *r = p->run;
   bool acked = r->start_acked_ms;
 
   r->order_id = 0;
   set_pending (fs, r, false);
   if (order_was_answered (res))
     domain_answered (fs, r->exec);
-  if (exec_detect_reboot (fs, r->exec, res->clock_ms) && acked)
+  if (exec_detect_reboot (fs, r->exec, p, res->clock_ms) && acked)
     return;
-  if (kind == ORDER_START)
+  if (p->kind == ORDER_START)
     process_start_result (fs, r, res);
   else if (res->outcome == ORDER_DONE)
     r->stop_acked_ms = fs->now_ms;
--- /dev/null
+++ b/regress/unit/exec_test.c
@@ -0,0 +1,141 @@
+/* Tests of what the scheduler concludes from the answers of executors. */
+#include "sched_fixture.h"
+#include "unit.h"
+
+enum
+{
+  /* By so much, an answer comes later than the executor made it. */
+  LATE_MS = 1800,
+};
+
+/* Returns the first order of @kind that the scheduler has given since; the
+   other orders are lost.  The caller frees it with order_free(). */
+static struct order *
+take_order (struct fixture *x, int kind)
+{
+  struct order *found = NULL;
+  struct out *o;
+
+  while ((o = out_take (&x->out)))
+    {
+      if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind)
+        {
+          found = o->u.order;
+          o->u.order = NULL;
+          o->kind = OUT_LOG_LINE;
+          o->u.line = NULL;
+        }
+      out_free (o);
+    }
+  return found;
+}
+
+/* Passes the answer to order @o, which the executor made at @made_ms, to the
+   scheduler @late_ms later.  Frees the order. */
+static void
+answer_late (struct fixture *x, struct order *o, int64_t late_ms,
+             struct run_row *runs, size_t n_runs)
+{
+  struct order_result res = { .outcome = ORDER_DONE,
+                              .clock_ms = BOOT_MS + x->now_ms,
+                              .runs = runs,
+                              .n_runs = n_runs };
+
+  x->now_ms += late_ms;
+  fsched_order_result (x->fs, x->now_ms, o->id, &res);
+  order_free (o);
+}
+
+/* Sets up a scheduler with one executor, on which a task of job 1 runs. */
+static void
+set_up_run (struct fixture *x)
+{
+  set_up (x);
+  set_limit (x, 10000);
+  settle (x);
+  for (int i = 1; i < EXECS; i++)
+    {
+      char id[CLB_ID_MAX];
+      snprintf (id, sizeof id, "e%d", i);
+      exec_find (x->fs, id)->rep.capacity.millicores = 0;
+    }
+  add_job (x, "0000000000000001", 1, false);
+  step (x);
+  settle (x);
+}
+
+static void
+test_late_answer_to_a_start_is_no_reboot (void)
+{
+  struct fixture x;
+  struct order *o;
+
+  set_up_run (&x);
+  add_job (&x, "0000000000000002", 1, false);
+  x.now_ms += STEP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  collect (&x);
+  fsched_recorded (x.fs);
+  o = take_order (&x, ORDER_START);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (o);
+  answer_late (&x, o, LATE_MS, NULL, 0);
+  CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 2000);
+  tear_down (&x);
+}
+
+static void
+test_late_answer_to_a_poll_is_no_reboot (void)
+{
+  struct fixture x;
+  struct order *o;
+  struct run_row listed
+      = { .task = { .job = "0000000000000001" }, .run_id = 1 };
+
+  set_up_run (&x);
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  o = take_order (&x, ORDER_POLL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (o);
+  answer_late (&x, o, 0, &listed, 1);
+  x.now_ms += FSCHED_POLL_GAP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  o = take_order (&x, ORDER_POLL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (o);
+  /* This task starts after the poll was answered. */
+  add_job (&x, "0000000000000002", 1, false);
+  step (&x);
+  settle (&x);
+  CU_ASSERT_EQUAL (x.n_started, 2);
+  x.now_ms -= STEP_MS;
+  answer_late (&x, o, LATE_MS, &listed, 1);
+  CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 2000);
+  tear_down (&x);
+}
+
+static void
+test_earlier_clock_is_a_reboot (void)
+{
+  struct fixture x;
+  struct order *o;
+  struct order_result res = { .outcome = ORDER_DONE, .clock_ms = 10 };
+
+  set_up_run (&x);
+  add_job (&x, "0000000000000002", 1, false);
+  x.now_ms += STEP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  collect (&x);
+  fsched_recorded (x.fs);
+  o = take_order (&x, ORDER_START);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (o);
+  fsched_order_result (x.fs, x.now_ms, o->id, &res);
+  order_free (o);
+  CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 1000);
+  tear_down (&x);
+}
+
+UNIT_MAIN ("exec_test",
+           { "a late answer to a start is no reboot",
+             test_late_answer_to_a_start_is_no_reboot },
+           { "a late answer to a poll is no reboot",
+             test_late_answer_to_a_poll_is_no_reboot },
+           { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot })
