A new leader counts second runs of tasks that are done

Cause: an executor that is cut off past its lease may report on its return that a run was done before. The second run of the task is stopped then, and the leader counts it until it has ended. The next leader dropped its intent because the task is done, and took it for an orphan when it was reported.

Change: the progress of a task that is done names the run that is being stopped; a new leader counts and stops that run, or any other that an executor reports while the task has no start. jstep.n_running no longer counts tasks that are done, which n_done counts already: a done task with a second run hid an unplaced task of its step until that run had ended.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -381,6 +381,7 @@
     return;
   t->done = true;
   s->n_done++;
+  s->n_running -= t->run != NULL;
   fsched_mark_dirty (fs, j);
   if (t->run && !j->spec.steps[step].gang)
     start_stop (fs, t->run);
@@ -490,6 +491,7 @@
         add_failed_run (t, task->failed[r].id);
       for (size_t r = 0; r < task->n_crashes; r++)
         crash_add (s, (int)task->index, &task->crashes[r]);
+      t->stopping_run_id = task->stopping_run_id;
       if (task->done)
         mark_task_done (fs, j, (int)progress->step, (int)task->index);
     }
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -197,6 +197,8 @@
   int32_t next_run_id; /* run id of the next start */
   /* Highest run id among the intents of earlier leaders; 0: none. */
   int32_t last_run_id;
+  /* As loaded: job_task_progress::stopping_run_id. */
+  int64_t stopping_run_id;
   bool done; /* a run of the task has succeeded */
 };
 
@@ -225,8 +227,9 @@
 {
   struct jtask *tasks; /* owned */
   int n_tasks;
-  int n_done;             /* number of tasks that are done */
-  int n_running;          /* number of tasks that have a start, sent or not */
+  int n_done; /* number of tasks that are done */
+  /* Number of tasks that are not done and have a start, sent or not. */
+  int n_running;
   int n_crashes;          /* sum of jtask::n_crashes */
   bool ready;             /* all steps that this one depends on are done */
   int64_t ready_ms;       /* when the step became ready */
@@ -371,7 +374,7 @@
   struct job_need reserved;
   bool eligible; /* the current placing pass may give tasks to the executor */
   /* Number of orphans in the executor's last list: runs whose job is unknown,
-     or whose task is done or has another run. */
+     or whose task has another run. */
   int n_orphans;
   int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
   int n_boots;           /* number of boots that this leader has detected */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -374,12 +374,7 @@
 static const char *
 orphan_reason (const struct fsched *fs, const struct run_row *row)
 {
-  const struct job *j = fsched_task_job (fs, &row->task);
-
-  if (!j)
-    return "job-unknown";
-  return j->steps[row->task.step].tasks[row->task.index].done ? "task-done"
-                                                              : "other-run";
+  return fsched_task_job (fs, &row->task) ? "other-run" : "job-unknown";
 }
 
 /* Sends a stop order for an orphan, see exec::n_orphans. */
@@ -402,8 +397,8 @@
 
 /*
  * Creates a start for a run that an earlier leader started, and stops the run
- * if its job has ended.  Returns NULL if the run is an orphan: its job is
- * unknown, or its task is done or has another run.
+ * if its job has ended or its task is done.  Returns NULL if the run is an
+ * orphan: its job is unknown, or its task has another run.
  */
 static struct start *
 adopt_run (struct fsched *fs, struct exec *e, const struct run_row *row)
@@ -415,7 +410,7 @@
   if (!j)
     return NULL;
   t = &j->steps[row->task.step].tasks[row->task.index];
-  if (t->done || t->run)
+  if (t->run)
     return NULL;
   out_line (fs->out,
             "event=run-adopted job=%s step=%lld task=%lld run=%lld "
@@ -425,7 +420,7 @@
             (long long)row->percent);
   r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
                  row->run_id, START_ACKED);
-  if (job_state_final (j->state))
+  if (t->done || job_state_final (j->state))
     start_stop (fs, r);
   return r;
 }
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -290,7 +290,7 @@
 {
   FATE_RUNNING,      /* the run may still be running */
   FATE_JOB_UNKNOWN,  /* the job or the task is not known */
-  FATE_RUN_ENDED,    /* the task is done, or the run is known to have ended */
+  FATE_RUN_ENDED,    /* the run is known to have ended */
   FATE_EARLIER_RUN,  /* the task has a later run */
   FATE_EXEC_UNKNOWN, /* the executor is not in the roster */
   FATE_N
@@ -311,7 +311,7 @@
   if (!j)
     return FATE_JOB_UNKNOWN;
   t = &j->steps[e->task.step].tasks[e->task.index];
-  if (t->done)
+  if (t->done && e->run_id != t->stopping_run_id)
     return FATE_RUN_ENDED;
   for (int i = 0; i < t->n_failed; i++)
     if (t->failed_runs[i].id == e->run_id)
@@ -347,7 +347,7 @@
   r->inherited = true;
   r->intent = e;
   e->start = r;
-  if (job_state_final (j->state))
+  if (t->done || job_state_final (j->state))
     start_stop (fs, r);
   return FATE_RUNNING;
 }
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -16,17 +16,21 @@
                     struct job_task_progress *out)
 {
   const struct jstep *s = &j->steps[step];
+  bool gang = j->spec.steps[step].gang;
   size_t n = 0;
 
   for (int t = 0; t < s->n_tasks; t++)
     {
       const struct jtask *k = &s->tasks[t];
-      struct job_task_progress m = { .index = t,
-                                     .done = k->done,
-                                     .failed = k->failed_runs,
-                                     .n_failed = (size_t)k->n_failed,
-                                     .crashes = k->crashes,
-                                     .n_crashes = (size_t)k->n_crashes };
+      struct job_task_progress m
+          = { .index = t,
+              .done = k->done,
+              .stopping_run_id
+              = k->done && k->run && !gang ? k->run->run_id : 0,
+              .failed = k->failed_runs,
+              .n_failed = (size_t)k->n_failed,
+              .crashes = k->crashes,
+              .n_crashes = (size_t)k->n_crashes };
       if (m.done || m.n_failed || m.n_crashes)
         out[n++] = m;
     }
@@ -43,8 +47,8 @@
   if (!job_state_final (j->state))
     return false;
   for (size_t i = 0; i < j->spec.n_steps; i++)
-    if (j->spec.steps[i].gang && j->steps[i].n_done == j->steps[i].n_tasks)
-      n_ended += j->steps[i].n_running;
+    for (int t = 0; j->spec.steps[i].gang && t < j->steps[i].n_tasks; t++)
+      n_ended += j->steps[i].tasks[t].done && j->steps[i].tasks[t].run;
   return j->n_runs > n_ended;
 }
 
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -79,7 +79,7 @@
   if (state == START_ACKED)
     start_mark_job_started (j);
   set_pending (fs, r, state == START_INTENT);
-  j->steps[step].n_running++;
+  j->steps[step].n_running += !t->done;
   j->steps[step].n_queries = 0;
   TAILQ_INSERT_TAIL (&e->runs, r, exec_link);
   adjust_use (r, 1);
@@ -146,7 +146,7 @@
   TAILQ_REMOVE (&r->exec->runs, r, exec_link);
   start_get_task (r)->run = NULL;
   j->n_runs--;
-  j->steps[step].n_running--;
+  j->steps[step].n_running -= !start_get_task (r)->done;
   if (run_end == RUN_END_FAILED)
     exec_count_failure (fs, r->exec);
   else if (run_end == RUN_END_DONE)
--- a/core/job.c
+++ b/core/job.c
@@ -80,6 +80,8 @@
 static const struct fld task_progress_fields[] = {
   FLD_INT (struct job_task_progress, index, 0, JOB_STEP_TASKS_MAX),
   FLD_FLAG (struct job_task_progress, done),
+  FLD_INT_AS ("stopping", struct job_task_progress, stopping_run_id, 0,
+              INT64_MAX),
   FLD_ARRAY (struct job_task_progress, failed, n_failed, &run_desc,
              JOB_FAILURES_MAX),
   FLD_ARRAY (struct job_task_progress, crashes, n_crashes, &crash_desc,
--- a/core/job.h
+++ b/core/job.h
@@ -148,8 +148,11 @@
  */
 struct job_task_progress
 {
-  int64_t index;          /* index of the task in its step */
-  bool done;              /* a run of the task has succeeded */
+  int64_t index; /* index of the task in its step */
+  bool done;     /* a run of the task has succeeded */
+  /* Id of another run of a task that is done, which may not have ended yet; 0:
+     there is none. */
+  int64_t stopping_run_id;
   struct job_run *failed; /* failed runs, in no particular order */
   size_t n_failed;
   struct job_crash *crashes; /* crashes of executors under the task */
--- a/regress/fleet/quota.lua
+++ b/regress/fleet/quota.lua
@@ -118,7 +118,7 @@
   request((l + 1) % 3, id(1), "cancel", "b")
   run(300)
   instance(l, "stop")
-  run(900)
+  run(1800)
   local second = leader()
   expect(second >= 0 and second ~= l, "no second leader")
   instance(second, "stop")
@@ -150,3 +150,34 @@
   run(2000)
   expect(running() == 10, running() .. " tasks run with one")
 end)
+
+-- The first runs are done while their executors are cut off and their leases
+-- lapse at the leader, so that second runs are being stopped when the leader
+-- is lost.
+scenario("a new leader counts second runs of tasks that are done", function()
+  start()
+  submit_blue(1, 10, 6000)
+  run(1000)
+  local first = {}
+  for k = 0, 11 do
+    if running(k) > 0 then
+      exec(k, "partition", 8500)
+      first[k] = true
+    end
+  end
+  run(8300)
+  local second = 0
+  for k = 0, 11 do
+    if not first[k] and running(k) > 0 then
+      exec(k, "partition", 20000)
+      second = second + running(k)
+    end
+  end
+  expect(second == 10, second .. " second runs")
+  run(1800)
+  local l = leader()
+  expect(state((l + 1) % 3, id(1)) == "completed", "the job is not completed")
+  instance(l, "kill")
+  submit_small_jobs(2, 11, (l + 1) % 3)
+  run(9000)
+end)
