One value that cannot be represented costs only the item that has it

Cause: answers are parsed as whole texts. One number out of range, one NUL escape or one value nested too deeply made all of a page of a table, of a configuration, or of an executor's answer unreadable: the feed would ask for the same page for ever, a configuration would be refused whole, an executor count as silent until its runs lapse. Rows that could be parsed went on with numbers that do not fit: run ids were cut to 32 bits, a clock or the number of an end near the limit of 64 bits overflowed in sums or hid all later ends.

Change: core/jsontext.c parses such texts once more with these values as null, without recursion, and counts them; the item with the value is then refused by its table of fields and all others are read. Run ids, clocks, numbers of ends and validities are checked when they are read, run ids of intents too. What is left out is counted in bad_rows_total and logged.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -563,6 +563,12 @@
     }
   else
     f->store_failures++;
+  if (rep->n_bad)
+    {
+      f->stats.bad_rows += rep->n_bad;
+      out_line (&f->out, "event=bad-row values=%zu rows=%zu ver=%lld",
+                rep->n_bad, rep->n_rows, (long long)rep->ver);
+    }
   if (!proxy_store_reply (f, token, rep))
     fleet_dispatch_reply (f, token, rep);
   send_due_output (f);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -376,6 +376,7 @@
   /* Number of orphans in the executor's last list: runs whose job is unknown,
      or whose task has another run. */
   int n_orphans;
+  size_t n_bad_rows;     /* order_result::n_bad_rows of the last poll */
   int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
   int n_boots;           /* number of boots that this leader has detected */
   /* Start of the last boot that discovery has listed as draining; 0: none. */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -31,6 +31,9 @@
 {
   struct exec key;
 
+  /* A longer id would be cut to that of another executor. */
+  if (strlen (id) >= sizeof key.rep.id)
+    return NULL;
   clb_copy (key.rep.id, id, sizeof key.rep.id);
   return RB_FIND (exec_tree, (struct exec_tree *)&fs->execs_by_id, &key);
 }
@@ -611,6 +614,10 @@
   bool first_answer = !e->answered;
 
   e->poll_id = 0;
+  if (res->n_bad_rows != e->n_bad_rows)
+    out_line (fs->out, "event=bad-row exec=%s rows=%zu", e->rep.id,
+              res->n_bad_rows);
+  e->n_bad_rows = res->n_bad_rows;
   if (order_was_answered (res))
     domain_answered (fs, e);
   if (res->outcome != ORDER_DONE)
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -250,7 +250,8 @@
       if (sscanf (boot, "%lld", &boot_start_ms) != 1)
         return false;
     }
-  if (strlen (line + used) >= CLB_ID_MAX)
+  if (strlen (line + used) >= CLB_ID_MAX || run_id < 0
+      || run_id > JOB_RUN_ID_MAX)
     return false;
   e->task.step = step;
   e->task.index = index;
--- a/core/job.h
+++ b/core/job.h
@@ -124,6 +124,10 @@
   JOB_STATE_N
 };
 
+/* Largest id of a run that is accepted from records and executors; the next
+   one still fits in jtask::next_run_id. */
+#define JOB_RUN_ID_MAX (INT32_MAX - 1)
+
 /** struct job_run - a failed run of a task */
 struct job_run
 {
--- a/core/order.h
+++ b/core/order.h
@@ -164,6 +164,9 @@
   struct permitted_exec *permitted;
   size_t n_permitted;
   int64_t valid_ms; /* how long the tickets are valid; 0: not reported */
+  /* Of a poll: number of rows of the lists that are left out because they
+     cannot be used. */
+  size_t n_bad_rows;
 };
 
 /** struct exec_report - an executor's entry in discovery */
--- /dev/null
+++ b/regress/unit/jsontext_test.c
@@ -0,0 +1,87 @@
+/* Tests of reading JSON texts with values that cannot be represented. */
+#include "jsontext.h"
+#include "unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  DEEP = 100000, /* levels of nesting */
+};
+
+/* Checks that @text is read as @expected, with @n values replaced. */
+static void
+check_text (const char *text, const char *expected, size_t n)
+{
+  size_t n_replaced;
+  json_t *json = jsontext_load (text, strlen (text), &n_replaced);
+  char *got = json ? json_dumps (json, JSON_COMPACT) : NULL;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (got);
+  CU_ASSERT_STRING_EQUAL (got, expected);
+  CU_ASSERT_EQUAL (n_replaced, n);
+  free (got);
+  json_decref (json);
+}
+
+static void
+test_numbers_out_of_range_are_null (void)
+{
+  check_text ("[1,-2.5e3,9223372036854775807]",
+              "[1,-2500.0,9223372036854775807]", 0);
+  check_text ("{\"a\":9223372036854775808,\"b\":2}", "{\"a\":null,\"b\":2}",
+              1);
+  check_text ("[1e999,-1e999,3]", "[null,null,3]", 2);
+  check_text ("[\"1e999\",1e999]", "[\"1e999\",null]", 1);
+}
+
+static void
+test_deep_values_are_null (void)
+{
+  char *text = malloc (2 * DEEP + 64);
+  char *p = text;
+
+  p += sprintf (p, "{\"a\":");
+  memset (p, '[', DEEP);
+  p += DEEP;
+  memset (p, ']', DEEP);
+  p += DEEP;
+  sprintf (p, ",\"b\":1}");
+  size_t n_replaced;
+  json_t *json = jsontext_load (text, strlen (text), &n_replaced);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (json);
+  CU_ASSERT_EQUAL (n_replaced, 1);
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (json, "b")), 1);
+  json_decref (json);
+  free (text);
+}
+
+static void
+test_characters_are_replaced (void)
+{
+  check_text ("[\"a\\u0000b\",\"c\"]", "[\"a\\u0001b\",\"c\"]", 1);
+  check_text ("[\"\\ud800x\",\"\\ud83d\\ude00\"]",
+              "[\"\\u0001x\",\"\xf0\x9f\x98\x80\"]", 1);
+  check_text ("[\"a\xff\",\"\x01\",\"\xc3\xa4\"]",
+              "[\"a\\u0001\",\"\\u0001\",\"\xc3\xa4\"]", 2);
+}
+
+static void
+test_other_texts_are_refused (void)
+{
+  static const char *const bad[]
+      = { "",        "[",      "[1e999",  "{\"a\":1e999",
+          "\"\\u00", "\"\xff", "1e999 x", "[\"\\" };
+  size_t n_replaced;
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_PTR_NULL (jsontext_load (bad[i], strlen (bad[i]), &n_replaced));
+}
+
+UNIT_MAIN ("jsontext",
+           { "numbers out of range are null",
+             test_numbers_out_of_range_are_null },
+           { "deeply nested values are null", test_deep_values_are_null },
+           { "invalid characters are replaced", test_characters_are_replaced },
+           { "other invalid texts are refused", test_other_texts_are_refused })
--- a/regress/unit/platform_test.c
+++ b/regress/unit/platform_test.c
@@ -4,6 +4,7 @@
 #include "platform.h"
 #include "unit.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +12,8 @@
 {
   /* Number of damaged copies of each document that are decoded. */
   N_DAMAGED_COPIES = 20000,
+  /* Levels of nesting of an odd document. */
+  N_NESTED = 100000,
 };
 
 static const char entry_json[]
@@ -52,25 +55,137 @@
 static void
 test_refused_discovery_entries (void)
 {
-  static const char *const bad[] = {
-    "",
-    "[]",
-    "{}",
-    "\xff\xfe",
-    "{\"service\":1,\"address\":\"a\",\"zone\":\"a\",\"state\":\"ready\"}",
-    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"a\","
-    "\"state\":\"asleep\"}",
-    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"a\","
-    "\"state\":\"ready\",\"capacity\":\"much\"}",
-    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"a\","
-    "\"state\":\"ready\",\"labels\":[5]}"
-  };
+  static const char *const bad[]
+      = { "",
+          "[]",
+          "{}",
+          "\xff\xfe",
+          "{\"service\":1,\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+          "\"state\":\"ready\"}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+          "\"state\":\"asleep\"}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+          "\"state\":\"ready\",\"capacity\":\"much\"}",
+          "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+          "\"state\":\"ready\",\"labels\":[5]}" };
   struct exec_report rep;
 
   for (size_t i = 0; i < CLB_COUNT (bad); i++)
     CU_ASSERT_TRUE (pf_codec.decode_exec ("i-1", bad[i], &rep) < 0);
 }
 
+/* Checks that the page with the row @odd between two others is read without
+   it, or with it if @n_rows is 3. */
+static void
+check_page (const char *odd, size_t n_rows)
+{
+  struct store_rep rep;
+  clb_auto char *text = NULL;
+
+  if (asprintf (&text,
+                "{\"ver\":9,\"rows\":[{\"table\":\"servers\",\"key\":\"a\","
+                "\"value\":\"e30=\",\"ver\":7},%s,{\"table\":\"servers\","
+                "\"key\":\"b\",\"value\":\"e30=\",\"ver\":9}]}",
+                odd)
+      < 0)
+    abort ();
+  pf_store_decode (STORE_FEED, HTTPC_OK, 200, text, strlen (text), NULL, &rep);
+  CU_ASSERT_EQUAL (rep.err, 0);
+  CU_ASSERT_EQUAL (rep.ver, 9);
+  CU_ASSERT_TRUE (rep.n_bad > 0);
+  CU_ASSERT_EQUAL_FATAL (rep.n_rows, n_rows);
+  CU_ASSERT_STRING_EQUAL (rep.rows[0].key, "servers/a");
+  CU_ASSERT_STRING_EQUAL (rep.rows[n_rows - 1].key, "servers/b");
+  codec_free (&store_rep_desc, &rep);
+}
+
+static void
+test_odd_row_costs_only_itself (void)
+{
+  static char deep[2 * N_NESTED + 64];
+  char *p = deep + sprintf (deep, "{\"table\":\"servers\",\"key\":");
+
+  memset (p, '[', N_NESTED);
+  memset (p + N_NESTED, ']', N_NESTED);
+  strcpy (p + 2 * N_NESTED, "}");
+  check_page (deep, 2);
+  check_page ("{\"table\":\"servers\",\"key\":1e999}", 2);
+  check_page ("99999999999999999999", 2);
+  check_page ("{\"table\":\"servers\",\"key\":\"c\","
+              "\"ver\":99999999999999999999}",
+              3);
+  check_page ("{\"table\":\"servers\",\"key\":\"b\\u0000c\"}", 3);
+  check_page ("{\"table\":\"servers\",\"key\":\"\xff\"}", 3);
+}
+
+static void
+test_odd_item_of_a_config_costs_only_itself (void)
+{
+  static const char text[]
+      = "{\"version\":7,\"routes\":["
+        "{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/a/\","
+        "\"service\":\"s\",\"timeout_ms\":99999999999999999999},"
+        "{\"name\":\"b\",\"host\":\"h\",\"prefix\":\"/b/\","
+        "\"service\":\"s\"}],\"tenants\":[{\"name\":\"t\","
+        "\"api_keys\":[\"k\"],\"cap\":{\"cpu\":1e999}},{\"name\":\"u\","
+        "\"api_keys\":[\"l\"]}]}";
+  struct fconf *c;
+  struct codec_err ce;
+
+  CU_ASSERT_EQUAL_FATAL (pf_codec.decode_conf (text, &c, &ce), 0);
+  CU_ASSERT_EQUAL (c->n_queues, 1);
+  CU_ASSERT_EQUAL (c->n_tenants, 1);
+  CU_ASSERT_EQUAL (c->n_unusable, 2);
+  fconf_free (c);
+}
+
+static void
+test_odd_rows_of_a_poll_cost_only_themselves (void)
+{
+  static const char text[]
+      = "{\"clock_ms\":5,\"running\":["
+        "[\"00000000000000ab.0.1.2\",3,\"c\",41],"
+        "[\"00000000000000ab.0.1.3\",99999999999999999999,\"c\",41],"
+        "[\"00000000000000ab.0.1.4\",4294967296,\"c\",41],"
+        "[\"00000000000000ab.0.1.5\",-1,\"c\",41],"
+        "[\"00000000000000ab.0.1.6\",3,\"c\",1e300]],\"finished\":["
+        "[9223372036854775807,\"00000000000000ab.0.1.7\",1,\"done\",\"\"],"
+        "[60,\"00000000000000ab.0.1.8\",1,\"done\",\"\"]]}";
+  struct order_result res;
+
+  pf_order_decode (ORDER_POLL, HTTPC_OK, 200, text, strlen (text), &res);
+  CU_ASSERT_EQUAL (res.outcome, ORDER_DONE);
+  CU_ASSERT_EQUAL_FATAL (res.n_runs, 2);
+  CU_ASSERT_EQUAL (res.runs[1].task.index, 6);
+  CU_ASSERT_EQUAL (res.runs[1].percent, 0);
+  CU_ASSERT_EQUAL_FATAL (res.n_ends, 1);
+  CU_ASSERT_EQUAL (res.ends[0].seq, 60);
+  CU_ASSERT_EQUAL (res.n_bad_rows, 4);
+  order_result_clear (&res);
+  pf_order_decode (ORDER_START, HTTPC_OK, 200,
+                   "{\"clock_ms\":9223372036854775807}", 32, &res);
+  CU_ASSERT_EQUAL (res.outcome, ORDER_DONE);
+  CU_ASSERT_EQUAL (res.clock_ms, 0);
+  order_result_clear (&res);
+}
+
+static void
+test_odd_jobs_are_refused (void)
+{
+  static char deep[2 * N_NESTED + 64];
+  static const char large[]
+      = "{\"spec\":\"x\",\"steps\":[{\"task_count\":99999999999999999999}]}";
+  char *p = deep + sprintf (deep, "{\"spec\":\"x\",\"steps\":");
+  struct job_spec spec;
+  struct codec_err ce;
+
+  memset (p, '[', N_NESTED);
+  memset (p + N_NESTED, ']', N_NESTED);
+  strcpy (p + 2 * N_NESTED, "}");
+  CU_ASSERT_TRUE (pf_codec.decode_job (deep, strlen (deep), &spec, &ce) < 0);
+  CU_ASSERT_TRUE (pf_codec.decode_job (large, strlen (large), &spec, &ce) < 0);
+}
+
 static void
 test_config (void)
 {
@@ -300,6 +415,13 @@
            { "a discovery entry is decoded", test_discovery_entry },
            { "invalid discovery entries are refused",
              test_refused_discovery_entries },
+           { "an odd row of a page costs only itself",
+             test_odd_row_costs_only_itself },
+           { "an odd item of a configuration costs only itself",
+             test_odd_item_of_a_config_costs_only_itself },
+           { "odd rows of a poll cost only themselves",
+             test_odd_rows_of_a_poll_cost_only_themselves },
+           { "odd jobs are refused", test_odd_jobs_are_refused },
            { "a configuration is decoded", test_config },
            { "a job is decoded", test_job },
            { "invalid jobs are refused", test_refused_jobs },
