An executor's entry with an unusable address or name is refused

Cause: the address of an entry was taken as it is, and the client kept 16 bits of the port, so that 73878 stood for 8342: another process of the host got the polls, and its answer "not this boot" would have ended runs that go on. An id or address with a blank or a line break would have been cut in the roster and in the intents, which are lines of words, and in a header.

Change: an entry is refused unless its id, service, zone and labels are single printable words and its address is IP:PORT with a port from 1 to 65535; the client checks the same. Log lines have no control characters.

--- a/core/clb.c
+++ b/core/clb.c
@@ -234,3 +234,14 @@
   memcpy (dst, src, len);
   dst[len] = '\0';
 }
+
+bool
+clb_word_ok (const char *text)
+{
+  if (!*text)
+    return false;
+  for (; *text; text++)
+    if (*text <= ' ' || *text > '~')
+      return false;
+  return true;
+}
--- a/core/clb.h
+++ b/core/clb.h
@@ -222,5 +222,11 @@
  * @size: size of @dst in bytes, including the NUL
  */
 void clb_copy (char *dst, const char *src, size_t size);
+/**
+ * clb_word_ok() - Return whether @text is not empty and consists of printable
+ * ASCII characters other than blanks, so that it can stand in a record of
+ * several words and in a header.
+ */
+bool clb_word_ok (const char *text);
 
 #endif
--- a/core/msg.c
+++ b/core/msg.c
@@ -453,6 +453,10 @@
   if (vasprintf (&text, fmt, ap) < 0)
     abort ();
   va_end (ap);
+  /* Names from rows of other writers may contain line breaks. */
+  for (char *p = text; *p; p++)
+    if ((unsigned char)*p < ' ')
+      *p = '?';
   out_new (q, OUT_LOG_LINE)->u.line = text;
 }
 
--- a/net/hpool.c
+++ b/net/hpool.c
@@ -11,6 +11,7 @@
 enum
 {
   HOST_SIZE = 64,       /* maximum size of "IP:PORT", with the NUL */
+  PORT_MAX = 65535,     /* highest port of TCP */
   READ_SIZE = 64 << 10, /* size of the buffer for reading */
   /* Time from the end of a request's timeout until it fails.  The loop reads
      from all sockets in between. */
@@ -456,19 +457,46 @@
     }
 }
 
-/* Sets the address of a server from its name "IP:PORT". */
-static void
-host_set_addr (struct host *h)
+/* Returns the port in @text, which must be decimal digits; 0 if it is out of
+   range. */
+static int
+parse_port (const char *text)
 {
+  int port = 0;
+
+  for (; *text; text++)
+    {
+      if (*text < '0' || *text > '9')
+        return 0;
+      port = 10 * port + *text - '0';
+      if (port > PORT_MAX)
+        return 0;
+    }
+  return port;
+}
+
+/* Parses a server's name "IP:PORT".  Returns whether it is valid. */
+static bool
+parse_addr (const char *name, struct sockaddr_in *addr)
+{
+  const char *colon = strrchr (name, ':');
   char ip[HOST_SIZE];
-  char *colon;
+  int port;
+
+  if (!colon || (size_t)(colon - name) >= sizeof ip)
+    return false;
+  memcpy (ip, name, (size_t)(colon - name));
+  ip[colon - name] = '\0';
+  port = parse_port (colon + 1);
+  return port > 0 && !uv_ip4_addr (ip, port, addr);
+}
 
-  strcpy (ip, h->name);
-  colon = strrchr (ip, ':');
-  if (!colon)
-    return;
-  *colon = '\0';
-  h->addr_valid = !uv_ip4_addr (ip, atoi (colon + 1), &h->addr);
+bool
+hpool_addr_ok (const char *name)
+{
+  struct sockaddr_in addr;
+
+  return parse_addr (name, &addr);
 }
 
 /* Returns the server with this name; adds it if it is new. */
@@ -487,7 +515,7 @@
   strcpy (h->name, key.name);
   TAILQ_INIT (&h->idle);
   TAILQ_INIT (&h->waiting);
-  host_set_addr (h);
+  h->addr_valid = parse_addr (h->name, &h->addr);
   RB_INSERT (host_tree, &p->hosts, h);
   return h;
 }
--- a/net/hpool.h
+++ b/net/hpool.h
@@ -69,6 +69,9 @@
 struct hpool *hpool_new (uv_loop_t *loop, const struct hpool_conf *conf);
 /** hpool_send() - Start a request. */
 void hpool_send (struct hpool *p, const struct hpool_req *rq);
+/** hpool_addr_ok() - Return whether @name is an "IP:PORT" with a port from 1
+ * to 65535. */
+bool hpool_addr_ok (const char *name);
 /** hpool_stats() - Return the counters; borrowed. */
 const struct hpool_stats *hpool_stats (const struct hpool *p);
 
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -29,6 +29,8 @@
  *   exec K fails 0|1    with 1, every run that starts on executor K fails;
  *                       0 ends the fault
  *   config FILE         replaces the fleet's configuration by the text in FILE
+ *   entry ID FILE       replaces the discovery entry of the executor with this
+ *                       id, or adds one, by the text in FILE
  *   started FILE        writes the ids of all jobs with a started task to FILE
  */
 #include "fsim.h"
@@ -603,6 +605,17 @@
   return text;
 }
 
+/* Writes the text in a file to the table as the discovery entry of @id. */
+static void
+put_entry (const char *id, const char *path)
+{
+  char key[CLB_ID_MAX + 16];
+  clb_auto char *text = read_file (path);
+
+  snprintf (key, sizeof key, "servers/%s", id);
+  ftable_put (sim, key, text);
+}
+
 /* Writes the ids of all jobs with a started task to a file, one per line. */
 static void
 write_started_jobs (const char *path)
@@ -655,6 +668,7 @@
 {
   char fault[16] = "";
   char path[256] = "";
+  char id[CLB_ID_MAX] = "";
   double value = 0;
   int exec_index = -1;
 
@@ -667,6 +681,8 @@
       clb_auto char *text = read_file (path);
       ftable_put (sim, "op/config", text);
     }
+  else if (sscanf (line, "entry %95s %255s", id, path) == 2)
+    put_entry (id, path);
   else if (sscanf (line, "started %255s", path) == 1)
     write_started_jobs (path);
 }
--- a/regress/unit/platform_test.c
+++ b/regress/unit/platform_test.c
@@ -74,6 +74,56 @@
     CU_ASSERT_TRUE (pf_codec.decode_exec ("i-1", bad[i], &rep) < 0);
 }
 
+/* Checks whether the entry of an executor with this id and address, and with
+   the JSON text @more after its fields, is decoded. */
+static void
+check_entry (const char *id, const char *addr, const char *more, bool ok)
+{
+  struct exec_report rep;
+  clb_auto char *text = NULL;
+
+  if (asprintf (&text,
+                "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"a\","
+                "\"state\":\"ready\"%s}",
+                addr, more)
+      < 0)
+    abort ();
+  CU_ASSERT_EQUAL (pf_codec.decode_exec (id, text, &rep) == 0, ok);
+}
+
+static void
+test_odd_discovery_entries (void)
+{
+  static char deep[2 * N_NESTED + 32];
+  char *p = deep + sprintf (deep, ",\"labels\":");
+
+  memset (p, '[', N_NESTED);
+  memset (p + N_NESTED, ']', N_NESTED);
+  check_entry ("i-1", "10.0.0.9:80", "", true);
+  check_entry ("i-1", "10.0.0.9:65535", "", true);
+  check_entry ("i-1", "10.0.0.9:65536", "", false);
+  check_entry ("i-1", "10.0.0.9:73878", "", false);
+  check_entry ("i-1", "10.0.0.9:0", "", false);
+  check_entry ("i-1", "10.0.0.9:-1", "", false);
+  check_entry ("i-1", "10.0.0.9:80 ", "", false);
+  check_entry ("i-1", "10.0.0.9:99999999999999999999", "", false);
+  check_entry ("i-1", "10.0.0.9:", "", false);
+  check_entry ("i-1", "10.0.0.9", "", false);
+  check_entry ("i-1", "10.0.0.900:80", "", false);
+  check_entry ("i-1", "host:80", "", false);
+  check_entry ("i-1", "10.0.0.9\\n:80", "", false);
+  check_entry ("i 1", "10.0.0.9:80", "", false);
+  check_entry ("i-1\ni-2", "10.0.0.9:80", "", false);
+  check_entry ("", "10.0.0.9:80", "", false);
+  check_entry ("i-1", "10.0.0.9:80", deep, false);
+  check_entry ("i-1", "10.0.0.9:80", ",\"born\":1e400", false);
+  check_entry ("i-1", "10.0.0.9:80", ",\"born\":99999999999999999999", false);
+  check_entry ("i-1", "10.0.0.9:80",
+               ",\"capacity\":{\"cpu\":9223372036854775807}", false);
+  check_entry ("i-1", "10.0.0.9:80", ",\"labels\":[\"a,b\"]", false);
+  check_entry ("i-1", "10.0.0.9:80", ",\"labels\":[\"a\\nb\"]", false);
+}
+
 /* Checks that the page with the row @odd between two others is read without
    it, or with it if @n_rows is 3. */
 static void
@@ -415,6 +465,7 @@
            { "a discovery entry is decoded", test_discovery_entry },
            { "invalid discovery entries are refused",
              test_refused_discovery_entries },
+           { "odd discovery entries are refused", test_odd_discovery_entries },
            { "an odd row of a page costs only itself",
              test_odd_row_costs_only_itself },
            { "an odd item of a configuration costs only itself",
