An account that the configuration lacks keeps its last limit

What callers would see: an account above its limit (QUOTA) once its entry is left out of a configuration, or cannot be used in it, while its jobs wait.

Cause: no entry meant no limit.

Change: the limit of the last configuration of the term that had the account holds until a later one has it again.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -186,7 +186,11 @@
 void
 fsched_set_conf (struct fsched *fs, const struct fconf *conf)
 {
+  struct fsched_tenant *t;
+
   fs->conf = conf;
+  TAILQ_FOREACH (t, &fs->tenants, link)
+    account_keep_limit (fs, t);
   fs->pass_due = true;
 }
 
@@ -227,6 +231,7 @@
       return t;
   t = fsched_zalloc (1, sizeof *t);
   clb_copy (t->name, name, sizeof t->name);
+  account_keep_limit (fs, t);
   TAILQ_INSERT_TAIL (&fs->tenants, t, link);
   return t;
 }
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -468,6 +468,8 @@
   /* Capacity taken by the account's starts, sent or not, and their number. */
   struct job_need used;
   int n_runs;
+  /* Limit in the last configuration of this term that had the account. */
+  struct job_need last_limit;
   /* When a log line last said that the limit holds the account back. */
   int64_t held_line_ms;
   /* Of the current placing pass, as parts of the fleet from 0 to 1: what the
--- a/core/fsched_account.c
+++ b/core/fsched_account.c
@@ -29,7 +29,13 @@
 {
   const struct fconf_tenant *conf = account_conf (fs, t);
 
-  return conf ? conf->limit : (struct job_need){ 0 };
+  return conf ? conf->limit : t->last_limit;
+}
+
+void
+account_keep_limit (const struct fsched *fs, struct fsched_tenant *t)
+{
+  t->last_limit = account_limit (fs, t);
 }
 
 /* Logs that the account's limit leaves no room for @n tasks which need @need
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -325,6 +325,9 @@
 
 /* Functions of fsched_account.c. */
 
+/** account_keep_limit() - Keep the account's limit for configurations that
+ * lack the account.  Called when the configuration or the account is new. */
+void account_keep_limit (const struct fsched *fs, struct fsched_tenant *t);
 /** account_conf_version() - Return the version of the configuration that the
  * limits come from; 0: none is known. */
 int64_t account_conf_version (const struct fsched *fs);
