The failure of a second run of a done task fails no job

What callers would see: a job shown as failed although the task that was counted is done.

Cause: a task can be done by a run whose executor was cut off while a second run of it goes on; if that one failed before its stop, the failure counted against the attempts of the task.

Change: failed runs of a task that is done do not count.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -457,7 +457,8 @@
     mark_gang_done (fs, j, step);
   else if (run_end == RUN_END_DONE)
     mark_task_done (fs, j, step, index);
-  else if (run_end == RUN_END_FAILED && !job_state_final (j->state))
+  else if (run_end == RUN_END_FAILED && !job_state_final (j->state)
+           && !j->steps[step].tasks[index].done)
     count_failure (fs, j, step, index, run_id);
 }
 
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -133,9 +133,33 @@
   tear_down (&x);
 }
 
+static void
+test_failure_of_a_second_run_does_not_count (void)
+{
+  struct fixture x;
+  struct job *j;
+
+  set_up (&x);
+  set_limit (&x, 10000);
+  settle (&x);
+  add_job (&x, "0000000000000001", 2, false);
+  step (&x);
+  settle (&x);
+  j = fsched_find_job (x.fs, "0000000000000001");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (j);
+  fsched_task_ended (x.fs, j, 0, 0, 7, RUN_END_DONE);
+  fsched_task_ended (x.fs, j, 0, 0, 1, RUN_END_FAILED);
+  CU_ASSERT_EQUAL (j->state, JOB_RUNNING);
+  fsched_task_ended (x.fs, j, 0, 1, 1, RUN_END_FAILED);
+  CU_ASSERT_EQUAL (j->state, JOB_FAILED);
+  tear_down (&x);
+}
+
 UNIT_MAIN ("exec_test",
            { "a late answer to a start is no reboot",
              test_late_answer_to_a_start_is_no_reboot },
            { "a late answer to a poll is no reboot",
              test_late_answer_to_a_poll_is_no_reboot },
-           { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot })
+           { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot },
+           { "the failure of a second run of a done task does not count",
+             test_failure_of_a_second_run_does_not_count })
