--- a/regress/fleet/quota_walk.lua
+++ b/regress/fleet/quota_walk.lua
@@ -26,6 +26,8 @@
     elseif kind < 0.3 then
       job{id = id(n), queue = "once", always_fails = true, attempts = 1,
           steps = {{tasks = 3, ms = 600}}}
+    elseif kind < 0.4 then
+      job{id = id(n), steps = {{tasks = 10, max_per_exec = 2, ms = 900}}}
     elseif kind < 0.5 then
       job{id = id(n), queue = "quick", advice_base_us = 5000,
           advice_per_exec_us = 100, steps = {{tasks = 2, cpu = 1500, ms = 400}}}
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -10,6 +10,7 @@
  *            successful end of the task
  *   LIMIT    the running tasks exceed the executor's capacity
  *   QUOTA    the tasks of the client account exceed its limit, see quota.c
+ *   ROUTE    more tasks of the step run on the executor than may
  *   BUDGET   the task has failed as often as the queue allows, or has crashed
  *            FSIM_CRASHES_MAX executors and is started the
  *            FSIM_STARTS_AFTER_CRASHES_MAX-th time since
@@ -234,6 +235,24 @@
     for_each_gang_member (s, &r->task, r->run_id, start_gang_member_work);
 }
 
+/* Reports a violation if more tasks of the step of @o run on the executor than
+   its job allows. */
+static void
+check_max_per_exec (struct fsim *s, const struct fexec *e,
+                    const struct order *o, const struct fjob *j)
+{
+  int64_t max = j->spec.steps[o->task.step].max_per_exec;
+  int n = 0;
+
+  for (int i = 0; i < e->n_runs; i++)
+    n += strcmp (e->runs[i].task.job, o->task.job) == 0
+         && e->runs[i].task.step == o->task.step;
+  if (max && n > max)
+    fsim_violation (s, "ROUTE %s.%lld: %d tasks on %s, %lld may run there",
+                    o->task.job, (long long)o->task.step, n, e->id,
+                    (long long)max);
+}
+
 /* Reports a violation for each rule that the start of a task breaks. */
 static void
 check_start (struct fsim *s, struct fexec *e, const struct order *o,
@@ -273,6 +292,7 @@
     fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d crashes", o->task.job,
                     (long long)o->task.step, (long long)o->task.index,
                     (long long)o->run_id, stats->n_crashes);
+  check_max_per_exec (s, e, o, j);
   fquota_check (s, j, &j->spec.steps[o->task.step].need);
   if (j->refused)
     fsim_violation (s, "REFUSED %s: started although refused", o->task.job);
