--- a/regress/unit/codec_test.c
+++ b/regress/unit/codec_test.c
@@ -1,4 +1,5 @@
 /* Tests that encode and decode messages, rows and documents. */
+#include "mesh.h"
 #include "msg.h"
 #include "unit.h"
 
@@ -9,6 +10,7 @@
 {
   /* Number of damaged copies of each message or text that are decoded. */
   N_DAMAGED_COPIES = 20000,
+  N_NESTED = 100000, /* levels of nesting of an odd message */
 };
 
 static uint32_t rng_state = 1;
@@ -159,8 +161,29 @@
   CU_ASSERT_STRING_EQUAL (ce.path, "later");
 }
 
+static void
+test_odd_messages_are_refused (void)
+{
+  /* {"kind": 2^64 - 1}, {"kind": infinity} */
+  static const char large[]
+      = "\x81\xa4kind\xcf\xff\xff\xff\xff\xff\xff\xff\xff";
+  static const char infinite[]
+      = "\x81\xa4kind\xcb\x7f\xf0\x00\x00\x00\x00\x00\x00";
+  static char deep[N_NESTED + 1];
+  struct mesh_msg m;
+  struct codec_err ce;
+
+  memset (deep, '\x91', N_NESTED);
+  deep[N_NESTED] = '\xc2';
+  CU_ASSERT_TRUE (mesh_unpack (deep, sizeof deep, &m, &ce) < 0);
+  CU_ASSERT_TRUE (mesh_unpack (large, sizeof large - 1, &m, &ce) < 0);
+  CU_ASSERT_TRUE (mesh_unpack (infinite, sizeof infinite - 1, &m, &ce) < 0);
+}
+
 UNIT_MAIN (
     "codec", { "a decoded message equals the encoded one", test_round_trip },
     { "damaged peer messages are decoded safely", test_damaged_peer_message },
     { "damaged text is decoded safely", test_damaged_text },
-    { "unknown fields are refused in strict mode only", test_unknown_field })
+    { "unknown fields are refused in strict mode only", test_unknown_field },
+    { "odd messages between instances are refused",
+      test_odd_messages_are_refused })
