The scenario of an unlisted executor plays both ends of the grace period

The mutant never-record-an-executor-again passed: for an executor that was unlisted for 1 s the roster's row keeps it, so that the other half of that change was not guarded.

--- a/regress/fleet/takeover.lua
+++ b/regress/fleet/takeover.lua
@@ -343,8 +343,9 @@
   return hash % 32
 end
 
-scenario("the next leader knows an executor that was unlisted for a while",
-  function()
+for _, unlisted_ms in ipairs{1000, 3000} do
+scenario("the next leader knows an executor that was unlisted for "
+  .. unlisted_ms .. " ms", function()
   fleet{execs = 40, cores = 4}
   config(CONFIG)
   local a, b = 0, 1
@@ -353,7 +354,7 @@
   exec(b, "listed", 0)
   run(1500)
   exec(a, "listed", 0)
-  run(1000)
+  run(unlisted_ms)
   exec(b, "listed", 1)
   run(300)
   exec(a, "listed", 1)
@@ -369,3 +370,4 @@
   run(3000)
   expect(running() == 4, running() .. " tasks run")
 end)
+end
