--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -12,6 +12,7 @@
 /**
  * fsched_forget_job() - Free a job whose end is recorded, unless it has runs.
  *
+ * If the record says that runs are left, it is due to be written again first.
  * The job's final state is kept, for fsched_job_state().
  *
  * Return: whether @j was freed.
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -286,7 +286,7 @@
   return n_bad;
 }
 
-/* enum intent_fate - what a new leader concludes from a loaded intent */
+/** enum intent_fate - what a new leader concludes from a loaded intent */
 enum intent_fate
 {
   FATE_RUNNING,      /* the run may still be running */
