--- a/core/fsched.h
+++ b/core/fsched.h
@@ -26,7 +26,7 @@
 
 #include "estim.h"
 #include "fconf.h"
-#include "hist.h"
+#include "fsched_stats.h"
 #include "leader.h"
 #include "msg.h"
 #include "order.h"
@@ -513,40 +513,6 @@
 };
 RB_HEAD (early_tree, early_progress);
 
-/** struct fsched_stats - counters since the process started */
-struct fsched_stats
-{
-  uint64_t passes; /* number of placing passes */
-  /* Number of jobs that placing passes have sorted, over all passes. */
-  uint64_t jobs_considered;
-  /* Number of starts that were sent.  A start that is sent again counts
-     once. */
-  uint64_t starts;
-  uint64_t ends[RUN_END_N]; /* number of ended starts, by enum run_end */
-  /* Number of refused starts, by enum order_refusal. */
-  uint64_t refusals[REFUSED_N];
-  /* Number of answered or lost orders, by enum order_outcome. */
-  uint64_t outcomes[ORDER_OUTCOME_N];
-  uint64_t queries;        /* number of advice queries sent */
-  uint64_t queries_failed; /* number of advice queries that failed */
-  uint64_t jobs_added;
-  /* Number of ended jobs, by enum job_state. */
-  uint64_t jobs_ended[JOB_STATE_N];
-  uint64_t stops; /* number of stop orders sent */
-  /* Number of runs that were ended because their lease expired. */
-  uint64_t runs_lapsed;
-  uint64_t quarantines; /* number of quarantines of executors */
-  /* Number of crashes of executors, counted once for each task that ran
-     there. */
-  uint64_t crashes;
-  /* Time from the send of an order to its result, by enum order_kind. */
-  struct hist order_ms[ORDER_KIND_N];
-  /* Time from a job's arrival to its first start. */
-  struct hist first_start_ms;
-  /* Time from a job's arrival to its end, by enum job_state. */
-  struct hist job_ms[JOB_STATE_N];
-};
-
 TAILQ_HEAD (intentq, intent);
 
 /** struct intents - intents of starts, see fsched_intent.c */
--- a/regress/fleet/quota.lua
+++ b/regress/fleet/quota.lua
@@ -37,6 +37,18 @@
   for n = first, first + count - 1 do submit_blue(n, 1, 20000, at) end
 end
 
+-- Runs ten tasks of job 1 and cuts off four of them or more.
+--
+-- Return: indexes of the leader and of another instance.
+local function cut_off_job(options)
+  start(options)
+  submit_blue(1, 10, 20000)
+  run(700)
+  local l = leader()
+  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  return l, (l + 1) % 3
+end
+
 scenario("an account at its limit gets no more", function()
   start()
   submit_blue(1, 10, 8000)
@@ -49,10 +61,7 @@
 
 scenario("runs of a cancelled job that are cut off count until they have ended",
   function()
-  start()
-  submit_blue(1, 10, 20000)
-  run(700)
-  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  cut_off_job()
   request(0, id(1), "cancel", "b")
   run(600)
   submit_small_jobs(2, 11)
@@ -62,30 +71,22 @@
 
 scenario("a new leader counts the runs of a cancelled job until they have ended",
   function()
-  start()
-  submit_blue(1, 10, 20000)
-  run(700)
-  local l = leader()
-  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
-  request((l + 1) % 3, id(1), "cancel", "b")
+  local l, other = cut_off_job()
+  request(other, id(1), "cancel", "b")
   run(600)
   instance(l, "kill")
-  submit_small_jobs(2, 11, (l + 1) % 3)
+  submit_small_jobs(2, 11, other)
   run(9000)
   expect(running() == 10, running() .. " tasks run after the leases have ended")
 end)
 
 scenario("a new leader counts the runs of a job that was cancelled meanwhile",
   function()
-  start()
-  submit_blue(1, 10, 20000)
-  run(700)
-  local l = leader()
-  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
+  local l, other = cut_off_job()
   instance(l, "kill")
   run(200)
-  request((l + 1) % 3, id(1), "cancel", "b")
-  submit_small_jobs(2, 11, (l + 1) % 3)
+  request(other, id(1), "cancel", "b")
+  submit_small_jobs(2, 11, other)
   run(9000)
   expect(running() == 10, running() .. " tasks run after the leases have ended")
 end)
@@ -110,12 +111,8 @@
 
 scenario("the second leader after a cancellation counts its runs, too",
   function()
-  start{instances = 4, execs = 12, cores = 4}
-  submit_blue(1, 10, 20000)
-  run(700)
-  local l = leader()
-  expect(cut_runs(4, 20000) >= 4, "too few runs are cut off")
-  request((l + 1) % 3, id(1), "cancel", "b")
+  local l, other = cut_off_job{instances = 4, execs = 12, cores = 4}
+  request(other, id(1), "cancel", "b")
   run(300)
   instance(l, "stop")
   run(1800)
@@ -144,7 +141,6 @@
   end
   run(1100)
   expect(running() == 10, running() .. " tasks run without a configuration")
-  request(0, id(1), "cancel", "b")
   run(5000)
   request(0, id(1), "cancel", "b")
   run(2000)
