Tests of odd values in advice, intents, roster and progress

Advice with odd rows, lines of intents and of the roster, and progress rows with deep nesting or a number out of range: only the odd item is left out, and no process ends.

--- a/regress/unit/codec_test.c
+++ b/regress/unit/codec_test.c
@@ -3,6 +3,7 @@
 #include "msg.h"
 #include "unit.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -161,6 +162,26 @@
   CU_ASSERT_STRING_EQUAL (ce.path, "later");
 }
 
+static void
+test_odd_progress_rows_are_refused (void)
+{
+  static char deep[2 * N_NESTED + 32];
+  static const char large[] = "{\"steps\":[{\"marks\":[{\"index\":1e999}]}]}";
+  char *p = deep + sprintf (deep, "{\"steps\":");
+  struct job_progress progress;
+  struct codec_err ce;
+
+  memset (p, '[', N_NESTED);
+  memset (p + N_NESTED, ']', N_NESTED);
+  strcpy (p + 2 * (size_t)N_NESTED, "}");
+  CU_ASSERT_TRUE (codec_parse (&job_progress_desc, deep, strlen (deep),
+                               CODEC_LENIENT, &progress, &ce)
+                  < 0);
+  CU_ASSERT_TRUE (codec_parse (&job_progress_desc, large, strlen (large),
+                               CODEC_LENIENT, &progress, &ce)
+                  < 0);
+}
+
 static void
 test_odd_messages_are_refused (void)
 {
@@ -185,5 +206,6 @@
     { "damaged peer messages are decoded safely", test_damaged_peer_message },
     { "damaged text is decoded safely", test_damaged_text },
     { "unknown fields are refused in strict mode only", test_unknown_field },
+    { "odd progress rows are refused", test_odd_progress_rows_are_refused },
     { "odd messages between instances are refused",
       test_odd_messages_are_refused })
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -154,6 +154,29 @@
   tear_down (&x);
 }
 
+static void
+test_odd_lines_of_records_cost_only_themselves (void)
+{
+  struct fixture x;
+
+  set_up (&x);
+  CU_ASSERT_EQUAL (
+      fsched_load_intents (x.fs, "0",
+                           "0000000000000001 0 0 1 e0 7\n"
+                           "0000000000000001 0 1 4294967296 e0 7\n"
+                           "0000000000000001 0 2 99999999999999999999 e0 7\n"
+                           "[[[[\n"
+                           "0000000000000001 0 3 1 e1 7\n"),
+      3);
+  CU_ASSERT_EQUAL (
+      fsched_load_intents (x.fs, "99999", "0000000000000001 0 0 1 e0 7\n"), 1);
+  fsched_load_roster (x.fs, "[[[[\nold 10.0.0.2:99999\nolder 10.0.0.3:80\n");
+  CU_ASSERT_PTR_NOT_NULL (exec_find (x.fs, "old"));
+  CU_ASSERT_PTR_NOT_NULL (exec_find (x.fs, "older"));
+  CU_ASSERT_PTR_NULL (exec_find (x.fs, "[[[["));
+  tear_down (&x);
+}
+
 UNIT_MAIN ("exec_test",
            { "a late answer to a start is no reboot",
              test_late_answer_to_a_start_is_no_reboot },
@@ -161,4 +184,6 @@
              test_late_answer_to_a_poll_is_no_reboot },
            { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot },
            { "the failure of a second run of a done task does not count",
-             test_failure_of_a_second_run_does_not_count })
+             test_failure_of_a_second_run_does_not_count },
+           { "odd lines of records cost only themselves",
+             test_odd_lines_of_records_cost_only_themselves })
--- a/regress/unit/platform_test.c
+++ b/regress/unit/platform_test.c
@@ -219,6 +219,22 @@
   order_result_clear (&res);
 }
 
+static void
+test_odd_rows_of_advice_cost_only_themselves (void)
+{
+  static const char text[]
+      = "{\"good\":[[\"i-1\",\"t1\"],[99999999999999999999,\"t2\"],5,[],"
+        "[[[\"i-3\"]],1e999],[\"i-4\",\"t4\"]],\"valid_ms\":1e999}";
+  struct order_result res;
+
+  pf_order_decode (ORDER_ADVISE, HTTPC_OK, 200, text, strlen (text), &res);
+  CU_ASSERT_EQUAL (res.outcome, ORDER_DONE);
+  CU_ASSERT_EQUAL (res.valid_ms, 0);
+  CU_ASSERT_EQUAL_FATAL (res.n_permitted, 2);
+  CU_ASSERT_STRING_EQUAL (res.permitted[1].exec, "i-4");
+  order_result_clear (&res);
+}
+
 static void
 test_odd_jobs_are_refused (void)
 {
@@ -472,6 +488,8 @@
              test_odd_item_of_a_config_costs_only_itself },
            { "odd rows of a poll cost only themselves",
              test_odd_rows_of_a_poll_cost_only_themselves },
+           { "odd rows of advice cost only themselves",
+             test_odd_rows_of_advice_cost_only_themselves },
            { "odd jobs are refused", test_odd_jobs_are_refused },
            { "a configuration is decoded", test_config },
            { "a job is decoded", test_job },
