--- a/review/lib.sh
+++ b/review/lib.sh
@@ -90,6 +90,7 @@
 	exec 9<>"$dir/commands"
 	$bin/rv-platform "$NET.200" "$dir/config.json" "$record" "$@" \
 		<"$dir/commands" >"$dir/platform.log" 2>&1 &
+	platform_pid=$!
 	pids="$pids $!"
 	for _ in $(seq 50); do
 		grep -qx ready "$dir/platform.log" && return
@@ -145,8 +146,13 @@
 	done
 }
 
-# finish RULE: exits with 1 if the record holds a violation of RULE.
+# finish RULE: exits with 1 if the record holds a violation of RULE, with 0 if it
+# holds none.
 finish() {
+	kill -0 "$platform_pid" 2>/dev/null ||
+		cannot_run "the stand-in of the platform has ended: $(cat "$dir/platform.log")"
+	grep -q "client: POST .*: 200" "$record" ||
+		cannot_run "no job was accepted"
 	n=$(grep -c "VIOLATION $1" "$record")
 	note "violations of $1: $n"
 	echo "violations of $1: $n"
