--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,6 +2,7 @@
 # The leader is killed while 1,200 small tasks of 20 jobs run on one executor.
 # They end before the next leader polls the executor, which returns 500 ends at
 # a time.
+record=record.txt
 . "$(dirname "$0")/../lib.sh"
 
 start_platform exec-1,ka,r1,64000 exec-2,ka,r1,64000 exec-3,ka,r2,64000
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -3,7 +3,8 @@
 # A script runs the daemon with the command of deploy/system.toml, one process
 # an instance, on loopback addresses of its own; instance I takes callers on
 # $NET.I:8183.  Logs lie in $dir, which is removed at the end.  What was sent,
-# answered and run is written to $record.
+# answered and run is written to the file that the script names in $record, in its
+# own folder.
 
 case_dir=$(cd "$(dirname "$0")" && pwd)
 cd "$case_dir/../.." || exit 2
@@ -12,7 +13,7 @@
 TROUBLE=${TROUBLE:-1}
 NET=127.$((20 + $$ % 200)).$((1 + $$ / 200 % 250))
 dir=$(mktemp -d)
-record=$case_dir/record.txt
+record=$case_dir/${record:?}
 pids=
 host=queue.example
 key=key-red
