Stand-ins of the table keep the limits of the platform's page

The simulated table limited rows only if a script asked for it, answered CLB_EUNAVAIL where the platform answers 400, and limited neither entries nor bytes of a call; the table of the stand-in processes had no limits. Faults of records that outgrow the table could therefore not show in any walk, scenario or soak.

Both now always refuse, with CLB_EDENIED or 400, a value of more than 65,536 bytes, a call of more than 100 entries or 1 MB, names of more than 200 bytes, rows of several parts, and writes to the operators' and executors' tables. Reads return at most 500 rows or 1 MB. The process stand-in also carries out removals. The simulated executors keep any number of runs and ends; above 256 and 4,096 they were lost before.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -39,6 +39,8 @@
   RECENT_FAULT_MS = 6000,
   /* A lease ends no later than this time after the order that extends it. */
   LEASE_MAX_MS = 6000,
+  /* Maximum number of ended runs in the result of a poll. */
+  ENDS_PAGE_MAX = 500,
 };
 
 /* struct order_delivery - an order of an instance and the executor's result,
@@ -91,6 +93,20 @@
          && a->index == b->index;
 }
 
+/* Returns @array, of elements of @size bytes, with room for more than @n of
+   them; @cap is the number that it has room for. */
+static void *
+with_room (void *array, int n, int *cap, size_t size)
+{
+  if (n < *cap)
+    return array;
+  *cap = *cap ? 2 * *cap : 64;
+  array = realloc (array, (size_t)*cap * size);
+  if (!array)
+    abort ();
+  return array;
+}
+
 static void
 add_past_run (struct fexec *e, const struct task_ref *task, int64_t run_id)
 {
@@ -108,7 +124,6 @@
 {
   struct frun *r = &e->runs[i];
   struct ftask_stats *stats = find_task_stats (s, &r->task);
-  struct end_row *end = &e->ends[e->n_ends];
 
   add_past_run (e, &r->task, r->run_id);
   if (stats)
@@ -121,14 +136,11 @@
     fsim_violation (s, "GANG %s.%lld.%lld run %lld on %s: gang incomplete",
                     r->task.job, (long long)r->task.step,
                     (long long)r->task.index, (long long)r->run_id, e->id);
-  if (e->n_ends < (int)CLB_COUNT (e->ends))
-    {
-      e->n_ends++;
-      *end = (struct end_row){ .seq = ++e->last_end_seq,
-                               .task = r->task,
-                               .run_id = r->run_id,
-                               .run_end = run_end };
-    }
+  e->ends = with_room (e->ends, e->n_ends, &e->ends_cap, sizeof *e->ends);
+  e->ends[e->n_ends++] = (struct end_row){ .seq = ++e->last_end_seq,
+                                           .task = r->task,
+                                           .run_id = r->run_id,
+                                           .run_end = run_end };
   e->runs[i] = e->runs[--e->n_runs];
 }
 
@@ -303,14 +315,15 @@
 {
   struct fjob *j = fsim_find_job (s, o->task.job);
   struct ftask_stats *stats = find_task_stats (s, &o->task);
-  struct frun *r = &e->runs[e->n_runs];
+  struct frun *r;
 
   if (!j || !stats)
     {
       fsim_violation (s, "UNASKED %s: job or task unknown", o->task.job);
       return;
     }
-  e->n_runs++;
+  e->runs = with_room (e->runs, e->n_runs, &e->runs_cap, sizeof *e->runs);
+  r = &e->runs[e->n_runs++];
   *r = (struct frun){ .task = o->task,
                       .run_id = o->run_id,
                       .start_ms = s->now_ms,
@@ -429,7 +442,7 @@
         = duration_ms > 0 ? (s->now_ms - r->start_ms) * 100 / duration_ms : 0
       };
     }
-  for (int i = 0; i < e->n_ends && i < 500; i++)
+  for (int i = 0; i < e->n_ends && i < ENDS_PAGE_MAX; i++)
     res->ends[res->n_ends++] = e->ends[i];
 }
 
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -39,6 +39,11 @@
   /* A limit may be in force for this long after the next configuration was
      written: the users' bound for the use of a new configuration. */
   FSIM_CONF_APPLY_MS = 3000,
+  /* Largest value of a row of the table, in bytes, unless a script sets
+     another one. */
+  FSIM_ROW_BYTES_MAX = 65536,
+  /* Largest body of a call of the table, in bytes. */
+  FSIM_CALL_BYTES_MAX = 1000000,
   /* Number of past changes that a feed of the table can return.  The simulated
      table does not enforce this limit. */
   FSIM_HISTORY_MAX = 100000,
@@ -103,14 +108,14 @@
   double delayed_write_share;
   /* The table is executing earlier writes until this time. */
   int64_t busy_until_ms;
-  /* The table refuses writes of longer values; 0: no limit. */
-  size_t row_bytes_max;
+  size_t row_bytes_max; /* the table refuses writes of longer values */
   /* Time that a write takes its part of the table, which executes writes one
      after another; 0: parts are not simulated. */
   int64_t part_write_ms;
   struct fpart parts[FSIM_PARTS_MAX];
   int n_parts;
   uint64_t n_calls; /* number of calls that instances have sent to the table */
+  uint64_t n_refused; /* number of writes refused as invalid */
 };
 
 /** struct frun - a run of a task on an executor */
@@ -178,12 +183,14 @@
      reduced: the capacity before, and the time of the change. */
   struct job_need earlier_capacity;
   int64_t shrunk_ms;
-  struct frun runs[256];
+  struct frun *runs;
   int n_runs;
+  int runs_cap; /* number of entries that runs has room for */
   /* Reports of ended runs.  A report is kept until a poll of the leader
      acknowledges it. */
-  struct end_row ends[4096];
+  struct end_row *ends;
   int n_ends;
+  int ends_cap; /* number of entries that ends has room for */
   /* end_row::seq of the latest report in this boot; 0: no run has ended. */
   int64_t last_end_seq;
   /* Runs of this boot that have ended or for which a stop was ordered. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -556,6 +556,7 @@
   s->rng_state = seed * 2654435761u + 88172645463325252ULL;
   s->permitted_share = 0.5;
   s->ticket_ms = FSIM_TICKET_MS;
+  s->table.row_bytes_max = FSIM_ROW_BYTES_MAX;
   RB_INIT (&s->jobs);
   RB_INIT (&s->table.rows);
   s->n_exec = execs;
@@ -701,6 +702,8 @@
   for (int i = 0; i < s->n_exec; i++)
     {
       free (s->exec[i]->past_runs);
+      free (s->exec[i]->runs);
+      free (s->exec[i]->ends);
       free (s->exec[i]);
     }
   ftable_free (&s->table);
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -7,8 +7,13 @@
 enum
 {
   LIST_ROWS_MAX = 500, /* largest number of rows in the reply to a list */
-  /* Size of a reply without rows, and of a row without its key and value. */
+  /* Size of a call or reply without rows, and of a row without its key and
+     value. */
   OVERHEAD_BYTES = 100,
+  /* Largest number of entries of a transaction, conditions included. */
+  CALL_ENTRIES_MAX = 100,
+  NAME_BYTES_MAX
+  = 200, /* maximum length of the name of a table, part or key */
   /* A reply of at most this size shares a link with larger ones instead of
      waiting for them. */
   PACKET_BYTES = 1400,
@@ -93,14 +98,77 @@
                       .value = r ? strdup (r->value) : NULL };
 }
 
+/* Return: the size of a row in the table service's format, in which values are
+   in base64. */
+static size_t
+encoded_row_bytes (const char *key, const char *value)
+{
+  return OVERHEAD_BYTES + strlen (key)
+         + (value ? 4 * ((strlen (value) + 2) / 3) : 0);
+}
+
+/* Return: true if the names in @key, "TABLE[:PART]/KEY", are short enough and
+   the row is not in a table that instances only read. */
+static bool
+key_may_be_written (const char *key)
+{
+  size_t table_bytes = strcspn (key, ":/");
+  size_t slash = strcspn (key, "/");
+
+  return table_bytes <= NAME_BYTES_MAX
+         && slash - table_bytes <= NAME_BYTES_MAX + 1
+         && strlen (key + slash) <= NAME_BYTES_MAX + 1
+         && strncmp (key, "op/", 3) != 0 && strncmp (key, "servers/", 8) != 0;
+}
+
+/* Return: true if two rows are in the same part. */
+static bool
+same_part (const char *a, const char *b)
+{
+  size_t a_table = strcspn (a, ":/");
+  size_t b_table = strcspn (b, ":/");
+  size_t a_part = strcspn (a + a_table, "/");
+
+  return a_part == strcspn (b + b_table, "/")
+         && strncmp (a + a_table, b + b_table, a_part) == 0;
+}
+
+/* Return: true if the table carries out @op, apart from its conditions: all
+   rows are in one part, and no limit is exceeded. */
+static bool
+txn_is_valid (const struct ftable *t, const struct store_op *op)
+{
+  const char *first = op->n_puts ? op->puts[0].key : NULL;
+  size_t n_bytes = OVERHEAD_BYTES;
+
+  if (op->n_conds + op->n_puts > CALL_ENTRIES_MAX)
+    return false;
+  for (size_t i = 0; i < op->n_conds; i++)
+    {
+      n_bytes += encoded_row_bytes (op->conds[i].key, NULL);
+      if (first && !same_part (first, op->conds[i].key))
+        return false;
+    }
+  for (size_t i = 0; i < op->n_puts; i++)
+    {
+      const struct put *p = &op->puts[i];
+      n_bytes += encoded_row_bytes (p->key, p->value);
+      if (!same_part (first, p->key) || !key_may_be_written (p->key)
+          || (p->value && strlen (p->value) > t->row_bytes_max))
+        return false;
+    }
+  return n_bytes <= FSIM_CALL_BYTES_MAX;
+}
+
 static void
 apply_txn (struct ftable *t, const struct store_op *op, struct store_rep *rep)
 {
-  for (size_t i = 0; i < op->n_puts && t->row_bytes_max; i++)
-    if (op->puts[i].value && strlen (op->puts[i].value) > t->row_bytes_max)
-      rep->err = CLB_EUNAVAIL;
-  if (rep->err)
-    return;
+  if (!txn_is_valid (t, op))
+    {
+      rep->err = CLB_EDENIED;
+      t->n_refused++;
+      return;
+    }
   for (size_t i = 0; i < op->n_conds; i++)
     {
       struct ftable_row *r = find_row (t, op->conds[i].key);
@@ -129,6 +197,7 @@
   size_t len = strlen (op->key);
   struct ftable_row k = { .key = op->after ? op->after : op->key };
   struct ftable_row *r = RB_NFIND (ftable_row_tree, &t->rows, &k);
+  size_t n_bytes = OVERHEAD_BYTES;
 
   rep->ver = t->ver;
   for (; r && strncmp (r->key, op->key, len) == 0;
@@ -136,7 +205,9 @@
     {
       if (op->after && strcmp (r->key, op->after) == 0)
         continue;
-      if (rep->n_rows == (op->limit ? (size_t)op->limit : LIST_ROWS_MAX))
+      n_bytes += encoded_row_bytes (r->key, r->value);
+      if (rep->n_rows == (op->limit ? (size_t)op->limit : LIST_ROWS_MAX)
+          || (rep->n_rows && n_bytes > FSIM_CALL_BYTES_MAX))
         {
           rep->more = true;
           return;
@@ -258,8 +329,7 @@
   size_t n = OVERHEAD_BYTES;
 
   for (size_t i = 0; i < rep->n_rows; i++)
-    n += OVERHEAD_BYTES + strlen (rep->rows[i].key)
-         + (rep->rows[i].value ? strlen (rep->rows[i].value) * 4 / 3 : 0);
+    n += encoded_row_bytes (rep->rows[i].key, rep->rows[i].value);
   return (int64_t)n;
 }
 
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -410,7 +410,8 @@
                  answered
    delay-writes  the share value (0 to 1) of writes is not answered, and is
                  executed 1 to 6 seconds later
-   row-bytes     writes of values of more than value bytes are refused
+   row-bytes     writes of values of more than value bytes are refused (65536
+                 at the start)
    part-write-ms each part of the table executes one write after another,
                  each of which takes value ms
    compact       compacts the table: from now on, a feed of changes since a
@@ -471,6 +472,15 @@
   return 2;
 }
 
+/* refused(): returns the number of writes that the table has refused because
+   they exceeded a limit */
+static int
+verb_refused (lua_State *l)
+{
+  lua_pushinteger (l, (lua_Integer)sim->table.n_refused);
+  return 1;
+}
+
 /* proxied(): returns the number of calls to the table that instances have sent
    through another instance */
 static int
@@ -552,6 +562,7 @@
   { "running", verb_running },
   { "calls", verb_calls },
   { "proxied", verb_proxied },
+  { "refused", verb_refused },
   { "violations", verb_violations },
   { "expect", verb_expect },
   { "scenario", verb_scenario },
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -21,6 +21,8 @@
  *   table lost SHARE    from now on, until the next such command, each write
  *                       is executed but not answered with the probability
  *                       SHARE (0 to 1; 0 at the start)
+ *   table row-bytes N   from now on, the table refuses values of more than N
+ *                       bytes (65536 at the start)
  *   table compact       compacts the table: from now on, a feed of changes
  *                       since a version before the present one fails
  *   exec K crash        ends the boot of executor K; all its runs are lost
@@ -174,6 +176,7 @@
   json_t *rows = json_array ();
   int status = rep->err == CLB_ECONFLICT   ? 412
                : rep->err == CLB_ENOTFOUND ? 410
+               : rep->err == CLB_EDENIED   ? 400
                                            : 200;
 
   for (size_t i = 0; i < rep->n_rows; i++)
@@ -211,7 +214,8 @@
 
 /* Reads a call to the table from its HTTP request.
 
-   Return: 0; -1 if the call is a transaction without rows to write. */
+   Return: 0; -1 if the call is a transaction that is too large or has no rows
+   to write. */
 static int
 read_table_op (const struct httpd_req *rq, struct store_op *op)
 {
@@ -237,8 +241,13 @@
               json_string_value (json_object_get (row, "value")));
           store_put (op, key, value);
         }
+      json_array_foreach (json_object_get (body, "remove"), i, row)
+        {
+          clb_auto char *key = row_key (row);
+          store_put (op, key, NULL);
+        }
       op->kind = STORE_TXN;
-      return op->n_puts ? 0 : -1;
+      return op->n_puts && rq->body_len <= FSIM_CALL_BYTES_MAX ? 0 : -1;
     }
   query_param (rq->path, "table", name, sizeof name);
   query_param (rq->path, "part", part, sizeof part);
@@ -661,6 +670,8 @@
     sim->table.down_until_ms = now () + (int64_t)value;
   else if (strcmp (fault, "lost") == 0)
     sim->table.lost_reply_share = value;
+  else if (strcmp (fault, "row-bytes") == 0)
+    sim->table.row_bytes_max = (size_t)value;
   else if (strcmp (fault, "compact") == 0)
     sim->table.compacted_ver = sim->table.ver;
 }
