Progress of jobs in rows that fit into the table

Cause: progress_text() put an entry for each done task into one row. With some 2,600 of them the row is larger than the table takes, the table answers 400, and every successor loads the same progress and comes to the same write. fsched_collect() counted rows but no bytes, so rows of several jobs could exceed a call as well; intents and the roster had no limit of bytes either.

Change: limits of the table come from the settings (row_bytes). Pages are written only when their tasks change, and are removed once the end of the job is recorded. As a round of rows may need several writes, ends of runs are acknowledged when all rows are recorded that had changed when the round began. The roster's rows are written in parts, and a row of intents ends at the limit.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -430,6 +430,7 @@
   d->settings.grace_ms = new_settings.grace_ms;
   d->fleet.settings.revoke_ms = new_settings.revoke_ms;
   d->fleet.settings.conf_apply_ms = new_settings.conf_apply_ms;
+  d->fleet.settings.limits = new_settings.store_limits;
   log_line ("event=settings-reloaded");
 }
 
@@ -473,6 +474,7 @@
           .revoke_ms = d->settings.revoke_ms,
           .conf_apply_ms = d->settings.conf_apply_ms,
           .millicores = d->settings.millicores,
+          .limits = d->settings.store_limits,
           .codec = pf_codec };
 
   clb_copy (settings.id, d->settings.id, sizeof settings.id);
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -452,6 +452,7 @@
   fleet_drop_scheduler (f);
   f->fsched = fsched_new (&f->out, &f->last_token, f->now_ms, f->leader.epoch,
                           EARLIER_RUNS_WAIT_MS, &f->stats.fsched);
+  fsched_set_limits (f->fsched, &f->settings.limits);
   fsched_adviser_seen (f->fsched, "", "", 0, 0);
   if (f->conf)
     fsched_set_conf (f->fsched, f->conf);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -167,6 +167,7 @@
   int64_t conf_apply_ms;
   /* This instance's share of a core, in thousandths; 0: not known. */
   int64_t millicores;
+  struct store_limits limits; /* of the table service */
   struct fleet_codec codec;
 };
 
--- a/core/fleet_load.c
+++ b/core/fleet_load.c
@@ -78,8 +78,11 @@
                 clb_err_name (ce.err), ce.path);
       return;
     }
-  fsched_load_progress (f->fsched, row->key + strlen (FSCHED_KEY_PROGRESS),
-                        &p);
+  if (!fsched_load_progress (f->fsched,
+                             row->key + strlen (FSCHED_KEY_PROGRESS), &p))
+    return;
+  f->stats.bad_rows++;
+  out_line (&f->out, "event=bad-row key=%s error=bad-key", row->key);
 }
 
 /* Passes a row with recorded starts to the scheduler. */
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -79,6 +79,10 @@
   TAILQ_INIT (&fs->execs);
   TAILQ_INIT (&fs->domains);
   TAILQ_INIT (&fs->tenants);
+  TAILQ_INIT (&fs->stale_pages);
+  fs->limits = (struct store_limits){ .row_bytes = INT64_MAX,
+                                      .call_bytes = INT64_MAX };
+  fs->round = 1;
   intents_init (&fs->intents);
   return fs;
 }
@@ -99,6 +103,8 @@
       advice_free (s);
     }
   free (j->steps);
+  free (j->pages);
+  free (j->old_pages);
   RB_REMOVE (job_tree, &fs->jobs, j);
   TAILQ_REMOVE (&fs->queue, j, link);
   fs->n_jobs--;
@@ -120,13 +126,6 @@
   free (e);
 }
 
-static void
-early_free (struct early_progress *e)
-{
-  codec_free (&job_progress_desc, &e->progress);
-  free (e);
-}
-
 void
 fsched_free (struct fsched *fs)
 {
@@ -173,6 +172,7 @@
       free (p);
     }
   domain_free_all (fs);
+  progress_free (fs);
   intents_fini (&fs->intents);
   fsched_intern_free (&fs->services);
   fsched_intern_free (&fs->racks);
@@ -183,6 +183,12 @@
   free (fs);
 }
 
+void
+fsched_set_limits (struct fsched *fs, const struct store_limits *limits)
+{
+  fs->limits = *limits;
+}
+
 void
 fsched_set_conf (struct fsched *fs, const struct fconf *conf)
 {
@@ -251,13 +257,6 @@
   return q;
 }
 
-void
-fsched_mark_dirty (struct fsched *fs, struct job *j)
-{
-  j->dirty = true;
-  fs->record_due = true;
-}
-
 struct order *
 fsched_order_new (struct fsched *fs, int kind, const struct exec *e,
                   struct pending_order **pend)
@@ -306,10 +305,8 @@
     }
 }
 
-/* Stores the final state of a job.  @trim: whether the job's specification
-   must still be removed from the table of jobs. */
-static void
-add_ended_job (struct fsched *fs, const char *id, int state, bool trim)
+void
+fsched_add_ended_job (struct fsched *fs, const char *id, int state, bool trim)
 {
   struct ended_job *ended = fsched_zalloc (1, sizeof *ended);
 
@@ -338,7 +335,7 @@
   j->state = state;
   fs->stats->jobs_ended[state]++;
   hist_add (&fs->stats->job_ms[state], fs->now_ms - j->arrival_ms);
-  fsched_mark_dirty (fs, j);
+  progress_mark_state (fs, j);
   out_line (fs->out,
             "event=job-%s job=%s queue=%s after_ms=%lld late_ms=%lld "
             "why=%s",
@@ -352,14 +349,15 @@
 bool
 fsched_forget_job (struct fsched *fs, struct job *j)
 {
-  if (!j->recorded || j->n_runs > 0 || j->dirty || j->writing)
+  if (!j->recorded || j->n_runs > 0 || j->head.round || j->n_writing_rows)
     return false;
   if (j->runs_left_written)
     {
-      fsched_mark_dirty (fs, j);
+      progress_mark_state (fs, j);
       return false;
     }
-  add_ended_job (fs, j->spec.id, j->state, true);
+  progress_drop_pages (fs, j);
+  fsched_add_ended_job (fs, j->spec.id, j->state, true);
   job_free (fs, j);
   return true;
 }
@@ -387,7 +385,7 @@
   t->done = true;
   s->n_done++;
   s->n_running -= t->run != NULL;
-  fsched_mark_dirty (fs, j);
+  progress_mark_task (fs, j, step, index);
   if (t->run && !j->spec.steps[step].gang)
     start_stop (fs, t->run);
   if (s->n_done < s->n_tasks)
@@ -437,11 +435,12 @@
                int64_t run_id)
 {
   bool gang = j->spec.steps[step].gang;
-  struct jtask *t = &j->steps[step].tasks[gang ? 0 : index];
+  int counted_at = gang ? 0 : index;
+  struct jtask *t = &j->steps[step].tasks[counted_at];
 
   if (!add_failed_run (t, run_id))
     return;
-  fsched_mark_dirty (fs, j);
+  progress_mark_task (fs, j, step, counted_at);
   if (t->n_failed >= j->spec.attempts)
     fsched_end_job (fs, j, JOB_FAILED, "attempts-used-up");
 }
@@ -497,7 +496,9 @@
         add_failed_run (t, task->failed[r].id);
       for (size_t r = 0; r < task->n_crashes; r++)
         crash_add (s, (int)task->index, &task->crashes[r]);
-      t->stopping_run_id = task->stopping_run_id;
+      /* Rows of earlier leaders may name earlier runs. */
+      if (task->stopping_run_id > t->stopping_run_id)
+        t->stopping_run_id = task->stopping_run_id;
       if (task->done)
         mark_task_done (fs, j, (int)progress->step, (int)task->index);
     }
@@ -524,6 +525,9 @@
     }
   for (size_t i = 0; i < e->progress.n_steps; i++)
     apply_step_progress (fs, j, &e->progress.steps[i]);
+  j->old_pages = e->pages;
+  j->n_old_pages = e->n_pages;
+  e->pages = NULL;
   early_free (e);
 }
 
@@ -552,6 +556,7 @@
     {
       struct jstep *s = &j->steps[i];
       s->n_tasks = (int)j->spec.steps[i].tasks;
+      s->first_task = i ? s[-1].first_task + s[-1].n_tasks : 0;
       s->label_id = fsched_intern_label (fs, j->spec.steps[i].label);
       s->data_rack_id = fsched_intern (&fs->racks, j->spec.steps[i].data_rack);
       s->tasks = fsched_zalloc ((size_t)s->n_tasks, sizeof *s->tasks);
@@ -575,26 +580,6 @@
               (long long)(j->urgency.due_ms - fs->now_ms), fs->n_jobs);
 }
 
-void
-fsched_load_progress (struct fsched *fs, const char *id,
-                      struct job_progress *p)
-{
-  struct early_progress *e;
-
-  if (job_state_final (p->state) && !p->runs_left)
-    {
-      add_ended_job (fs, id, p->state, false);
-      codec_free (&job_progress_desc, p);
-      return;
-    }
-  e = fsched_zalloc (1, sizeof *e);
-  clb_copy (e->id, id, sizeof e->id);
-  e->progress = *p;
-  memset (p, 0, sizeof *p);
-  if (RB_INSERT (early_tree, &fs->early_progress, e))
-    early_free (e);
-}
-
 int
 fsched_job_state (const struct fsched *fs, const char *id)
 {
@@ -641,8 +626,8 @@
       if (!job_state_final (e->progress.state))
         continue;
       RB_REMOVE (early_tree, &fs->early_progress, e);
-      add_ended_job (fs, e->id, e->progress.state, false);
-      early_free (e);
+      fsched_add_ended_job (fs, e->id, e->progress.state, false);
+      early_drop (fs, e);
     }
 }
 
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -227,7 +227,8 @@
 {
   struct jtask *tasks; /* owned */
   int n_tasks;
-  int n_done; /* number of tasks that are done */
+  int first_task; /* number of tasks of the steps before this one */
+  int n_done;     /* number of tasks that are done */
   /* Number of tasks that are not done and have a start, sent or not. */
   int n_running;
   int n_crashes;          /* sum of jtask::n_crashes */
@@ -271,6 +272,27 @@
   int class; /* enum urgency_class, in the current placing pass */
 };
 
+/**
+ * struct progress_row - a row of the table service with progress of a job
+ *
+ * See fsched_progress.c.
+ */
+struct progress_row
+{
+  /* Value of fsched::round when the progress in the row changed; 0: it has not
+     changed since it was last collected. */
+  uint64_t round;
+  bool writing; /* the row is in the outstanding write */
+  bool stored;  /* the table has the row */
+};
+
+/** struct page_ref - a row with the progress of consecutive tasks of a job */
+struct page_ref
+{
+  int n_tasks; /* number of tasks of each page */
+  int number;  /* number of the page, from 0 */
+};
+
 /** struct job - a job whose end is not recorded, or that still has runs */
 struct job
 {
@@ -292,8 +314,21 @@
   bool task_started; /* a task is known to have begun on an executor */
   /* This leader has sent a start order for a task of the job. */
   bool start_sent;
-  bool dirty;    /* the progress has changed and must be recorded */
-  bool writing;  /* the progress is in the outstanding write */
+  /* The row with the job's state, and with the progress of all tasks unless
+     the job has pages. */
+  struct progress_row head;
+  /* The rows with the progress of tasks, owned; NULL: it fits into the head.
+   */
+  struct progress_row *pages;
+  int n_pages;    /* number of entries of pages */
+  int page_tasks; /* number of tasks of each page */
+  /* Pages in the table that earlier leaders wrote, owned. */
+  struct page_ref *old_pages;
+  int n_old_pages; /* number of entries of old_pages */
+  /* Numbers of the rows that must be recorded, and of those in the outstanding
+     write. */
+  int n_dirty_rows;
+  int n_writing_rows;
   bool recorded; /* the final state is recorded */
   /* The progress, as written last, says job_progress::runs_left. */
   bool runs_left_written;
@@ -388,7 +423,9 @@
   int64_t lease_deadline_ms;
   /* Ends of runs up to this sequence number have been processed. */
   int64_t seen_end_seq;
-  /* Ends of runs up to this sequence number are in the outstanding write. */
+  /* seen_end_seq when the round began, see fsched::round. */
+  int64_t round_end_seq;
+  /* The value of recorded_end_seq after the outstanding write. */
   int64_t writing_end_seq;
   /* Ends of runs up to this sequence number are recorded. */
   int64_t recorded_end_seq;
@@ -510,9 +547,21 @@
   RB_ENTRY (early_progress) by_id;
   char id[JOB_ID_SIZE];
   struct job_progress progress;
+  struct page_ref *pages; /* pages that were loaded, owned */
+  int n_pages;            /* number of entries of pages */
 };
 RB_HEAD (early_tree, early_progress);
 
+/** struct stale_page - a page of an ended job, to be removed from the table */
+struct stale_page
+{
+  TAILQ_ENTRY (stale_page) link;
+  char id[JOB_ID_SIZE];
+  struct page_ref ref;
+  bool writing; /* the removal is in the outstanding write */
+};
+TAILQ_HEAD (stale_pageq, stale_page);
+
 TAILQ_HEAD (intentq, intent);
 
 /** struct intents - intents of starts, see fsched_intent.c */
@@ -526,7 +575,8 @@
   /* Number of starts with an intent that have ended in this term.  The count
      is also the sequence number of the last of these ends. */
   uint64_t n_ends;
-  uint64_t writing_ends; /* n_ends when the outstanding write was collected */
+  uint64_t round_ends;   /* n_ends when the round began, see fsched::round */
+  uint64_t writing_ends; /* recorded_ends after the outstanding write */
   /* All progress that was changed by ends up to this sequence number is
      recorded. */
   uint64_t recorded_ends;
@@ -580,6 +630,14 @@
   int64_t next_whole_pass_ms;
   /* Time of the next pass if nothing changes before; 0: none. */
   int64_t retry_pass_ms;
+  struct store_limits limits; /* of the table service */
+  /* Number of the round in which rows of progress that change now are due.
+     Ends of runs count as recorded when all rows are recorded that had changed
+     when a round began. */
+  uint64_t round;
+  bool round_open;    /* rows of the round before are still due */
+  bool round_writing; /* the outstanding write holds the last of them */
+  struct stale_pageq stale_pages;
   bool record_due;        /* progress or the roster must be recorded */
   bool intents_write_due; /* starts wait for their intents to be written */
   struct intents intents;
@@ -587,6 +645,8 @@
      outstanding write. */
   uint32_t roster_dirty;
   uint32_t roster_writing;
+  /* Number of parts in which each row of the roster is recorded. */
+  int roster_parts[FSCHED_ROSTER_ROWS];
   /* Number of starts by this leader that were placed or sent recently and are
      not answered; see FSCHED_PENDING_STARTS_MAX. */
   int n_pending_starts;
@@ -637,6 +697,12 @@
 /** fsched_free() - Free the scheduler; @fs may be NULL. */
 void fsched_free (struct fsched *fs);
 
+/**
+ * fsched_set_limits() - Set the limits of the table service; without them,
+ * rows and calls have any size.
+ */
+void fsched_set_limits (struct fsched *fs, const struct store_limits *limits);
+
 /**
  * fsched_set_conf() - Replace the configuration.
  * @conf: the new configuration; borrowed until it is replaced
@@ -659,15 +725,18 @@
 void fsched_add_job (struct fsched *fs, struct job_spec *spec, bool inherited,
                      int64_t age_ms);
 /**
- * fsched_load_progress() - Load the recorded progress of a job that has not
- * been added yet.
- * @id: id of the job
+ * fsched_load_progress() - Load a row with recorded progress of a job that has
+ * not been added yet.
+ * @key: key of the row, without FSCHED_KEY_PROGRESS
  * @p: progress; the function takes ownership of what it contains
  *
- * The progress is applied when the job is added.
+ * The progress is applied when the job is added.  Rows are loaded in the order
+ * of their keys, in which the head of a job precedes its pages.
+ *
+ * Return: 0; %CLB_EFIELD if @key is not one of a progress row.
  */
-void fsched_load_progress (struct fsched *fs, const char *id,
-                           struct job_progress *p);
+int fsched_load_progress (struct fsched *fs, const char *key,
+                          struct job_progress *p);
 /**
  * fsched_load_intents() - Load a row of intents, before any job is added.
  * @key: number of the row, in decimal
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -89,7 +89,7 @@
   clb_copy (crash.addr, e->rep.addr, sizeof crash.addr);
   if (t->done || !crash_add (s, (int)l->task.index, &crash))
     return;
-  fsched_mark_dirty (fs, j);
+  progress_mark_task (fs, j, (int)l->task.step, (int)l->task.index);
   fs->stats->crashes++;
   out_line (fs->out,
             "event=crash job=%s step=%lld task=%lld run=%lld exec=%s "
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -102,6 +102,7 @@
 reset_end_seqs (struct exec *e)
 {
   e->seen_end_seq = 0;
+  e->round_end_seq = 0;
   e->writing_end_seq = 0;
   e->recorded_end_seq = 0;
 }
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -5,6 +5,8 @@
 #include "ablate.h"
 #include "fsched.h"
 
+struct collection;
+
 /* Functions of fsched.c. */
 
 /** fsched_zalloc() - Allocate zeroed memory; abort if none is available. */
@@ -20,6 +22,14 @@
 bool fsched_forget_job (struct fsched *fs, struct job *j);
 /** fsched_find_job() - Return job @id, borrowed; NULL if it is unknown. */
 struct job *fsched_find_job (const struct fsched *fs, const char *id);
+/**
+ * fsched_add_ended_job() - Store the final state of a job, unless it is
+ * stored.
+ * @trim: whether the job's specification must still be removed from the table
+ *        of jobs
+ */
+void fsched_add_ended_job (struct fsched *fs, const char *id, int state,
+                           bool trim);
 /**
  * fsched_end_job() - End a job with a final state, and stop its runs unless it
  * is completed; no effect if the job has ended.
@@ -34,8 +44,6 @@
 struct fsched_tenant *fsched_tenant (struct fsched *fs, const char *name);
 /** fsched_queue() - Return queue @name, borrowed; add it if new. */
 struct fsched_queue *fsched_queue (struct fsched *fs, const char *name);
-/** fsched_mark_dirty() - Mark the progress of @j as due to be recorded. */
-void fsched_mark_dirty (struct fsched *fs, struct job *j);
 /**
  * fsched_task_ended() - Update a job after a run of one of its tasks has
  * ended.
@@ -111,12 +119,8 @@
  * The intent is kept until the end is recorded.
  */
 void intent_ended (struct fsched *fs, struct start *r);
-/**
- * intents_collect() - Add a row with the waiting intents to a write.
- *
- * Return: number of rows added.
- */
-int intents_collect (struct fsched *fs, struct store_op *op);
+/** intents_collect() - Add a row with waiting intents to a write. */
+void intents_collect (struct fsched *fs, struct collection *c);
 /**
  * intents_recorded() - Send the starts of the row that was collected last,
  * which is durable now.
@@ -128,6 +132,49 @@
  */
 void intents_load_done (struct fsched *fs);
 
+/* Functions of fsched_progress.c. */
+
+/** struct collection - rows that are being added to a write */
+struct collection
+{
+  struct store_op *op;
+  int rows_left;      /* number of rows that may still be added */
+  int64_t bytes_left; /* sum of the values that may still be added, in bytes */
+};
+
+/**
+ * collect_row() - Add a row to a write.
+ * @value: copied; NULL: the row is removed
+ *
+ * Return: false if the row does not fit into the write.
+ */
+bool collect_row (struct collection *c, const char *key, const char *value);
+
+/** progress_mark_state() - Mark the state of @j as due to be recorded. */
+void progress_mark_state (struct fsched *fs, struct job *j);
+/** progress_mark_task() - Mark the progress of a task as due to be recorded.
+ * @index: index of the task in step @step */
+void progress_mark_task (struct fsched *fs, struct job *j, int step,
+                         int index);
+/**
+ * progress_collect() - Add rows of progress that are due to a write.
+ *
+ * Return: false if some of them do not fit.
+ */
+bool progress_collect (struct fsched *fs, struct collection *c);
+/** progress_recorded() - Report that the rows collected last are durable. */
+void progress_recorded (struct fsched *fs);
+/** progress_drop_pages() - Let the pages of @j, which has ended, be removed
+ * from the table. */
+void progress_drop_pages (struct fsched *fs, const struct job *j);
+/** progress_free() - Free the list of pages to be removed. */
+void progress_free (struct fsched *fs);
+/** early_free() - Free progress that is not in fsched::early_progress. */
+void early_free (struct early_progress *e);
+/** early_drop() - Drop the loaded progress of a job that has ended, and let
+ * its pages be removed.  @e: freed; not in fsched::early_progress any more */
+void early_drop (struct fsched *fs, struct early_progress *e);
+
 /* Functions of fsched_record.c. */
 
 /** roster_mark_dirty() - Mark the roster's row for @e as due to be
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -111,17 +111,68 @@
   return e->start || e->end_seq > p->recorded_ends;
 }
 
-/* Empties the row that is written next: moves its intents that are still
-   needed to the waiting ones, and frees the others. */
+/* Returns the line of an intent in a row, which the caller frees. */
+static char *
+intent_line (const struct intent *e)
+{
+  char *line;
+
+  if (asprintf (&line, "%s %lld %lld %lld %s %lld\n", e->task.job,
+                (long long)e->task.step, (long long)e->task.index,
+                (long long)e->run_id, e->exec, (long long)e->boot_start_ms)
+      < 0)
+    abort ();
+  return line;
+}
+
+/* Returns the size of the lines of those intents of row @row that are still
+   needed, in bytes, and sets @n to their number. */
+static int64_t
+needed_bytes (const struct intents *p, int row, int *n)
+{
+  const struct intent *e;
+  int64_t n_bytes = 0;
+
+  *n = 0;
+  TAILQ_FOREACH (e, &p->rows[row], link)
+    {
+      if (!still_needed (p, e))
+        continue;
+      clb_auto char *line = intent_line (e);
+      n_bytes += (int64_t)strlen (line);
+      ++*n;
+    }
+  return n_bytes;
+}
+
+/* Returns the next row of the ring in which the needed intents leave room for
+   another one, at most @max_bytes in all; -1 if there is none. */
+static int
+find_row (const struct intents *p, int64_t max_bytes)
+{
+  clb_auto char *line = intent_line (TAILQ_FIRST (&p->waiting));
+
+  for (int i = 0; i < INTENT_ROWS; i++)
+    {
+      int row = (p->next_row + i) % INTENT_ROWS;
+      int n;
+      if (needed_bytes (p, row, &n) + (int64_t)strlen (line) <= max_bytes
+          && n < ROW_INTENTS_MAX)
+        return row;
+    }
+  return -1;
+}
+
+/* Empties row @row: moves its intents that are still needed to the head of the
+   waiting ones, and frees the others. */
 static void
-empty_next_row (struct intents *p)
+empty_row (struct intents *p, int row)
 {
-  struct intentq *row = &p->rows[p->next_row];
   struct intent *e;
 
-  while ((e = TAILQ_FIRST (row)))
+  while ((e = TAILQ_FIRST (&p->rows[row])))
     {
-      TAILQ_REMOVE (row, e, link);
+      TAILQ_REMOVE (&p->rows[row], e, link);
       if (still_needed (p, e))
         TAILQ_INSERT_HEAD (&p->waiting, e, link);
       else
@@ -129,39 +180,60 @@
     }
 }
 
-int
-intents_collect (struct fsched *fs, struct store_op *op)
+/* Moves waiting intents to the ones being written, at most @max_bytes and as
+   many as a row holds.  Returns the value of the row, which the caller
+   frees. */
+static char *
+take_waiting (struct intents *p, int64_t max_bytes)
 {
-  struct intents *p = &fs->intents;
   struct intent *e;
-  char key[sizeof FSCHED_KEY_INTENTS + 16];
-  clb_auto char *text = NULL;
+  char *text = NULL;
   size_t len = 0;
-  FILE *f;
+  FILE *f = open_memstream (&text, &len);
+  int64_t n_bytes = 0;
 
-  p->writing_ends = p->n_ends;
-  fs->intents_write_due = false;
-  if (TAILQ_EMPTY (&p->waiting))
-    return 0;
-  empty_next_row (p);
-  f = open_memstream (&text, &len);
   if (!f)
     abort ();
   for (int n = 0; n < ROW_INTENTS_MAX && (e = TAILQ_FIRST (&p->waiting)); n++)
     {
-      fprintf (f, "%s %lld %lld %lld %s %lld\n", e->task.job,
-               (long long)e->task.step, (long long)e->task.index,
-               (long long)e->run_id, e->exec, (long long)e->boot_start_ms);
+      clb_auto char *line = intent_line (e);
+      n_bytes += (int64_t)strlen (line);
+      if (n_bytes > max_bytes)
+        break;
+      fputs (line, f);
       TAILQ_REMOVE (&p->waiting, e, link);
       TAILQ_INSERT_TAIL (&p->writing, e, link);
     }
-  fs->intents_write_due = !TAILQ_EMPTY (&p->waiting);
   fclose (f);
-  snprintf (key, sizeof key, FSCHED_KEY_INTENTS "%03d", p->next_row);
-  store_put (op, key, text);
-  p->writing_row = p->next_row;
-  p->next_row = (p->next_row + 1) % INTENT_ROWS;
-  return 1;
+  return text;
+}
+
+void
+intents_collect (struct fsched *fs, struct collection *c)
+{
+  struct intents *p = &fs->intents;
+  char key[sizeof FSCHED_KEY_INTENTS + 16];
+  clb_auto char *text = NULL;
+  int row;
+
+  fs->intents_write_due = false;
+  if (TAILQ_EMPTY (&p->waiting))
+    return;
+  row = find_row (p, fs->limits.row_bytes);
+  if (row < 0)
+    {
+      out_line (fs->out, "event=intents-full rows=%d row_bytes=%lld",
+                INTENT_ROWS, (long long)fs->limits.row_bytes);
+      return;
+    }
+  empty_row (p, row);
+  text = take_waiting (p, fs->limits.row_bytes);
+  fs->intents_write_due = !TAILQ_EMPTY (&p->waiting);
+  snprintf (key, sizeof key, FSCHED_KEY_INTENTS "%03d", row);
+  /* The first row of a write always fits. */
+  collect_row (c, key, text);
+  p->writing_row = row;
+  p->next_row = (row + 1) % INTENT_ROWS;
 }
 
 /* Returns whether a start may still be sent: the job, the executor, the permit
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -1,7 +1,7 @@
 /*
- * Rows that the fleet's scheduler records in the table service: the progress
- * and final state of each job, and the roster of executors.  This file also
- * removes the specifications of ended jobs from the table of jobs.
+ * Rows that the fleet's scheduler records in the table service: those of one
+ * write, and the roster of executors.  This file also removes the
+ * specifications of ended jobs from the table of jobs.
  */
 #include "fsched_impl.h"
 
@@ -9,78 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Fills @out with the progress of those tasks of a step that are done or have
-   failed runs or crashes.  Returns the number of these tasks. */
-static size_t
-fill_task_progress (const struct job *j, size_t step,
-                    struct job_task_progress *out)
-{
-  const struct jstep *s = &j->steps[step];
-  bool gang = j->spec.steps[step].gang;
-  size_t n = 0;
-
-  for (int t = 0; t < s->n_tasks; t++)
-    {
-      const struct jtask *k = &s->tasks[t];
-      struct job_task_progress m
-          = { .index = t,
-              .done = k->done,
-              .stopping_run_id
-              = k->done && k->run && !gang ? k->run->run_id : 0,
-              .failed = k->failed_runs,
-              .n_failed = (size_t)k->n_failed,
-              .crashes = k->crashes,
-              .n_crashes = (size_t)k->n_crashes };
-      if (m.done || m.n_failed || m.n_crashes)
-        out[n++] = m;
-    }
-  return n;
-}
-
-/* Returns whether runs of an ended job may still be going on.  The members of
-   a gang that is done have ended together, reported or not. */
-static bool
-runs_left (const struct job *j)
-{
-  int n_ended = 0;
-
-  if (!job_state_final (j->state))
-    return false;
-  for (size_t i = 0; i < j->spec.n_steps; i++)
-    for (int t = 0; j->spec.steps[i].gang && t < j->steps[i].n_tasks; t++)
-      n_ended += j->steps[i].tasks[t].done && j->steps[i].tasks[t].run;
-  return j->n_runs > n_ended;
-}
-
-/* Returns the value of a job's progress row, which the caller frees. */
-static char *
-progress_text (const struct job *j)
-{
-  struct job_progress p
-      = { .state = j->state, .runs_left = j->runs_left_written };
-  char *text;
-
-  if (job_state_final (j->state) && !p.runs_left)
-    return codec_text (&job_progress_desc, &p);
-  p.steps = fsched_zalloc (j->spec.n_steps, sizeof *p.steps);
-  for (size_t i = 0; i < j->spec.n_steps; i++)
-    {
-      struct job_step_progress *m = &p.steps[p.n_steps];
-      m->step = (int64_t)i;
-      m->tasks = fsched_zalloc ((size_t)j->steps[i].n_tasks, sizeof *m->tasks);
-      m->n_tasks = fill_task_progress (j, i, m->tasks);
-      if (m->n_tasks)
-        p.n_steps++;
-      else
-        free (m->tasks);
-    }
-  text = codec_text (&job_progress_desc, &p);
-  for (size_t i = 0; i < p.n_steps; i++)
-    free (p.steps[i].tasks);
-  free (p.steps);
-  return text;
-}
-
 int
 fsched_roster_row (const char *id)
 {
@@ -107,100 +35,151 @@
          || e->used.mem_mb || e->used.accels;
 }
 
-/* Adds row @number of the roster to a write: a line "id addr" for each of its
-   executors. */
-static void
-collect_roster_row (struct fsched *fs, struct store_op *op, int number)
+/* Returns the value of row @number of the roster, a line "id addr" for each of
+   its executors, from *@from on.  If the value would exceed the largest row,
+   sets *@from to the executor with which the next part of the row begins,
+   otherwise to NULL.  The caller frees the value. */
+static char *
+roster_text (struct fsched *fs, int number, struct exec **from)
 {
-  char key[sizeof FSCHED_KEY_ROSTER + 8];
-  clb_auto char *text = NULL;
+  char *text = NULL;
   size_t len = 0;
   struct exec *e;
   FILE *f = open_memstream (&text, &len);
+  int64_t n_bytes = 0;
 
   if (!f)
     abort ();
-  TAILQ_FOREACH (e, &fs->execs, link)
+  for (e = *from; e; e = TAILQ_NEXT (e, link))
     {
-      if (e->roster_row != number)
+      if (e->roster_row != number || !e->writing)
         continue;
-      e->writing = in_roster (fs, e);
-      if (e->writing)
-        fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
-      else
-        e->recorded = false;
+      n_bytes += (int64_t)(strlen (e->rep.id) + strlen (e->rep.addr) + 2);
+      if (n_bytes > fs->limits.row_bytes)
+        break;
+      fprintf (f, "%s %s\n", e->rep.id, e->rep.addr);
     }
   fclose (f);
-  snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d", number);
-  store_put (op, key, text);
+  *from = e;
+  return text;
 }
 
-/* Adds the roster's rows that must be recorded to a write, @max_rows at most.
-   Returns the number of rows added. */
-static int
-collect_roster (struct fsched *fs, struct store_op *op, int max_rows)
+/* Sets exec::writing of the executors of row @number. */
+static void
+mark_roster_execs (struct fsched *fs, int number)
 {
-  int n = 0;
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &fs->execs, link)
+    if (e->roster_row == number)
+      {
+        e->writing = in_roster (fs, e);
+        e->recorded = e->recorded && e->writing;
+      }
+}
 
-  for (int i = 0; i < FSCHED_ROSTER_ROWS && n < max_rows; i++)
+/* Adds row @number of the roster to a write.  A row that is too large for the
+   table is written in parts.  Returns false if one does not fit; the row then
+   stays due. */
+static bool
+collect_roster_row (struct fsched *fs, struct collection *c, int number)
+{
+  char key[sizeof FSCHED_KEY_ROSTER + 24];
+  struct exec *from = TAILQ_FIRST (&fs->execs);
+  int part = 0;
+
+  mark_roster_execs (fs, number);
+  /* An empty part replaces one that has had executors. */
+  for (; part == 0 || from || part < fs->roster_parts[number]; part++)
+    {
+      clb_auto char *text = roster_text (fs, number, &from);
+      if (part == 0)
+        snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d", number);
+      else
+        snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d.%d", number, part);
+      if (!collect_row (c, key, text))
+        return false;
+    }
+  fs->roster_parts[number] = part;
+  return true;
+}
+
+/* Adds the roster's rows that must be recorded to a write, as far as they
+   fit. */
+static void
+collect_roster (struct fsched *fs, struct collection *c)
+{
+  for (int i = 0; i < FSCHED_ROSTER_ROWS; i++)
     {
       uint32_t bit = UINT32_C (1) << i;
       if (!(fs->roster_dirty & bit))
         continue;
-      collect_roster_row (fs, op, i);
+      if (!collect_roster_row (fs, c, i))
+        break;
       fs->roster_dirty &= ~bit;
       fs->roster_writing |= bit;
-      n++;
     }
   if (fs->roster_dirty)
     fs->record_due = true;
-  return n;
 }
 
-int
-fsched_collect (struct fsched *fs, struct store_op *op, int max_rows)
+/* Begins the next round, unless rows of the one before are still due. */
+static void
+begin_round (struct fsched *fs)
 {
-  struct job *j;
   struct exec *e;
-  int n = 0;
-  bool complete = true;
 
-  fs->record_due = false;
-  n = intents_collect (fs, op);
-  n += collect_roster (fs, op, max_rows - n);
-  TAILQ_FOREACH (j, &fs->queue, link)
+  if (fs->round_open)
+    return;
+  fs->round_open = true;
+  fs->round++;
+  fs->intents.round_ends = fs->intents.n_ends;
+  TAILQ_FOREACH (e, &fs->execs, link)
+    e->round_end_seq = e->seen_end_seq;
+}
+
+/* Sets what is recorded once the write is durable.  Ends of runs are
+   acknowledged to the executors, and intents dropped, only once all progress
+   that the ends changed is recorded. */
+static void
+set_writing_ends (struct fsched *fs, bool round_complete)
+{
+  struct exec *e;
+
+  fs->round_writing = round_complete;
+  fs->intents.writing_ends
+      = round_complete ? fs->intents.round_ends : fs->intents.recorded_ends;
+  TAILQ_FOREACH (e, &fs->execs, link)
     {
-      char key[sizeof FSCHED_KEY_PROGRESS + JOB_ID_SIZE];
-      if (!j->dirty)
-        continue;
-      if (n >= max_rows)
-        {
-          complete = false;
-          fs->record_due = true;
-          break;
-        }
-      j->runs_left_written = runs_left (j);
-      clb_auto char *text = progress_text (j);
-      snprintf (key, sizeof key, FSCHED_KEY_PROGRESS "%s", j->spec.id);
-      store_put (op, key, text);
-      j->dirty = false;
-      j->writing = true;
-      n++;
+      e->writing_end_seq
+          = round_complete ? e->round_end_seq : e->recorded_end_seq;
+      if (e->seen_end_seq > e->writing_end_seq)
+        fs->record_due = true;
     }
-  /* Ends of runs are acknowledged to the executors, and intents dropped, only
-     once all progress that the ends changed is recorded. */
-  TAILQ_FOREACH (e, &fs->execs, link)
-    if (complete)
-      e->writing_end_seq = e->seen_end_seq;
-  if (!complete)
-    fs->intents.writing_ends = fs->intents.recorded_ends;
-  return n;
+}
+
+int
+fsched_collect (struct fsched *fs, struct store_op *op, int max_rows)
+{
+  struct collection c = { .op = op,
+                          .rows_left = max_rows,
+                          .bytes_left = fs->limits.call_bytes };
+  bool round_complete;
+
+  fs->record_due = false;
+  begin_round (fs);
+  intents_collect (fs, &c);
+  collect_roster (fs, &c);
+  round_complete = progress_collect (fs, &c);
+  if (!round_complete)
+    fs->record_due = true;
+  set_writing_ends (fs, round_complete);
+  return max_rows - c.rows_left;
 }
 
 void
 fsched_recorded (struct fsched *fs)
 {
-  struct job *j, *next;
   struct exec *e;
 
   TAILQ_FOREACH (e, &fs->execs, link)
@@ -210,20 +189,16 @@
         fs->pass_due = true;
       }
   fs->roster_writing = 0;
+  if (fs->round_writing)
+    fs->round_open = false;
+  fs->round_writing = false;
   TAILQ_FOREACH (e, &fs->execs, link)
     if (e->writing_end_seq > e->recorded_end_seq)
       {
         e->recorded_end_seq = e->writing_end_seq;
         e->next_poll_ms = fs->now_ms;
       }
-  TAILQ_FOREACH_SAFE (j, &fs->queue, link, next)
-    {
-      if (!j->writing)
-        continue;
-      j->writing = false;
-      j->recorded = j->recorded || (job_state_final (j->state) && !j->dirty);
-      fsched_forget_job (fs, j);
-    }
+  progress_recorded (fs);
   intents_recorded (fs);
 }
 
--- a/core/fsched_stats.h
+++ b/core/fsched_stats.h
@@ -25,6 +25,8 @@
   uint64_t queries;        /* number of advice queries sent */
   uint64_t queries_failed; /* number of advice queries that failed */
   uint64_t jobs_added;
+  /* Number of jobs whose progress was split into pages. */
+  uint64_t progress_splits;
   /* Number of ended jobs, by enum job_state. */
   uint64_t jobs_ended[JOB_STATE_N];
   uint64_t stops; /* number of stop orders sent */
--- a/core/job.c
+++ b/core/job.c
@@ -9,6 +9,14 @@
   MEM_MB_MAX = 1 << 30,
   MILLICORES_MAX = 1 << 30,
   ACCELS_MAX = 1 << 20,
+  /* Upper bounds of the size of a progress record, in bytes: of its fields
+     outside of the steps, and of what a step, a task, a failed run and a crash
+     add to it. */
+  PROGRESS_HEAD_BYTES = 128,
+  PROGRESS_STEP_BYTES = 32,
+  PROGRESS_TASK_BYTES = 96,
+  PROGRESS_FAILED_BYTES = 24,
+  PROGRESS_CRASH_BYTES = CLB_ADDR_MAX + 64,
 };
 
 const char *const job_state_names[]
@@ -165,6 +173,22 @@
   return 0;
 }
 
+int
+job_tasks_per_row (const struct job_spec *spec, int64_t row_bytes)
+{
+  int64_t n_failed
+      = spec->attempts < JOB_FAILURES_MAX ? spec->attempts : JOB_FAILURES_MAX;
+  int64_t task_bytes = PROGRESS_TASK_BYTES + n_failed * PROGRESS_FAILED_BYTES
+                       + JOB_CRASHES_ANY_MAX * PROGRESS_CRASH_BYTES;
+  int64_t n = (row_bytes - PROGRESS_HEAD_BYTES
+               - (int64_t)spec->n_steps * PROGRESS_STEP_BYTES)
+              / task_bytes;
+
+  if (n < 0)
+    return 0;
+  return n < JOB_TOTAL_TASKS_MAX ? (int)n : JOB_TOTAL_TASKS_MAX;
+}
+
 int64_t
 job_critical_path_ms (const struct job_spec *spec, const int64_t *step_ms)
 {
--- a/core/job.h
+++ b/core/job.h
@@ -207,6 +207,13 @@
  */
 int job_check (const struct job_spec *spec, struct codec_err *ce);
 
+/**
+ * job_tasks_per_row() - Return how many tasks have progress that fits into a
+ * row of @row_bytes, however often they fail or crash executors; 0 if that of
+ * one task may not fit.
+ */
+int job_tasks_per_row (const struct job_spec *spec, int64_t row_bytes);
+
 /**
  * job_critical_path_ms() - Compute the length of the critical path.
  * @step_ms: duration of each step, in milliseconds
--- a/core/msg.h
+++ b/core/msg.h
@@ -270,6 +270,13 @@
   STORE_INSTANCES, /* read the platform's list of instances */
   STORE_FEED,      /* read the changes of rows in the table store_op::key */
 };
+/** struct store_limits - what the table service accepts in a STORE_TXN */
+struct store_limits
+{
+  int64_t row_bytes;  /* largest value of a row, in bytes */
+  int64_t call_bytes; /* largest sum of the values of one call, in bytes */
+};
+
 /** struct store_op - an operation of the table service */
 struct store_op
 {
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -338,6 +338,8 @@
   int64_t n_advice_queries; /* queries that the advice service has received */
   int n_violations;
   char first_violation[256]; /* empty if no violation was reported */
+  /* Largest size of a row in the settings of instances. */
+  int64_t row_bytes_setting;
   bool verbose;       /* true: the log lines of the instances are printed */
   bool shutting_down; /* true after fsim_free() was called; timers stop */
 };
@@ -359,6 +361,9 @@
 struct fsim *fsim_new (uint64_t seed, int instances, int execs,
                        const struct job_need *capacity);
 void fsim_free (struct fsim *s);
+/** fsim_set_row_bytes() - Set the largest size of a row, in bytes, for the
+ * table and in the settings of all instances. */
+void fsim_set_row_bytes (struct fsim *s, int64_t n_bytes);
 /** fsim_schedule() - Call @fn with @arg in an event that is due in @after_ms.
  */
 void fsim_schedule (struct fsim *s, int64_t after_ms,
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -13,6 +13,9 @@
   INSTANCE_TICK_MS = 10,
   /* Time of the wall clock when the simulated time is 0. */
   WALL_CLOCK_START_MS = 1000000,
+  /* Size of the values in one call, without the names and in plain text, that
+     certainly fits into FSIM_CALL_BYTES_MAX. */
+  CALL_VALUE_BYTES = 700000,
 };
 
 int
@@ -504,6 +507,8 @@
           .revoke_ms = 5000,
           .conf_apply_ms = 3000,
           .millicores = in->millicores,
+          .limits = { .row_bytes = s->row_bytes_setting,
+                      .call_bytes = CALL_VALUE_BYTES },
           .codec = { .decode_conf = read_conf,
                      .decode_exec = read_discovery_entry,
                      .decode_job = read_job,
@@ -557,6 +562,7 @@
   s->permitted_share = 0.5;
   s->ticket_ms = FSIM_TICKET_MS;
   s->table.row_bytes_max = FSIM_ROW_BYTES_MAX;
+  s->row_bytes_setting = FSIM_ROW_BYTES_MAX;
   RB_INIT (&s->jobs);
   RB_INIT (&s->table.rows);
   s->n_exec = execs;
@@ -582,6 +588,15 @@
   return s;
 }
 
+void
+fsim_set_row_bytes (struct fsim *s, int64_t n_bytes)
+{
+  s->table.row_bytes_max = (size_t)n_bytes;
+  s->row_bytes_setting = n_bytes;
+  for (int i = 0; i < s->n_inst; i++)
+    s->inst[i]->fleet.settings.limits.row_bytes = n_bytes;
+}
+
 int
 fsim_leader (const struct fsim *s)
 {
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -37,10 +37,11 @@
   return value;
 }
 
-/* fleet{instances=, execs=, cores=, mem=, permitted_percent=, ticket_ms=}:
-   replaces the simulation.  Cores and memory (MB) are those of each executor;
-   the advice service permits permitted_percent of the executors for a step,
-   with tickets that are valid for ticket_ms. */
+/* fleet{instances=, execs=, cores=, mem=, permitted_percent=, ticket_ms=,
+   row_bytes=}: replaces the simulation.  Cores and memory (MB) are those of
+   each executor; the advice service permits permitted_percent of the executors
+   for a step, with tickets that are valid for ticket_ms.  Rows of the table
+   have at most row_bytes, which the instances know from their settings. */
 static int
 verb_fleet (lua_State *l)
 {
@@ -56,6 +57,7 @@
   sim->permitted_share
       = (double)int_field (l, 1, "permitted_percent", 100) / 100;
   sim->ticket_ms = int_field (l, 1, "ticket_ms", FSIM_TICKET_MS);
+  fsim_set_row_bytes (sim, int_field (l, 1, "row_bytes", FSIM_ROW_BYTES_MAX));
   return 0;
 }
 
