A run that is missing while ends are left out has not started nor ended

Cause: an executor returns at most 500 ends at a time. process_missing_run() took a run in neither list for one that never started, though the answer held only the first page. The leader's own runs fared alike once the table had been away, and exec_poll_result() took the executor for reconciled.

Change: platform/ reports whether ends are left (order_result::ends_left). Then runs that are missing keep their room and their use of the account, their tasks are not started, and the executor is neither reconciled nor eligible for a new leader; the next poll follows once the ends are recorded. end_boot_runs() leaves such runs to the next answer with all ends, and exec_reconcile_check() no longer takes an executor for reconciled that answers but has ends left. If rows cannot be used, an inherited run that is missing is stopped by name. find_run() looks the task up, as lists may have thousands of rows. New: lines exec-ends-left and exec-ends-complete, a counter.

--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -39,6 +39,8 @@
   metric_print (out, "passes_total", NULL, NULL, s->passes);
   metric_print (out, "jobs_considered_total", NULL, NULL, s->jobs_considered);
   metric_print (out, "stops_total", NULL, NULL, s->stops);
+  metric_print (out, "polls_incomplete_total", NULL, NULL,
+                s->polls_incomplete);
   metric_print (out, "lapsed_total", NULL, NULL, s->runs_lapsed);
   metric_print (out, "progress_splits_total", NULL, NULL, s->progress_splits);
   metric_print (out, "task_crashes_total", NULL, NULL, s->crashes);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -392,8 +392,11 @@
   bool in_list;
   /* When discovery last ceased to list the executor; 0: never. */
   int64_t unlisted_since_ms;
-  bool answered;   /* the executor has answered a poll of this leader */
-  bool reconciled; /* this leader knows all runs on the executor */
+  bool answered; /* the executor has answered a poll of this leader */
+  /* This leader knows all runs on the executor: an answer to a poll that left
+     no ends out has listed them, or the leases of earlier leaders have
+     expired. */
+  bool reconciled;
   /* An order or poll has failed, and no poll has succeeded since. */
   bool unreachable;
   int roster_row; /* number of the roster's row for the executor */
@@ -412,6 +415,7 @@
      or whose task has another run. */
   int n_orphans;
   size_t n_bad_rows;     /* order_result::n_bad_rows of the last poll */
+  bool ends_left;        /* order_result::ends_left of the last poll */
   int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
   int n_boots;           /* number of boots that this leader has detected */
   /* Start of the last boot that discovery has listed as draining; 0: none. */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -119,7 +119,9 @@
   TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
     if (res && is_listed_run (r, res))
       r->boot_start_ms = res->boot_start_ms;
-    else
+    /* The new boot may have started the run, and its end may be left.  An
+       answer with all ends decides. */
+    else if (!res || !res->ends_left || !res->boot_start_ms)
       end_boot_run (fs, r);
   reset_end_seqs (e);
   e->failures_in_row = 0;
@@ -331,21 +333,20 @@
 
 /* Returns the start on the executor with this task and run id, or NULL. */
 static struct start *
-find_run (const struct exec *e, const struct task_ref *t, int64_t run_id)
+find_run (const struct fsched *fs, const struct exec *e,
+          const struct task_ref *t, int64_t run_id)
 {
-  struct start *r;
+  const struct job *j = fsched_task_job (fs, t);
+  struct start *r = j ? j->steps[t->step].tasks[t->index].run : NULL;
 
-  TAILQ_FOREACH (r, &e->runs, exec_link)
-    if (is_run_of (r, t, run_id))
-      return r;
-  return NULL;
+  return r && r->exec == e && r->run_id == run_id ? r : NULL;
 }
 
 /* Processes an ended run that an executor reports. */
 static void
 process_end_row (struct fsched *fs, struct exec *e, const struct end_row *row)
 {
-  struct start *r = find_run (e, &row->task, row->run_id);
+  struct start *r = find_run (fs, e, &row->task, row->run_id);
   struct job *j = fsched_task_job (fs, &row->task);
 
   if (row->seq <= e->seen_end_seq)
@@ -433,7 +434,7 @@
 static void
 process_run_row (struct fsched *fs, struct exec *e, const struct run_row *row)
 {
-  struct start *r = find_run (e, &row->task, row->run_id);
+  struct start *r = find_run (fs, e, &row->task, row->run_id);
 
   if (!r)
     r = adopt_run (fs, e, row);
@@ -446,6 +447,8 @@
     }
   r->in_list = true;
   r->inherited = false;
+  if (e->boot_start_ms)
+    r->boot_start_ms = e->boot_start_ms;
   start_mark_job_started (r->job);
   if (!r->start_acked_ms)
     r->start_acked_ms = fs->now_ms;
@@ -464,12 +467,20 @@
          && e->boot_start_ms != boot_start_ms;
 }
 
-/* Processes a start whose run is missing in the list of running tasks that the
-   executor returned for the last poll.  The list does not show the effect of
+/* Processes a start whose run is in neither list that the executor returned
+   for the last poll; the lists are complete.  They do not show the effect of
    orders that were sent after the poll. */
 static void
-process_missing_run (struct fsched *fs, struct exec *e, struct start *r)
+process_missing_run (struct fsched *fs, struct exec *e, struct start *r,
+                     const struct order_result *res)
 {
+  /* The run may be in a row that cannot be used, so it is stopped by name. */
+  if (r->inherited && res->n_bad_rows)
+    {
+      r->inherited = false;
+      start_stop (fs, r);
+      return;
+    }
   /* The start is an earlier leader's.  Its run is not running and cannot start
      any more: the poll made this leader's fencing token known to the executor,
      which refuses orders with lower ones. */
@@ -477,6 +488,8 @@
     start_end (fs, r,
                exec_has_new_boot (e, r->boot_start_ms) ? RUN_END_REBOOTED
                                                        : RUN_END_NOT_STARTED);
+  else if (r->start_acked_ms && exec_has_new_boot (e, r->boot_start_ms))
+    start_end (fs, r, RUN_END_REBOOTED);
   else if (r->state == START_STOPPING && r->stop_acked_ms
            && r->stop_acked_ms <= e->poll_sent_ms)
     start_end (fs, r, RUN_END_NOT_STARTED);
@@ -488,6 +501,21 @@
     start_stop (fs, r);
 }
 
+/* Keeps whether the executor has more ended runs than its last answer lists.
+   Meanwhile, a run that is missing in the answer keeps its room, and its task
+   is not started elsewhere. */
+static void
+set_ends_left (struct fsched *fs, struct exec *e,
+               const struct order_result *res)
+{
+  if (res->ends_left != e->ends_left)
+    out_line (fs->out, "event=exec-ends-%s exec=%s ends=%zu runs=%zu seq=%lld",
+              res->ends_left ? "left" : "complete", e->rep.id, res->n_ends,
+              res->n_runs, (long long)e->seen_end_seq);
+  e->ends_left = res->ends_left;
+  fs->stats->polls_incomplete += res->ends_left;
+}
+
 /* Processes the lists of ended and running tasks in a poll's answer. */
 static void
 process_lists (struct fsched *fs, struct exec *e,
@@ -507,9 +535,12 @@
     e->next_orphan_stop_ms = fs->now_ms + FSCHED_STOP_RETRY_MS;
   if (orphans_before && !e->n_orphans)
     fs->pass_due = true;
+  set_ends_left (fs, e, res);
   TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    if (!r->in_list)
-      process_missing_run (fs, e, r);
+    if (!r->in_list && !e->ends_left)
+      process_missing_run (fs, e, r, res);
+    else if (!r->in_list)
+      continue;
     else if (r->stop_acked_ms
              && fs->now_ms - r->stop_acked_ms > STOP_RESEND_MS)
       r->stop_acked_ms = 0;
@@ -628,7 +659,8 @@
     }
   mark_reachable (fs, e, p, res);
   process_lists (fs, e, res);
-  e->reconciled = true;
+  if (!e->ends_left)
+    e->reconciled = true;
   /* While ends are not recorded, the next poll is delayed until they are, or
      until the lease must be renewed. */
   e->next_poll_ms = fs->now_ms + FSCHED_POLL_GAP_MS;
@@ -655,6 +687,16 @@
       }
 }
 
+/* Returns whether the executor certainly runs nothing of earlier leaders,
+   although no answer with all ends has shown it: their leases have expired,
+   and so have those that this leader gave, if the executor has answered. */
+static bool
+may_reconcile_unlisted (const struct fsched *fs, const struct exec *e)
+{
+  return fs->now_ms >= fs->old_leases_end_ms
+         && (!e->answered || (e->unreachable && TAILQ_EMPTY (&e->runs)));
+}
+
 void
 exec_reconcile_check (struct fsched *fs)
 {
@@ -665,7 +707,7 @@
     return;
   TAILQ_FOREACH (e, &fs->execs, link)
     {
-      if (!e->reconciled && fs->now_ms >= fs->old_leases_end_ms)
+      if (!e->reconciled && may_reconcile_unlisted (fs, e))
         {
           if (!e->answered)
             end_expired_runs (fs, e);
@@ -689,7 +731,7 @@
 exec_eligible (const struct fsched *fs, const struct exec *e)
 {
   return exec_recently_listed (fs, e) && e->answered && !e->unreachable
-         && e->recorded && !e->n_orphans && !e->rep.draining
+         && e->recorded && e->reconciled && !e->n_orphans && !e->rep.draining
          && !(e->domain && e->domain->silent)
          && fs->now_ms >= e->quarantine_until_ms;
 }
--- a/core/fsched_stats.h
+++ b/core/fsched_stats.h
@@ -30,6 +30,8 @@
   /* Number of ended jobs, by enum job_state. */
   uint64_t jobs_ended[JOB_STATE_N];
   uint64_t stops; /* number of stop orders sent */
+  /* Number of answers to polls that did not list all ends of runs. */
+  uint64_t polls_incomplete;
   /* Number of runs that were ended because their lease expired. */
   uint64_t runs_lapsed;
   uint64_t quarantines; /* number of quarantines of executors */
--- a/core/order.h
+++ b/core/order.h
@@ -167,6 +167,9 @@
   /* Of a poll: number of rows of the lists that are left out because they
      cannot be used. */
   size_t n_bad_rows;
+  /* Of a poll: the executor may have more ended runs than ends lists, so that
+     a run which is in neither list may have ended. */
+  bool ends_left;
 };
 
 /** struct exec_report - an executor's entry in discovery */
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -444,6 +444,7 @@
     }
   for (int i = 0; i < e->n_ends && i < ENDS_PAGE_MAX; i++)
     res->ends[res->n_ends++] = e->ends[i];
+  res->ends_left = e->n_ends >= ENDS_PAGE_MAX;
 }
 
 static void
--- a/regress/unit/platform_test.c
+++ b/regress/unit/platform_test.c
@@ -219,6 +219,38 @@
   order_result_clear (&res);
 }
 
+/* Decodes a poll's answer with @n ends.  Return: whether ends are left. */
+static bool
+ends_left_after (int n)
+{
+  json_auto_t *ends = json_array ();
+  json_auto_t *body
+      = json_pack ("{s:i, s:O}", "clock_ms", 5, "finished", ends);
+  clb_auto char *text = NULL;
+  struct order_result res;
+  bool left;
+
+  for (int i = 0; i < n; i++)
+    json_array_append_new (ends, json_pack ("[i,s,i,s,s]", i + 1,
+                                            "00000000000000ab.0.0.1", i + 1,
+                                            "failed", ""));
+  text = json_dumps (body, JSON_COMPACT);
+  pf_order_decode (ORDER_POLL, HTTPC_OK, 200, text, strlen (text), &res);
+  CU_ASSERT_EQUAL ((int)res.n_ends, n);
+  left = res.ends_left;
+  order_result_clear (&res);
+  return left;
+}
+
+/* An executor returns 500 ends at a time. */
+static void
+test_a_full_page_of_ends_is_not_the_last (void)
+{
+  CU_ASSERT (!ends_left_after (0));
+  CU_ASSERT (!ends_left_after (499));
+  CU_ASSERT (ends_left_after (500));
+}
+
 static void
 test_odd_rows_of_advice_cost_only_themselves (void)
 {
@@ -490,6 +522,8 @@
              test_odd_rows_of_a_poll_cost_only_themselves },
            { "odd rows of advice cost only themselves",
              test_odd_rows_of_advice_cost_only_themselves },
+           { "a full page of ends is not the last",
+             test_a_full_page_of_ends_is_not_the_last },
            { "odd jobs are refused", test_odd_jobs_are_refused },
            { "a configuration is decoded", test_config },
            { "a job is decoded", test_job },
