A write that the table refuses is given up, and its row found

Whatever row the table refuses for good, the leader sent the same write again until its lease was over, and so did each successor; no job of any account went on. Meanwhile the instance went on answering states from its memory, and a submission refused with 400 was answered as if it might have been accepted.

Cause: handle_write_reply() took CLB_EDENIED for a lost answer.

Change: a refusal proves that nothing was written, so the write is given up (LEADER_REFUSED). Nothing in it counts as recorded, and no end in it is acknowledged. The rows are written again, first one alone and then more, each write renewing the lease, until the refused one is found. If it is larger than 1 kB, it is written in smaller rows from then on; otherwise its job is set aside for 10 s: no task of it is started, its ends are not acknowledged, its intents stay, and all other jobs go on. Its cancellation is a row with the state only. States that are not final are answered from memory only while the leader may give orders; a refused submission is answered 503 at once, and a job whose row or whose task's progress exceeds a row is refused on arrival. New: lines write-refused and job-set-aside, writes_refused_total, jobs_set_aside.

--- a/core/api.c
+++ b/core/api.c
@@ -10,11 +10,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  RECORD_MAX = 60000, /* maximum size of a job's row, in bytes */
-};
-
 const char *const fleet_answer_names[]
     = { "accepted",   "duplicate", "state",    "cancelled", "waiting",
         "no-config",  "stale",     "no-queue", "bad-key",   "bad-job",
@@ -241,6 +236,7 @@
   struct job_spec spec;
   struct codec_err ce = { 0 };
   int err = f->settings.codec.decode_job (rq->body, rq->body_len, &spec, &ce);
+  bool fits;
 
   if (!err)
     err = job_check (&spec, &ce);
@@ -262,8 +258,10 @@
   spec.advice = q->advice;
   spec.accepted_ms = f->wall_ms;
   c->record = codec_text (&job_spec_desc, &spec);
+  fits = (int64_t)strlen (c->record) <= f->settings.limits.row_bytes
+         && job_tasks_per_row (&spec, f->settings.limits.row_bytes);
   codec_free (&job_spec_desc, &spec);
-  if (strlen (c->record) > RECORD_MAX)
+  if (!fits)
     {
       refuse_request (f, rq, ANSWER_BAD_JOB, "job record too large");
       free_request (f, c);
@@ -281,7 +279,9 @@
                   ? fsched_job_state (f->fsched, c->job_id)
                   : -1;
 
-  if (state >= 0)
+  /* A leader that cannot write may have a successor, which knows more. */
+  if (state >= 0
+      && (job_state_final (state) || leader_may_order (&f->leader, f->now_ms)))
     finish_request (f, c, ANSWER_STATE, f->settings.codec.state_body (state));
   else
     query_leader (f, c, MESH_STATE_QUERY, c->job_id);
@@ -469,9 +469,10 @@
 
   f->stats.store_errors++;
   c->token = 0;
-  if (writing && err != CLB_EUNAVAIL)
+  if (writing && err != CLB_EUNAVAIL && err != CLB_EDENIED)
     c->outcome_unknown = true;
-  if (tries_used_up (c))
+  if (tries_used_up (c)
+      || (writing && err == CLB_EDENIED && !c->outcome_unknown))
     finish_request (f, c, ANSWER_STORE_REFUSED, NULL);
   else
     {
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -480,6 +480,11 @@
           fsched_recorded (f->fsched);
         }
       break;
+    case LEADER_REFUSED:
+      f->stats.writes_refused++;
+      if (f->fsched)
+        fsched_refused (f->fsched);
+      break;
     case LEADER_SUPERSEDED:
       out_line (&f->out, "event=lead-lost epoch=%lld renewed_ms_ago=%lld",
                 (long long)f->leader.epoch,
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -269,8 +269,9 @@
   /* Retried calls to the table service that were made for callers'
      requests. */
   uint64_t retries;
-  uint64_t proxied;  /* calls to the table service sent through a peer */
-  uint64_t bad_rows; /* damaged rows read from the platform's tables */
+  uint64_t proxied;        /* calls to the table service sent through a peer */
+  uint64_t bad_rows;       /* damaged rows read from the platform's tables */
+  uint64_t writes_refused; /* writes of records that the table refused */
   /* Configurations that were read and could not be used. */
   uint64_t configs_refused;
   /* Time from a request's arrival to its answer, by enum fleet_verb. */
--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -63,6 +63,8 @@
   hist_print (out, "first_start_ms", NULL, NULL, &s->first_start_ms);
   for (int i = 0; i < JOB_STATE_N; i++)
     hist_print (out, "job_ms", "state", job_state_names[i], &s->job_ms[i]);
+  metric_print (out, "jobs_set_aside", NULL, NULL,
+                f->fsched ? (uint64_t)f->fsched->n_set_aside : 0);
   metric_print (out, "jobs_in_hand", NULL, NULL,
                 f->fsched ? (uint64_t)f->fsched->n_jobs : 0);
   if (f->fsched)
@@ -88,6 +90,8 @@
   metric_print (out, "retries_total", NULL, NULL, f->stats.retries);
   metric_print (out, "proxied_total", NULL, NULL, f->stats.proxied);
   metric_print (out, "bad_rows_total", NULL, NULL, f->stats.bad_rows);
+  metric_print (out, "writes_refused_total", NULL, NULL,
+                f->stats.writes_refused);
   metric_print (out, "config_version", NULL, NULL,
                 f->conf ? (uint64_t)f->conf->version : 0);
   metric_print (out, "config_age_ms", NULL, NULL,
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -83,6 +83,7 @@
   fs->limits = (struct store_limits){ .row_bytes = INT64_MAX,
                                       .call_bytes = INT64_MAX };
   fs->round = 1;
+  fs->rows_max = LEADER_ROWS_MAX;
   intents_init (&fs->intents);
   return fs;
 }
@@ -333,6 +334,8 @@
   if (job_state_final (j->state))
     return;
   j->state = state;
+  j->state_only = j->set_aside;
+  progress_restore (fs, j);
   fs->stats->jobs_ended[state]++;
   hist_add (&fs->stats->job_ms[state], fs->now_ms - j->arrival_ms);
   progress_mark_state (fs, j);
@@ -720,6 +723,7 @@
       exec_reconcile_check (fs);
       end_lost_queries (fs);
       fsched_trim_jobs (fs);
+      progress_tick (fs);
       TAILQ_FOREACH_SAFE (j, &fs->queue, link, next)
         if (job_state_final (j->state))
           fsched_forget_job (fs, j);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -96,6 +96,12 @@
   FSCHED_PENDING_UNANSWERED_MS = 250,
   /* Number of rows of the roster.  A row holds some 2,000 executors. */
   FSCHED_ROSTER_ROWS = 32,
+  /* A job whose rows the table refuses is set aside for this long; then they
+     are written again. */
+  FSCHED_SET_ASIDE_MS = 10000,
+  /* A refused row that is larger than this, in bytes, is taken to exceed the
+     largest row. */
+  FSCHED_ROW_BYTES_MIN = 1024,
   /* Number of rows in the ring of intents: enough for 10 s at 25 writes/s. */
   INTENT_ROWS = 256,
 };
@@ -329,6 +335,12 @@
      write. */
   int n_dirty_rows;
   int n_writing_rows;
+  /* The table refuses the job's rows.  No task of the job is started, and ends
+     of its runs are not acknowledged. */
+  bool set_aside;
+  int64_t retry_record_ms; /* when the job is set aside no longer */
+  /* The rows hold only the state, as the job was set aside when it ended. */
+  bool state_only;
   bool recorded; /* the final state is recorded */
   /* The progress, as written last, says job_progress::runs_left. */
   bool runs_left_written;
@@ -427,6 +439,9 @@
   int64_t lease_deadline_ms;
   /* Ends of runs up to this sequence number have been processed. */
   int64_t seen_end_seq;
+  /* Sequence number of the first end that must not be acknowledged, as it is
+     of a job that is set aside; 0: there is none. */
+  int64_t held_end_seq;
   /* seen_end_seq when the round began, see fsched::round. */
   int64_t round_end_seq;
   /* The value of recorded_end_seq after the outstanding write. */
@@ -586,6 +601,24 @@
   uint64_t recorded_ends;
 };
 
+/** enum row_kind - kinds of the rows that a write holds */
+enum row_kind
+{
+  ROW_INTENTS,
+  ROW_ROSTER,
+  ROW_PROGRESS,
+  ROW_STALE_PAGE, /* the removal of a page */
+};
+
+/** struct collected - what the outstanding write holds */
+struct collected
+{
+  int n_rows;
+  int64_t n_bytes;       /* sum of the values */
+  int last_kind;         /* enum row_kind of the last row */
+  char job[JOB_ID_SIZE]; /* of a last row of ROW_PROGRESS */
+};
+
 /** struct fsched - the scheduler, for one term of its instance as leader */
 struct fsched
 {
@@ -642,7 +675,14 @@
   bool round_open;    /* rows of the round before are still due */
   bool round_writing; /* the outstanding write holds the last of them */
   struct stale_pageq stale_pages;
-  bool record_due;        /* progress or the roster must be recorded */
+  struct collected collected;
+  /* Maximum number of rows of the next write; lower after a refused write, so
+     that the row which the table refuses is found. */
+  int rows_max;
+  bool
+      skip_intents; /* the next write has no intents; used while it is lower */
+  int n_set_aside;  /* number of jobs that are set aside */
+  bool record_due;  /* progress or the roster must be recorded */
   bool intents_write_due; /* starts wait for their intents to be written */
   struct intents intents;
   /* Bit sets of the roster's rows that must be recorded, and of those in the
@@ -833,6 +873,14 @@
 int fsched_collect (struct fsched *fs, struct store_op *op, int max_rows);
 /** fsched_recorded() - Report that the rows collected last are durable. */
 void fsched_recorded (struct fsched *fs);
+/**
+ * fsched_refused() - Report that the table has refused the rows collected last
+ * for what they contain.
+ *
+ * The rows are written again, first one by one.  What a refused row holds is
+ * written in smaller rows, or its job is set aside.
+ */
+void fsched_refused (struct fsched *fs);
 
 /**
  * fsched_job_part() - Return the number of the part of the table of jobs that
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -102,6 +102,7 @@
 reset_end_seqs (struct exec *e)
 {
   e->seen_end_seq = 0;
+  e->held_end_seq = 0;
   e->round_end_seq = 0;
   e->writing_end_seq = 0;
   e->recorded_end_seq = 0;
@@ -516,6 +517,23 @@
   fs->stats->polls_incomplete += res->ends_left;
 }
 
+/* Finds the first end in a poll's answer that must not be acknowledged, as the
+   job is set aside.  The answer lists all ends that were not acknowledged. */
+static void
+hold_ends (struct fsched *fs, struct exec *e, const struct order_result *res)
+{
+  e->held_end_seq = 0;
+  for (size_t i = 0; fs->n_set_aside && i < res->n_ends; i++)
+    {
+      const struct job *j = fsched_task_job (fs, &res->ends[i].task);
+      if (j && j->set_aside)
+        {
+          e->held_end_seq = res->ends[i].seq;
+          return;
+        }
+    }
+}
+
 /* Processes the lists of ended and running tasks in a poll's answer. */
 static void
 process_lists (struct fsched *fs, struct exec *e,
@@ -528,6 +546,7 @@
     r->in_list = false;
   for (size_t i = 0; i < res->n_ends; i++)
     process_end_row (fs, e, &res->ends[i]);
+  hold_ends (fs, e, res);
   e->n_orphans = 0;
   for (size_t i = 0; i < res->n_runs; i++)
     process_run_row (fs, e, &res->runs[i]);
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -126,6 +126,8 @@
  * which is durable now.
  */
 void intents_recorded (struct fsched *fs);
+/** intents_refused() - Let the intents collected last be written again. */
+void intents_refused (struct fsched *fs);
 /**
  * intents_load_done() - Create starts for the loaded intents whose tasks may
  * still be running on executors that have not answered.
@@ -138,17 +140,20 @@
 struct collection
 {
   struct store_op *op;
-  int rows_left;      /* number of rows that may still be added */
+  struct collected *to; /* updated with each row */
+  int rows_left;        /* number of rows that may still be added */
   int64_t bytes_left; /* sum of the values that may still be added, in bytes */
 };
 
 /**
  * collect_row() - Add a row to a write.
+ * @kind: enum row_kind
  * @value: copied; NULL: the row is removed
  *
  * Return: false if the row does not fit into the write.
  */
-bool collect_row (struct collection *c, const char *key, const char *value);
+bool collect_row (struct collection *c, int kind, const char *key,
+                  const char *value);
 
 /** progress_mark_state() - Mark the state of @j as due to be recorded. */
 void progress_mark_state (struct fsched *fs, struct job *j);
@@ -164,6 +169,19 @@
 bool progress_collect (struct fsched *fs, struct collection *c);
 /** progress_recorded() - Report that the rows collected last are durable. */
 void progress_recorded (struct fsched *fs);
+/** progress_refused() - Let the rows collected last be written again. */
+void progress_refused (struct fsched *fs);
+/** progress_shrink_rows() - Let the progress of a job be written in rows of
+ * the present limit. */
+void progress_shrink_rows (struct fsched *fs, struct job *j);
+/** progress_set_aside() - Set a job aside whose row the table refuses. */
+void progress_set_aside (struct fsched *fs, struct job *j);
+/** progress_restore() - Let the rows of a job that is set aside be written
+ * again. */
+void progress_restore (struct fsched *fs, struct job *j);
+/** progress_tick() - Restore the jobs that have been set aside for
+ * FSCHED_SET_ASIDE_MS. */
+void progress_tick (struct fsched *fs);
 /** progress_drop_pages() - Let the pages of @j, which has ended, be removed
  * from the table. */
 void progress_drop_pages (struct fsched *fs, const struct job *j);
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -106,9 +106,14 @@
 /* Returns whether the intent must stay in the table service: its start has not
    ended, or the end is not recorded. */
 static bool
-still_needed (const struct intents *p, const struct intent *e)
+still_needed (const struct fsched *fs, const struct intent *e)
 {
-  return e->start || e->end_seq > p->recorded_ends;
+  const struct job *j;
+
+  if (e->start || e->end_seq > fs->intents.recorded_ends)
+    return true;
+  j = fs->n_set_aside ? fsched_find_job (fs, e->task.job) : NULL;
+  return j && j->set_aside;
 }
 
 /* Returns the line of an intent in a row, which the caller frees. */
@@ -128,15 +133,15 @@
 /* Returns the size of the lines of those intents of row @row that are still
    needed, in bytes, and sets @n to their number. */
 static int64_t
-needed_bytes (const struct intents *p, int row, int *n)
+needed_bytes (const struct fsched *fs, int row, int *n)
 {
   const struct intent *e;
   int64_t n_bytes = 0;
 
   *n = 0;
-  TAILQ_FOREACH (e, &p->rows[row], link)
+  TAILQ_FOREACH (e, &fs->intents.rows[row], link)
     {
-      if (!still_needed (p, e))
+      if (!still_needed (fs, e))
         continue;
       clb_auto char *line = intent_line (e);
       n_bytes += (int64_t)strlen (line);
@@ -148,15 +153,16 @@
 /* Returns the next row of the ring in which the needed intents leave room for
    another one, at most @max_bytes in all; -1 if there is none. */
 static int
-find_row (const struct intents *p, int64_t max_bytes)
+find_row (const struct fsched *fs, int64_t max_bytes)
 {
+  const struct intents *p = &fs->intents;
   clb_auto char *line = intent_line (TAILQ_FIRST (&p->waiting));
 
   for (int i = 0; i < INTENT_ROWS; i++)
     {
       int row = (p->next_row + i) % INTENT_ROWS;
       int n;
-      if (needed_bytes (p, row, &n) + (int64_t)strlen (line) <= max_bytes
+      if (needed_bytes (fs, row, &n) + (int64_t)strlen (line) <= max_bytes
           && n < ROW_INTENTS_MAX)
         return row;
     }
@@ -166,14 +172,15 @@
 /* Empties row @row: moves its intents that are still needed to the head of the
    waiting ones, and frees the others. */
 static void
-empty_row (struct intents *p, int row)
+empty_row (struct fsched *fs, int row)
 {
+  struct intents *p = &fs->intents;
   struct intent *e;
 
   while ((e = TAILQ_FIRST (&p->rows[row])))
     {
       TAILQ_REMOVE (&p->rows[row], e, link);
-      if (still_needed (p, e))
+      if (still_needed (fs, e))
         TAILQ_INSERT_HEAD (&p->waiting, e, link);
       else
         free (e);
@@ -219,19 +226,19 @@
   fs->intents_write_due = false;
   if (TAILQ_EMPTY (&p->waiting))
     return;
-  row = find_row (p, fs->limits.row_bytes);
+  row = find_row (fs, fs->limits.row_bytes);
   if (row < 0)
     {
       out_line (fs->out, "event=intents-full rows=%d row_bytes=%lld",
                 INTENT_ROWS, (long long)fs->limits.row_bytes);
       return;
     }
-  empty_row (p, row);
+  empty_row (fs, row);
   text = take_waiting (p, fs->limits.row_bytes);
   fs->intents_write_due = !TAILQ_EMPTY (&p->waiting);
   snprintf (key, sizeof key, FSCHED_KEY_INTENTS "%03d", row);
   /* The first row of a write always fits. */
-  collect_row (c, key, text);
+  collect_row (c, ROW_INTENTS, key, text);
   p->writing_row = row;
   p->next_row = (row + 1) % INTENT_ROWS;
 }
@@ -298,6 +305,24 @@
   TAILQ_CONCAT (&p->rows[p->writing_row], &p->writing, link);
 }
 
+void
+intents_refused (struct fsched *fs)
+{
+  struct intents *p = &fs->intents;
+  struct intent *e;
+
+  if (TAILQ_EMPTY (&p->writing))
+    return;
+  while ((e = TAILQ_LAST (&p->writing, intentq)))
+    {
+      TAILQ_REMOVE (&p->writing, e, link);
+      TAILQ_INSERT_HEAD (&p->waiting, e, link);
+    }
+  /* The row in the table still holds what was moved from it. */
+  p->next_row = p->writing_row;
+  fs->intents_write_due = true;
+}
+
 /* Loading. */
 
 /* Parses a line "job step index run_id executor boot_start".  Earlier versions
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -260,7 +260,7 @@
 static bool
 has_unplaced_tasks (const struct job *j)
 {
-  if (job_state_final (j->state))
+  if (job_state_final (j->state) || j->set_aside)
     return false;
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
--- a/core/fsched_progress.c
+++ b/core/fsched_progress.c
@@ -26,7 +26,8 @@
 };
 
 bool
-collect_row (struct collection *c, const char *key, const char *value)
+collect_row (struct collection *c, int kind, const char *key,
+             const char *value)
 {
   int64_t n_bytes = value ? (int64_t)strlen (value) : 0;
 
@@ -35,6 +36,9 @@
   store_put (c->op, key, value);
   c->rows_left--;
   c->bytes_left -= n_bytes;
+  c->to->n_rows++;
+  c->to->n_bytes += n_bytes;
+  c->to->last_kind = kind;
   return true;
 }
 
@@ -174,8 +178,9 @@
 collect_job_row (struct collection *c, struct job *j, struct progress_row *row,
                  const char *key, const char *text)
 {
-  if (!collect_row (c, key, text))
+  if (!collect_row (c, ROW_PROGRESS, key, text))
     return false;
+  clb_copy (c->to->job, j->spec.id, sizeof c->to->job);
   unmark_row (j, row);
   row->writing = true;
   j->n_writing_rows++;
@@ -265,9 +270,12 @@
   clb_auto char *text = NULL;
   bool ended;
 
+  if (j->set_aside)
+    return true;
   j->runs_left_written = runs_left (j);
   ended = job_state_final (j->state) && !j->runs_left_written;
   /* The final state is all that is needed of a job without runs. */
+  ended = ended || j->state_only;
   for (int i = 0; ended && i < j->n_pages; i++)
     unmark_row (j, &j->pages[i]);
   if (!j->pages && row_due (fs, &j->head))
@@ -299,7 +307,7 @@
     {
       char key[PAGE_KEY_SIZE];
       page_key (p->id, p->ref, key);
-      p->writing = collect_row (c, key, NULL);
+      p->writing = collect_row (c, ROW_STALE_PAGE, key, NULL);
       if (!p->writing)
         {
           fs->record_due = true;
@@ -317,7 +325,7 @@
     if (j->n_dirty_rows && !collect_job (fs, c, j))
       return false;
   TAILQ_FOREACH (j, &fs->queue, link)
-    if (j->n_dirty_rows)
+    if (j->n_dirty_rows && !j->set_aside)
       fs->record_due = true;
   collect_stale_pages (fs, c);
   return true;
@@ -360,6 +368,104 @@
       }
 }
 
+/* Lets a row be written again, in the round that is being recorded, if it was
+   in the refused write. */
+static void
+row_refused (struct fsched *fs, struct job *j, struct progress_row *row)
+{
+  if (!row->writing)
+    return;
+  row->writing = false;
+  j->n_writing_rows--;
+  unmark_row (j, row);
+  mark_row (fs, j, row, fs->round - 1);
+}
+
+void
+progress_refused (struct fsched *fs)
+{
+  struct job *j;
+  struct stale_page *p;
+
+  TAILQ_FOREACH (j, &fs->queue, link)
+    {
+      if (!j->n_writing_rows)
+        continue;
+      row_refused (fs, j, &j->head);
+      for (int i = 0; i < j->n_pages; i++)
+        row_refused (fs, j, &j->pages[i]);
+    }
+  TAILQ_FOREACH (p, &fs->stale_pages, link)
+    p->writing = false;
+}
+
+void
+progress_shrink_rows (struct fsched *fs, struct job *j)
+{
+  if (!j->pages)
+    return;
+  j->old_pages = realloc (j->old_pages, (size_t)(j->n_old_pages + j->n_pages)
+                                            * sizeof *j->old_pages);
+  if (!j->old_pages)
+    abort ();
+  for (int i = 0; i < j->n_pages; i++)
+    {
+      unmark_row (j, &j->pages[i]);
+      if (j->pages[i].stored)
+        j->old_pages[j->n_old_pages++] = (struct page_ref){ j->page_tasks, i };
+    }
+  free (j->pages);
+  j->pages = NULL;
+  j->n_pages = 0;
+  mark_row (fs, j, &j->head, fs->round - 1);
+}
+
+void
+progress_set_aside (struct fsched *fs, struct job *j)
+{
+  struct exec *e;
+
+  if (j->set_aside)
+    return;
+  j->set_aside = true;
+  j->retry_record_ms = fs->now_ms + FSCHED_SET_ASIDE_MS;
+  fs->n_set_aside++;
+  out_line (fs->out, "event=job-set-aside job=%s state=%s rows=%d for_ms=%d",
+            j->spec.id, job_state_names[j->state], j->n_dirty_rows,
+            FSCHED_SET_ASIDE_MS);
+  /* Ends of the job's runs may be among these; the next polls tell. */
+  TAILQ_FOREACH (e, &fs->execs, link)
+    if (e->seen_end_seq > e->recorded_end_seq)
+      {
+        e->held_end_seq = e->recorded_end_seq + 1;
+        if (e->round_end_seq > e->recorded_end_seq)
+          e->round_end_seq = e->recorded_end_seq;
+      }
+}
+
+void
+progress_restore (struct fsched *fs, struct job *j)
+{
+  if (!j->set_aside)
+    return;
+  j->set_aside = false;
+  fs->n_set_aside--;
+  fs->record_due = true;
+  fs->pass_due = true;
+}
+
+void
+progress_tick (struct fsched *fs)
+{
+  struct job *j;
+
+  if (!fs->n_set_aside)
+    return;
+  TAILQ_FOREACH (j, &fs->queue, link)
+    if (j->set_aside && fs->now_ms >= j->retry_record_ms)
+      progress_restore (fs, j);
+}
+
 /* Lets a page of an ended job be removed from the table. */
 static void
 drop_page (struct fsched *fs, const char *id, struct page_ref ref)
--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -97,7 +97,7 @@
         snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d", number);
       else
         snprintf (key, sizeof key, FSCHED_KEY_ROSTER "%02d.%d", number, part);
-      if (!collect_row (c, key, text))
+      if (!collect_row (c, ROW_ROSTER, key, text))
         return false;
     }
   fs->roster_parts[number] = part;
@@ -135,7 +135,9 @@
   fs->round++;
   fs->intents.round_ends = fs->intents.n_ends;
   TAILQ_FOREACH (e, &fs->execs, link)
-    e->round_end_seq = e->seen_end_seq;
+    e->round_end_seq = e->held_end_seq && e->held_end_seq <= e->seen_end_seq
+                           ? e->held_end_seq - 1
+                           : e->seen_end_seq;
 }
 
 /* Sets what is recorded once the write is durable.  Ends of runs are
@@ -153,7 +155,7 @@
     {
       e->writing_end_seq
           = round_complete ? e->round_end_seq : e->recorded_end_seq;
-      if (e->seen_end_seq > e->writing_end_seq)
+      if (e->seen_end_seq > e->writing_end_seq && !e->held_end_seq)
         fs->record_due = true;
     }
 }
@@ -161,20 +163,25 @@
 int
 fsched_collect (struct fsched *fs, struct store_op *op, int max_rows)
 {
-  struct collection c = { .op = op,
-                          .rows_left = max_rows,
-                          .bytes_left = fs->limits.call_bytes };
+  struct collection c
+      = { .op = op,
+          .to = &fs->collected,
+          .rows_left = max_rows < fs->rows_max ? max_rows : fs->rows_max,
+          .bytes_left = fs->limits.call_bytes };
   bool round_complete;
 
   fs->record_due = false;
+  fs->collected = (struct collected){ 0 };
   begin_round (fs);
-  intents_collect (fs, &c);
+  if (!fs->skip_intents)
+    intents_collect (fs, &c);
+  fs->skip_intents = fs->rows_max < max_rows && !fs->skip_intents;
   collect_roster (fs, &c);
   round_complete = progress_collect (fs, &c);
   if (!round_complete)
     fs->record_due = true;
   set_writing_ends (fs, round_complete);
-  return max_rows - c.rows_left;
+  return fs->collected.n_rows;
 }
 
 void
@@ -189,6 +196,9 @@
         fs->pass_due = true;
       }
   fs->roster_writing = 0;
+  if (fs->rows_max < LEADER_ROWS_MAX)
+    fs->rows_max = 2 * fs->rows_max < LEADER_ROWS_MAX ? 2 * fs->rows_max
+                                                      : LEADER_ROWS_MAX;
   if (fs->round_writing)
     fs->round_open = false;
   fs->round_writing = false;
@@ -202,6 +212,46 @@
   intents_recorded (fs);
 }
 
+/* Handles that the table refuses the only row of a write: what it holds is
+   written in smaller rows, or its job is set aside if it is small already. */
+static void
+handle_refused_row (struct fsched *fs)
+{
+  const struct collected *c = &fs->collected;
+  struct job *j
+      = c->last_kind == ROW_PROGRESS ? fsched_find_job (fs, c->job) : NULL;
+
+  if (c->n_bytes > FSCHED_ROW_BYTES_MIN)
+    {
+      fs->limits.row_bytes = c->n_bytes / 2;
+      if (j)
+        progress_shrink_rows (fs, j);
+    }
+  else if (j)
+    progress_set_aside (fs, j);
+}
+
+void
+fsched_refused (struct fsched *fs)
+{
+  const struct collected *c = &fs->collected;
+
+  out_line (fs->out,
+            "event=write-refused rows=%d bytes=%lld last_kind=%d job=%s "
+            "row_bytes=%lld",
+            c->n_rows, (long long)c->n_bytes, c->last_kind, c->job,
+            (long long)fs->limits.row_bytes);
+  fs->roster_dirty |= fs->roster_writing;
+  fs->roster_writing = 0;
+  fs->round_writing = false;
+  fs->record_due = true;
+  fs->rows_max = 1;
+  progress_refused (fs);
+  intents_refused (fs);
+  if (c->n_rows == 1)
+    handle_refused_row (fs);
+}
+
 /* Returns the value of a hexadecimal digit. */
 static int
 hex_value (char c)
--- a/core/leader.c
+++ b/core/leader.c
@@ -452,6 +452,20 @@
   return LEADER_RECORDED;
 }
 
+/* Gives up the write in progress, which the table service refuses for what it
+   contains; returns enum leader_event.  Another send of it would be refused as
+   well. */
+static int
+refuse_write (struct leader *l, int64_t now_ms)
+{
+  bool has_rows = l->write->n_puts > 1;
+
+  discard_write (l);
+  l->releasing = false;
+  l->next_ms = now_ms + (has_rows ? 0 : LEADER_RETRY_MS);
+  return LEADER_REFUSED;
+}
+
 /* Handles the answer to a send of the write in progress; returns enum
    leader_event.  After a conflict, the journal row tells whether an earlier
    send of the same write took effect or another instance has claimed
@@ -469,6 +483,8 @@
     l->latency_ms = now_ms - sent_ms;
   if (rep->err == 0)
     return finish_write (l, rep->ver);
+  if (rep->err == CLB_EDENIED)
+    return refuse_write (l, now_ms);
   if (rep->err != CLB_ECONFLICT)
     {
       l->next_ms = now_ms + LEADER_RETRY_MS;
--- a/core/leader.h
+++ b/core/leader.h
@@ -117,6 +117,9 @@
   LEADER_RECORDED,
   /* Another instance has claimed leadership; this one no longer leads. */
   LEADER_SUPERSEDED,
+  /* The table service refuses the write in progress, whenever it is sent.  The
+     write is given up; none of its rows was written. */
+  LEADER_REFUSED,
 };
 
 /** struct leader_attempt - an earlier send of the write in progress */
--- a/core/msg.h
+++ b/core/msg.h
@@ -329,6 +329,7 @@
  *       %CLB_ENOTFOUND, which for STORE_FEED means that the changes since
  *       store_op::since are no longer kept and the table must be listed again;
  *       %CLB_EUNAVAIL if the operation certainly had no effect;
+ *       %CLB_EDENIED if it had none and is refused whenever it is sent;
  *       %CLB_EOUTCOME if the operation may have had an effect
  */
 struct store_rep
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -108,6 +108,8 @@
   double delayed_write_share;
   /* The table is executing earlier writes until this time. */
   int64_t busy_until_ms;
+  /* The table refuses writes of progress of this job; empty: of none. */
+  char refused_job[JOB_ID_SIZE];
   size_t row_bytes_max; /* the table refuses writes of longer values */
   /* Time that a write takes its part of the table, which executes writes one
      after another; 0: parts are not simulated. */
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -103,7 +103,7 @@
 static size_t
 encoded_row_bytes (const char *key, const char *value)
 {
-  return OVERHEAD_BYTES + strlen (key)
+  return OVERHEAD_BYTES + (key ? strlen (key) : 0)
          + (value ? 4 * ((strlen (value) + 2) / 3) : 0);
 }
 
@@ -138,15 +138,18 @@
 static bool
 txn_is_valid (const struct ftable *t, const struct store_op *op)
 {
-  const char *first = op->n_puts ? op->puts[0].key : NULL;
   size_t n_bytes = OVERHEAD_BYTES;
+  const char *first;
 
+  if (!op->n_puts)
+    return true;
+  first = op->puts[0].key;
   if (op->n_conds + op->n_puts > CALL_ENTRIES_MAX)
     return false;
   for (size_t i = 0; i < op->n_conds; i++)
     {
       n_bytes += encoded_row_bytes (op->conds[i].key, NULL);
-      if (first && !same_part (first, op->conds[i].key))
+      if (!same_part (first, op->conds[i].key))
         return false;
     }
   for (size_t i = 0; i < op->n_puts; i++)
@@ -154,7 +157,9 @@
       const struct put *p = &op->puts[i];
       n_bytes += encoded_row_bytes (p->key, p->value);
       if (!same_part (first, p->key) || !key_may_be_written (p->key)
-          || (p->value && strlen (p->value) > t->row_bytes_max))
+          || (p->value && strlen (p->value) > t->row_bytes_max)
+          || (*t->refused_job && strncmp (p->key, "prog:", 5) == 0
+              && strstr (p->key, t->refused_job)))
         return false;
     }
   return n_bytes <= FSIM_CALL_BYTES_MAX;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -414,6 +414,8 @@
                  executed 1 to 6 seconds later
    row-bytes     writes of values of more than value bytes are refused (65536
                  at the start)
+   refuse-job    the table refuses writes of progress of the job with the id
+                 value; an empty id ends the fault
    part-write-ms each part of the table executes one write after another,
                  each of which takes value ms
    compact       compacts the table: from now on, a feed of changes since a
@@ -422,8 +424,16 @@
 verb_store (lua_State *l)
 {
   const char *what = luaL_checkstring (l, 1);
-  double value = luaL_optnumber (l, 2, 0);
   struct ftable *t = &sim->table;
+  double value;
+
+  if (strcmp (what, "refuse-job") == 0)
+    {
+      clb_copy (t->refused_job, luaL_checkstring (l, 2),
+                sizeof t->refused_job);
+      return 0;
+    }
+  value = luaL_optnumber (l, 2, 0);
 
   if (strcmp (what, "down") == 0)
     t->down_until_ms = sim->now_ms + (int64_t)value;
