Loop over the pages of a job only if it has pages

The analyzer of the linter takes a job with n_pages and without pages for possible. The condition says what already holds; no behaviour changes. The unit tests of rows pass (6 of 6).

--- a/core/fsched_progress.c
+++ b/core/fsched_progress.c
@@ -276,7 +276,7 @@
   ended = job_state_final (j->state) && !j->runs_left_written;
   /* The final state is all that is needed of a job without runs. */
   ended = ended || j->state_only;
-  for (int i = 0; ended && i < j->n_pages; i++)
+  for (int i = 0; j->pages && ended && i < j->n_pages; i++)
     unmark_row (j, &j->pages[i]);
   if (!j->pages && row_due (fs, &j->head))
     {
