--- a/core/fsched_progress.c
+++ b/core/fsched_progress.c
@@ -247,6 +247,8 @@
 static bool
 collect_pages (struct fsched *fs, struct collection *c, struct job *j)
 {
+  if (!j->pages)
+    return true;
   for (int i = 0; i < j->n_pages; i++)
     {
       char key[PAGE_KEY_SIZE];
