--- a/regress/unit/record_test.c
+++ b/regress/unit/record_test.c
@@ -317,7 +317,9 @@
   clb_copy (rep.addr, "100.100.100.100:65535", sizeof rep.addr);
   for (int i = 0; i < 10000; i++)
     {
-      snprintf (rep.id + CLB_ID_MAX - 9, 9, "%08d", i);
+      char number[16];
+      snprintf (number, sizeof number, "%08d", i);
+      memcpy (rep.id + CLB_ID_MAX - 9, number, 8);
       fsched_exec_report (fs, &rep);
     }
   write_all (fs, &t);
