--- a/regress/fleet/ends.lua
+++ b/regress/fleet/ends.lua
@@ -21,13 +21,6 @@
   end
 end
 
-local function kill_leader()
-  local old = leader()
-  expect(old >= 0, "no instance leads")
-  instance(old, "kill")
-  return old
-end
-
 -- The ends beyond the first page were taken for runs that never started.
 scenario("a new leader reads all pages of ends before it restarts tasks",
   function()
--- a/regress/fleet/large.lua
+++ b/regress/fleet/large.lua
@@ -1,16 +1,5 @@
 dofile("regress/fleet/lib.lua")
 
--- Submits count small jobs, beginning with number first, one every 100 ms, to
--- all instances but down.
-local function submit_small(first, count, down)
-  for n = first, first + count - 1 do
-    local at = n % 3
-    job{id = id(n), steps = {{tasks = 2, ms = 300, cpu = 500}}}
-    submit(at == down and (at + 1) % 3 or at, id(n))
-    run(100)
-  end
-end
-
 local function expect_completed(first, last)
   for n = first, last do
     local s = state(n % 3, id(n))
@@ -18,14 +7,6 @@
   end
 end
 
--- Kills the leader.  Return: its index.
-local function kill_leader()
-  local old = leader()
-  expect(old >= 0, "no instance leads")
-  instance(old, "kill")
-  return old
-end
-
 -- Return: four steps of 1,024 tasks, the largest job that is accepted.
 local function largest(options)
   local steps = {}
--- a/regress/fleet/lib.lua
+++ b/regress/fleet/lib.lua
@@ -33,6 +33,31 @@
   return status == 200 and body or tostring(status)
 end
 
+-- Submits count small jobs, beginning with number first, one every 100 ms, to
+-- the instances 0 to 2 but down.
+function submit_small(first, count, down)
+  for n = first, first + count - 1 do
+    local at = n % 3
+    job{id = id(n), steps = {{tasks = 2, ms = 300, cpu = 500}}}
+    submit(at == down and (at + 1) % 3 or at, id(n))
+    run(100)
+  end
+end
+
+-- Return: index of the leader, which must exist.
+function the_leader()
+  local l = leader()
+  expect(l >= 0, "no instance leads")
+  return l
+end
+
+-- Kills the leader.  Return: its index.
+function kill_leader()
+  local old = the_leader()
+  instance(old, "kill")
+  return old
+end
+
 -- Return: a list of functions, for four instances and eight executors of 16
 -- cores.  Each injects a random fault and returns a function that ends the
 -- fault, or nil if the fault ends by itself.
--- a/regress/fleet/refused.lua
+++ b/regress/fleet/refused.lua
@@ -1,22 +1,5 @@
 dofile("regress/fleet/lib.lua")
 
--- Return: index of the leader, which must exist.
-local function the_leader()
-  expect(leader() >= 0, "no instance leads")
-  return leader()
-end
-
--- Submits count small jobs, beginning with number first, one every 100 ms, to
--- all instances but down.
-local function submit_small(first, count, down)
-  for n = first, first + count - 1 do
-    local at = n % 3
-    job{id = id(n), steps = {{tasks = 2, ms = 300, cpu = 500}}}
-    submit(at == down and (at + 1) % 3 or at, id(n))
-    run(100)
-  end
-end
-
 local function expect_completed(first, last)
   for n = first, last do
     local s = state(the_leader(), id(n))
@@ -48,8 +31,7 @@
   expect(state(the_leader(), id(900)) == "running", "the job is not running")
   local _, _, done = task(id(900), 0, 0)
   expect(not done, "an end that is not recorded was acknowledged")
-  local old = the_leader()
-  instance(old, "kill")
+  local old = kill_leader()
   run(4000)
   submit_small(21, 10, old)
   run(2000)
