Log lines and metrics of answers that led to no start

Callers saw jobs that wait for advice and never start. Today's lines tell neither how many answers were of no use, nor for lack of what, nor how many instances may pass on long queries, nor how much the queries need that are not sent yet.

event=advice-unused names the first of permits, tickets and room without reservations that was too small for the step; answers_unused_total counts the same. event=waits has the instances that long queries may use, those without a query and the time that unsent first queries need.

--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -51,6 +51,12 @@
                 s->queries_overdue);
   metric_print (out, "questions_outstanding", NULL, NULL,
                 f->fsched ? (uint64_t)f->fsched->n_queries_out : 0);
+  for (int i = 0; i < UNUSED_N; i++)
+    metric_print (out, "answers_unused_total", "cause", unused_cause_names[i],
+                  s->answers_unused[i]);
+  if (f->fsched)
+    metric_print (out, "questions_unsent_ms", NULL, NULL,
+                  (uint64_t)fsched_unsent_ms (f->fsched));
   for (int i = 0; i < RUN_END_N; i++)
     metric_print (out, "ends_total", "how", run_end_names[i], s->ends[i]);
   for (int i = 0; i < REFUSED_N; i++)
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -271,6 +271,7 @@
   /* Number of advice queries about the step that were answered since a task
      of the step was last started. */
   int n_queries;
+  bool answer_new; /* the last answer was not tried in a placing pass yet */
   /* Number of advice queries that were overdue or failed since the last
      answer. */
   int n_lost;
@@ -937,6 +938,10 @@
  * Return: the count; -1 if @id is unknown.
  */
 int fsched_adviser_rank (const struct fsched *fs, const char *id);
+/** fsched_unsent_ms() - Return how long the advice service is expected to take
+ * for the first queries about all ready steps that were not asked about yet,
+ * in ms. */
+int64_t fsched_unsent_ms (const struct fsched *fs);
 /** fsched_is_query() - Return whether @order is an advice query without an
  * answer. */
 bool fsched_is_query (const struct fsched *fs, uint64_t order);
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -133,6 +133,13 @@
   int n_unknown;      /* number of usable executors with PERMIT_UNKNOWN */
 };
 
+/* Returns the announced duration of a query that names @n_execs executors. */
+static double
+query_duration_ms (const struct job *j, double n_execs)
+{
+  return j->spec.advice.base_ms + j->spec.advice.per_exec_ms * n_execs;
+}
+
 /*
  * Returns the time at which a ticket must still be valid to be of use after
  * the answer to a query that is sent now.  The members of a gang need valid
@@ -142,13 +149,10 @@
 static int64_t
 ticket_needed_until_ms (const struct fsched *fs, const struct job *j, int step)
 {
-  const struct job_advice *advice = &j->spec.advice;
-
   if (!j->spec.steps[step].gang)
     return fs->now_ms;
   return fs->now_ms + ADVICE_QUEUED_MAX_MS
-         + (int64_t)(advice->base_ms
-                     + advice->per_exec_ms * ORDER_ADVICE_EXECS_MAX);
+         + (int64_t)query_duration_ms (j, ORDER_ADVICE_EXECS_MAX);
 }
 
 /* Returns the pause after @n >= 1 events in a row: @first_ms, and twice as
@@ -346,6 +350,54 @@
   reserve_permitted (fs, j, step, n_waiting);
 }
 
+/* Returns the expected duration of the first query about a step, in ms, as
+   announced: if the executors were idle, it would name as many. */
+static double
+first_query_ms (const struct fsched *fs, const struct job *j, int step)
+{
+  const struct job_need *need = &j->spec.steps[step].need;
+  double fits = j->steps[step].n_tasks;
+  double n;
+
+  if (need->millicores > 0
+      && (double)fs->capacity.millicores / (double)need->millicores
+             < fits * fs->n_eligible)
+    fits = (double)fs->capacity.millicores
+           / ((double)need->millicores * fs->n_eligible);
+  if (fits < 1)
+    fits = 1;
+  n = SPARE_FACTOR * j->steps[step].n_tasks / fits;
+  if (n < SPARE_MIN)
+    n = SPARE_MIN;
+  n /= j->queue_stats->permitted_share;
+  if (n > fs->n_eligible)
+    n = fs->n_eligible;
+  return query_duration_ms (
+      j, n < ORDER_ADVICE_EXECS_MAX ? n : ORDER_ADVICE_EXECS_MAX);
+}
+
+int64_t
+fsched_unsent_ms (const struct fsched *fs)
+{
+  const struct job *j;
+  double sum_ms = 0;
+
+  TAILQ_FOREACH (j, &fs->queue, link)
+    {
+      if (j->spec.advice.base_ms <= 0 || job_state_final (j->state)
+          || j->set_aside)
+        continue;
+      for (size_t i = 0; i < j->spec.n_steps; i++)
+        {
+          const struct jstep *s = &j->steps[i];
+          if (s->ready && s->n_done + s->n_running == 0 && s->query_id == 0)
+            sum_ms += first_query_ms (fs, j, (int)i)
+                      * j->queue_stats->advice_pace.factor;
+        }
+    }
+  return (int64_t)sum_ms;
+}
+
 bool
 adviser_is_free (const struct fsched *fs, const struct job *j)
 {
@@ -465,7 +517,6 @@
 query_once (struct fsched *fs, struct job *j, int step, int n_waiting)
 {
   struct jstep *s = &j->steps[step];
-  const struct job_advice *advice = &j->spec.advice;
   struct named_execs execs = { .n = 0 };
   double duration_ms;
   int adviser;
@@ -478,7 +529,7 @@
       recheck_denied (fs, j, step);
       return false;
     }
-  duration_ms = advice->base_ms + advice->per_exec_ms * (double)execs.n;
+  duration_ms = query_duration_ms (j, (double)execs.n);
   adviser = adviser_pick (fs, duration_ms);
   for (size_t i = 0; i < execs.n; i++)
     execs.named_fits += execs.list[i].fits;
@@ -610,6 +661,7 @@
   int64_t valid_ms = res->valid_ms ? res->valid_ms : j->spec.advice.valid_ms;
 
   s->n_lost = 0;
+  s->answer_new = true;
   s->next_query_ms = fs->now_ms + query_pause (++s->n_queries);
   store_permits (fs, s, res,
                  fs->now_ms + valid_ms - answer_delay (fs, pend, res)
--- a/core/fsched_adviser.c
+++ b/core/fsched_adviser.c
@@ -246,24 +246,40 @@
                  : a->busy_until_ms <= b->busy_until_ms;
 }
 
+struct adviser_counts
+adviser_count (const struct fsched *fs)
+{
+  struct adviser_counts c = { 0 };
+
+  for (int i = 0; i < fs->n_advisers; i++)
+    {
+      const struct adviser *a = &fs->advisers[i];
+      if (!is_available (fs, a))
+        continue;
+      c.n_available++;
+      c.n_idle += a->n_queries + a->n_overdue == 0;
+    }
+  c.n_for_long = (c.n_available + 1) / 2;
+  return c;
+}
+
 int
 adviser_pick (const struct fsched *fs, double duration_ms)
 {
   bool is_long = duration_ms > ADVICE_LONG_QUERY_MS;
-  int n_available = 0;
+  int n_for_long;
   int n_seen = 0;
   int best = -1;
 
   if (!window_is_open (fs, is_long))
     return -1;
-  for (int i = 0; i < fs->n_advisers; i++)
-    n_available += is_available (fs, &fs->advisers[i]);
+  n_for_long = adviser_count (fs).n_for_long;
   for (int i = 0; i < fs->n_advisers; i++)
     {
       const struct adviser *a = &fs->advisers[i];
       if (!is_available (fs, a))
         continue;
-      if (is_long && n_seen++ >= (n_available + 1) / 2)
+      if (is_long && n_seen++ >= n_for_long)
         break;
       if (is_free (fs, a, is_long)
           && (best < 0 || suits_better (a, &fs->advisers[best], is_long)))
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -475,6 +475,15 @@
   ADVICE_QUEUED_MAX_MS = 40,
 };
 
+/** struct adviser_counts - numbers of instances that may get queries */
+struct adviser_counts
+{
+  int n_available; /* reachable and not avoided */
+  int n_idle;      /* of these, without an outstanding query */
+  int n_for_long;  /* of the available ones, those that long queries may use */
+};
+/** adviser_count() - Count the instances that may get queries. */
+struct adviser_counts adviser_count (const struct fsched *fs);
 /** adviser_name() - Return the name of an instance for log lines, borrowed.
  * @adviser: index into fsched::advisers */
 const char *adviser_name (const struct fsched *fs, int adviser);
@@ -558,5 +567,8 @@
 
 /** why_tick() - Log why overdue jobs wait, if the next lines are due. */
 void why_tick (struct fsched *fs);
+/** why_answer_unused() - Count and log why the last answer about a step did
+ * not let the step start. */
+void why_answer_unused (struct fsched *fs, const struct job *j, int step);
 
 #endif
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -250,6 +250,9 @@
       if (!needs_advice || s->tickets_until_ms > fs->now_ms)
         placed = j->spec.steps[i].gang ? place_gang (fs, j, (int)i)
                                        : place_single_tasks (fs, j, (int)i);
+      if (!placed && s->answer_new)
+        why_answer_unused (fs, j, (int)i);
+      s->answer_new = false;
       if (!placed && needs_advice)
         advice_query (fs, j, (int)i);
     }
--- a/core/fsched_stats.h
+++ b/core/fsched_stats.h
@@ -8,6 +8,17 @@
 #include "job.h"
 #include "order.h"
 
+/** enum unused_cause - why an answer to an advice query led to no start */
+enum unused_cause
+{
+  UNUSED_PERMITS,  /* the permitted executors have too little free capacity */
+  UNUSED_TICKETS,  /* they have enough, but not with valid tickets */
+  UNUSED_RESERVED, /* enough has tickets, but is reserved for other jobs */
+  UNUSED_OTHER,
+  UNUSED_N
+};
+extern const char *const unused_cause_names[UNUSED_N + 1];
+
 /** struct fsched_stats - counters since the process started */
 struct fsched_stats
 {
@@ -26,6 +37,8 @@
   uint64_t queries_failed; /* number of advice queries that failed */
   /* Number of advice queries that had no answer by their deadline. */
   uint64_t queries_overdue;
+  /* Number of answers that led to no start, by enum unused_cause. */
+  uint64_t answers_unused[UNUSED_N];
   uint64_t jobs_added;
   /* Number of jobs whose progress was split into pages. */
   uint64_t progress_splits;
--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -37,6 +37,9 @@
         "query-sent", "query-pause",   "no-permit",   "no-room",
         "no-adviser", "reserved",      "turn" };
 
+const char *const unused_cause_names[]
+    = { "permits", "tickets", "reserved", "other", NULL };
+
 /** struct exec_counts - executors of a step's service and label, by what is
  * known of their permits */
 struct exec_counts
@@ -169,6 +172,7 @@
 {
   const struct jstep *s = &j->steps[step];
   struct exec_counts c = count_execs (fs, j, step);
+  struct adviser_counts a = adviser_count (fs);
   const char *by;
   int64_t asking_ms = query_age (fs, s, &by);
 
@@ -178,7 +182,7 @@
       "ready_ms=%lld late_ms=%lld tasks=%d running=%d done=%d usable=%d "
       "allowed=%d denied=%d unknown=%d aside=%d tickets=%d fit=%d "
       "fit_free=%d asking_ms=%lld by=%s answers=%d lost=%d pause_ms=%lld "
-      "outstanding=%d/%d long=%d/%d",
+      "outstanding=%d/%d long=%d/%d advisers=%d/%d free=%d unsent_ms=%lld",
       j->spec.id, step, j->spec.queue, j->spec.tenant,
       cause_names[find_cause (fs, j, step, &c)],
       (long long)(fs->now_ms - s->ready_ms),
@@ -189,7 +193,49 @@
       (long long)(s->next_query_ms > fs->now_ms ? s->next_query_ms - fs->now_ms
                                                 : 0),
       fs->n_queries_out, (int)fs->query_window, fs->n_long_out,
-      fs->long_window);
+      fs->long_window, a.n_for_long, a.n_available, a.n_idle,
+      (long long)fsched_unsent_ms (fs));
+}
+
+void
+why_answer_unused (struct fsched *fs, const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+  int needed = tasks_needed (j, step);
+  int n_fit = 0;        /* tasks that permitted executors can take */
+  int n_ticket = 0;     /* of these, those with a valid ticket */
+  int n_unreserved = 0; /* of these, without what is reserved for others */
+  enum unused_cause cause = UNUSED_OTHER;
+
+  for (int i = 0; i < fs->n_eligible; i++)
+    {
+      const struct exec *e = fs->eligible[i];
+      struct exec unreserved = *e;
+      int fits;
+      if (e->index >= s->n_permits
+          || s->permits[e->index].state != PERMIT_ALLOWED
+          || !exec_usable (e, j, step))
+        continue;
+      unreserved.reserved = (struct job_need){ 0 };
+      fits = exec_fit_count (&unreserved, j, step, s->n_tasks);
+      n_fit += fits;
+      if (!permit_valid (fs, s, e))
+        continue;
+      n_ticket += fits;
+      n_unreserved += exec_fit_count (e, j, step, s->n_tasks);
+    }
+  if (n_fit < needed)
+    cause = UNUSED_PERMITS;
+  else if (n_ticket < needed)
+    cause = UNUSED_TICKETS;
+  else if (n_unreserved < needed)
+    cause = UNUSED_RESERVED;
+  fs->stats->answers_unused[cause]++;
+  out_line (fs->out,
+            "event=advice-unused job=%s step=%d cause=%s needed=%d fit=%d "
+            "fit_ticket=%d fit_unreserved=%d answers=%d",
+            j->spec.id, step, unused_cause_names[cause], needed, n_fit,
+            n_ticket, n_unreserved, s->n_queries);
 }
 
 /* Logs the first step of a job that waits and is overdue.  Returns whether
