Gangs that have tickets are placed before room is reserved for others

Cause: a placing pass reserved room for each more urgent job whose query was outstanding, or could not be sent at all, before it placed less urgent ones. An answer takes seconds; the room that was promised meanwhile covered the whole fleet, so that nobody started. Class: a promise for work that is seconds away blocks work that is ready.

Change: jobs of one rank (class, first priority or not) that have tickets are placed first; then room is kept for the outstanding queries of the rank, so that no lower rank takes it and no other query names it; then queries are sent. A gang keeps room beyond that only if its answer will start it, or if its permitted executors could hold it. Executors are compared with their own reservation given back. The reservations stand in fsched_room.c.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -236,6 +236,9 @@
   char *ticket;      /* owned; NULL: none */
   uint64_t query_id; /* id of the last advice query that named it; 0: none */
   bool asked;        /* this query is outstanding and not overdue */
+  /* Number of tasks that the current placing pass reserves room for, if
+     jstep::room_reserved is set. */
+  int n_reserved;
 };
 
 /** struct jstep - a step of a job in memory */
@@ -266,11 +269,17 @@
   /* The outstanding queries do not name all executors whose tickets the gang
      needs. */
   bool needs_more_names;
+  /* They name enough permitted executors with room for the waiting tasks. */
+  bool start_expected;
   int64_t tickets_until_ms; /* expiry of the ticket that is valid longest */
   int64_t next_query_ms;    /* earliest time of the step's next advice query */
   /* Number of advice queries about the step that were answered since a task
      of the step was last started. */
   int n_queries;
+  /* In the current placing pass: the step may be asked about; room is reserved
+     for it. */
+  bool query_due;
+  bool room_reserved;
   bool answer_new; /* the last answer was not tried in a placing pass yet */
   /* Number of advice queries that were overdue or failed since the last
      answer. */
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -91,23 +91,17 @@
          && p->valid_until_ms > fs->now_ms + FSCHED_TICKET_MARGIN_MS;
 }
 
-/** struct candidate - an executor that a query may name */
-struct candidate
-{
-  struct exec *e;
-  int fits; /* number of the step's tasks that the executor can take */
-};
-
 /* Returns the class of a candidate, see FIT_CLASSES. */
 static int
-fit_class (const struct candidate *cand)
+fit_class (const struct named_exec *cand)
 {
   return cand->fits < FIT_CLASSES ? cand->fits : FIT_CLASSES - 1;
 }
 
 /* Sorts candidates by class, most capacity first; the sort is stable. */
 static void
-sort_by_capacity (struct candidate *to, const struct candidate *from, size_t n)
+sort_by_capacity (struct named_exec *to, const struct named_exec *from,
+                  size_t n)
 {
   size_t begin[FIT_CLASSES + 1] = { 0 };
 
@@ -123,16 +117,6 @@
     to[begin[fit_class (&from[i])]++] = from[i];
 }
 
-/** struct named_execs - the executors that a query names */
-struct named_execs
-{
-  struct candidate list[ORDER_ADVICE_EXECS_MAX];
-  size_t n;           /* number of entries of list */
-  int permitted_fits; /* number of tasks that permitted executors can take */
-  int named_fits;     /* the same of those that outstanding queries name */
-  int n_unknown;      /* number of usable executors with PERMIT_UNKNOWN */
-};
-
 /* Returns the announced duration of a query that names @n_execs executors. */
 static double
 query_duration_ms (const struct job *j, double n_execs)
@@ -189,14 +173,14 @@
       out->n_unknown += p->state == PERMIT_UNKNOWN;
       if (p->state != PERMIT_ALLOWED)
         continue;
-      fits = exec_fit_count (e, j, step, s->n_tasks);
+      fits = room_fits (e, j, step);
       out->permitted_fits += fits;
       if (p->asked)
         out->named_fits += fits;
       else if (fits > 0
                && (!permit_valid (fs, s, e) || p->valid_until_ms < until_ms)
                && out->n < ORDER_ADVICE_EXECS_MAX)
-        out->list[out->n++] = (struct candidate){ e, fits };
+        out->list[out->n++] = (struct named_exec){ e, fits };
     }
 }
 
@@ -210,9 +194,9 @@
              struct named_execs *out, int n_tasks)
 {
   struct jstep *s = &j->steps[step];
-  struct candidate *all
+  struct named_exec *all
       = fsched_zalloc (2 * (size_t)fs->n_eligible, sizeof *all);
-  struct candidate *sorted = all + fs->n_eligible;
+  struct named_exec *sorted = all + fs->n_eligible;
   double share = fsched_queue (fs, j->spec.queue)->permitted_share;
   double n_expected = 0;
   size_t n = 0;
@@ -222,8 +206,7 @@
       struct exec *e = fs->eligible[i];
       if (exec_usable (e, j, step)
           && permit_get (s, e)->state == PERMIT_UNKNOWN)
-        all[n++]
-            = (struct candidate){ e, exec_fit_count (e, j, step, s->n_tasks) };
+        all[n++] = (struct named_exec){ e, room_fits (e, j, step) };
     }
   sort_by_capacity (sorted, all, n);
   for (size_t i = 0; i < n && out->n < ORDER_ADVICE_EXECS_MAX
@@ -276,53 +259,6 @@
   fs->queries_left--;
 }
 
-/* Reserves capacity on @e for at most @max tasks of the step, so that less
-   urgent work does not get it in this pass.  Returns the number of tasks that
-   capacity was reserved for. */
-static int
-reserve_capacity (struct exec *e, const struct job *j, int step, int max)
-{
-  const struct job_step *s = &j->spec.steps[step];
-  int n = exec_fit_count (e, j, step, max);
-
-  if (!s->best_effort_cpu)
-    e->reserved.millicores += n * s->need.millicores;
-  e->reserved.mem_mb += n * s->need.mem_mb;
-  e->reserved.accels += n * s->need.accels;
-  return n;
-}
-
-/* Reserves capacity for @n_waiting tasks on the executors that a query
-   names. */
-static void
-reserve_named (const struct job *j, int step, const struct named_execs *execs,
-               int n_waiting)
-{
-  for (size_t i = 0; i < execs->n && n_waiting > 0; i++)
-    n_waiting -= reserve_capacity (execs->list[i].e, j, step, n_waiting);
-}
-
-/* Reserves capacity for @n_waiting tasks of a step on the executors that are
-   permitted or that its outstanding query names. */
-static void
-reserve_permitted (struct fsched *fs, struct job *j, int step, int n_waiting)
-{
-  struct jstep *s = &j->steps[step];
-
-  for (int i = 0; i < fs->n_eligible; i++)
-    {
-      struct exec *e = fs->eligible[i];
-      const struct permit *p;
-      if (n_waiting <= 0)
-        return;
-      if (e->index >= s->n_permits || !exec_usable (e, j, step))
-        continue;
-      p = &s->permits[e->index];
-      if (p->state == PERMIT_QUERIED || p->state == PERMIT_ALLOWED)
-        n_waiting -= reserve_capacity (e, j, step, n_waiting);
-    }
-}
-
 /* Returns whether any executor that a query names has capacity for a task. */
 static bool
 any_has_room (const struct named_execs *execs)
@@ -333,23 +269,6 @@
   return false;
 }
 
-/*
- * Reserves the free capacity of permitted executors for a gang that does not
- * fit yet.  Without this, less urgent tasks would take what becomes free, and
- * there would never be room for all members at the same time.
- */
-static void
-reserve_for_gang (struct fsched *fs, struct job *j, int step, int n_waiting)
-{
-  int64_t need = n_waiting * j->spec.steps[step].need.millicores;
-
-  if (!j->spec.steps[step].gang || need > fs->gang_reserve_millicores
-      || ABLATED (GANG_ROOM))
-    return;
-  fs->gang_reserve_millicores -= need;
-  reserve_permitted (fs, j, step, n_waiting);
-}
-
 /* Returns the expected duration of the first query about a step, in ms, as
    announced: if the executors were idle, it would name as many. */
 static double
@@ -451,28 +370,6 @@
     execs->n = 0;
 }
 
-/* Returns whether the executors that a step is permitted could start it if
-   they were idle. */
-static bool
-could_start (struct fsched *fs, struct job *j, int step)
-{
-  struct jstep *s = &j->steps[step];
-  int n_needed = j->spec.steps[step].gang ? s->n_tasks : 1;
-  int n = 0;
-
-  for (int i = 0; i < fs->n_eligible && n < n_needed; i++)
-    {
-      struct exec idle = *fs->eligible[i];
-      if (!exec_usable (&idle, j, step)
-          || permit_get (s, &idle)->state != PERMIT_ALLOWED)
-        continue;
-      idle.used = (struct job_need){ 0 };
-      idle.reserved = (struct job_need){ 0 };
-      n += exec_fit_count (&idle, j, step, n_needed);
-    }
-  return n >= n_needed;
-}
-
 /* Returns whether an executor that is denied to a step has room for it. */
 static bool
 denied_has_room (struct fsched *fs, struct job *j, int step)
@@ -500,7 +397,8 @@
   if (fs->now_ms < s->next_recheck_ms)
     return;
   s->next_recheck_ms = fs->now_ms + RECHECK_MS;
-  if (first || could_start (fs, j, step) || !denied_has_room (fs, j, step))
+  if (first || room_could_start (fs, j, step)
+      || !denied_has_room (fs, j, step))
     return;
   for (int i = 0; i < s->n_permits; i++)
     if (s->permits[i].state == PERMIT_DENIED)
@@ -511,9 +409,22 @@
             j->spec.id, step, s->n_rechecks);
 }
 
-/* Sends the next query about a step, if there is anything to ask.  Returns
-   whether executors were named. */
-static bool
+/* Returns the number of the step's tasks that those of the named executors can
+   take which it is permitted already. */
+static int
+permitted_named (const struct jstep *s, const struct named_execs *execs)
+{
+  int n = 0;
+
+  for (size_t i = 0; i < execs->n; i++)
+    if (s->permits[execs->list[i].e->index].state == PERMIT_ALLOWED)
+      n += execs->list[i].fits;
+  return n;
+}
+
+/* Sends the next query about a step, if there is anything to ask and an
+   instance is free to send it. */
+static void
 query_once (struct fsched *fs, struct job *j, int step, int n_waiting)
 {
   struct jstep *s = &j->steps[step];
@@ -527,7 +438,7 @@
     {
       s->needs_more_names = false;
       recheck_denied (fs, j, step);
-      return false;
+      return;
     }
   duration_ms = query_duration_ms (j, (double)execs.n);
   adviser = adviser_pick (fs, duration_ms);
@@ -536,28 +447,25 @@
   s->needs_more_names
       = j->spec.steps[step].gang && execs.n == ORDER_ADVICE_EXECS_MAX
         && execs.permitted_fits >= n_waiting && execs.named_fits < n_waiting;
-  reserve_named (j, step, &execs, n_waiting);
-  if (adviser >= 0)
-    send_query (fs, j, step, &execs, adviser, duration_ms);
+  if (adviser < 0)
+    return;
+  s->start_expected = permitted_named (s, &execs) >= n_waiting;
+  room_reserve_named (j, step, &execs, n_waiting);
+  send_query (fs, j, step, &execs, adviser, duration_ms);
   advice_begin_pass (fs);
-  return true;
 }
 
 void
 advice_query (struct fsched *fs, struct job *j, int step)
 {
   struct jstep *s = &j->steps[step];
-  int n_waiting = s->n_tasks - s->n_done - s->n_running;
+  int n_waiting = step_waiting (s);
 
-  if (s->n_asking > 0 && !asks_more (s))
-    {
-      reserve_permitted (fs, j, step, n_waiting);
-      return;
-    }
-  if (((s->n_asking == 0 || s->n_lost > 0) && fs->now_ms < s->next_query_ms)
-      || n_waiting <= 0 || fs->queries_left <= 0 || !adviser_is_free (fs, j)
-      || !query_once (fs, j, step, n_waiting))
-    reserve_for_gang (fs, j, step, n_waiting);
+  if ((s->n_asking > 0 && !asks_more (s))
+      || ((s->n_asking == 0 || s->n_lost > 0) && fs->now_ms < s->next_query_ms)
+      || n_waiting <= 0 || fs->queries_left <= 0 || !adviser_is_free (fs, j))
+    return;
+  query_once (fs, j, step, n_waiting);
 }
 
 void
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -518,6 +518,53 @@
 /** adviser_sweep_queries() - End the queries that have no answer in time. */
 void adviser_sweep_queries (struct fsched *fs);
 
+/** step_waiting() - Return the number of tasks of a step that are neither done
+ * nor placed. */
+static inline int
+step_waiting (const struct jstep *s)
+{
+  return s->n_tasks - s->n_done - s->n_running;
+}
+
+/** struct named_exec - an executor that an advice query may name */
+struct named_exec
+{
+  struct exec *e;
+  int fits; /* number of the step's tasks that the executor can take */
+};
+
+/** struct named_execs - the executors that an advice query names */
+struct named_execs
+{
+  struct named_exec list[ORDER_ADVICE_EXECS_MAX];
+  size_t n;           /* number of entries of list */
+  int permitted_fits; /* number of tasks that permitted executors can take */
+  int named_fits;     /* the same of those that outstanding queries name */
+  int n_unknown;      /* number of usable executors with PERMIT_UNKNOWN */
+};
+
+/* Functions of fsched_room.c. */
+
+/** room_reserve_named() - Reserve room for @n_waiting tasks of a step on the
+ * executors that a query names. */
+void room_reserve_named (const struct job *j, int step,
+                         const struct named_execs *execs, int n_waiting);
+/**
+ * room_keep() - In the current pass, reserve room for a step on the executors
+ * that its outstanding queries name, so that no job of a lower rank takes it
+ * before the answer comes.
+ */
+void room_keep (struct fsched *fs, struct job *j, int step);
+/** room_reserve_gang() - In the current pass, reserve the free capacity of
+ * permitted executors for a gang that does not fit yet. */
+void room_reserve_gang (struct fsched *fs, struct job *j, int step);
+/** room_fits() - Return the number of a step's tasks that an executor has
+ * capacity for, with what is reserved for the step itself. */
+int room_fits (const struct exec *e, const struct job *j, int step);
+/** room_could_start() - Return whether the executors that a step is permitted
+ * could start it if they were idle. */
+bool room_could_start (struct fsched *fs, struct job *j, int step);
+
 /* Functions of fsched_advice.c. */
 
 /**
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -235,8 +235,7 @@
   return n > 0;
 }
 
-/* Places the tasks of a job's ready steps, or sends advice queries for
-   them. */
+/* Places the tasks of a job's ready steps. */
 static void
 place_job (struct fsched *fs, struct job *j)
 {
@@ -245,19 +244,32 @@
       struct jstep *s = &j->steps[i];
       bool placed = false;
       bool needs_advice = j->spec.advice.base_ms > 0;
+      s->query_due = s->room_reserved = false;
       if (!s->ready || s->n_done + s->n_running >= s->n_tasks)
         continue;
       if (!needs_advice || s->tickets_until_ms > fs->now_ms)
-        placed = j->spec.steps[i].gang ? place_gang (fs, j, (int)i)
-                                       : place_single_tasks (fs, j, (int)i);
+        {
+          placed = j->spec.steps[i].gang ? place_gang (fs, j, (int)i)
+                                         : place_single_tasks (fs, j, (int)i);
+        }
       if (!placed && s->answer_new)
         why_answer_unused (fs, j, (int)i);
       s->answer_new = false;
-      if (!placed && needs_advice)
-        advice_query (fs, j, (int)i);
+      s->query_due = !placed && needs_advice;
+      if (s->query_due)
+        room_reserve_gang (fs, j, (int)i);
     }
 }
 
+/* Sends the advice queries that a job's steps need. */
+static void
+query_job (struct fsched *fs, struct job *j)
+{
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    if (j->steps[i].query_due)
+      advice_query (fs, j, (int)i);
+}
+
 /* Returns whether a job has tasks in ready steps that are neither done nor
    placed. */
 static bool
@@ -388,6 +400,56 @@
         + (n - fs->n_ready[URGENCY_ON_TIME]) / PASS_OTHER_JOBS_PER_MS;
 }
 
+/* Returns whether two jobs are of the same rank.  Room that the outstanding
+   query about a job is expected to need is kept from jobs of lower ranks, and
+   is not named in queries about others of its own. */
+static bool
+same_rank (const struct job *a, const struct job *b)
+{
+  return a->urgency.class == b->urgency.class
+         && (a->spec.priority == 0) == (b->spec.priority == 0);
+}
+
+/* Places the tasks of the jobs of one rank, the first of which has the number
+   @begin of @n, until there is no capacity left or enough starts are pending.
+   Returns the number of the next job. */
+static int
+place_rank (struct fsched *fs, int begin, int n)
+{
+  const struct job *first = fs->ready_jobs[begin];
+  int i;
+
+  for (i = begin; i < n && same_rank (first, fs->ready_jobs[i]); i++)
+    {
+      if (fs->n_pending_starts >= FSCHED_PENDING_STARTS_MAX
+          || (i % CAPACITY_CHECK_JOBS == 0 && !has_free_capacity (fs)))
+        break;
+      place_job (fs, fs->ready_jobs[i]);
+    }
+  return i;
+}
+
+/* Places the tasks of the first @n jobs of the pass and sends queries for
+   those that lack tickets.  Jobs of one rank that have tickets are placed
+   before room is reserved for the answers to queries, which take seconds. */
+static void
+place_and_query (struct fsched *fs, int n)
+{
+  int end;
+
+  for (int begin = 0; begin < n; begin = end)
+    {
+      end = place_rank (fs, begin, n);
+      for (int i = begin; i < end; i++)
+        for (size_t k = 0; k < fs->ready_jobs[i]->spec.n_steps; k++)
+          room_keep (fs, fs->ready_jobs[i], (int)k);
+      for (int i = begin; i < end; i++)
+        query_job (fs, fs->ready_jobs[i]);
+      if (end < n && same_rank (fs->ready_jobs[begin], fs->ready_jobs[end]))
+        n = end;
+    }
+}
+
 void
 place_pass (struct fsched *fs)
 {
@@ -412,11 +474,5 @@
     return;
   fs->queries_left = FSCHED_PASS_QUERIES;
   advice_begin_pass (fs);
-  for (int i = 0; i < n && fs->n_pending_starts < FSCHED_PENDING_STARTS_MAX;
-       i++)
-    {
-      if (i % CAPACITY_CHECK_JOBS == 0 && !has_free_capacity (fs))
-        break;
-      place_job (fs, fs->ready_jobs[i]);
-    }
+  place_and_query (fs, n);
 }
--- /dev/null
+++ b/core/fsched_room.c
@@ -0,0 +1,141 @@
+/*
+ * Room that a placing pass reserves on executors for steps which wait for
+ * advice: for the answers to outstanding queries, and for gangs that do not
+ * fit yet.
+ */
+#include "fsched_impl.h"
+
+/* Reserves capacity on @e for at most @max tasks of the step, so that less
+   urgent work does not get it in this pass.  Returns the number of tasks that
+   capacity was reserved for. */
+static int
+reserve_capacity (struct exec *e, const struct job *j, int step, int max)
+{
+  const struct job_step *s = &j->spec.steps[step];
+  int n = exec_fit_count (e, j, step, max);
+
+  if (!s->best_effort_cpu)
+    e->reserved.millicores += n * s->need.millicores;
+  e->reserved.mem_mb += n * s->need.mem_mb;
+  e->reserved.accels += n * s->need.accels;
+  return n;
+}
+
+void
+room_reserve_named (const struct job *j, int step,
+                    const struct named_execs *execs, int n_waiting)
+{
+  for (size_t i = 0; i < execs->n && n_waiting > 0; i++)
+    n_waiting -= reserve_capacity (execs->list[i].e, j, step, n_waiting);
+}
+
+/* Reserves capacity for the waiting tasks of a step on executors that it is
+   permitted or, if @asked is set, that its outstanding queries name. */
+static void
+reserve_for_step (struct fsched *fs, struct job *j, int step, bool asked)
+{
+  struct jstep *s = &j->steps[step];
+  int n_waiting = step_waiting (s);
+
+  for (int i = 0; i < s->n_permits; i++)
+    s->permits[i].n_reserved = 0;
+  for (int i = 0; i < fs->n_eligible && n_waiting > 0; i++)
+    {
+      struct exec *e = fs->eligible[i];
+      struct permit *p;
+      if (e->index >= s->n_permits || !exec_usable (e, j, step))
+        continue;
+      p = &s->permits[e->index];
+      if (asked ? !p->asked : p->state != PERMIT_ALLOWED)
+        continue;
+      p->n_reserved = reserve_capacity (e, j, step, n_waiting);
+      n_waiting -= p->n_reserved;
+    }
+  s->room_reserved = true;
+}
+
+void
+room_keep (struct fsched *fs, struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+
+  if (s->n_asking > 0 && !s->room_reserved)
+    reserve_for_step (fs, j, step, true);
+}
+
+int
+room_fits (const struct exec *e, const struct job *j, int step)
+{
+  const struct job_step *spec = &j->spec.steps[step];
+  const struct jstep *s = &j->steps[step];
+  struct exec own;
+  int n = e->index < s->n_permits && s->room_reserved
+              ? s->permits[e->index].n_reserved
+              : 0;
+
+  if (n == 0)
+    return exec_fit_count (e, j, step, s->n_tasks);
+  own = *e;
+  if (!spec->best_effort_cpu)
+    own.reserved.millicores -= n * spec->need.millicores;
+  own.reserved.mem_mb -= n * spec->need.mem_mb;
+  own.reserved.accels -= n * spec->need.accels;
+  return exec_fit_count (&own, j, step, s->n_tasks);
+}
+
+/* Returns the number of tasks, at most @max, that a capacity is enough for. */
+static int
+fit_capacity (const struct job_need *capacity, const struct job_step *spec,
+              int max)
+{
+  const struct job_need *need = &spec->need;
+  int64_t n = max;
+
+  if (!spec->best_effort_cpu && need->millicores > 0
+      && capacity->millicores / need->millicores < n)
+    n = capacity->millicores / need->millicores;
+  if (need->mem_mb > 0 && capacity->mem_mb / need->mem_mb < n)
+    n = capacity->mem_mb / need->mem_mb;
+  if (need->accels > 0 && capacity->accels / need->accels < n)
+    n = capacity->accels / need->accels;
+  if (spec->max_per_exec && spec->max_per_exec < n)
+    n = spec->max_per_exec;
+  return (int)n;
+}
+
+bool
+room_could_start (struct fsched *fs, struct job *j, int step)
+{
+  const struct job_step *spec = &j->spec.steps[step];
+  const struct jstep *s = &j->steps[step];
+  int n_needed = spec->gang ? s->n_tasks : 1;
+  int n = 0;
+
+  for (int i = 0; i < fs->n_eligible && n < n_needed; i++)
+    {
+      const struct exec *e = fs->eligible[i];
+      if (e->index < s->n_permits
+          && s->permits[e->index].state == PERMIT_ALLOWED
+          && exec_usable (e, j, step))
+        n += fit_capacity (&e->rep.capacity, spec, n_needed);
+    }
+  return n >= n_needed;
+}
+
+void
+room_reserve_gang (struct fsched *fs, struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+  int64_t need = step_waiting (s) * j->spec.steps[step].need.millicores;
+
+  if (!j->spec.steps[step].gang || s->n_queries == 0 || ABLATED (GANG_ROOM))
+    return;
+  if (s->n_asking > 0 && s->start_expected)
+    reserve_for_step (fs, j, step, true);
+  else if (need <= fs->gang_reserve_millicores
+           && room_could_start (fs, j, step))
+    {
+      fs->gang_reserve_millicores -= need;
+      reserve_for_step (fs, j, step, false);
+    }
+}
