Gang queries name the fewest executors that start the gang

What callers saw: while the advice service takes twice the announced time, a gang of 120 tasks waits for 15 s and more after its turn, with all its executors known (allowed=40 fit=120) and tickets=21, 19, 0 in turn.

Cause: how long a ticket must live was computed from the announced time, so that tickets which run out before the late answer were not asked for again with the others; a query named up to 100 permitted executors in the order of their index, whether they have room for one task or three; while most executors were unknown it named some of them, answer by answer; and all steps named the same executors first. An answer to a query whose executors a later query had named as well did not deny the others, so that they were asked about for ever.

Change (fsched_choice.c): tickets are needed until the answer that is expected at the measured pace; permitted executors are named in the order of their room until the gang fits with a quarter to spare; a gang that one query cannot discover asks up to four disjoint ones beside each other; queries of different jobs begin at different executors; an answer denies what it was asked about, whichever query named it last.

Least number: with N executors permitted, share s and 100 names a query, ceil(N / (100 s)) queries discover them, sent together; ceil(N / 100) more renew the tickets if those answers do not suffice. All tickets of a query date from one moment, so that up to 100 executors are always possible, however late the service; beyond that the answers must lie within a ticket's life.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -174,6 +174,7 @@
   RB_FOREACH_SAFE (p, pending_order_tree, &fs->orders, next_p)
     {
       RB_REMOVE (pending_order_tree, &fs->orders, p);
+      free (p->named);
       free (p);
     }
   domain_free_all (fs);
@@ -690,6 +691,7 @@
         start_result (fs, p, res);
       break;
     }
+  free (p->named);
   free (p);
 }
 
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -548,6 +548,7 @@
   int64_t leave_window_ms;    /* when it no longer counts as outstanding */
   bool in_window;             /* it counts in fsched::n_queries_out */
   size_t n_execs;             /* number of executors named */
+  int *named;                 /* owned: exec::index of each of them */
 };
 RB_HEAD (pending_order_tree, pending_order);
 
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -40,16 +40,6 @@
   TICKET_MARGIN_STARTS = 32,
   /* Shortest interval between two additions to this margin. */
   TICKET_MARGIN_GAP_MS = 1000,
-  /* A query names executors that are expected to have capacity for this many
-     times the waiting tasks. */
-  SPARE_FACTOR = 2,
-  /* A query names so many executors that at least this many of them are
-     expected to be permitted. */
-  SPARE_MIN = 4,
-  /* Number of classes that executors are sorted into, by the number of tasks
-     that fit.  The last class contains all executors that fit FIT_CLASSES - 1
-     or more. */
-  FIT_CLASSES = 32,
 };
 
 struct permit *
@@ -91,54 +81,6 @@
          && p->valid_until_ms > fs->now_ms + FSCHED_TICKET_MARGIN_MS;
 }
 
-/* Returns the class of a candidate, see FIT_CLASSES. */
-static int
-fit_class (const struct named_exec *cand)
-{
-  return cand->fits < FIT_CLASSES ? cand->fits : FIT_CLASSES - 1;
-}
-
-/* Sorts candidates by class, most capacity first; the sort is stable. */
-static void
-sort_by_capacity (struct named_exec *to, const struct named_exec *from,
-                  size_t n)
-{
-  size_t begin[FIT_CLASSES + 1] = { 0 };
-
-  for (size_t i = 0; i < n; i++)
-    begin[fit_class (&from[i])]++;
-  for (size_t sum = 0, k = FIT_CLASSES; k-- > 0;)
-    {
-      size_t count = begin[k];
-      begin[k] = sum;
-      sum += count;
-    }
-  for (size_t i = 0; i < n; i++)
-    to[begin[fit_class (&from[i])]++] = from[i];
-}
-
-/* Returns the announced duration of a query that names @n_execs executors. */
-static double
-query_duration_ms (const struct job *j, double n_execs)
-{
-  return j->spec.advice.base_ms + j->spec.advice.per_exec_ms * n_execs;
-}
-
-/*
- * Returns the time at which a ticket must still be valid to be of use after
- * the answer to a query that is sent now.  The members of a gang need valid
- * tickets at the same time, so a ticket that expires before the answer to the
- * longest query is no use to a gang.
- */
-static int64_t
-ticket_needed_until_ms (const struct fsched *fs, const struct job *j, int step)
-{
-  if (!j->spec.steps[step].gang)
-    return fs->now_ms;
-  return fs->now_ms + ADVICE_QUEUED_MAX_MS
-         + (int64_t)query_duration_ms (j, ORDER_ADVICE_EXECS_MAX);
-}
-
 /* Returns the pause after @n >= 1 events in a row: @first_ms, and twice as
    much for each further one, up to @max_ms. */
 static int64_t
@@ -151,75 +93,6 @@
   return pause_ms < max_ms ? pause_ms : max_ms;
 }
 
-/* Adds to @out the permitted executors that have capacity but whose tickets
-   expire too early.  Also computes out->permitted_fits and out->n_unknown. */
-static void
-add_expired (struct fsched *fs, struct job *j, int step,
-             struct named_execs *out)
-{
-  struct jstep *s = &j->steps[step];
-  int64_t until_ms = ticket_needed_until_ms (fs, j, step);
-
-  for (int i = 0; i < fs->n_eligible; i++)
-    {
-      struct exec *e = fs->eligible[i];
-      struct permit *p;
-      int fits;
-      if (!exec_usable (e, j, step))
-        continue;
-      p = permit_get (s, e);
-      if (p->state == PERMIT_ALLOWED && p->boot_start_ms != e->boot_start_ms)
-        p->state = PERMIT_UNKNOWN;
-      out->n_unknown += p->state == PERMIT_UNKNOWN;
-      if (p->state != PERMIT_ALLOWED)
-        continue;
-      fits = room_fits (e, j, step);
-      out->permitted_fits += fits;
-      if (p->asked)
-        out->named_fits += fits;
-      else if (fits > 0
-               && (!permit_valid (fs, s, e) || p->valid_until_ms < until_ms)
-               && out->n < ORDER_ADVICE_EXECS_MAX)
-        out->list[out->n++] = (struct named_exec){ e, fits };
-    }
-}
-
-/*
- * Adds to @out executors whose permit is unknown, those with the most capacity
- * first, until the permitted ones among them are expected to take @n_tasks
- * tasks.  Returns the number of tasks that they are expected to take.
- */
-static double
-add_unknown (struct fsched *fs, struct job *j, int step,
-             struct named_execs *out, int n_tasks)
-{
-  struct jstep *s = &j->steps[step];
-  struct named_exec *all
-      = fsched_zalloc (2 * (size_t)fs->n_eligible, sizeof *all);
-  struct named_exec *sorted = all + fs->n_eligible;
-  double share = fsched_queue (fs, j->spec.queue)->permitted_share;
-  double n_expected = 0;
-  size_t n = 0;
-
-  for (int i = 0; i < fs->n_eligible; i++)
-    {
-      struct exec *e = fs->eligible[i];
-      if (exec_usable (e, j, step)
-          && permit_get (s, e)->state == PERMIT_UNKNOWN)
-        all[n++] = (struct named_exec){ e, room_fits (e, j, step) };
-    }
-  sort_by_capacity (sorted, all, n);
-  for (size_t i = 0; i < n && out->n < ORDER_ADVICE_EXECS_MAX
-                     && (n_expected < n_tasks || i < SPARE_MIN / share);
-       i++)
-    {
-      out->list[out->n++] = sorted[i];
-      n_expected += share * (sorted[i].fits > 0 ? sorted[i].fits : 0.5);
-    }
-  free (all);
-  return n_expected;
-}
-
 /* Sends a query through an instance.  @adviser: index of the instance in
    fsched::advisers.  @duration_ms: announced duration of the query. */
 static void
@@ -246,6 +119,9 @@
       p->asked = true;
     }
   o->n_execs = execs->n;
+  pend->named = fsched_zalloc (execs->n, sizeof *pend->named);
+  for (size_t i = 0; i < execs->n; i++)
+    pend->named[i] = execs->list[i].e->index;
   /* The address is empty if this instance sends the query. */
   clb_copy (o->addr, a->addr, sizeof o->addr);
   clb_copy (pend->job, j->spec.id, sizeof pend->job);
@@ -269,32 +145,6 @@
   return false;
 }
 
-/* Returns the expected duration of the first query about a step, in ms, as
-   announced: if the executors were idle, it would name as many. */
-static double
-first_query_ms (const struct fsched *fs, const struct job *j, int step)
-{
-  const struct job_need *need = &j->spec.steps[step].need;
-  double fits = j->steps[step].n_tasks;
-  double n;
-
-  if (need->millicores > 0
-      && (double)fs->capacity.millicores / (double)need->millicores
-             < fits * fs->n_eligible)
-    fits = (double)fs->capacity.millicores
-           / ((double)need->millicores * fs->n_eligible);
-  if (fits < 1)
-    fits = 1;
-  n = SPARE_FACTOR * j->steps[step].n_tasks / fits;
-  if (n < SPARE_MIN)
-    n = SPARE_MIN;
-  n /= j->queue_stats->permitted_share;
-  if (n > fs->n_eligible)
-    n = fs->n_eligible;
-  return query_duration_ms (
-      j, n < ORDER_ADVICE_EXECS_MAX ? n : ORDER_ADVICE_EXECS_MAX);
-}
-
 int64_t
 fsched_unsent_ms (const struct fsched *fs)
 {
@@ -310,7 +160,7 @@
         {
           const struct jstep *s = &j->steps[i];
           if (s->ready && s->n_done + s->n_running == 0 && s->query_id == 0)
-            sum_ms += first_query_ms (fs, j, (int)i)
+            sum_ms += choice_first_query_ms (fs, j, (int)i)
                       * j->queue_stats->advice_pace.factor;
         }
     }
@@ -326,50 +176,13 @@
 }
 
 /* Returns whether a step that waits for answers may ask about more executors:
-   a gang whose tickets one query cannot name. */
+   a gang for which one query cannot name enough. */
 static bool
 asks_more (const struct jstep *s)
 {
   return s->needs_more_names && s->n_asking < STEP_QUERIES_MAX;
 }
 
-/* Adds executors whose permit is unknown to a query about a gang.  The tickets
-   of the others are of use only if the gang is expected to start with the
-   answer. */
-static void
-add_unknown_gang (struct fsched *fs, struct job *j, int step, int n_waiting,
-                  struct named_execs *execs)
-{
-  int n_tasks = SPARE_FACTOR * n_waiting - execs->permitted_fits;
-  double n_expected = add_unknown (fs, j, step, execs, n_tasks);
-
-  if (n_expected + execs->permitted_fits >= n_waiting)
-    return;
-  execs->n = 0;
-  add_unknown (fs, j, step, execs, n_tasks);
-}
-
-/* Fills @execs with the executors that the next query about a step names. */
-static void
-choose_execs (struct fsched *fs, struct job *j, int step, int n_waiting,
-              struct named_execs *execs)
-{
-  bool gang = j->spec.steps[step].gang;
-
-  add_expired (fs, j, step, execs);
-  if (execs->permitted_fits >= n_waiting)
-    return;
-  if (execs->n_unknown > 0 && gang)
-    add_unknown_gang (fs, j, step, n_waiting, execs);
-  else if (execs->n_unknown > 0)
-    add_unknown (fs, j, step, execs,
-                 SPARE_FACTOR * (n_waiting - execs->permitted_fits));
-  /* A gang starts only when all members fit.  Tickets that the gang got sooner
-     would expire unused. */
-  else if (gang)
-    execs->n = 0;
-}
-
 /* Returns whether an executor that is denied to a step has room for it. */
 static bool
 denied_has_room (struct fsched *fs, struct job *j, int step)
@@ -409,19 +222,6 @@
             j->spec.id, step, s->n_rechecks);
 }
 
-/* Returns the number of the step's tasks that those of the named executors can
-   take which it is permitted already. */
-static int
-permitted_named (const struct jstep *s, const struct named_execs *execs)
-{
-  int n = 0;
-
-  for (size_t i = 0; i < execs->n; i++)
-    if (s->permits[execs->list[i].e->index].state == PERMIT_ALLOWED)
-      n += execs->list[i].fits;
-  return n;
-}
-
 /* Sends the next query about a step, if there is anything to ask and an
    instance is free to send it. */
 static void
@@ -432,7 +232,7 @@
   double duration_ms;
   int adviser;
 
-  choose_execs (fs, j, step, n_waiting, &execs);
+  choice_execs (fs, j, step, n_waiting, &execs);
   /* Without room, the tickets of a further answer would expire unused. */
   if (execs.n == 0 || (s->n_queries > 0 && !any_has_room (&execs)))
     {
@@ -440,16 +240,10 @@
       recheck_denied (fs, j, step);
       return;
     }
-  duration_ms = query_duration_ms (j, (double)execs.n);
+  duration_ms = choice_duration_ms (j, (double)execs.n);
   adviser = adviser_pick (fs, duration_ms);
-  for (size_t i = 0; i < execs.n; i++)
-    execs.named_fits += execs.list[i].fits;
-  s->needs_more_names
-      = j->spec.steps[step].gang && execs.n == ORDER_ADVICE_EXECS_MAX
-        && execs.permitted_fits >= n_waiting && execs.named_fits < n_waiting;
   if (adviser < 0)
     return;
-  s->start_expected = permitted_named (s, &execs) >= n_waiting;
   room_reserve_named (j, step, &execs, n_waiting);
   send_query (fs, j, step, &execs, adviser, duration_ms);
   advice_begin_pass (fs);
@@ -520,10 +314,10 @@
              : pause_after (QUERY_AGAIN_MS, QUERY_AGAIN_MAX_MS, n_queries - 1);
 }
 
-/* Sets the state of the executors that a query has named and that are still
-   unknown, and lets further queries name all that it has named. */
+/* Lets further queries name the executors that a query has named.  Those that
+   are still unknown may be asked about again. */
 static void
-end_asked (struct jstep *s, uint64_t query_id, int state)
+end_asked (struct jstep *s, uint64_t query_id)
 {
   for (int i = 0; i < s->n_permits; i++)
     {
@@ -531,8 +325,25 @@
       if (p->query_id != query_id)
         continue;
       p->asked = false;
-      if (p->state == PERMIT_QUERIED || p->state == PERMIT_UNKNOWN)
-        p->state = state;
+      if (p->state == PERMIT_QUERIED)
+        p->state = PERMIT_UNKNOWN;
+    }
+}
+
+/* Denies the executors that an answered query has named and whose permit is
+   unknown.  A later query may have named them too: the decision on them is the
+   same. */
+static void
+deny_named (struct jstep *s, const struct pending_order *pend)
+{
+  for (size_t i = 0; i < pend->n_execs; i++)
+    {
+      struct permit *p;
+      if (pend->named[i] >= s->n_permits)
+        continue;
+      p = &s->permits[pend->named[i]];
+      if (p->state == PERMIT_UNKNOWN || p->state == PERMIT_QUERIED)
+        p->state = PERMIT_DENIED;
     }
 }
 
@@ -574,7 +385,8 @@
   store_permits (fs, s, res,
                  fs->now_ms + valid_ms - answer_delay (fs, pend, res)
                      - q->ticket_margin_ms);
-  end_asked (s, pend->id, PERMIT_DENIED);
+  deny_named (s, pend);
+  end_asked (s, pend->id);
   if (pend->n_execs)
     add_permitted_share (q, pend, res);
 }
@@ -613,7 +425,7 @@
         process_answer (fs, j, pend, res);
       else if (!pend->overdue)
         {
-          end_asked (s, pend->id, PERMIT_UNKNOWN);
+          end_asked (s, pend->id);
           step_retry_later (fs, s, QUERY_RETRY_MS);
         }
     }
@@ -631,7 +443,7 @@
     {
       struct jstep *s = &j->steps[pend->step];
       s->n_asking--;
-      end_asked (s, pend->id, PERMIT_UNKNOWN);
+      end_asked (s, pend->id);
       step_retry_later (fs, s,
                         QUERY_RETRY_MS
                             + (fs->now_ms - pend->sent_ms)
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -526,6 +526,8 @@
   return s->n_tasks - s->n_done - s->n_running;
 }
 
+/* Functions of fsched_choice.c. */
+
 /** struct named_exec - an executor that an advice query may name */
 struct named_exec
 {
@@ -537,12 +539,28 @@
 struct named_execs
 {
   struct named_exec list[ORDER_ADVICE_EXECS_MAX];
-  size_t n;           /* number of entries of list */
-  int permitted_fits; /* number of tasks that permitted executors can take */
-  int named_fits;     /* the same of those that outstanding queries name */
-  int n_unknown;      /* number of usable executors with PERMIT_UNKNOWN */
+  size_t n;      /* number of entries of list */
+  int fits;      /* sum of named_exec::fits of them */
+  double n_sure; /* part of this sum on executors that are permitted */
 };
 
+/**
+ * choice_execs() - Choose the executors that the next query about a step
+ * names.
+ * @n_waiting: number of the step's tasks that wait
+ * @out: empty at first; stays empty if there is nothing to ask
+ */
+void choice_execs (struct fsched *fs, struct job *j, int step, int n_waiting,
+                   struct named_execs *out);
+/** choice_duration_ms() - Return the announced duration of a query about @j
+ * that names @n_execs executors. */
+double choice_duration_ms (const struct job *j, double n_execs);
+/** choice_first_query_ms() - Return the announced duration that the first
+ * query about a step is expected to have: it would name as many executors if
+ * they were idle. */
+double choice_first_query_ms (const struct fsched *fs, const struct job *j,
+                              int step);
+
 /* Functions of fsched_room.c. */
 
 /** room_reserve_named() - Reserve room for @n_waiting tasks of a step on the
