Windows of advice queries follow the service, down and up

What callers saw: (1) long queries used 16 of 31 instances, one each, for as long as jobs waited, though no short query was sent any more; (2) while the service took all instances for one machine, short jobs waited for long queries, and only refusals (429) ever limited them; (3) a service that is only slow was taken for a shared one, which closed the window of long queries.

Cause: the number of long queries was cut when short ones took 300 ms longer than announced, however slow the service is; it grew again each second without any evidence, also while all short queries were stuck; half of the instances were set aside for short queries at all times; short queries waited behind long ones of their own instance. Class: a window that never shrinks far enough, or never grows again.

Change (fsched_window.c): what a query has waited for others is its time less the smallest time, as a multiple of the announced one, that its queue has seen lately. Late short queries cut the number of long ones to half, down to one. Evidence for more is a short query that overtakes a long one, or a long one that took no longer than alone beside others. While only one may be outstanding, queues share the service, the one with shorter queries with twice the weight, and deadlines count all outstanding work. Instances are set aside for short queries by the largest number of those outstanding of late. If nobody is answered, single queries go out with a growing pause. The first answer of a queue sets its pace at once.

Found by the review: a new leader must not take waits for the queries of the leader before for a shared service.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -72,7 +72,7 @@
   fs->old_leases_end_ms = now_ms + wait_ms;
   fs->stats = stats;
   fs->query_window = ADVICE_WINDOW;
-  fs->long_window = ADVICE_WINDOW;
+  window_init (fs);
   TAILQ_INIT (&fs->queues);
   RB_INIT (&fs->jobs);
   RB_INIT (&fs->execs_by_id);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -277,7 +277,7 @@
      of the step was last started. */
   int n_queries;
   /* In the current placing pass: the step may be asked about; room is reserved
-     for it. */
+     for it as a gang that does not fit yet. */
   bool query_due;
   bool room_reserved;
   bool answer_new; /* the last answer was not tried in a placing pass yet */
@@ -542,13 +542,21 @@
   struct fsched_queue *queue; /* queue of the job */
   double duration_ms;         /* announced duration of the query */
   int64_t begin_ms;           /* when the service was expected to begin it */
-  int64_t deadline_ms;        /* time at which the query is overdue */
-  int64_t give_up_ms;         /* time at which the query counts as lost */
-  bool overdue;               /* the deadline has passed */
-  int64_t leave_window_ms;    /* when it no longer counts as outstanding */
-  bool in_window;             /* it counts in fsched::n_queries_out */
-  size_t n_execs;             /* number of executors named */
-  int *named;                 /* owned: exec::index of each of them */
+  bool is_long;               /* see ADVICE_LONG_QUERY_MS */
+  bool alone;                 /* no other long query was outstanding */
+  /* Number of long queries that were outstanding when it was sent, and of
+     those that had ended by then. */
+  int n_long_out;
+  int n_long_before;
+  uint64_t n_long_ended;
+  int64_t deadline_ms;     /* time at which the query is overdue */
+  int64_t give_up_ms;      /* time at which the query counts as lost */
+  bool overdue;            /* the deadline has passed */
+  int64_t leave_window_ms; /* when it no longer counts as outstanding */
+  bool in_window;          /* it counts in fsched::n_queries_out */
+  double work_ms;          /* its part of fsched::work_out_ms */
+  size_t n_execs;          /* number of executors named */
+  int *named;              /* owned: exec::index of each of them */
 };
 RB_HEAD (pending_order_tree, pending_order);
 
@@ -572,6 +580,7 @@
   int64_t answer_due_ms;
   int64_t busy_until_ms; /* expected end of the queries in n_queries */
   int n_queries;      /* number of outstanding queries that are not overdue */
+  int n_long;         /* of these, the long ones */
   int n_overdue;      /* number of outstanding queries that are overdue */
   int64_t millicores; /* the instance's share of a core, in thousandths */
 };
@@ -600,13 +609,20 @@
  * multiples of the time that the service announces */
 struct advice_pace
 {
+  bool measured;    /* a query was answered */
   double factor;    /* moving average, at least 1 */
   double deviation; /* moving average of the distance from the average */
+  /* Smallest multiples of late: in the present interval, and in the one
+     before. */
+  double least;
+  double least_before;
+  int64_t least_until_ms; /* end of the present interval */
   /* Moving average of the time that short queries took longer than announced,
      in ms, and when a query was last added to it.  An overdue query counts
      with the time until its deadline. */
   double short_delay_ms;
   int64_t short_sampled_ms;
+  double short_ms; /* announced duration of the last of these queries */
   /* Number of times that the timeout is doubled, as queries were overdue since
      the last answer, and time of the last doubling. */
   int n_late;
@@ -623,6 +639,13 @@
   double permitted_share;
   struct estim run_times; /* run times of steps */
   struct advice_pace advice_pace;
+  /* Announced duration of the queue's queries without that for the executors
+     they name.  Time that the service was used for the queue while it was
+     shared, divided by the queue's weight, in ms.  Whether queries about the
+     queue's steps are due. */
+  double advice_base_ms;
+  double advice_used_ms;
+  bool advice_due;
   /* Part of a ticket's lifetime that is not used, in addition to
      FSCHED_TICKET_MARGIN_MS, as executors have refused tickets, and earliest
      time at which it grows again. */
@@ -793,15 +816,36 @@
   int n_refused;
   int64_t refused_ms;
   int64_t refused_until_ms;
+  /* When a query was last answered, number of queries sent since then that are
+     overdue, and the end of the pause after them. */
+  int64_t answered_ms;
+  int n_unanswered;
+  int64_t stalled_until_ms;
   /* Number of long queries that may be outstanding, and earliest times of its
      next reduction and increase. */
   int long_window;
+  bool long_changed; /* it was reduced or doubled in this term */
   int64_t next_long_cut_ms;
   int64_t next_long_raise_ms;
-  /* When the next long query may be sent while long_window is 1. */
-  int64_t next_long_ms;
-  bool short_adviser_free;    /* an instance is free for a short query */
-  bool long_adviser_free;     /* an instance is free for a long query */
+  /* Number of queries sent since its last change whose answers show that the
+     service handles more than one at a time, since one showed the opposite. */
+  int n_overtaking;
+  int64_t long_cut_ms;       /* time of this change */
+  int64_t long_raise_gap_ms; /* shortest time until its next increase */
+  uint64_t n_long_ended;     /* number of long queries that have ended */
+  int64_t long_sent_ms;      /* when the last long query was sent */
+  int64_t long_ended_ms;     /* when a long query last ended */
+  double work_out_ms; /* sum of the expected times of outstanding queries */
+  /* Outstanding short queries of the queue with the shortest ones, and those
+     of them that are late. */
+  int n_shortest;
+  int n_short_late;
+  /* Largest number of short queries that were outstanding of late, and when it
+     was last updated. */
+  double short_peak;
+  int64_t short_peak_ms;
+  bool short_adviser_free; /* an instance is free for a short query */
+  bool long_adviser_free;  /* an instance is free for a long query */
   int64_t next_exec_sweep_ms; /* time of the next check of all executors */
   int64_t next_trim_ms; /* earliest time of the next fsched_trim_jobs() */
   /* Earliest time at which the specifications of any number of ended jobs are
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -170,9 +170,8 @@
 bool
 adviser_is_free (const struct fsched *fs, const struct job *j)
 {
-  return j->spec.advice.base_ms > ADVICE_LONG_QUERY_MS
-             ? fs->long_adviser_free
-             : fs->short_adviser_free;
+  return j->spec.advice.base_ms > window_long_ms (fs) ? fs->long_adviser_free
+                                                      : fs->short_adviser_free;
 }
 
 /* Returns whether a step that waits for answers may ask about more executors:
@@ -265,9 +264,9 @@
 void
 advice_begin_pass (struct fsched *fs)
 {
-  adviser_adapt_window (fs);
+  window_adapt (fs);
   fs->short_adviser_free = adviser_pick (fs, 1) >= 0;
-  fs->long_adviser_free = adviser_pick (fs, ADVICE_LONG_QUERY_MS + 1) >= 0;
+  fs->long_adviser_free = adviser_pick (fs, window_long_ms (fs) + 1) >= 0;
 }
 
 /* Returns by how much the answer to a query may have been delayed on its way
--- a/core/fsched_adviser.c
+++ b/core/fsched_adviser.c
@@ -53,31 +53,16 @@
   /* A query no longer counts as outstanding after this many timeouts: its
      answer is still used, but it must not hold back further queries. */
   WINDOW_TIMEOUTS = 2,
+  /* Instances that are kept for short queries, for each that was outstanding
+     of late, as far as that is not more than half of them. */
+  SHORT_PEAK_FACTOR = 2,
   /* Time in which the answer to a query that is given up may still arrive. */
   GIVE_UP_MARGIN_MS = 1000,
-  /* Part of a query's time that messages between the instances take. */
-  PATH_MS = 30,
-  /* If short queries take this much longer than announced, fewer long queries
-     may be outstanding. */
-  SHORT_DELAY_MAX_MS = 300,
-  /* Interval at which twice as many may be outstanding afterwards. */
-  LONG_RAISE_MS = 1000,
-  /* A measured time is of no use for this decision after this long. */
-  DELAY_FRESH_MS = 1000,
-  /* Pause before the next query after the service has refused one.  The pause
-     doubles with each further refusal, up to REFUSED_PAUSE_MAX_MS, and halves
-     with each answer. */
-  REFUSED_PAUSE_MS = 100,
-  REFUSED_PAUSE_MAX_MS = 2000,
-  /* Shortest interval between two reductions of the window: the queries that
-     were outstanding at the first have ended. */
-  WINDOW_GAP_MS = 500,
 };
 
 /* Weights of a new sample in the means of struct advice_pace. */
 #define FACTOR_WEIGHT 0.125
 #define DEVIATION_WEIGHT 0.25
-#define DELAY_WEIGHT 0.25
 /* Number of mean deviations above the mean at which a query is overdue. */
 #define TIMEOUT_DEVIATIONS 4
 
@@ -191,48 +176,18 @@
   return is_reachable (fs, a) && fs->now_ms >= a->avoid_until_ms;
 }
 
-/* Returns whether an available instance may get another query now. */
+/* Returns whether an available instance may get another query now.  A short
+   query never waits for a long one. */
 static bool
 is_free (const struct fsched *fs, const struct adviser *a, bool is_long)
 {
   if (a->n_queries == 0)
     return true;
-  return !is_long && fs->now_ms <= a->answer_due_ms + ADVISER_LATE_MS
+  return !is_long && a->n_long == 0
+         && fs->now_ms <= a->answer_due_ms + ADVISER_LATE_MS
          && a->busy_until_ms - fs->now_ms <= ADVICE_QUEUED_MAX_MS;
 }
 
-/* Returns whether short queries have waited for long ones of late, as the
-   service does not tell the instances apart. */
-static bool
-short_queries_are_late (const struct fsched *fs)
-{
-  const struct fsched_queue *q;
-
-  TAILQ_FOREACH (q, &fs->queues, link)
-    {
-      const struct advice_pace *pace = &q->advice_pace;
-      if (pace->short_delay_ms > SHORT_DELAY_MAX_MS
-          && fs->now_ms - pace->short_sampled_ms < DELAY_FRESH_MS)
-        return true;
-    }
-  return false;
-}
-
-/* Returns whether a query may be sent at all now. */
-static bool
-window_is_open (const struct fsched *fs, bool is_long)
-{
-  if (fs->n_queries_out >= fs->query_window
-      || fs->now_ms < fs->refused_until_ms)
-    return false;
-  if (!is_long)
-    return true;
-  /* Between two long queries, short ones get as much time. */
-  return fs->n_long_out < fs->long_window
-         && (fs->long_window > 1 || !short_queries_are_late (fs)
-             || fs->now_ms >= fs->next_long_ms);
-}
-
 /* Returns whether @a, which is available and free, suits a query better than
    @b does. */
 static bool
@@ -250,6 +205,7 @@
 adviser_count (const struct fsched *fs)
 {
   struct adviser_counts c = { 0 };
+  int n_short;
 
   for (int i = 0; i < fs->n_advisers; i++)
     {
@@ -259,14 +215,17 @@
       c.n_available++;
       c.n_idle += a->n_queries + a->n_overdue == 0;
     }
-  c.n_for_long = (c.n_available + 1) / 2;
+  n_short = 1 + (int)(SHORT_PEAK_FACTOR * window_short_peak (fs));
+  if (n_short > c.n_available / 2)
+    n_short = c.n_available / 2;
+  c.n_for_long = c.n_available - n_short;
   return c;
 }
 
 int
 adviser_pick (const struct fsched *fs, double duration_ms)
 {
-  bool is_long = duration_ms > ADVICE_LONG_QUERY_MS;
+  bool is_long = duration_ms > window_long_ms (fs);
   int n_for_long;
   int n_seen = 0;
   int best = -1;
@@ -311,25 +270,31 @@
   struct advice_pace *pace = &q->advice_pace;
   int64_t begin_ms
       = a->busy_until_ms > fs->now_ms ? a->busy_until_ms : fs->now_ms;
-  int64_t timeout_ms = begin_ms - fs->now_ms + ADVICE_QUEUED_MAX_MS
-                       + query_timeout (pace, duration_ms);
-  int64_t call_ms = GIVE_UP_FACTOR * timeout_ms;
+  int64_t timeout_ms;
+  int64_t call_ms;
+
+  if (window_is_shared (fs)
+      && begin_ms < fs->now_ms + (int64_t)fs->work_out_ms)
+    begin_ms = fs->now_ms + (int64_t)fs->work_out_ms;
+  timeout_ms = begin_ms - fs->now_ms + ADVICE_QUEUED_MAX_MS
+               + query_timeout (pace, duration_ms);
+  call_ms = GIVE_UP_FACTOR * timeout_ms;
 
   p->queue = q;
   p->duration_ms = duration_ms;
+  p->is_long = duration_ms > window_long_ms (fs);
   p->begin_ms = begin_ms;
   p->deadline_ms = fs->now_ms + timeout_ms;
   if (call_ms < GIVE_UP_MIN_MS)
     call_ms = GIVE_UP_MIN_MS;
   p->give_up_ms = fs->now_ms + call_ms + GIVE_UP_MARGIN_MS;
   p->leave_window_ms = fs->now_ms + WINDOW_TIMEOUTS * timeout_ms;
-  p->in_window = true;
   a->busy_until_ms = begin_ms + (int64_t)(duration_ms * pace->factor);
   if (a->n_queries == 0)
     a->answer_due_ms = a->busy_until_ms;
   a->n_queries++;
-  fs->n_queries_out++;
-  fs->n_long_out += duration_ms > ADVICE_LONG_QUERY_MS;
+  a->n_long += p->is_long;
+  window_query_sent (fs, p);
   return call_ms;
 }
 
@@ -355,65 +320,13 @@
             a->n_failures, a->n_overdue, (long long)contact_age (fs, a));
 }
 
-/* Sends fewer queries after the service has refused one: pauses, and reduces
-   the window by half.  Queries that were outstanding together are refused for
-   the same reason. */
-static void
-process_refusal (struct fsched *fs, const struct pending_order *p)
+/* Returns a time as a multiple of that announced, from 1 to PACE_MAX. */
+static double
+time_factor (int64_t time_ms, double duration_ms)
 {
-  int64_t pause_ms = REFUSED_PAUSE_MS;
+  double factor = (double)(time_ms - ADVICE_PATH_MS) / duration_ms;
 
-  if (p->sent_ms < fs->refused_ms)
-    return;
-  for (int i = 0; i < fs->n_refused && pause_ms < REFUSED_PAUSE_MAX_MS; i++)
-    pause_ms *= 2;
-  fs->n_refused++;
-  fs->refused_ms = fs->now_ms;
-  fs->refused_until_ms = fs->now_ms + pause_ms;
-  if (fs->now_ms >= fs->next_window_cut_ms)
-    {
-      fs->next_window_cut_ms = fs->now_ms + WINDOW_GAP_MS;
-      fs->query_window = fs->n_queries_out > 2 ? fs->n_queries_out / 2.0 : 1;
-    }
-  out_line (fs->out,
-            "event=advice-refused outstanding=%d window=%d for_ms=%lld",
-            fs->n_queries_out, (int)fs->query_window, (long long)pause_ms);
-}
-
-void
-adviser_adapt_window (struct fsched *fs)
-{
-  if (short_queries_are_late (fs))
-    {
-      if (fs->now_ms >= fs->next_long_cut_ms)
-        {
-          fs->next_long_cut_ms = fs->now_ms + WINDOW_GAP_MS;
-          fs->long_window = fs->n_long_out > 2 ? fs->n_long_out / 2 : 1;
-          out_line (fs->out, "event=advice-long outstanding=%d window=%d",
-                    fs->n_long_out, fs->long_window);
-        }
-      fs->next_long_raise_ms = fs->now_ms + LONG_RAISE_MS;
-      return;
-    }
-  for (;
-       fs->now_ms >= fs->next_long_raise_ms && fs->long_window < ADVICE_WINDOW;
-       fs->next_long_raise_ms += LONG_RAISE_MS)
-    fs->long_window *= 2;
-}
-
-/* Adds the delay of a query that was answered or is overdue to the mean of its
-   queue, if it is a short one. */
-static void
-add_delay (struct fsched *fs, const struct pending_order *p)
-{
-  struct advice_pace *pace = &p->queue->advice_pace;
-  double delay_ms = (double)(fs->now_ms - p->begin_ms) - p->duration_ms;
-
-  if (p->duration_ms > ADVICE_LONG_QUERY_MS)
-    return;
-  pace->short_delay_ms += DELAY_WEIGHT * (delay_ms - pace->short_delay_ms);
-  pace->short_sampled_ms = fs->now_ms;
-  adviser_adapt_window (fs);
+  return factor < 1 ? 1 : factor > PACE_MAX ? PACE_MAX : factor;
 }
 
 /* Adds the time that an answered query took to the pace of its queue. */
@@ -421,39 +334,31 @@
 add_sample (struct fsched *fs, const struct pending_order *p)
 {
   struct advice_pace *pace = &p->queue->advice_pace;
-  double took_ms = (double)(fs->now_ms - p->begin_ms - PATH_MS);
-  double sample = took_ms > p->duration_ms ? took_ms / p->duration_ms : 1;
+  double sample = time_factor (fs->now_ms - p->begin_ms, p->duration_ms);
   double error;
 
-  if (sample > PACE_MAX)
-    sample = PACE_MAX;
+  if (!pace->measured)
+    {
+      pace->measured = true;
+      pace->factor = sample;
+      pace->deviation = sample / 2;
+    }
   error = sample - pace->factor;
   pace->factor += FACTOR_WEIGHT * error;
   pace->deviation
       += DEVIATION_WEIGHT * ((error < 0 ? -error : error) - pace->deviation);
   pace->n_late = 0;
-  add_delay (fs, p);
-}
-
-/* Ends the account of a query with the number of outstanding ones. */
-static void
-leave_window (struct fsched *fs, struct pending_order *p)
-{
-  if (!p->in_window)
-    return;
-  p->in_window = false;
-  fs->n_queries_out--;
-  if (p->duration_ms <= ADVICE_LONG_QUERY_MS)
-    return;
-  fs->n_long_out--;
-  fs->next_long_ms = fs->now_ms + (int64_t)p->duration_ms;
+  window_query_answered (
+      fs, p, time_factor (fs->now_ms - p->sent_ms, p->duration_ms));
 }
 
 /* Removes a query that is not overdue from those of its instance. */
 static void
-remove_query (struct fsched *fs, struct adviser *a)
+remove_query (struct fsched *fs, struct adviser *a,
+              const struct pending_order *p)
 {
   a->n_queries--;
+  a->n_long -= p->is_long;
   if (a->n_queries == 0)
     a->busy_until_ms = fs->now_ms;
   a->answer_due_ms = a->busy_until_ms;
@@ -468,8 +373,8 @@
   if (p->overdue)
     a->n_overdue--;
   else
-    remove_query (fs, a);
-  leave_window (fs, p);
+    remove_query (fs, a, p);
+  window_leave (fs, p);
 }
 
 /* Lets all instances be tried again soon after one has answered, if most of
@@ -508,15 +413,12 @@
         end_avoidance (fs);
       a->n_failures = 0;
       a->avoid_until_ms = 0;
-      fs->n_refused -= fs->n_refused > 0;
-      if (fs->query_window < ADVICE_WINDOW)
-        fs->query_window += 1 / fs->query_window;
       add_sample (fs, p);
       return;
     }
   fs->stats->queries_failed++;
   if (outcome == ORDER_BUSY)
-    process_refusal (fs, p);
+    window_refused (fs, p);
   else if (!p->overdue)
     avoid_adviser (fs, a, p->sent_ms);
 }
@@ -528,13 +430,13 @@
   struct advice_pace *pace = &p->queue->advice_pace;
 
   p->overdue = true;
-  remove_query (fs, a);
+  remove_query (fs, a, p);
   a->n_overdue++;
   fs->stats->queries_overdue++;
   avoid_adviser (fs, a, p->sent_ms);
   if (!is_reachable (fs, a))
     return;
-  add_delay (fs, p);
+  window_query_overdue (fs, p);
   /* Queries that were outstanding together have the same cause. */
   if (p->sent_ms <= pace->doubled_ms || pace->n_late == TIMEOUT_DOUBLINGS_MAX)
     return;
@@ -548,6 +450,7 @@
   struct pending_order *p, *next;
   struct order_result lost = { .outcome = ORDER_LOST };
 
+  window_count_late (fs);
   RB_FOREACH_SAFE (p, pending_order_tree, &fs->orders, next)
     {
       const struct adviser *a;
@@ -557,7 +460,7 @@
       if (fs->now_ms >= p->give_up_ms || contact_age (fs, a) > ADVISER_GONE_MS)
         fsched_order_result (fs, fs->now_ms, p->id, &lost);
       else if (p->overdue && fs->now_ms >= p->leave_window_ms)
-        leave_window (fs, p);
+        window_leave (fs, p);
       else if (!p->overdue
                && (fs->now_ms >= p->deadline_ms || !is_reachable (fs, a)))
         advice_overdue (fs, p);
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -473,6 +473,8 @@
   /* Longest time that a short query may wait for other queries of its
      instance. */
   ADVICE_QUEUED_MAX_MS = 40,
+  /* Part of a query's time that messages between the instances take. */
+  ADVICE_PATH_MS = 30,
 };
 
 /** struct adviser_counts - numbers of instances that may get queries */
@@ -505,9 +507,6 @@
  */
 int64_t adviser_query_sent (struct fsched *fs, struct pending_order *p,
                             struct fsched_queue *q, double duration_ms);
-/** adviser_adapt_window() - Adapt the number of long queries that may be
- * outstanding to the delay of short ones. */
-void adviser_adapt_window (struct fsched *fs);
 /** adviser_query_overdue() - Account for a query whose deadline has passed, or
  * whose instance is not reachable. */
 void adviser_query_overdue (struct fsched *fs, struct pending_order *p);
@@ -583,6 +582,49 @@
  * could start it if they were idle. */
 bool room_could_start (struct fsched *fs, struct job *j, int step);
 
+/* Functions of fsched_window.c. */
+
+/** window_init() - Set how many queries may be outstanding at the start of a
+ * term. */
+void window_init (struct fsched *fs);
+/** window_long_ms() - Return the announced duration above which a query counts
+ * as long now. */
+double window_long_ms (const struct fsched *fs);
+/** window_is_open() - Return whether a query may be sent at all now.
+ * @is_long: see %ADVICE_LONG_QUERY_MS */
+bool window_is_open (const struct fsched *fs, bool is_long);
+/** window_is_shared() - Return whether the service seems to handle one query
+ * at a time, whichever instance it comes from. */
+bool window_is_shared (const struct fsched *fs);
+/**
+ * window_admits_queue() - Return whether queries of a queue may be sent now.
+ *
+ * While the service is shared, each queue gets a part of its time, or what its
+ * queries need if that is less.
+ */
+bool window_admits_queue (const struct fsched *fs,
+                          const struct fsched_queue *q);
+/** window_short_peak() - Return the largest number of short queries that were
+ * outstanding of late; an older one counts less. */
+double window_short_peak (const struct fsched *fs);
+/** window_query_sent() - Account for a query that is sent now. */
+void window_query_sent (struct fsched *fs, struct pending_order *p);
+/** window_query_answered() - Learn from an answer.
+ * @factor: time that the query took, as a multiple of the announced time */
+void window_query_answered (struct fsched *fs, const struct pending_order *p,
+                            double factor);
+/** window_query_overdue() - Learn from a query whose deadline has passed. */
+void window_query_overdue (struct fsched *fs, const struct pending_order *p);
+/** window_refused() - Let fewer queries be outstanding, after the service has
+ * refused one. */
+void window_refused (struct fsched *fs, const struct pending_order *p);
+/** window_leave() - End the account of a query with the outstanding ones. */
+void window_leave (struct fsched *fs, struct pending_order *p);
+/** window_adapt() - Adapt the windows to the delay of short queries. */
+void window_adapt (struct fsched *fs);
+/** window_count_late() - Count the outstanding short queries that are late. */
+void window_count_late (struct fsched *fs);
+
 /* Functions of fsched_advice.c. */
 
 /**
