Queues whose jobs advice cannot be had for in time take no jobs

What callers saw: jobs were accepted of which the service could not have decided in time, in any order, and that waited for minutes.

Cause: nothing compared what is accepted with what the service decides. Class: work without a bound that overload leaves behind.

Change (fsched_overload.c): five times a second the leader sums up what the first queries need that could not be sent yet, at the measured pace and over the instances that may send them. If a new job could not expect its answers within 10 s, counted with two queries, its queue is overloaded: the leader names it in its replies to hellos, and every instance answers submissions with 429, not run, and Retry-After, after it has read that no job of that id is recorded. Steps that wait for room or for their account's limit do not count.

advice.lua checks now that a rejected job never starts; only in the scenario in which the service refuses queries may jobs be rejected instead of started, the others are as strict as before.

--- a/core/api.c
+++ b/core/api.c
@@ -11,10 +11,10 @@
 #include <string.h>
 
 const char *const fleet_answer_names[]
-    = { "accepted",   "duplicate", "state",    "cancelled", "waiting",
-        "no-config",  "stale",     "no-queue", "bad-key",   "bad-job",
-        "no-job",     "refused",   "unknown",  "no-leader", "too-many",
-        "table-lost", NULL };
+    = { "accepted",  "duplicate",  "state",      "cancelled", "waiting",
+        "no-config", "stale",      "no-queue",   "bad-key",   "bad-job",
+        "no-job",    "refused",    "overloaded", "unknown",   "no-leader",
+        "too-many",  "table-lost", NULL };
 
 const char *const fleet_verb_names[]
     = { "submit", "state", "cancel", "other", NULL };
@@ -22,8 +22,8 @@
 /* HTTP statuses, by enum fleet_answer.  503 means that nothing was accepted,
    504 that it is unknown whether the request took effect. */
 static const int answer_status[ANSWER_N]
-    = { 200, 200, 200, 200, 200, 503, 503, 404,
-        401, 400, 410, 503, 504, 503, 503, 503 };
+    = { 200, 200, 200, 200, 200, 503, 503, 404, 401,
+        400, 410, 503, 429, 504, 503, 503, 503 };
 
 int
 api_request_cmp (const struct api_request *a, const struct api_request *b)
@@ -44,9 +44,10 @@
 
 /* Queues the answer @answer (enum fleet_answer) to request @request_id.  The
    function takes ownership of @body.  If @body is NULL and the status is an
-   error, the function makes a body. */
+   error, the function makes a body.  @retry_ms: see msg.h */
 static void
-send_answer (struct fleet *f, uint64_t request_id, int answer, char *body)
+send_answer (struct fleet *f, uint64_t request_id, int answer, char *body,
+             int64_t retry_ms)
 {
   struct out *o = out_new (&f->out, OUT_ANSWER);
   int status = answer_status[answer];
@@ -57,8 +58,8 @@
   o->u.answer.call = request_id;
   o->u.answer.status = status;
   o->u.answer.body = body;
-  if (status == 503)
-    o->u.answer.retry_ms = fleet_retry_after_ms (f, answer);
+  if (status == 503 || status == 429)
+    o->u.answer.retry_ms = retry_ms;
 }
 
 /* Removes @c from the requests in progress and frees it. */
@@ -76,6 +77,11 @@
 static void
 finish_request (struct fleet *f, struct api_request *c, int answer, char *body)
 {
+  int64_t retry_ms = fleet_retry_after_ms (f, answer);
+
+  if (answer == ANSWER_OVERLOADED
+      && fleet_overload_ms (f, c->queue) > retry_ms)
+    retry_ms = fleet_overload_ms (f, c->queue);
   out_line (&f->out,
             "event=answer call=%llu verb=%d job=%s queue=%s tenant=%s "
             "answer=%s status=%d tries=%d took_ms=%lld conf=%lld "
@@ -86,7 +92,7 @@
             f->conf ? (long long)f->conf->version : 0,
             (long long)(f->now_ms - f->conf_current_ms), f->leader.holder);
   hist_add (&f->stats.request_ms[c->verb], f->now_ms - c->arrival_ms);
-  send_answer (f, c->request_id, answer, body);
+  send_answer (f, c->request_id, answer, body, retry_ms);
   free_request (f, c);
 }
 
@@ -105,7 +111,8 @@
             (long long)(f->now_ms - f->conf_current_ms), detail);
   send_answer (
       f, rq->request_id, answer,
-      f->settings.codec.error_body (fleet_answer_names[answer], detail));
+      f->settings.codec.error_body (fleet_answer_names[answer], detail),
+      fleet_retry_after_ms (f, answer));
 }
 
 /* Queues a call to the table service for @c.  Returns the operation of the
@@ -267,7 +274,11 @@
       free_request (f, c);
       return;
     }
-  send_submit (f, c);
+  /* A job that was accepted before must not be refused. */
+  if (fleet_overload_ms (f, c->queue) > 0)
+    send_read (f, c, API_READING_JOB);
+  else
+    send_submit (f, c);
 }
 
 /* Answers with the state of a job, if this instance's scheduler has the job;
@@ -532,7 +543,10 @@
 handle_job_reply (struct fleet *f, struct api_request *c,
                   const struct store_rep *rep)
 {
-  if (rep->err)
+  if (c->verb == FLEET_VERB_SUBMIT)
+    finish_request (f, c, rep->err ? ANSWER_OVERLOADED : ANSWER_DUPLICATE,
+                    NULL);
+  else if (rep->err)
     finish_request (f, c, ANSWER_NO_JOB, NULL);
   else if (c->verb == FLEET_VERB_CANCEL)
     send_cancel (f, c);
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -78,6 +78,7 @@
   leader_fini (&f->leader);
   follow_stop (&f->conf_feed);
   fconf_free (f->conf);
+  free (f->overloads);
   while ((o = out_take (&f->out)))
     out_free (o);
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -242,6 +242,8 @@
   /* The table service refused the call, or did not answer a read in time;
      nothing was recorded. */
   ANSWER_STORE_REFUSED,
+  /* The queue takes no jobs for now, as they would wait too long. */
+  ANSWER_OVERLOADED,
   /* The write may or may not have taken effect. */
   ANSWER_UNKNOWN,
   /* No leader is reachable, or the leader did not answer the query for a
@@ -357,6 +359,9 @@
   int64_t next_hello_ms; /* earliest time of the next hello to the leader */
   /* Time of the leader's last reply to a hello of this instance. */
   int64_t leader_last_contact_ms;
+  /* Owned: the overloaded queues, as the leader last reported. */
+  struct mesh_overload *overloads;
+  size_t n_overloads;
 
   /* Address of an instance that reaches the table service, as the leader
      reported; often the leader's own address; empty: none is known. */
@@ -579,6 +584,9 @@
  * @answer: the reason, enum fleet_answer
  */
 int64_t fleet_retry_after_ms (const struct fleet *f, int answer);
+/** fleet_overload_ms() - Return for how long a queue takes no further jobs, as
+ * far as this instance knows; 0: it takes jobs. */
+int64_t fleet_overload_ms (const struct fleet *f, const char *queue);
 /** fleet_leader_addr() - Return the leader's address; NULL if the leader is
  * unreachable, unknown or this instance. */
 const char *fleet_leader_addr (const struct fleet *f);
--- a/core/fleet_mesh.c
+++ b/core/fleet_mesh.c
@@ -87,6 +87,31 @@
   r->table_age_ms = f->now_ms - a->table_contact_ms;
 }
 
+/* Adds the overloaded queues to the reply @r. */
+static void
+set_overloads (const struct fleet *f, struct mesh_msg *r)
+{
+  const struct fsched_queue *q;
+  size_t n = 0;
+
+  if (!f->fsched)
+    return;
+  TAILQ_FOREACH (q, &f->fsched->queues, link)
+    n += q->overloaded;
+  if (n == 0)
+    return;
+  r->overloads = calloc (n, sizeof *r->overloads);
+  if (!r->overloads)
+    abort ();
+  TAILQ_FOREACH (q, &f->fsched->queues, link)
+    if (q->overloaded && r->n_overloads < MESH_OVERLOADS_MAX)
+      {
+        struct mesh_overload *o = &r->overloads[r->n_overloads++];
+        clb_copy (o->queue, q->name, sizeof o->queue);
+        o->for_ms = fsched_overload_ms (f->fsched, q->name);
+      }
+}
+
 /* Returns whether the follower that sent hello @m can lead the fleet so much
    better than this instance that a change of the leader is worth the time. */
 static bool
@@ -149,6 +174,7 @@
   r->conf_age_ms = message_age_ms (f, f->conf_current_ms);
   r->table_age_ms = message_age_ms (f, f->store_last_contact_ms);
   set_proxy_peer (f, r);
+  set_overloads (f, r);
   r->rank = rank + 1;
   fleet_send (f, m->addr, r);
 }
@@ -211,12 +237,17 @@
    the hello was sent, so that the ages in the reply are counted from the time
    of the hello. */
 static void
-handle_hello_reply (struct fleet *f, const struct mesh_msg *m)
+handle_hello_reply (struct fleet *f, struct mesh_msg *m)
 {
   leader_handle_contact (&f->leader, f->now_ms, m->epoch, m->rank - 1);
   if (strcmp (m->from, f->leader.holder) != 0)
     return;
   f->leader_last_contact_ms = f->now_ms;
+  free (f->overloads);
+  f->overloads = m->overloads;
+  f->n_overloads = m->n_overloads;
+  m->overloads = NULL;
+  m->n_overloads = 0;
   f->proxy_peer_fresh_ms = m->seq - m->table_age_ms;
   clb_copy (f->proxy_peer_addr,
             *m->proxy_peer_addr ? m->proxy_peer_addr : m->addr,
--- a/core/fleet_retry.c
+++ b/core/fleet_retry.c
@@ -11,6 +11,13 @@
 
 #include <string.h>
 
+enum
+{
+  /* Longest time after which the caller of an overloaded queue is told to try
+     again. */
+  OVERLOAD_RETRY_MAX_MS = 10000,
+};
+
 /* Returns true if other instances can probably serve a request that this
    instance refuses because it does not reach the table service. */
 static bool
@@ -42,3 +49,17 @@
       return FLEET_RETRY_AFTER_MS;
     }
 }
+
+int64_t
+fleet_overload_ms (const struct fleet *f, const char *queue)
+{
+  int64_t ms = 0;
+
+  if (f->fsched)
+    ms = fsched_overload_ms (f->fsched, queue);
+  else if (f->now_ms - f->leader_last_contact_ms < FLEET_PEER_FRESH_MS)
+    for (size_t i = 0; i < f->n_overloads; i++)
+      if (strcmp (f->overloads[i].queue, queue) == 0)
+        ms = f->overloads[i].for_ms;
+  return ms < OVERLOAD_RETRY_MAX_MS ? ms : OVERLOAD_RETRY_MAX_MS;
+}
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -704,6 +704,7 @@
     return;
   fs->next_query_sweep_ms = fs->now_ms + QUERY_SWEEP_MS;
   adviser_sweep_queries (fs);
+  overload_update (fs);
 }
 
 void
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -645,6 +645,13 @@
      queue's steps are due. */
   double advice_base_ms;
   double advice_used_ms;
+  /* Time that the service needs for the first queries about the queue's steps
+     that were not asked about yet, and how long such a query waits to be sent;
+     in ms. */
+  double unsent_ms;
+  double query_ms; /* moving average of the announced time of such a query */
+  int64_t advice_wait_ms;
+  bool overloaded; /* it takes no jobs, see fsched_overload.c */
   bool advice_due;
   /* Part of a ticket's lifetime that is not used, in addition to
      FSCHED_TICKET_MARGIN_MS, as executors have refused tickets, and earliest
@@ -844,6 +851,9 @@
      was last updated. */
   double short_peak;
   int64_t short_peak_ms;
+  /* When a query could last not be sent, as no instance was free for it. */
+  int64_t advice_blocked_ms;
+  int64_t next_waits_ms;   /* time of the next fsched_queue::advice_wait_ms */
   bool short_adviser_free; /* an instance is free for a short query */
   bool long_adviser_free;  /* an instance is free for a long query */
   int64_t next_exec_sweep_ms; /* time of the next check of all executors */
@@ -996,6 +1006,11 @@
  * for the first queries about all ready steps that were not asked about yet,
  * in ms. */
 int64_t fsched_unsent_ms (const struct fsched *fs);
+/**
+ * fsched_overload_ms() - Return for how long a queue takes no further jobs, as
+ * their advice queries would wait too long to be sent; 0: it takes jobs.
+ */
+int64_t fsched_overload_ms (const struct fsched *fs, const char *queue);
 /** fsched_is_query() - Return whether @order is an advice query without an
  * answer. */
 bool fsched_is_query (const struct fsched *fs, uint64_t order);
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -145,28 +145,6 @@
   return false;
 }
 
-int64_t
-fsched_unsent_ms (const struct fsched *fs)
-{
-  const struct job *j;
-  double sum_ms = 0;
-
-  TAILQ_FOREACH (j, &fs->queue, link)
-    {
-      if (j->spec.advice.base_ms <= 0 || job_state_final (j->state)
-          || j->set_aside)
-        continue;
-      for (size_t i = 0; i < j->spec.n_steps; i++)
-        {
-          const struct jstep *s = &j->steps[i];
-          if (s->ready && s->n_done + s->n_running == 0 && s->query_id == 0)
-            sum_ms += choice_first_query_ms (fs, j, (int)i)
-                      * j->queue_stats->advice_pace.factor;
-        }
-    }
-  return (int64_t)sum_ms;
-}
-
 bool
 adviser_is_free (const struct fsched *fs, const struct job *j)
 {
@@ -242,7 +220,10 @@
   duration_ms = choice_duration_ms (j, (double)execs.n);
   adviser = adviser_pick (fs, duration_ms);
   if (adviser < 0)
-    return;
+    {
+      fs->advice_blocked_ms = fs->now_ms;
+      return;
+    }
   room_reserve_named (j, step, &execs, n_waiting);
   send_query (fs, j, step, &execs, adviser, duration_ms);
   advice_begin_pass (fs);
@@ -256,9 +237,12 @@
 
   if ((s->n_asking > 0 && !asks_more (s))
       || ((s->n_asking == 0 || s->n_lost > 0) && fs->now_ms < s->next_query_ms)
-      || n_waiting <= 0 || fs->queries_left <= 0 || !adviser_is_free (fs, j))
+      || n_waiting <= 0 || fs->queries_left <= 0)
     return;
-  query_once (fs, j, step, n_waiting);
+  if (adviser_is_free (fs, j))
+    query_once (fs, j, step, n_waiting);
+  else
+    fs->advice_blocked_ms = fs->now_ms;
 }
 
 void
--- a/core/fsched_adviser.c
+++ b/core/fsched_adviser.c
@@ -188,6 +188,20 @@
          && a->busy_until_ms - fs->now_ms <= ADVICE_QUEUED_MAX_MS;
 }
 
+int
+adviser_lanes (const struct fsched *fs, double base_ms)
+{
+  struct adviser_counts c = adviser_count (fs);
+  int n = c.n_available;
+
+  if (window_is_shared (fs))
+    return 1;
+  if (base_ms > ADVICE_LONG_QUERY_MS)
+    n = fs->long_changed && fs->long_window < c.n_for_long ? fs->long_window
+                                                           : c.n_for_long;
+  return n > 1 ? n : 1;
+}
+
 /* Returns whether @a, which is available and free, suits a query better than
    @b does. */
 static bool
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -486,6 +486,10 @@
 };
 /** adviser_count() - Count the instances that may get queries. */
 struct adviser_counts adviser_count (const struct fsched *fs);
+/** adviser_lanes() - Return the number of queries of a queue, whose announced
+ * duration is at least @base_ms, that the service is expected to handle at a
+ * time; 1 at least. */
+int adviser_lanes (const struct fsched *fs, double base_ms);
 /** adviser_name() - Return the name of an instance for log lines, borrowed.
  * @adviser: index into fsched::advisers */
 const char *adviser_name (const struct fsched *fs, int adviser);
@@ -582,6 +586,12 @@
  * could start it if they were idle. */
 bool room_could_start (struct fsched *fs, struct job *j, int step);
 
+/* Functions of fsched_overload.c. */
+
+/** overload_update() - Compute how long the queries of each queue wait to be
+ * sent, if that is due. */
+void overload_update (struct fsched *fs);
+
 /* Functions of fsched_window.c. */
 
 /** window_init() - Set how many queries may be outstanding at the start of a
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -22,6 +22,12 @@
 };
 static DESC (exec_desc, struct mesh_exec, exec_fields);
 
+static const struct fld overload_fields[] = {
+  FLD_CHARS (struct mesh_overload, queue, true),
+  FLD_INT (struct mesh_overload, for_ms, 0, VALID_MAX_MS),
+};
+static DESC (overload_desc, struct mesh_overload, overload_fields);
+
 static const struct fld mesh_fields[] = {
   FLD_NAMED_REQUIRED (struct mesh_msg, kind, kind_names),
   FLD_CHARS (struct mesh_msg, from, true),
@@ -48,6 +54,8 @@
   FLD_STRUCT (struct mesh_msg, rep, &store_rep_desc),
   FLD_ARRAY_AS ("names", struct mesh_msg, execs, n_execs, &exec_desc,
                 ORDER_ADVICE_EXECS_MAX),
+  FLD_ARRAY_AS ("overloads", struct mesh_msg, overloads, n_overloads,
+                &overload_desc, MESH_OVERLOADS_MAX),
 };
 static DESC (mesh_desc, struct mesh_msg, mesh_fields);
 
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -50,6 +50,18 @@
   char ticket[ORDER_TICKET_SIZE]; /* permission to run the step; empty: none */
 };
 
+/** struct mesh_overload - a queue that takes no jobs for a time */
+struct mesh_overload
+{
+  char queue[CLB_NAME_MAX];
+  int64_t for_ms; /* time after which a caller should try again */
+};
+
+enum
+{
+  MESH_OVERLOADS_MAX = 64, /* largest number of such queues in a message */
+};
+
 /** struct mesh_msg - one message of any kind; unused fields are zero */
 struct mesh_msg
 {
@@ -99,6 +111,9 @@
      reply, the executors that may run the step. */
   struct mesh_exec *execs;
   size_t n_execs; /* number of executors in execs */
+  /* Owned.  In the leader's reply to a hello, the overloaded queues. */
+  struct mesh_overload *overloads;
+  size_t n_overloads; /* number of entries of overloads */
 };
 
 /**
--- a/regress/fleet/advice.lua
+++ b/regress/fleet/advice.lua
@@ -20,6 +20,7 @@
 
 local FINISH_MS = 14000 -- the users' finish_s
 local last_job = 0
+local calls_of = {} -- of each job, its submission
 local down = {} -- instances that callers do not use
 
 -- Starts nine instances and executors of 64 cores, of which advice permits 45%.
@@ -46,7 +47,7 @@
       steps = {{tasks = tasks or 1 + math.floor(2 * k.tasks * random()),
                 cpu = k.cpu, mem = k.mem, ms = k.ms,
                 gang = random() < k.gang_share}}}
-  submit(at, id(last_job))
+  calls_of[last_job] = submit(at, id(last_job))
   return last_job
 end
 
@@ -60,19 +61,23 @@
   end
 end
 
--- Return: number of submitted jobs of which no task has started.
-local function n_unstarted()
+-- Return: number of submitted jobs of which no task has started.  Jobs that were
+-- rejected, which must not start, are not among them if may_reject is set.
+local function n_unstarted(may_reject)
   local n = 0
   for i = 1, last_job do
-    if task(id(i), 0, 0) == 0 then n = n + 1 end
+    local rejected = answer(calls_of[i]) == 429
+    local started = task(id(i), 0, 0) > 0
+    expect(not (rejected and started), "rejected job " .. i .. " has started")
+    if not started and not (rejected and may_reject) then n = n + 1 end
   end
   return n
 end
 
 -- Expects that all jobs start within for_ms.
-local function expect_all_started(for_ms, what)
+local function expect_all_started(for_ms, what, may_reject)
   run(for_ms)
-  local n = n_unstarted()
+  local n = n_unstarted(may_reject)
   expect(n == 0, n .. " of " .. last_job .. " jobs have not started " .. what)
 end
 
@@ -181,7 +186,7 @@
   expect(after - before <= 8, after - before .. " queries are refused in 2 s")
   advice("one-machine", 0)
   advice("slow", 1)
-  expect_all_started(FINISH_MS, "after the end of the trouble")
+  expect_all_started(FINISH_MS, "after the end of the trouble", true)
 end)
 
 scenario("an answer that permits no executor does not deny them for good",
