--- a/core/fsched_window.c
+++ b/core/fsched_window.c
@@ -320,7 +320,9 @@
   fs->long_changed = true;
   fs->next_long_raise_ms
       = fs->now_ms + (q ? LONG_RAISE_MS : fs->long_raise_gap_ms);
-  fs->long_window = fs->n_long_out > 2 ? fs->n_long_out / 2 : 1;
+  if (fs->long_window > fs->n_long_out)
+    fs->long_window = fs->n_long_out;
+  fs->long_window = fs->long_window > 2 ? fs->long_window / 2 : 1;
   out_line (fs->out,
             "event=advice-long outstanding=%d window=%d why=%s queue=%s "
             "delay_ms=%d late=%d/%d",
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -1,5 +1,6 @@
 /* Tests of a single instance of the fleet's scheduler. */
 #include "fleet.h"
+#include "fsched_impl.h"
 #include "unit.h"
 
 #include <string.h>
@@ -121,10 +122,51 @@
   leader_fini (&l);
 }
 
+/* A follower must not keep a queue closed after it has lost its leader. */
+static void
+test_followers_learn_of_overloaded_queues (void)
+{
+  struct fleet leader, follower;
+  struct mesh_msg hello = { .kind = MESH_HELLO };
+  struct fsched_queue *q = fsched_zalloc (1, sizeof *q);
+  struct out *o;
+
+  start_instance (&leader, 1796352007000);
+  leader.leader.state = LEADER_LEADING;
+  leader.leader.renewed_ms = 1000;
+  leader.fsched = fsched_new (&leader.out, &leader.last_token, 1000, 1, 0,
+                              &leader.stats.fsched);
+  clb_copy (q->name, "wide", sizeof q->name);
+  q->overloaded = true;
+  q->advice_wait_ms = 20000;
+  TAILQ_INSERT_TAIL (&leader.fsched->queues, q, link);
+  start_instance (&follower, 1796352007741);
+  clb_copy (follower.settings.id, "n2", sizeof follower.settings.id);
+  clb_copy (follower.leader.holder, "n1", sizeof follower.leader.holder);
+  clb_copy (hello.from, "n2", sizeof hello.from);
+  clb_copy (hello.addr, "b", sizeof hello.addr);
+  fleet_mesh_msg (&leader, 1100, &hello);
+  while ((o = fleet_next_out (&leader)))
+    {
+      if (o->kind == OUT_FLEET_MSG && o->u.mesh.msg->kind == MESH_HELLO_REPLY)
+        fleet_mesh_msg (&follower, 1110, o->u.mesh.msg);
+      out_free (o);
+    }
+  CU_ASSERT (fleet_overload_ms (&leader, "wide") > 0);
+  CU_ASSERT (fleet_overload_ms (&follower, "wide") > 0);
+  CU_ASSERT_EQUAL (fleet_overload_ms (&follower, "many"), 0);
+  fleet_tick (&follower, 6000, 6000);
+  CU_ASSERT_EQUAL (fleet_overload_ms (&follower, "wide"), 0);
+  fleet_fini (&leader);
+  fleet_fini (&follower);
+}
+
 UNIT_MAIN ("fleet",
            { "a restarted process uses other store tokens",
              test_store_tokens_of_restarted_process },
            { "a recently elected leader sends no rank",
              test_recently_elected_leader_sends_no_rank },
            { "a message without a rank keeps the last rank",
-             test_missing_rank_keeps_last_rank })
+             test_missing_rank_keeps_last_rank },
+           { "followers learn of overloaded queues",
+             test_followers_learn_of_overloaded_queues })
