--- a/core/fsched_adviser.c
+++ b/core/fsched_adviser.c
@@ -2,16 +2,16 @@
  * Advisers: the instances that send the leader's advice queries.
  *
  * The advice service handles one query at a time for each instance, so the
- * leader spreads its queries over all instances.  Long queries are sent only
- * through one half of those that are available, so that short queries in the
- * other half wait only for short ones.
+ * leader spreads its queries over all instances.  Some instances get no long
+ * queries, as many as short queries have needed of late, so that these wait
+ * only for short ones.
  *
  * The service may be slower than it announces.  The time that queries take is
  * therefore measured, for each queue.  A query that has no answer by its
  * deadline is overdue: its step may be asked about again through another
  * instance, but the query stays outstanding, as the service still works on it
- * and its answer is of use.  Overdue, failed and refused queries make the
- * leader send fewer, so that the load on the service falls while it is late.
+ * and its answer is of use.  How many may be outstanding is in
+ * fsched_window.c.
  */
 #include "fsched_impl.h"
 
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -464,8 +464,8 @@
 
 enum
 {
-  /* Queries that are announced to take longer than this are long queries: only
-     the first half of the available instances gets them. */
+  /* Queries that are announced to take longer than this are long queries: some
+     of the available instances do not get them. */
   ADVICE_LONG_QUERY_MS = 100,
   /* Number of advice queries that may be outstanding, before the service has
      refused any. */
