The stand-in of the platform reads the text of a job

Cause: a start order carries the job's text in "spec", from which the stand-in takes what a task needs and its client account. read_order() never read that field, so every task counted as needing nothing and as nobody's, and the checks of capacity (LIMIT) and of account limits (QUOTA) of the process tests and of the soak could not fail.

Change: read_order() keeps the text until register_job() has used it.

--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -408,12 +408,14 @@
   json_auto_t *body = json_loadb (rq->body, rq->body_len, 0, &je);
   const char *task = json_string_value (json_object_get (body, "task"));
   const char *ticket = json_string_value (json_object_get (body, "ticket"));
+  const char *spec = json_string_value (json_object_get (body, "spec"));
 
   o->kind = strcmp (rq->path, "/api/run-start") == 0  ? ORDER_START
             : strcmp (rq->path, "/api/run-stop") == 0 ? ORDER_STOP
                                                       : ORDER_POLL;
   if (task)
     pf_task_parse (task, &o->task);
+  o->payload = spec ? strdup (spec) : NULL;
   clb_copy (o->ticket, ticket ? ticket : "", sizeof o->ticket);
   o->run_id = int_member (body, "run");
   o->fencing_token = int_member (body, "fencing_token");
@@ -495,6 +497,8 @@
     }
   read_order (rq, &p->order);
   register_job (&p->order);
+  free (p->order.payload);
+  p->order.payload = NULL;
   p->deadline_ms = now () + p->order.wait_ms;
   if (!try_order (p->server, rq->id, &p->order, true, p->order.wait_ms == 0))
     TAILQ_INSERT_TAIL (&pending_requests, p, link);
