Stand-in: advice by queue, address and size of executors, jobs that are left

Change: "queue DIGIT NAME SHARE" declares the jobs of a queue, whose starts then need tickets in any case. The service listens on further addresses (-a) and takes source and destination for the machine. Executors' cores, memory and racks can be set; steps, gangs and times come from the job's text. "left" tells which jobs have started, are done, or could run but have nothing running. Polls that wait are tried again only if there is something to answer, as each try looks at all executors. A task index beyond the step is now UNASKED.

--- a/regress/fsim/advice.c
+++ b/regress/fsim/advice.c
@@ -45,13 +45,15 @@
 }
 
 bool
-fadvice_permits (const struct fsim *s, const struct task_ref *step,
-                 const char *exec)
+fadvice_permits (struct fsim *s, const struct task_ref *step, const char *exec)
 {
+  const struct fjob *j = fsim_find_job (s, step->job);
+  double share
+      = j && j->permitted_share > 0 ? j->permitted_share : s->permitted_share;
   uint64_t h = 1469598103934665603ULL + (uint64_t)step->step;
 
   h = finish_hash (hash_text (hash_text (h, step->job), exec));
-  return (double)(h >> 40 & 0xffff) / 65536 < s->permitted_share;
+  return (double)(h >> 40 & 0xffff) / 65536 < share;
 }
 
 /* Returns what identifies a ticket: the step, the boot of the executor, and
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -59,7 +59,8 @@
   struct fjob *j = fsim_find_job (s, t->job);
   int first_of_step = 0;
 
-  if (!j || t->step >= (int64_t)j->spec.n_steps)
+  if (!j || t->step >= (int64_t)j->spec.n_steps
+      || t->index >= j->spec.steps[t->step].tasks)
     return NULL;
   for (int i = 0; i < t->step; i++)
     first_of_step += (int)j->spec.steps[i].tasks;
@@ -107,7 +108,10 @@
 
   add_past_run (e, &r->task, r->run_id);
   if (stats)
-    stats->n_running--;
+    {
+      stats->n_running--;
+      stats->ended_done |= run_end == RUN_END_DONE;
+    }
   /* After a fault a member may wait for members that never start, because the
      leader's stop order for the waiting member was lost as well (walk.lua,
      seed 184). */
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -212,7 +212,10 @@
   struct job_spec spec;
   int64_t task_ms[JOB_STEPS_MAX]; /* run time of a task, by step */
   bool always_fails;              /* every run of its tasks fails */
-  bool asked;     /* its starts need tickets, as advice was asked for */
+  bool asked; /* its starts need tickets, as advice was asked for */
+  /* Share (0 to 1) of executors that the advice service permits for its steps;
+     0: fsim::permitted_share. */
+  double permitted_share;
   int n_crashing; /* number of tasks of its first step that crash executors */
   int64_t crash_after_ms; /* time from the start of such a task to the crash */
   bool accepted;
@@ -244,9 +247,10 @@
   bool done;
   /* True if the leader acknowledged the end of a successful run. */
   bool end_acked;
-  int n_failed;  /* failed runs whose ends the leader acknowledged */
-  int n_starts;  /* runs that were started */
-  int n_crashes; /* executors that have crashed because they ran the task */
+  bool ended_done; /* a run has ended with success, acknowledged or not */
+  int n_failed;    /* failed runs whose ends the leader acknowledged */
+  int n_starts;    /* runs that were started */
+  int n_crashes;   /* executors that have crashed because they ran the task */
   /* Runs that were started after FSIM_CRASHES_MAX such crashes. */
   int n_starts_after_crashes;
 };
@@ -502,7 +506,7 @@
 
 /** fadvice_permits() - Return whether the advice service permits the executor
  * with id @exec for a step.  The answer never changes. */
-bool fadvice_permits (const struct fsim *s, const struct task_ref *step,
+bool fadvice_permits (struct fsim *s, const struct task_ref *step,
                       const char *exec);
 /** fadvice_ticket() - Issue a ticket for a step on the present boot of @e. */
 void fadvice_ticket (const struct fsim *s, const struct task_ref *step,
--- a/regress/standin/advice.c
+++ b/regress/standin/advice.c
@@ -10,6 +10,27 @@
 {
   BODY_MAX = 1 << 20, /* largest accepted body of a query, in bytes */
   PEER_SIZE = 48,     /* size of an IP address as text, with the NUL */
+  QUEUES_MAX = 16,    /* largest number of queues */
+  LISTENERS_MAX = 64, /* largest number of addresses to listen on */
+};
+
+/* struct listener - an address that the service listens on */
+struct listener
+{
+  const char *addr;
+  struct httpd *http;
+};
+
+/* struct queue - a queue with advice */
+struct queue
+{
+  char name[CLB_NAME_MAX];
+  char digit; /* first character of its jobs' ids; 0: not declared */
+  double share;
+  struct job_advice advice;
+  long long n_queries;
+  long long n_names; /* executors named in its queries */
+  double busy_ms;    /* time of the service for its handled queries */
 };
 
 /* struct query - a query that the service has received; it keeps its turn if
@@ -17,6 +38,7 @@
 struct query
 {
   TAILQ_ENTRY (query) link;
+  struct listener *listener;
   uint64_t request_id;
   struct order order; /* owns its execs */
 };
@@ -25,23 +47,61 @@
 struct machine
 {
   TAILQ_ENTRY (machine) link;
-  char peer[PEER_SIZE];
+  char peer[PEER_SIZE + CLB_ADDR_MAX]; /* its address, and the service's */
   TAILQ_HEAD (, query) waiting;
   struct query *current; /* query that is being handled; NULL: none */
   uv_timer_t timer;      /* ends the current query */
 };
 
 static struct sadv_conf conf;
-static struct httpd *http;
-static struct job_advice advice;
+static struct listener listeners[LISTENERS_MAX];
+static int n_listeners;
+static struct queue queues[QUEUES_MAX];
+static int n_queues;
+/* Times of the service for jobs of queues that are not declared. */
+static struct job_advice default_advice;
 static TAILQ_HEAD (, machine) machines = TAILQ_HEAD_INITIALIZER (machines);
 static int n_machines;
 
+/* Returns the queue with this name; adds it if it is new. */
+static struct queue *
+queue_get (const char *name)
+{
+  int i = 0;
+
+  while (i < n_queues && strcmp (queues[i].name, name) != 0)
+    i++;
+  if (i == QUEUES_MAX)
+    abort ();
+  if (i == n_queues)
+    clb_copy (queues[n_queues++].name, name, sizeof queues[i].name);
+  return &queues[i];
+}
+
+/* Returns the declared queue of a job; NULL if there is none. */
+static struct queue *
+queue_of (const char *job_id)
+{
+  for (int i = 0; i < n_queues; i++)
+    if (queues[i].digit && queues[i].digit == *job_id)
+      return &queues[i];
+  return NULL;
+}
+
+static const struct job_advice *
+advice_of (const char *job_id)
+{
+  const struct queue *q = queue_of (job_id);
+
+  return q ? &q->advice : &default_advice;
+}
+
 /* Returns how long the service takes for a query, in ms. */
 static uint64_t
 query_ms (const struct query *q)
 {
-  double ms = advice.base_ms + advice.per_exec_ms * (double)q->order.n_execs;
+  const struct job_advice *a = advice_of (q->order.task.job);
+  double ms = a->base_ms + a->per_exec_ms * (double)q->order.n_execs;
 
   return (uint64_t)(ms * conf.sim->advice.slow_factor);
 }
@@ -50,6 +110,7 @@
 static void
 require_tickets (const char *job_id)
 {
+  const struct queue *q = queue_of (job_id);
   struct fjob *j = fsim_find_job (conf.sim, job_id);
 
   if (!j)
@@ -59,6 +120,7 @@
       RB_INSERT (fjob_tree, &conf.sim->jobs, j);
     }
   j->asked = true;
+  j->permitted_share = q ? q->share : 0;
 }
 
 static void
@@ -71,17 +133,40 @@
 
   conf.sim->now_ms = conf.now_ms ();
   require_tickets (q->order.task.job);
+  conf.sim->ticket_ms = advice_of (q->order.task.job)->valid_ms;
   fadvice_answer (conf.sim, &q->order, &res);
   for (size_t i = 0; i < res.n_permitted; i++)
     json_array_append_new (good, json_pack ("[s,s]", res.permitted[i].exec,
                                             res.permitted[i].ticket));
   body = json_pack ("{s:o}", "good", good);
   text = json_dumps (body, JSON_COMPACT);
-  httpd_answer (http, q->request_id, 200, "application/json", text,
-                strlen (text), 0);
+  httpd_answer (q->listener->http, q->request_id, 200, "application/json",
+                text, strlen (text), 0);
   order_result_clear (&res);
 }
 
+/* Adds the time for a query to its queue's. */
+static void
+count_busy (const struct query *q)
+{
+  struct queue *queue = queue_of (q->order.task.job);
+
+  if (queue)
+    queue->busy_ms += (double)query_ms (q);
+}
+
+/* Adds a query that has arrived to its queue's. */
+static void
+count_query (const struct query *q)
+{
+  struct queue *queue = queue_of (q->order.task.job);
+
+  if (!queue)
+    return;
+  queue->n_queries++;
+  queue->n_names += (long long)q->order.n_execs;
+}
+
 static void on_query_done (uv_timer_t *t);
 
 /* Begins the next query of a machine, unless one is being handled. */
@@ -111,6 +196,7 @@
       return;
     }
   m->current = NULL;
+  count_busy (q);
   answer_query (q);
   free (q->order.execs);
   free (q);
@@ -163,36 +249,40 @@
 }
 
 static void
-refuse (const struct httpd_req *rq, int status)
+refuse (const struct listener *l, const struct httpd_req *rq, int status)
 {
-  httpd_answer (http, rq->id, status, "application/json", "{}", 2, 0);
+  httpd_answer (l->http, rq->id, status, "application/json", "{}", 2, 0);
 }
 
 static void
 on_request (void *arg, const struct httpd_req *rq)
 {
+  struct listener *l = arg;
   struct query *q = calloc (1, sizeof *q);
-  char peer[PEER_SIZE] = "";
+  char ip[PEER_SIZE] = "";
+  char peer[PEER_SIZE + CLB_ADDR_MAX];
   struct machine *m;
 
-  (void)arg;
   conf.sim->n_advice_queries++;
   if (!read_query (rq, &q->order))
     {
       free (q);
-      refuse (rq, 400);
+      refuse (l, rq, 400);
       return;
     }
+  count_query (q);
   if (conf.sim->advice.n_waiting >= FSIM_ADVICE_WAITING_MAX)
     {
       conf.sim->advice.n_refused++;
       free (q->order.execs);
       free (q);
-      refuse (rq, 429);
+      refuse (l, rq, 429);
       return;
     }
-  httpd_req_peer (rq, peer, sizeof peer);
+  httpd_req_peer (rq, ip, sizeof ip);
+  snprintf (peer, sizeof peer, "%s %s", ip, l->addr);
   m = machine_get (conf.sim->advice.one_machine ? "any" : peer);
+  q->listener = l;
   q->request_id = rq->id;
   TAILQ_INSERT_TAIL (&m->waiting, q, link);
   conf.sim->advice.n_waiting++;
@@ -206,25 +296,60 @@
   (void)request_id;
 }
 
+void
+sadv_init (const struct sadv_conf *c)
+{
+  conf = *c;
+}
+
 int
-sadv_open (const struct sadv_conf *c)
+sadv_listen (const char *addr)
 {
-  struct httpd_conf http_conf = { .addr = c->addr,
+  struct listener *l = &listeners[n_listeners];
+  struct httpd_conf http_conf = { .addr = addr,
                                   .max_body_bytes = BODY_MAX,
+                                  .arg = l,
                                   .on_request = on_request,
                                   .on_disconnect = on_disconnect };
   int err;
 
-  conf = *c;
-  http = httpd_new (uv_default_loop (), &http_conf, &err);
+  if (n_listeners == LISTENERS_MAX)
+    return UV_EMFILE;
+  l->addr = addr;
+  l->http = httpd_new (uv_default_loop (), &http_conf, &err);
+  n_listeners += !err;
   return err;
 }
 
 void
-sadv_set_advice (const struct job_advice *a)
+sadv_set_advice (const char *queue, const struct job_advice *a)
+{
+  queue_get (queue)->advice = *a;
+  default_advice = *a;
+}
+
+void
+sadv_add_queue (char digit, const char *name, double share)
+{
+  struct queue *q = queue_get (name);
+
+  q->digit = digit;
+  q->share = share;
+}
+
+bool
+sadv_needs_tickets (const char *job_id)
+{
+  const struct queue *q = queue_of (job_id);
+
+  return q && q->advice.base_ms > 0;
+}
+
+bool
+sadv_permits (const struct task_ref *step, const char *exec)
 {
-  advice = *a;
-  conf.sim->ticket_ms = a->valid_ms;
+  require_tickets (step->job);
+  return fadvice_permits (conf.sim, step, exec);
 }
 
 void
@@ -252,5 +377,9 @@
   fprintf (f, "machines %d queries %lld refused %lld\n", n_machines,
            (long long)conf.sim->n_advice_queries,
            (long long)conf.sim->advice.n_refused);
+  for (int i = 0; i < n_queues; i++)
+    if (queues[i].digit)
+      fprintf (f, "%s queries %lld names %lld busy_ms %.0f\n", queues[i].name,
+               queues[i].n_queries, queues[i].n_names, queues[i].busy_ms);
   fclose (f);
 }
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -2,7 +2,11 @@
  * fleet-standin - serves a stand-in of the fleet's platform on the loopback
  * interface: the table service, the executors and the advice service.
  *
- * usage: fleet-standin PORT EXECUTORS CONFIG [ADVERTISED-OFFSET]
+ * usage: fleet-standin [-c CORES] [-m MEM_MB] [-n RACK] [-a IP]...
+ *                      PORT EXECUTORS CONFIG [ADVERTISED-OFFSET]
+ *
+ * Each executor has CORES (16) and MEM_MB (32768).  RACK (0: all) executors
+ * are in a rack.  Besides 127.0.0.1, the advice service listens on each IP.
  *
  * EXECUTORS is the number of executors.  CONFIG is a file with the fleet's
  * configuration at the start.  ADVERTISED-OFFSET (default 0) is added to the
@@ -33,6 +37,18 @@
  *   advice FAULT VALUE  begins or ends a fault of the advice service, see
  *                       sadv_inject()
  *   advised FILE        writes the counts of the advice service to FILE
+ *   queue DIGIT NAME SHARE
+ *                       jobs whose ids begin with DIGIT are of queue NAME, for
+ *                       which SHARE of the executors are permitted
+ *   left IN OUT         reads jobs from IN, a line "ID CPU MEM_MB TASKS..."
+ *                       for each, with the tasks of every step.  Writes a
+ *                       line "ID STARTED_MS LEFT DONE" for each to OUT: the
+ *                       time of its first start by CLOCK_MONOTONIC (0: none),
+ *                       1 if it could run but has nothing running, see
+ *                       job_is_left(), and 1 if all its steps are done.  The
+ *                       last line is "end CORES LAG_MS": cores in use, and the
+ *                       longest time between two calls of the stand-in's timer
+ *                       since the last command
  *   config FILE         replaces the fleet's configuration by the text in FILE
  *   entry ID FILE       replaces the discovery entry of the executor with this
  *                       id, or adds one, by the text in FILE
@@ -57,6 +73,7 @@
   PENDING_RETRY_MS = 5,
   /* Largest accepted body of a request, in bytes. */
   BODY_MAX = 4 << 20,
+  STEP_NONE = -2, /* see step_at_turn() */
 };
 
 /* struct server - a listening socket of the stand-in */
@@ -89,7 +106,12 @@
 static int n_execs;
 /* Added to an executor's port to give the port in its discovery entry. */
 static int advertised_offset;
-static char advice_addr[CLB_ADDR_MAX];
+/* Number of executors in a rack; 0: all are in one. */
+static int rack_size;
+/* Time of the last call of on_timer(), and the longest time between two calls
+   since the last command "left". */
+static int64_t timer_ms;
+static int64_t timer_gap_ms;
 /* Start of the stand-in, by CLOCK_MONOTONIC. */
 static int64_t start_ms;
 
@@ -445,23 +467,57 @@
   return done;
 }
 
+/* Reads the steps of a job from its text, "steps=TASKSxMS,TASKSxMS...", where
+   MS is the time that a task takes.  Without them, the job gets four steps
+   with the maximum number of tasks. */
+static void
+read_steps (struct fjob *j, const char *text)
+{
+  const char *at = strstr (text, " steps=");
+  long long tasks, ms;
+
+  j->spec.steps = calloc (JOB_STEPS_MAX, sizeof *j->spec.steps);
+  for (at = at ? at + 7 : NULL; at && j->spec.n_steps < JOB_STEPS_MAX
+                                && sscanf (at, "%lldx%lld", &tasks, &ms) == 2
+                                && tasks > 0 && tasks <= JOB_STEP_TASKS_MAX;
+       at = strchr (at, ',') ? strchr (at, ',') + 1 : NULL)
+    {
+      j->task_ms[j->spec.n_steps] = ms;
+      j->spec.steps[j->spec.n_steps++].tasks = tasks;
+    }
+  if (j->spec.n_steps)
+    return;
+  j->spec.n_steps = 4;
+  for (size_t i = 0; i < j->spec.n_steps; i++)
+    {
+      j->spec.steps[i].tasks = JOB_STEP_TASKS_MAX;
+      j->task_ms[i] = 300;
+    }
+}
+
 /* Registers the job of a start order in the simulation.  The stand-in does
    not see submissions, so it registers a job when the first of its tasks
-   starts.  The stand-in does not know the job's size and registers four steps
-   with the maximum number of tasks, and unlimited attempts.  What a task needs
-   and the client account are known if the text of the job states them, as
-   "cpu=MILLICORES account=NAME". */
+   starts, with unlimited attempts.  What a task needs, the client account and
+   the steps are known if the text of the job states them, as
+   "cpu=MILLICORES account=NAME mem=MEM_MB gang=0|1 steps=...". */
 static void
 register_job (const struct order *o)
 {
   struct fjob *j = fsim_find_job (sim, o->task.job);
   char account[CLB_NAME_MAX] = "";
+  const char *text = o->payload ? o->payload : "";
+  struct job_need need = { 0 };
   long long millicores = 0;
+  long long mem_mb = 0;
+  int gang = 0;
+  int n_tasks = 0;
 
   if (o->kind != ORDER_START || (j && j->stats))
     return;
-  sscanf (o->payload ? o->payload : "", "cpu=%lld account=%47s", &millicores,
-          account);
+  sscanf (text, "cpu=%lld account=%47s mem=%lld gang=%d", &millicores, account,
+          &mem_mb, &gang);
+  need.millicores = millicores;
+  need.mem_mb = mem_mb;
   if (!j)
     {
       j = calloc (1, sizeof *j);
@@ -469,16 +525,17 @@
       RB_INSERT (fjob_tree, &sim->jobs, j);
     }
   clb_copy (j->spec.tenant, account, sizeof j->spec.tenant);
-  j->spec.n_steps = 4;
   j->spec.attempts = INT32_MAX;
-  j->spec.steps = calloc (j->spec.n_steps, sizeof *j->spec.steps);
+  j->asked |= sadv_needs_tickets (j->id);
+  read_steps (j, text);
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
-      j->spec.steps[i].tasks = JOB_STEP_TASKS_MAX;
-      j->spec.steps[i].need.millicores = millicores;
-      j->task_ms[i] = 300;
+      j->spec.steps[i].need = need;
+      j->spec.steps[i].gang = gang;
+      n_tasks += (int)j->spec.steps[i].tasks;
     }
-  j->stats = calloc (4 * JOB_STEP_TASKS_MAX, sizeof *j->stats);
+  j->stats = calloc ((size_t)n_tasks + 1, sizeof *j->stats);
+  j->submitted_ms = now () + start_ms;
 }
 
 static void
@@ -541,11 +598,17 @@
 
   (void)t;
   sim->now_ms = now ();
+  if (timer_ms && sim->now_ms - timer_ms > timer_gap_ms)
+    timer_gap_ms = sim->now_ms - timer_ms;
+  timer_ms = sim->now_ms;
   fexec_tick (sim);
   report_violations ();
   TAILQ_FOREACH_SAFE (p, &pending_requests, link, next)
     {
       bool deadline_passed = now () >= p->deadline_ms;
+      if (p->server->exec && !deadline_passed && !p->server->exec->n_ends
+          && p->order.fencing_token >= p->server->exec->fencing_token)
+        continue;
       bool done = p->server->exec
                       ? try_order (p->server, p->request_id, &p->order, false,
                                    deadline_passed)
@@ -579,35 +642,53 @@
   exit (1);
 }
 
-/* Starts the advice service on @port.  The program exits on an error. */
+/* Lets the advice service listen on @port of @ip.  The program exits on an
+   error. */
 static void
-start_advice (int port)
+listen_for_advice (const char *ip, int port)
 {
-  struct sadv_conf conf = { .sim = sim, .addr = advice_addr, .now_ms = now };
+  char *addr;
   int err;
 
-  snprintf (advice_addr, sizeof advice_addr, "127.0.0.1:%d", port);
-  sim->permitted_share = 1;
-  err = sadv_open (&conf);
+  if (asprintf (&addr, "%s:%d", ip, port) < 0)
+    abort ();
+  err = sadv_listen (addr);
   if (!err)
     return;
-  fprintf (stderr, "fleet-standin: %s: %s\n", advice_addr, uv_strerror (err));
+  fprintf (stderr, "fleet-standin: %s: %s\n", addr, uv_strerror (err));
   exit (1);
 }
 
+/* Starts the advice service on @port of 127.0.0.1 and of @ips. */
+static void
+start_advice (char *const *ips, int n_ips, int port)
+{
+  struct sadv_conf conf = { .sim = sim, .now_ms = now };
+
+  sim->permitted_share = 1;
+  sadv_init (&conf);
+  listen_for_advice ("127.0.0.1", port);
+  for (int i = 0; i < n_ips; i++)
+    listen_for_advice (ips[i], port);
+}
+
 /* Writes the discovery entry of an executor to the table. */
 static void
 write_discovery_entry (const struct server *s)
 {
   char key[CLB_ID_MAX + 16];
-  json_auto_t *entry = json_pack (
-      "{s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}, s:[s,s]}", "service", "svc",
-      "address", s->addr, "zone", "a", "state", "ready", "capacity", "cpu",
-      (json_int_t)s->exec->capacity.millicores, "mem_mb",
-      (json_int_t)s->exec->capacity.mem_mb, "gpu", 0, "labels", "kind", "r1");
+  json_auto_t *entry
+      = json_pack ("{s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}}", "service", "svc",
+                   "address", s->addr, "zone", "a", "state", "ready",
+                   "capacity", "cpu", (json_int_t)s->exec->capacity.millicores,
+                   "mem_mb", (json_int_t)s->exec->capacity.mem_mb, "gpu", 0);
   char addr[CLB_ADDR_MAX];
+  char rack[16];
   clb_auto char *text = NULL;
 
+  snprintf (rack, sizeof rack, "r%d",
+            1 + (rack_size ? s->exec->index / rack_size : 0));
+  json_object_set_new (entry, "labels", json_pack ("[s,s]", "kind", rack));
   snprintf (addr, sizeof addr, "127.0.0.1:%d",
             atoi (strchr (s->addr, ':') + 1) + advertised_offset);
   json_object_set_new (entry, "address", json_string (addr));
@@ -646,7 +727,7 @@
       fquota_set_conf (sim, conf);
       for (size_t i = 0; i < conf->n_queues; i++)
         if (conf->queues[i].advice.base_ms > 0)
-          sadv_set_advice (&conf->queues[i].advice);
+          sadv_set_advice (conf->queues[i].name, &conf->queues[i].advice);
       fconf_free (conf);
     }
   ftable_put (sim, "op/config", text);
@@ -678,6 +759,156 @@
   fclose (f);
 }
 
+/* struct left_job - a job that may be left, as the command "left" names it */
+struct left_job
+{
+  char id[JOB_ID_SIZE];
+  struct job_need need; /* of each task */
+  int64_t tasks[JOB_STEPS_MAX];
+  int n_steps;
+};
+
+/* Return: what runs on the executor. */
+static struct job_need
+used_by_runs (const struct fexec *e)
+{
+  struct job_need used = { 0 };
+
+  for (int i = 0; i < e->n_runs; i++)
+    {
+      used.millicores += e->runs[i].need.millicores;
+      used.mem_mb += e->runs[i].need.mem_mb;
+    }
+  return used;
+}
+
+/* Return: the number of tasks with @need that there is room for in @unused. */
+static int64_t
+room_for (const struct job_need *unused, const struct job_need *need)
+{
+  int64_t by_cpu = unused->millicores / need->millicores;
+  int64_t by_mem = unused->mem_mb / need->mem_mb;
+  int64_t n = by_cpu < by_mem ? by_cpu : by_mem;
+
+  return n > 0 ? n : 0;
+}
+
+/* Return: the first step of the job that is not done; -1 if a task runs;
+   STEP_NONE if all steps are done. */
+static int
+step_at_turn (const struct left_job *l)
+{
+  const struct fjob *j = fsim_find_job (sim, l->id);
+  int at = 0;
+
+  if (!j || !j->stats)
+    return 0;
+  for (int i = 0; i < (int)j->spec.n_steps; i++)
+    {
+      int64_t n_done = 0;
+      for (int k = 0; k < j->spec.steps[i].tasks; k++, at++)
+        {
+          if (j->stats[at].n_running)
+            return -1;
+          n_done += j->stats[at].ended_done;
+        }
+      if (n_done < (j->spec.steps[i].gang ? 1 : j->spec.steps[i].tasks))
+        return i;
+    }
+  return STEP_NONE;
+}
+
+/* Return: true if the job has nothing running although the turn of @step has
+   come and permitted executors have room for the whole step twice over.
+   @unused: capacity that nothing uses, by executor */
+static bool
+job_is_left (const struct left_job *l, int step, const struct job_need *unused)
+{
+  struct task_ref ref = { .step = step };
+  int64_t room = 0;
+
+  if (step < 0 || step >= l->n_steps)
+    return false;
+  clb_copy (ref.job, l->id, sizeof ref.job);
+  for (int i = 0; i < n_execs && room < 2 * l->tasks[step]; i++)
+    if (sim->exec[i]->up
+        && (!sadv_needs_tickets (l->id)
+            || sadv_permits (&ref, sim->exec[i]->id)))
+      room += room_for (&unused[i], &l->need);
+  return room >= 2 * l->tasks[step];
+}
+
+/* Reads a line of the input of the command "left".  Return: false if it is not
+   valid. */
+static bool
+read_left_job (const char *line, struct left_job *l)
+{
+  char id[JOB_ID_SIZE] = "";
+  long long cpu, mem, tasks;
+  int at = 0;
+  int len;
+
+  memset (l, 0, sizeof *l);
+  if (sscanf (line, "%16s %lld %lld%n", id, &cpu, &mem, &at) != 3 || cpu <= 0
+      || mem <= 0)
+    return false;
+  clb_copy (l->id, id, sizeof l->id);
+  l->need = (struct job_need){ .millicores = cpu, .mem_mb = mem };
+  for (; l->n_steps < JOB_STEPS_MAX
+         && sscanf (line + at, "%lld%n", &tasks, &len) == 1;
+       at += len)
+    l->tasks[l->n_steps++] = tasks;
+  return l->n_steps > 0;
+}
+
+static void
+write_left_job (FILE *to, const struct left_job *l,
+                const struct job_need *unused)
+{
+  const struct fjob *j = fsim_find_job (sim, l->id);
+  int step = step_at_turn (l);
+
+  fprintf (to, "%s %lld %d %d\n", l->id,
+           (long long)(j && j->stats ? j->submitted_ms : 0),
+           job_is_left (l, step, unused), step == STEP_NONE);
+}
+
+/* Writes the states of the jobs in the file @in to the file @out, which
+   appears when it is complete. */
+static void
+write_left_jobs (const char *in, const char *out)
+{
+  static struct job_need unused[FSIM_EXECS_MAX];
+  char line[256];
+  char part[300];
+  struct left_job l;
+  int64_t millicores = 0;
+  FILE *from = fopen (in, "r");
+  FILE *to;
+
+  snprintf (part, sizeof part, "%s.part", out);
+  to = fopen (part, "w");
+  for (int i = 0; i < n_execs; i++)
+    {
+      struct job_need used = used_by_runs (sim->exec[i]);
+      millicores += used.millicores;
+      unused[i] = sim->exec[i]->capacity;
+      unused[i].millicores -= used.millicores;
+      unused[i].mem_mb -= used.mem_mb;
+    }
+  while (from && to && fgets (line, sizeof line, from))
+    if (read_left_job (line, &l))
+      write_left_job (to, &l, unused);
+  if (to)
+    fprintf (to, "end %lld %lld\n", (long long)millicores / 1000,
+             (long long)timer_gap_ms);
+  timer_gap_ms = 0;
+  if (from)
+    fclose (from);
+  if (to && fclose (to) == 0)
+    rename (part, out);
+}
+
 static void
 inject_table_fault (const char *fault, double value)
 {
@@ -719,6 +950,9 @@
   char fault[16] = "";
   char path[256] = "";
   char id[CLB_ID_MAX] = "";
+  char path2[256] = "";
+  char name[CLB_NAME_MAX] = "";
+  char digit = '\0';
   double value = 0;
   int exec_index = -1;
 
@@ -730,6 +964,10 @@
     sadv_write_counts (path);
   else if (sscanf (line, "exec %d %15s %lf", &exec_index, fault, &value) >= 2)
     inject_exec_fault (exec_index, fault, value);
+  else if (sscanf (line, "queue %c %47s %lf", &digit, name, &value) == 3)
+    sadv_add_queue (digit, name, value);
+  else if (sscanf (line, "left %255s %255s", path, path2) == 2)
+    write_left_jobs (path, path2);
   else if (sscanf (line, "config %255s", path) == 1)
     put_config (path);
   else if (sscanf (line, "entry %95s %255s", id, path) == 2)
@@ -773,12 +1011,28 @@
   struct job_need capacity = { .millicores = 16000, .mem_mb = 32768 };
   static uv_timer_t timer;
   static uv_pipe_t in;
-  int port, n;
-
+  char *ips[64];
+  int n_ips = 0;
+  int port, n, opt;
+
+  while ((opt = getopt (argc, argv, "+c:m:n:a:")) != -1)
+    if (opt == 'c')
+      capacity.millicores = 1000 * atoll (optarg);
+    else if (opt == 'm')
+      capacity.mem_mb = atoll (optarg);
+    else if (opt == 'n')
+      rack_size = atoi (optarg);
+    else if (opt == 'a' && n_ips < 64)
+      ips[n_ips++] = optarg;
+    else
+      optind = argc;
+  argc -= optind - 1;
+  argv += optind - 1;
   if (argc != 4 && argc != 5)
     {
-      fprintf (stderr, "usage: fleet-standin PORT EXECUTORS CONFIG "
-                       "[ADVERTISED-OFFSET]\n");
+      fprintf (stderr,
+               "usage: fleet-standin [-c CORES] [-m MEM_MB] [-n RACK] "
+               "[-a IP]... PORT EXECUTORS CONFIG [ADVERTISED-OFFSET]\n");
       return 64;
     }
   /* Writing to a connection that the peer has closed must not end the process.
@@ -797,7 +1051,7 @@
       start_server (&exec_servers[i], port + 1 + i, on_exec_request);
       write_discovery_entry (&exec_servers[i]);
     }
-  start_advice (port + 1 + n);
+  start_advice (ips, n_ips, port + 1 + n);
   put_config (argv[3]);
   uv_timer_init (uv_default_loop (), &timer);
   uv_timer_start (&timer, on_timer, PENDING_RETRY_MS, PENDING_RETRY_MS);
