fleet-mix: jobs of several queues, and which of them are not started

Cause: fleet-load submits jobs of one kind and tells only whether they complete in time.

Change: fleet-mix submits jobs of several queues as drawn from a sheet (rates, steps, widths, gangs, wide gangs at intervals), for a while, and prints at fixed times after it how many accepted jobs are not started, not completed, or left.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BUILD)/regress/platformd $(BUILD)/regress/backendd \
 	$(BUILD)/regress/scn-run $(BUILD)/regress/fsim-run \
 	$(BUILD)/regress/fleet-standin $(BUILD)/regress/fleet-load \
-	$(BUILD)/regress/soak-proxy
+	$(BUILD)/regress/fleet-mix $(BUILD)/regress/soak-proxy
 
 # Prints the compiler flags, for tools that parse the sources.
 print-flags:
@@ -121,6 +121,9 @@
 $(BUILD)/regress/fleet-load: $(BUILD)/regress/standin/fleetload.o $(NET)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS)
 
+$(BUILD)/regress/fleet-mix: $(BUILD)/regress/standin/fleetmix.o
+	@$(CC) $(SAN) $^ -o $@ -lcurl -lm
+
 $(BUILD)/regress/unit/%: $(BUILD)/regress/unit/%.o $(STANDIN) $(PLATFORM) \
 	$(CORE) $(NET)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS) -lcunit
