--- a/regress/process/fleetlib.sh
+++ b/regress/process/fleetlib.sh
@@ -10,12 +10,20 @@
 #   $fleet_advice  JSON fields of the advice that queue q3 needs
 #   $fleet_limit   JSON field "cap" of the client account, and a comma
 #   $advertise     number added to the executors' ports in the table's rows
+#   $standin_opts  further options of the stand-in
+#   $daemon        path of the daemon's program
+#   $routes        JSON list of the queues
+#   $accounts      JSON list of the client accounts
 #   table_port N   function that prints the port on which instance N reaches
 #                  the table
 BUILD=${BUILD:-build}
 standin_in=/dev/null
 port_tries=8
 advertise=0
+standin_opts=
+daemon=$BUILD/citronlbd/citronlbd
+routes=
+accounts=
 fleet_limit=
 fleet_advice='"decide_ms":2.0,"each_ms":0.1,"valid_ms":2000'
 table_port() { echo "$PORT"; }
@@ -61,7 +69,7 @@
 # start_instance N: starts the daemon of instance N and sets pidN to its process
 # id.
 start_instance() {
-	"$BUILD/citronlbd/citronlbd" --fleet "$dir/$1.json" \
+	"$daemon" --fleet "$dir/$1.json" \
 		>>"$dir/$1.log" 2>&1 &
 	eval "pid$1=$!"
 	pids="$pids $!"
@@ -73,8 +81,9 @@
 start_standin() {
 	for try in $(seq 1 "$port_tries"); do
 		[ "$try" = 1 ] || PORT=$((20000 + (PORT + 1013) % 10000))
-		"$BUILD/regress/fleet-standin" "$PORT" "$execs" "$dir/config.json" \
-			"$advertise" <"$standin_in" >"$dir/standin.log" 2>&1 &
+		# shellcheck disable=SC2086
+		"$BUILD/regress/fleet-standin" $standin_opts "$PORT" "$execs" \
+			"$dir/config.json" "$advertise" <"$standin_in" >"$dir/standin.log" 2>&1 &
 		standin=$!
 		i=0
 		until grep -qx ready "$dir/standin.log"; do
@@ -98,8 +107,8 @@
 fleet_up() {
 	execs=$1
 	instances=$2
-	cat >"$dir/config.json" <<JSON
-{"version":1,"routes":[{"name":"q","host":"$NET.1","prefix":"/q/",
+	[ "$routes" ] || routes=$(cat <<JSON
+[{"name":"q","host":"$NET.1","prefix":"/q/",
 "type":"unsafe","timeout_ms":3000,"target_latency_ms":500,"priority":1,
 "service":"svc","attempts":3,"slack_factor":2},
 {"name":"q2","host":"$NET.2","prefix":"/q/","type":"unsafe",
@@ -111,9 +120,14 @@
 {"name":"q3","host":"$NET.3","prefix":"/q/","type":"unsafe",
 "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"svc",
 "attempts":3,"slack_factor":2,
-"advice":{$fleet_advice}}],
-"services":[{"name":"svc"}],
-"tenants":[{"name":"red",$fleet_limit"api_keys":["k"],"weight":1000}]}
+"advice":{$fleet_advice}}]
+JSON
+)
+	[ "$accounts" ] ||
+		accounts='[{"name":"red",'$fleet_limit'"api_keys":["k"],"weight":1000}]'
+	cat >"$dir/config.json" <<JSON
+{"version":1,"routes":$routes,"services":[{"name":"svc"}],
+"tenants":$accounts}
 JSON
 	start_standin
 	for n in $(seq 1 "$instances"); do
