--- a/core/fsched.h
+++ b/core/fsched.h
@@ -548,8 +548,9 @@
   int64_t begin_ms;           /* when the service was expected to begin it */
   bool is_long;               /* see ADVICE_LONG_QUERY_MS */
   bool alone;                 /* no other long query was outstanding */
-  /* Number of long queries that were outstanding when it was sent, and of
-     those that had ended by then. */
+  /* Number of long queries that were outstanding when it was sent, with
+     itself; the same without itself if none had been sent shortly before;
+     number of long queries that had ended by then. */
   int n_long_out;
   int n_long_before;
   uint64_t n_long_ended;
@@ -841,10 +842,10 @@
   bool long_changed; /* it was reduced or doubled in this term */
   int64_t next_long_cut_ms;
   int64_t next_long_raise_ms;
-  /* Number of queries sent since its last change whose answers show that the
-     service handles more than one at a time, since one showed the opposite. */
+  /* Number of short queries that have overtaken a long one since its last
+     reduction, and since its last increase. */
   int n_overtaking;
-  int64_t long_cut_ms;       /* time of this change */
+  int64_t long_cut_ms;       /* when it was last reduced */
   int64_t long_raise_gap_ms; /* shortest time until its next increase */
   uint64_t n_long_ended;     /* number of long queries that have ended */
   int64_t long_sent_ms;      /* when the last long query was sent */
--- a/core/fsched_window.c
+++ b/core/fsched_window.c
@@ -30,10 +30,10 @@
   /* In this time after the start of a term, queries may wait for those of the
      leader before. */
   EARLIER_QUERIES_MS = 5000,
-  /* Number of answers that show that more long queries may be outstanding, and
-     shortest interval at which their number doubles: at the start of a term,
-     and after the first reduction, from where the interval doubles with each
-     increase that had to be undone. */
+  /* Number of short queries that must overtake long ones until twice as many
+     long ones may be outstanding, and shortest interval between two such
+     increases.  After a reduction, the first increase waits for LONG_RAISE_MS;
+     without short queries for a time that doubles with each reduction. */
   LONG_RAISE_ANSWERS = 3,
   LONG_RAISE_START_MS = 250,
   LONG_RAISE_MS = 1000,
