--- a/core/fsched_overload.c
+++ b/core/fsched_overload.c
@@ -82,8 +82,8 @@
   return (int64_t)(sum_ms / adviser_lanes (fs, q->advice_base_ms));
 }
 
-/* Returns how long the service is expected to take for START_QUERIES queries of
-   the queue. */
+/* Returns how long the service is expected to take for START_QUERIES queries
+   of the queue. */
 static int64_t
 answers_ms (const struct fsched_queue *q)
 {
