Log the version of the program at startup

The build asks git in a checkout; without .git or git, as in a tarball, the version is the release and a checksum of the sources. Only one object depends on it, and the file that it is read from changes only with the version.

--- a/Makefile
+++ b/Makefile
@@ -88,6 +88,19 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -c $< -o $@
 
+# The file changes only when the version does.
+$(BUILD)/version: FORCE
+	@mkdir -p $(@D)
+	@scripts/version >$@.new
+	@cmp -s $@.new $@ && rm $@.new || mv $@.new $@
+
+.PHONY: FORCE
+FORCE:
+
+$(BUILD)/citronlbd/version.o: $(BUILD)/version
+$(BUILD)/citronlbd/version.o: CPPFLAGS += \
+	-DCITRONLBD_VERSION='"$(shell cat $(BUILD)/version)"'
+
 $(BUILD)/citronlbd/citronlbd: $(DAEMON) $(PLATFORM) $(CORE) $(NET) $(LINKS)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS) -lzmq -llog4c
 
--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -11,6 +11,7 @@
 #include "links.h"
 #include "logline.h"
 #include "platform.h"
+#include "version.h"
 
 enum
 {
@@ -275,11 +276,13 @@
   const struct hpool_stats *orders = hpool_stats (d->exec_http_client);
 
   if (asprintf (&text,
-                "%scitronlb_log_lines_total %llu\n"
+                "%scitronlb_build_info{version=\"%s\"} 1\n"
+                "citronlb_log_lines_total %llu\n"
                 "citronlb_log_dropped_total %llu\n"
                 "citronlb_exec_requests_total %llu\n"
                 "citronlb_exec_connections_total %llu\n",
-                fleet, (unsigned long long)logline_stats ()->written,
+                fleet, program_version (),
+                (unsigned long long)logline_stats ()->written,
                 (unsigned long long)logline_stats ()->dropped,
                 (unsigned long long)orders->requests,
                 (unsigned long long)orders->connections)
@@ -504,6 +507,15 @@
   log_line (line);
 }
 
+static void
+log_started (void)
+{
+  char line[256];
+
+  snprintf (line, sizeof line, "event=started version=%s", program_version ());
+  log_line (line);
+}
+
 /* Opens all clients, links and servers.  Returns false after a message on
    standard error. */
 static bool
@@ -577,7 +589,7 @@
   d.timer.data = &d;
   uv_timer_start (&d.timer, on_timer, 0, 0);
   d.load_logged_ms = boottime_ms ();
-  log_line ("event=started");
+  log_started ();
   uv_run (d.loop, UV_RUN_DEFAULT);
   log_line ("event=stopped");
   logline_flush ();
--- a/citronlbd/main.c
+++ b/citronlbd/main.c
@@ -1,6 +1,7 @@
 /* citronlbd - daemon that runs one entry instance of the cluster scheduler. */
 #include "citronlbd.h"
 #include "fleetd.h"
+#include "version.h"
 
 #include <curl/curl.h>
 #include <signal.h>
@@ -209,7 +210,8 @@
   uv_timer_init (d.loop, &d.timer);
   d.timer.data = &d;
   uv_timer_start (&d.timer, on_timer, 0, 0);
-  log_info ("%s in %s: callers %s, peers %s", d.opt.node.id, d.opt.node.domain,
+  log_info ("%s in %s: version %s, callers %s, peers %s", d.opt.node.id,
+            d.opt.node.domain, program_version (),
             caller_server_addr (d.caller_server), links_addr (d.peer_links));
   uv_run (d.loop, UV_RUN_DEFAULT);
   log_info ("stopped");
--- a/citronlbd/options.c
+++ b/citronlbd/options.c
@@ -1,5 +1,6 @@
 /* Reads the settings from command-line flags and environment variables. */
 #include "citronlbd.h"
+#include "version.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -119,6 +120,13 @@
   return 0;
 }
 
+static void
+print_version (FILE *f, struct argp_state *state)
+{
+  (void)state;
+  fprintf (f, "citronlbd %s\n", program_version ());
+}
+
 /* Prints what is wrong with setting @key and exits. */
 static void __attribute__ ((noreturn))
 reject_setting (int key, const char *problem)
@@ -276,6 +284,7 @@
   for (int i = 0; i < N_SETTINGS; i++)
     settings[i].value = getenv (settings[i].env);
   argp_err_exit_status = EX_USAGE;
+  argp_program_version_hook = print_version;
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   opt->fleet_file = setting_value (OPT_FLEET);
   if (opt->fleet_file)
--- a/regress/process/fleetlog.sh
+++ b/regress/process/fleetlog.sh
@@ -20,6 +20,18 @@
 }
 
 fleet_up 4 2
+version=$(cat "$BUILD/version")
+check "the version is not empty" yes "$([ -n "$version" ] && echo yes)"
+check "the version is in the start line" 1 \
+	"$(grep -c "event=started version=$version\$" "$dir/1.log")"
+check "the version is in the metrics" 1 \
+	"$(metric 1 "build_info{version=\"$version\"}")"
+check "the version is printed" "citronlbd $version" \
+	"$("$BUILD/citronlbd/citronlbd" --version)"
+mkdir "$dir/tarball"
+cp -r Makefile scripts core net citronlbd platform "$dir/tarball"
+check "sources outside a checkout have a version" "$(scripts/version -s)" \
+	"$("$dir/tarball/scripts/version")"
 for n in 1 2 3 4 5 6 7; do
 	status -H 'Key: none' "http://$NET.1:8183/q/00000000000000f$n" >/dev/null
 done
