Name late jobs by age, accounts in turn, and count all of them

Eight jobs a second were named, in the order of their ids over all late jobs: with more than 40 of them a job could wait for longer than 5 s for a line, and two accounts with most of the load took most of the lines.

Up to 50 jobs a second are named now, the first due first, accounts in turn, none again for 4 s, so that up to 200 late jobs are named each within 5 s. A summary a second counts all by queue, account and cause. The cause of a job that is not named costs no look at the executors.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -732,7 +732,7 @@
       sweep_queries (fs);
       fsched_trim_jobs (fs);
       progress_tick (fs);
-      why_tick (fs);
+      waits_tick (fs);
       TAILQ_FOREACH_SAFE (j, &fs->queue, link, next)
         if (job_state_final (j->state))
           fsched_forget_job (fs, j);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -303,6 +303,10 @@
      earliest time of the next; 0: they were never all that are left. */
   int n_rechecks;
   int64_t next_recheck_ms;
+  /* When a log line last told why the step waits, and the enum wait_cause in
+     it; 0: never. */
+  int64_t named_ms;
+  int named_cause;
 };
 
 /**
@@ -611,6 +615,10 @@
   double part_taken;
   double part_entitled;
   bool has_work; /* the account has starts or waiting jobs */
+  /* Of the last waits_tick(): number of overdue jobs of the account, and of
+     those of them that a log line was due for. */
+  int n_late;
+  int n_turns;
   TAILQ_ENTRY (fsched_tenant) link;
 };
 TAILQ_HEAD (fsched_tenantq, fsched_tenant);
@@ -666,6 +674,7 @@
      time at which it grows again. */
   int64_t ticket_margin_ms;
   int64_t next_margin_ms;
+  int n_late; /* number of overdue jobs at the last waits_tick() */
 };
 TAILQ_HEAD (fsched_queueq, fsched_queue);
 
@@ -769,10 +778,8 @@
   /* Recorded progress of jobs that are not added yet. */
   struct early_tree early_progress;
   int64_t next_query_sweep_ms; /* time of the next search for lost queries */
-  int64_t next_why_ms;         /* time of the next lines about waiting jobs */
-  /* Id of the job at which these lines begin; empty: at the first one. */
-  char why_after[JOB_ID_SIZE];
-  struct adviser *advisers; /* owned */
+  int64_t next_waits_line_ms;  /* time of the next lines about waiting jobs */
+  struct adviser *advisers;    /* owned */
   int n_advisers;
   int advisers_cap; /* number of entries that advisers has room for */
   struct fsched_queueq queues;
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -730,10 +730,43 @@
 
 /* Functions of fsched_why.c. */
 
-/** why_tick() - Log why overdue jobs wait, if the next lines are due. */
-void why_tick (struct fsched *fs);
+/** enum wait_cause - why a ready step has tasks that do not run */
+enum wait_cause
+{
+  CAUSE_SET_ASIDE,     /* the table refuses the job's rows */
+  CAUSE_ACCOUNT_LIMIT, /* the client account has reached its limit */
+  CAUSE_GANG_ENDING,   /* members of an earlier run have not ended */
+  CAUSE_NO_EXECUTOR,   /* no eligible executor has the service and the label */
+  CAUSE_QUERY_SENT,    /* an advice query is outstanding */
+  CAUSE_QUERY_PAUSE,   /* the pause before the next advice query */
+  CAUSE_NO_PERMIT,     /* advice denies all usable executors */
+  CAUSE_NO_ROOM,       /* permitted executors lack the capacity */
+  CAUSE_NO_ADVISER,    /* no instance is free to send an advice query */
+  CAUSE_RESERVED,      /* the capacity is reserved for more urgent jobs */
+  CAUSE_TURN,          /* the step waits for the next placing pass */
+  CAUSE_UNKNOWN,       /* the cause was not looked for */
+  CAUSE_N
+};
+
+extern const char *const wait_cause_names[CAUSE_N + 1];
+
+/** why_log_step() - Log why a step waits. */
+void why_log_step (struct fsched *fs, struct job *j, int step);
+/** why_cause_quick() - Return enum wait_cause, as far as it is known without
+ * looking at the executors. */
+int why_cause_quick (struct fsched *fs, const struct job *j, int step);
 /** why_answer_unused() - Count and log why the last answer about a step did
  * not let the step start. */
 void why_answer_unused (struct fsched *fs, const struct job *j, int step);
 
+/* Functions of fsched_waits.c. */
+
+/**
+ * waits_tick() - Log which jobs wait and are overdue, if the next lines are
+ * due.
+ *
+ * The work is proportional to the number of jobs, once a second.
+ */
+void waits_tick (struct fsched *fs);
+
 #endif
--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -1,41 +1,14 @@
 /*
- * Log lines that tell why jobs wait: for each step that is ready and whose job
- * is overdue, what the scheduler knows of its executors, permits and queries.
- * The number of lines is limited, and all such jobs take turns.
+ * Log lines that tell why a step waits: what the scheduler knows of its
+ * executors, permits and queries.
  */
 #include "fsched_impl.h"
 
-enum
-{
-  /* Interval between groups of lines. */
-  WHY_INTERVAL_MS = 1000,
-  /* Maximum number of jobs in one group. */
-  WHY_JOBS_MAX = 8,
-  /* A step that has been ready for this long is reported although its job is
-     not overdue yet. */
-  WHY_READY_MS = 4000,
-};
-
-/** enum wait_cause - why a ready step has tasks that are not placed */
-enum wait_cause
-{
-  CAUSE_SET_ASIDE,     /* the table refuses the job's rows */
-  CAUSE_ACCOUNT_LIMIT, /* the client account has reached its limit */
-  CAUSE_GANG_ENDING,   /* members of an earlier run have not ended */
-  CAUSE_NO_EXECUTOR,   /* no eligible executor has the service and the label */
-  CAUSE_QUERY_SENT,    /* an advice query is outstanding */
-  CAUSE_QUERY_PAUSE,   /* the pause before the next advice query */
-  CAUSE_NO_PERMIT,     /* advice denies all usable executors */
-  CAUSE_NO_ROOM,       /* permitted executors lack the capacity */
-  CAUSE_NO_ADVISER,    /* no instance is free to send an advice query */
-  CAUSE_RESERVED,      /* the capacity is reserved for more urgent jobs */
-  CAUSE_TURN,          /* the step waits for the next placing pass */
-};
-
-static const char *const cause_names[]
+const char *const wait_cause_names[]
     = { "set-aside",  "account-limit", "gang-ending", "no-executor",
         "query-sent", "query-pause",   "no-permit",   "no-room",
-        "no-adviser", "reserved",      "turn" };
+        "no-adviser", "reserved",      "turn",        "unknown",
+        NULL };
 
 const char *const unused_cause_names[]
     = { "permits", "tickets", "reserved", "other", NULL };
@@ -167,11 +140,12 @@
   return fs->now_ms - p->sent_ms;
 }
 
-static void
+static enum wait_cause
 log_step (struct fsched *fs, const struct job *j, int step)
 {
   const struct jstep *s = &j->steps[step];
   struct exec_counts c = count_execs (fs, j, step);
+  enum wait_cause cause = find_cause (fs, j, step, &c);
   struct adviser_counts a = adviser_count (fs);
   const char *by;
   int64_t asking_ms = query_age (fs, s, &by);
@@ -184,8 +158,7 @@
       "fit_free=%d asking_ms=%lld by=%s answers=%d lost=%d pause_ms=%lld "
       "outstanding=%d/%d long=%d lanes=%.1f rate=%.2f advisers=%d/%d "
       "free=%d unsent_ms=%lld",
-      j->spec.id, step, j->spec.queue, j->spec.tenant,
-      cause_names[find_cause (fs, j, step, &c)],
+      j->spec.id, step, j->spec.queue, j->spec.tenant, wait_cause_names[cause],
       (long long)(fs->now_ms - s->ready_ms),
       (long long)(fs->now_ms - j->urgency.due_ms), s->n_tasks, s->n_running,
       s->n_done, c.n_usable, c.n_allowed, c.n_denied, c.n_unknown, c.n_aside,
@@ -196,6 +169,30 @@
       fs->n_queries_out, (int)fs->query_window, fs->n_long_out,
       lanes_count (fs), lanes_rate (fs), a.n_for_long, a.n_available, a.n_idle,
       (long long)fsched_unsent_ms (fs));
+  return cause;
+}
+
+void
+why_log_step (struct fsched *fs, struct job *j, int step)
+{
+  struct jstep *s = &j->steps[step];
+
+  s->named_cause = log_step (fs, j, step);
+  s->named_ms = fs->now_ms;
+}
+
+int
+why_cause_quick (struct fsched *fs, const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+
+  if (j->set_aside)
+    return CAUSE_SET_ASIDE;
+  if (j->spec.steps[step].gang && s->n_running > 0)
+    return CAUSE_GANG_ENDING;
+  if (!account_has_room (fs, j, step, tasks_needed (j, step)))
+    return CAUSE_ACCOUNT_LIMIT;
+  return s->n_asking > 0 ? CAUSE_QUERY_SENT : CAUSE_UNKNOWN;
 }
 
 void
@@ -238,47 +235,3 @@
             j->spec.id, step, unused_cause_names[cause], needed, n_fit,
             n_ticket, n_unreserved, s->n_queries);
 }
-
-/* Logs the first step of a job that waits and is overdue.  Returns whether
-   there is one. */
-static bool
-log_job (struct fsched *fs, const struct job *j)
-{
-  if (job_state_final (j->state))
-    return false;
-  for (size_t i = 0; i < j->spec.n_steps; i++)
-    {
-      const struct jstep *s = &j->steps[i];
-      if (!s->ready || s->n_done + s->n_running >= s->n_tasks)
-        continue;
-      if (fs->now_ms <= j->urgency.due_ms
-          && fs->now_ms - s->ready_ms < WHY_READY_MS)
-        continue;
-      log_step (fs, j, (int)i);
-      return true;
-    }
-  return false;
-}
-
-void
-why_tick (struct fsched *fs)
-{
-  struct job key;
-  const struct job *j;
-  int n_left = fs->n_jobs;
-  int n_logged = 0;
-
-  if (fs->now_ms < fs->next_why_ms)
-    return;
-  fs->next_why_ms = fs->now_ms + WHY_INTERVAL_MS;
-  clb_copy (key.spec.id, fs->why_after, sizeof key.spec.id);
-  j = RB_NFIND (job_tree, &fs->jobs, &key);
-  for (; n_left > 0 && n_logged < WHY_JOBS_MAX; n_left--)
-    {
-      if (!j)
-        j = RB_MIN (job_tree, &fs->jobs);
-      n_logged += log_job (fs, j);
-      j = RB_NEXT (job_tree, &fs->jobs, (struct job *)j);
-    }
-  clb_copy (fs->why_after, j ? j->spec.id : "", sizeof fs->why_after);
-}
--- /dev/null
+++ b/regress/unit/waits_test.c
@@ -0,0 +1,207 @@
+/* Tests of the log lines that tell which jobs wait, and why. */
+#include "sched_fixture.h"
+#include "unit.h"
+
+enum
+{
+  JOBS_MAX = 4096,
+  LINES_MAX = 50,   /* named jobs a second, as docs/OPERATIONS.md says */
+  NAMED_MS = 5000,  /* time in which LATE_JOBS jobs are named */
+  LATE_JOBS = 200,  /* as docs/OPERATIONS.md says */
+  TICK_MS = 10,     /* the leader's interval */
+  SECOND_MS = 1000, /* interval between groups of lines */
+};
+
+/* struct named - the jobs that log lines have named, in this order */
+struct named
+{
+  char ids[JOBS_MAX][JOB_ID_SIZE];
+  int n;
+  int n_summaries;
+  char summary[1024]; /* the last summary */
+};
+
+/* Adds a job that waits for an executor which does not exist.  @id: number in
+   the job's id.  @due_ms: time until the job is due, may be negative. */
+static void
+add_waiting (struct fixture *x, const char *account, int id, int64_t due_ms,
+             bool inherited)
+{
+  struct job_spec spec = { .attempts = 1, .n_steps = 1 };
+  int64_t age_ms = due_ms < 0 ? 1 - due_ms : 0;
+
+  snprintf (spec.id, sizeof spec.id, "%016d", id);
+  clb_copy (spec.tenant, account, sizeof spec.tenant);
+  snprintf (spec.queue, sizeof spec.queue, "q%d", id % 6);
+  clb_copy (spec.service, "missing", sizeof spec.service);
+  spec.steps = fsched_zalloc (1, sizeof *spec.steps);
+  spec.steps[0].tasks = 1;
+  spec.steps[0].need.millicores = 1000;
+  spec.target_ms = due_ms + age_ms;
+  fsched_add_job (x->fs, &spec, inherited, age_ms);
+}
+
+/* Adds what a log line tells to @to. */
+static void
+read_line (struct named *to, const char *line)
+{
+  if (sscanf (line, "event=waits job=%16s", to->ids[to->n]) == 1)
+    to->n += to->n < JOBS_MAX - 1;
+  if (strncmp (line, "event=waits-summary ", 20) == 0)
+    {
+      to->n_summaries++;
+      clb_copy (to->summary, line, sizeof to->summary);
+    }
+}
+
+/* Lets the scheduler work for a time, and reads its lines.  Orders are not
+   answered. */
+static void
+work (struct fixture *x, int64_t for_ms, struct named *to)
+{
+  int64_t end_ms = x->now_ms + for_ms;
+  struct out *o;
+
+  while (x->now_ms < end_ms)
+    {
+      x->now_ms += TICK_MS;
+      fsched_tick (x->fs, x->now_ms, true);
+      while ((o = out_take (&x->out)))
+        {
+          if (o->kind == OUT_LOG_LINE)
+            read_line (to, o->u.line);
+          out_free (o);
+        }
+    }
+}
+
+static int
+count_named (const struct named *named, int id)
+{
+  char text[JOB_ID_SIZE];
+  int n = 0;
+
+  snprintf (text, sizeof text, "%016d", id);
+  for (int i = 0; i < named->n; i++)
+    n += strcmp (named->ids[i], text) == 0;
+  return n;
+}
+
+static void
+test_a_late_job_among_many_in_time_is_named (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up (&x);
+  named = (struct named){ 0 };
+  for (int id = 0; id < 1000; id++)
+    add_waiting (&x, "blue", id, id == 777 ? 1 : 60000, false);
+  work (&x, 2 * SECOND_MS, &named);
+  CU_ASSERT (named.n >= 1);
+  CU_ASSERT_EQUAL (count_named (&named, 777), named.n);
+  tear_down (&x);
+}
+
+static void
+test_late_jobs_are_named_within_five_seconds (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up (&x);
+  for (int id = 0; id < LATE_JOBS; id++)
+    add_waiting (&x, "blue", id, -1, false);
+  for (int turn = 0; turn < 4; turn++)
+    {
+      int n_missing = 0;
+      named = (struct named){ 0 };
+      work (&x, NAMED_MS, &named);
+      for (int id = 0; id < LATE_JOBS; id++)
+        n_missing += !count_named (&named, id);
+      CU_ASSERT_EQUAL (n_missing, 0);
+    }
+  tear_down (&x);
+}
+
+static void
+test_lines_about_thousands_of_late_jobs_are_bounded (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up (&x);
+  for (int id = 0; id < 3000; id++)
+    add_waiting (&x, "blue", id, id - 4000, false);
+  for (int second = 0; second < 10; second++)
+    {
+      named = (struct named){ 0 };
+      work (&x, SECOND_MS, &named);
+      CU_ASSERT (named.n <= LINES_MAX);
+      CU_ASSERT_EQUAL (named.n_summaries, 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (named.summary, " jobs=3000 "));
+      CU_ASSERT_PTR_NOT_NULL (strstr (
+          named.summary, " queues=q0:500,q1:500,q2:500,q3:500,others:1000 "
+                         "tenants=blue:3000 "));
+      CU_ASSERT_PTR_NOT_NULL (
+          strstr (named.summary, " oldest=0000000000000000 "));
+      /* The oldest have lines, the others are counted. */
+      CU_ASSERT_STRING_EQUAL (named.ids[0],
+                              second % 4 == 0   ? "0000000000000000"
+                              : second % 4 == 1 ? "0000000000000050"
+                              : second % 4 == 2 ? "0000000000000100"
+                                                : "0000000000000150");
+    }
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (named.summary, " causes=unknown:2800,no-executor:200"));
+  tear_down (&x);
+}
+
+static void
+test_accounts_take_turns_in_lines (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up (&x);
+  named = (struct named){ 0 };
+  for (int id = 0; id < 2000; id++)
+    add_waiting (&x, "busy", id, -60000, false);
+  for (int id = 2000; id < 2010; id++)
+    add_waiting (&x, "calm", id, -1, false);
+  work (&x, SECOND_MS, &named);
+  for (int id = 2000; id < 2010; id++)
+    CU_ASSERT_EQUAL (count_named (&named, id), 1);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (named.summary, " tenants=busy:2000,calm:10 "));
+  tear_down (&x);
+}
+
+static void
+test_inherited_jobs_are_named_by_age_not_by_id (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up (&x);
+  named = (struct named){ 0 };
+  for (int id = 0; id < 1000; id++)
+    add_waiting (&x, "blue", id, -1000 - 7 * ((id + 300) % 1000), true);
+  work (&x, SECOND_MS, &named);
+  CU_ASSERT_STRING_EQUAL (named.ids[0], "0000000000000699");
+  CU_ASSERT_STRING_EQUAL (named.ids[1], "0000000000000698");
+  CU_ASSERT_EQUAL (named.n, LINES_MAX);
+  tear_down (&x);
+}
+
+UNIT_MAIN ("waits_test",
+           { "a late job among many in time is named",
+             test_a_late_job_among_many_in_time_is_named },
+           { "late jobs are named within five seconds",
+             test_late_jobs_are_named_within_five_seconds },
+           { "lines about thousands of late jobs are bounded",
+             test_lines_about_thousands_of_late_jobs_are_bounded },
+           { "accounts take turns in lines",
+             test_accounts_take_turns_in_lines },
+           { "inherited jobs are named by age, not by id",
+             test_inherited_jobs_are_named_by_age_not_by_id })
