Name the run that keeps a step waiting

A step of which all tasks had runs was not named at all, even if all of these runs were being stopped.

The line has the run that holds the step longest: task, run, executor, state, since when, stop orders sent and the outcome of the last one, the executor's last answer and the end of its leases. Steps whose runs have been stopping, unanswered or unrecorded for a second are named too, with causes of their own.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -187,6 +187,10 @@
   int64_t percent; /* progress of the run as the executor reported it */
   int64_t percent_changed_ms; /* when the percentage last changed */
   int64_t next_stop_ms;       /* earliest time of the next stop order */
+  int64_t stopping_ms; /* when the run was to be stopped first; 0: not yet */
+  int n_stops;         /* number of stop orders sent */
+  /* enum order_outcome of the last stop order; -1: none has a result. */
+  int stop_outcome;
   uint64_t order_id; /* id of the outstanding start or stop order; 0: none */
   int tries;         /* number of start orders sent */
   /* The executor's list of runs that is being processed contains the run. */
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -744,12 +744,28 @@
   CAUSE_NO_ADVISER,    /* no instance is free to send an advice query */
   CAUSE_RESERVED,      /* the capacity is reserved for more urgent jobs */
   CAUSE_TURN,          /* the step waits for the next placing pass */
-  CAUSE_UNKNOWN,       /* the cause was not looked for */
+  CAUSE_RUN_ENDING,    /* runs of the tasks that are left are being stopped */
+  /* It is not known whether runs of the tasks that are left began. */
+  CAUSE_RUN_UNCONFIRMED,
+  CAUSE_RUN_UNRECORDED, /* their starts wait for their intents to be written */
+  CAUSE_UNKNOWN,        /* the cause was not looked for */
   CAUSE_N
 };
 
 extern const char *const wait_cause_names[CAUSE_N + 1];
 
+/** why_held_ms() - Return for how long a run has not been known to be running;
+ * -1: it runs. */
+int64_t why_held_ms (const struct fsched *fs, const struct start *r);
+/**
+ * why_holder() - Find the run that keeps a step waiting: the one that has been
+ * stopping for longest, else the one that has not been known to be running for
+ * longest, else any.
+ *
+ * Return: borrowed; NULL if no task that is left has a run.
+ */
+const struct start *why_holder (const struct fsched *fs, const struct job *j,
+                                int step);
 /** why_log_step() - Log why a step waits. */
 void why_log_step (struct fsched *fs, struct job *j, int step);
 /** why_cause_quick() - Return enum wait_cause, as far as it is known without
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -72,6 +72,7 @@
   r->state = state;
   r->sent_ms = fs->now_ms;
   r->percent_changed_ms = fs->now_ms;
+  r->stop_outcome = -1;
   t->run = r;
   if (run_id >= t->next_run_id)
     t->next_run_id = (int32_t)run_id + 1;
@@ -221,6 +222,7 @@
   r->order_id = o->id;
   r->next_stop_ms = fs->now_ms + FSCHED_STOP_RETRY_MS;
   set_task (o, r);
+  r->n_stops++;
   fs->stats->stops++;
 }
 
@@ -235,6 +237,7 @@
       return;
     }
   r->state = START_STOPPING;
+  r->stopping_ms = fs->now_ms;
   r->stop_acked_ms = 0;
   r->next_stop_ms = 0;
   out_line (fs->out, "event=stop job=%s step=%d task=%d run=%lld exec=%s",
@@ -348,6 +351,16 @@
     }
 }
 
+/* Processes the result of a stop order. */
+static void
+process_stop_result (const struct fsched *fs, struct start *r,
+                     const struct order_result *res)
+{
+  r->stop_outcome = res->outcome;
+  if (res->outcome == ORDER_DONE)
+    r->stop_acked_ms = fs->now_ms;
+}
+
 void
 start_result (struct fsched *fs, const struct pending_order *p,
               const struct order_result *res)
@@ -366,6 +379,6 @@
     return;
   if (p->kind == ORDER_START)
     process_start_result (fs, r, res);
-  else if (res->outcome == ORDER_DONE)
-    r->stop_acked_ms = fs->now_ms;
+  else
+    process_stop_result (fs, r, res);
 }
--- a/core/fsched_waits.c
+++ b/core/fsched_waits.c
@@ -21,6 +21,9 @@
   /* A step that has been ready for this long is reported although its job is
      not overdue yet. */
   WAITS_READY_MS = 4000,
+  /* A run that has not been known to be running for this long keeps its task
+     waiting. */
+  WAITS_HELD_MS = 1000,
   /* Maximum number of names in a list of the summary. */
   WAITS_NAMES_MAX = 4,
 };
@@ -41,15 +44,30 @@
   int n;
 };
 
+/* Returns whether a step has a task that is not done and that no run is known
+   to be working on. */
+static bool
+step_waits (const struct fsched *fs, const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+  const struct start *r;
+
+  if (step_waiting (s) > 0)
+    return true;
+  r = why_holder (fs, j, step);
+  return r && why_held_ms (fs, r) >= WAITS_HELD_MS;
+}
+
 /* Returns whether a step has waited so long that it is reported. */
 static bool
 step_is_late (const struct fsched *fs, const struct job *j, int step)
 {
   const struct jstep *s = &j->steps[step];
 
-  return s->ready && step_waiting (s) > 0
+  return s->ready && s->n_done < s->n_tasks
          && (fs->now_ms > j->urgency.due_ms
-             || fs->now_ms - s->ready_ms >= WAITS_READY_MS);
+             || fs->now_ms - s->ready_ms >= WAITS_READY_MS)
+         && step_waits (fs, j, step);
 }
 
 /* Returns the first step of a job that is to be reported, or -1. */
@@ -250,6 +268,9 @@
     case CAUSE_ACCOUNT_LIMIT:
     case CAUSE_GANG_ENDING:
     case CAUSE_QUERY_SENT:
+    case CAUSE_RUN_ENDING:
+    case CAUSE_RUN_UNCONFIRMED:
+    case CAUSE_RUN_UNRECORDED:
       return CAUSE_UNKNOWN;
     default:
       return s->named_cause;
--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -4,11 +4,15 @@
  */
 #include "fsched_impl.h"
 
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
 const char *const wait_cause_names[]
-    = { "set-aside",  "account-limit", "gang-ending", "no-executor",
-        "query-sent", "query-pause",   "no-permit",   "no-room",
-        "no-adviser", "reserved",      "turn",        "unknown",
-        NULL };
+    = { "set-aside",       "account-limit",  "gang-ending", "no-executor",
+        "query-sent",      "query-pause",    "no-permit",   "no-room",
+        "no-adviser",      "reserved",       "turn",        "run-ending",
+        "run-unconfirmed", "run-unrecorded", "unknown",     NULL };
 
 const char *const unused_cause_names[]
     = { "permits", "tickets", "reserved", "other", NULL };
@@ -100,6 +104,62 @@
   return adviser_is_free (fs, j) ? CAUSE_TURN : CAUSE_NO_ADVISER;
 }
 
+int64_t
+why_held_ms (const struct fsched *fs, const struct start *r)
+{
+  switch (r->state)
+    {
+    case START_ACKED:
+      return -1;
+    case START_STOPPING:
+      return fs->now_ms - r->stopping_ms;
+    case START_UNCONFIRMED:
+      return fs->now_ms - r->answer_lost_ms;
+    default:
+      return fs->now_ms - r->sent_ms;
+    }
+}
+
+/* Returns whether @a rather than @b keeps a step waiting. */
+static bool
+holds_more (const struct fsched *fs, const struct start *a,
+            const struct start *b)
+{
+  bool a_stops = a->state == START_STOPPING;
+
+  if (a_stops != (b->state == START_STOPPING))
+    return a_stops;
+  return why_held_ms (fs, a) > why_held_ms (fs, b);
+}
+
+const struct start *
+why_holder (const struct fsched *fs, const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+  const struct start *holder = NULL;
+
+  for (int i = 0; i < s->n_tasks && s->n_running; i++)
+    {
+      const struct jtask *t = &s->tasks[i];
+      if (t->run && !t->done && (!holder || holds_more (fs, t->run, holder)))
+        holder = t->run;
+    }
+  return holder;
+}
+
+/* Returns why a step waits of which all tasks that are left have runs. */
+static enum wait_cause
+find_cause_run (const struct fsched *fs, const struct job *j, int step)
+{
+  const struct start *r = why_holder (fs, j, step);
+
+  if (r && r->state == START_INTENT)
+    return CAUSE_RUN_UNRECORDED;
+  if (!r || r->state != START_STOPPING)
+    return CAUSE_RUN_UNCONFIRMED;
+  return j->spec.steps[step].gang ? CAUSE_GANG_ENDING : CAUSE_RUN_ENDING;
+}
+
 static enum wait_cause
 find_cause (struct fsched *fs, const struct job *j, int step,
             const struct exec_counts *c)
@@ -109,6 +169,8 @@
 
   if (j->set_aside)
     return CAUSE_SET_ASIDE;
+  if (step_waiting (s) == 0)
+    return find_cause_run (fs, j, step);
   if (j->spec.steps[step].gang && s->n_running > 0)
     return CAUSE_GANG_ENDING;
   if (!account_has_room (fs, j, step, needed))
@@ -140,6 +202,39 @@
   return fs->now_ms - p->sent_ms;
 }
 
+/* Returns fields of a log line about the run that keeps a step waiting, empty
+   if there is none; the caller frees them. */
+static char *
+print_holder (const struct fsched *fs, const struct job *j, int step)
+{
+  static const char *const state_names[]
+      = { "intent", "dropped", "sent", "acked", "unconfirmed", "stopping" };
+  const struct start *r = why_holder (fs, j, step);
+  const struct exec *e = r ? r->exec : NULL;
+  char *text;
+
+  if (!r || (step_waiting (&j->steps[step]) && !j->spec.steps[step].gang))
+    return strdup ("");
+  if (asprintf (
+          &text,
+          " holder=%d run=%lld exec=%s state=%s inherited=%d "
+          "since_ms=%lld stops=%d stop_outcome=%s contact_age_ms=%lld "
+          "lease_left_ms=%lld",
+          r->index, (long long)r->run_id, e->rep.id, state_names[r->state],
+          r->inherited,
+          (long long)(why_held_ms (fs, r) < 0 ? fs->now_ms - r->sent_ms
+                                              : why_held_ms (fs, r)),
+          r->n_stops,
+          r->stop_outcome < 0 ? "none" : order_outcome_names[r->stop_outcome],
+          (long long)(e->answered ? fs->now_ms - e->last_contact_ms : -1),
+          (long long)(e->answered
+                          ? e->lease_deadline_ms - exec_clock_now (fs, e)
+                          : fs->old_leases_end_ms - fs->now_ms))
+      < 0)
+    abort ();
+  return text;
+}
+
 static enum wait_cause
 log_step (struct fsched *fs, const struct job *j, int step)
 {
@@ -149,6 +244,7 @@
   struct adviser_counts a = adviser_count (fs);
   const char *by;
   int64_t asking_ms = query_age (fs, s, &by);
+  clb_auto char *holder = print_holder (fs, j, step);
 
   out_line (
       fs->out,
@@ -157,7 +253,7 @@
       "allowed=%d denied=%d unknown=%d aside=%d tickets=%d fit=%d "
       "fit_free=%d asking_ms=%lld by=%s answers=%d lost=%d pause_ms=%lld "
       "outstanding=%d/%d long=%d lanes=%.1f rate=%.2f advisers=%d/%d "
-      "free=%d unsent_ms=%lld",
+      "free=%d unsent_ms=%lld%s",
       j->spec.id, step, j->spec.queue, j->spec.tenant, wait_cause_names[cause],
       (long long)(fs->now_ms - s->ready_ms),
       (long long)(fs->now_ms - j->urgency.due_ms), s->n_tasks, s->n_running,
@@ -168,7 +264,7 @@
                                                 : 0),
       fs->n_queries_out, (int)fs->query_window, fs->n_long_out,
       lanes_count (fs), lanes_rate (fs), a.n_for_long, a.n_available, a.n_idle,
-      (long long)fsched_unsent_ms (fs));
+      (long long)fsched_unsent_ms (fs), holder);
   return cause;
 }
 
@@ -188,6 +284,8 @@
 
   if (j->set_aside)
     return CAUSE_SET_ASIDE;
+  if (step_waiting (s) == 0)
+    return find_cause_run (fs, j, step);
   if (j->spec.steps[step].gang && s->n_running > 0)
     return CAUSE_GANG_ENDING;
   if (!account_has_room (fs, j, step, tasks_needed (j, step)))
--- a/regress/unit/waits_test.c
+++ b/regress/unit/waits_test.c
@@ -19,6 +19,7 @@
   int n;
   int n_summaries;
   char summary[1024]; /* the last summary */
+  char line[1024];    /* the last line that names a job */
 };
 
 /* Adds a job that waits for an executor which does not exist.  @id: number in
@@ -46,7 +47,10 @@
 read_line (struct named *to, const char *line)
 {
   if (sscanf (line, "event=waits job=%16s", to->ids[to->n]) == 1)
-    to->n += to->n < JOBS_MAX - 1;
+    {
+      to->n += to->n < JOBS_MAX - 1;
+      clb_copy (to->line, line, sizeof to->line);
+    }
   if (strncmp (line, "event=waits-summary ", 20) == 0)
     {
       to->n_summaries++;
@@ -54,6 +58,48 @@
     }
 }
 
+/* Answers all orders, except start and stop orders for task @lost_task.
+   Executors report no runs. */
+static void
+answer_all_but (struct fixture *x, int lost_task, struct named *to)
+{
+  struct out *o;
+
+  while ((o = out_take (&x->out)))
+    {
+      const struct order *order = o->u.order;
+      struct order_result res = { .clock_ms = x->boot_ms + x->now_ms };
+      if (o->kind == OUT_LOG_LINE)
+        read_line (to, o->u.line);
+      if (o->kind != OUT_ORDER)
+        {
+          out_free (o);
+          continue;
+        }
+      if (order->kind != ORDER_POLL && order->task.index == lost_task)
+        res = (struct order_result){ .outcome = ORDER_LOST };
+      fsched_order_result (x->fs, x->now_ms, order->id, &res);
+      out_free (o);
+    }
+}
+
+/* Returns the value of @field in the last line that named a job; "" if it has
+   none. */
+static const char *
+field (const struct named *named, const char *field_name)
+{
+  static char value[64];
+  char prefix[64];
+  const char *at;
+
+  snprintf (prefix, sizeof prefix, " %s=", field_name);
+  at = strstr (named->line, prefix);
+  value[0] = '\0';
+  if (at)
+    sscanf (at + strlen (prefix), "%63s", value);
+  return value;
+}
+
 /* Lets the scheduler work for a time, and reads its lines.  Orders are not
    answered. */
 static void
@@ -194,6 +240,93 @@
   tear_down (&x);
 }
 
+/* Starts a job of @tasks tasks on executor e0, and lets it work for @for_ms
+   while the answers to the start and stop orders of task @lost_task are
+   lost. */
+static void
+start_and_lose (struct fixture *x, int tasks, bool gang, int lost_task,
+                int64_t for_ms, struct named *to)
+{
+  int64_t end_ms;
+
+  set_up (x);
+  set_limit (x, 100000);
+  settle (x);
+  for (int i = 1; i < EXECS; i++)
+    {
+      char id[CLB_ID_MAX];
+      snprintf (id, sizeof id, "e%d", i);
+      exec_find (x->fs, id)->rep.capacity.millicores = 0;
+    }
+  add_job (x, "0000000000000001", tasks, gang);
+  end_ms = x->now_ms + for_ms;
+  while (x->now_ms < end_ms)
+    {
+      x->now_ms += STEP_MS;
+      fsched_tick (x->fs, x->now_ms, true);
+      collect (x);
+      fsched_recorded (x->fs);
+      answer_all_but (x, lost_task, to);
+    }
+}
+
+static void
+test_the_run_that_holds_a_gang_is_named (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  named = (struct named){ 0 };
+  start_and_lose (&x, 3, true, 1, 6000, &named);
+  CU_ASSERT_STRING_EQUAL (field (&named, "cause"), "gang-ending");
+  CU_ASSERT_STRING_EQUAL (field (&named, "running"), "1");
+  CU_ASSERT_STRING_EQUAL (field (&named, "holder"), "1");
+  CU_ASSERT_STRING_EQUAL (field (&named, "run"), "1");
+  CU_ASSERT_STRING_EQUAL (field (&named, "exec"), "e0");
+  CU_ASSERT_STRING_EQUAL (field (&named, "state"), "stopping");
+  CU_ASSERT_STRING_EQUAL (field (&named, "stop_outcome"), "lost");
+  CU_ASSERT (atoi (field (&named, "stops")) >= 10);
+  CU_ASSERT (atoi (field (&named, "since_ms")) >= 3000);
+  CU_ASSERT (atoi (field (&named, "lease_left_ms")) > 0);
+  tear_down (&x);
+}
+
+static void
+test_a_job_held_by_its_only_run_is_named (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  named = (struct named){ 0 };
+  start_and_lose (&x, 1, false, 0, 4500, &named);
+  CU_ASSERT_STRING_EQUAL (field (&named, "cause"), "run-ending");
+  CU_ASSERT_STRING_EQUAL (field (&named, "holder"), "0");
+  CU_ASSERT_STRING_EQUAL (field (&named, "state"), "stopping");
+  tear_down (&x);
+}
+
+static void
+test_a_job_whose_starts_are_not_recorded_is_named (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up (&x);
+  named = (struct named){ 0 };
+  set_limit (&x, 100000);
+  settle (&x);
+  add_job (&x, "0000000000000001", 1, false);
+  while (x.now_ms < START_MS + NAMED_MS)
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+      answer_all_but (&x, -1, &named);
+    }
+  CU_ASSERT_STRING_EQUAL (field (&named, "cause"), "run-unrecorded");
+  CU_ASSERT_STRING_EQUAL (field (&named, "state"), "intent");
+  tear_down (&x);
+}
+
 UNIT_MAIN ("waits_test",
            { "a late job among many in time is named",
              test_a_late_job_among_many_in_time_is_named },
@@ -204,4 +337,10 @@
            { "accounts take turns in lines",
              test_accounts_take_turns_in_lines },
            { "inherited jobs are named by age, not by id",
-             test_inherited_jobs_are_named_by_age_not_by_id })
+             test_inherited_jobs_are_named_by_age_not_by_id },
+           { "the run that holds a gang is named",
+             test_the_run_that_holds_a_gang_is_named },
+           { "a job held by its only run is named",
+             test_a_job_held_by_its_only_run_is_named },
+           { "a job whose starts are not recorded is named",
+             test_a_job_whose_starts_are_not_recorded_is_named })
