Log lost stops, confirmed starts and what a new leader inherits

A gang could not be followed over a change of the leader from the logs alone: a stop order had a line when it was due, none for its result; a start that was confirmed after a lost answer had none; and between the load of the records and reconciliation nothing said which executors the new leader waited for.

stop-lost (first, second, fourth, ... of a run), stop-answered, stop-ineffective and start-confirmed are new, and event=end says whether the start was inherited and how many stop orders were sent.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -658,6 +658,7 @@
             (long long)fs->epoch, fs->n_jobs, fs->n_execs,
             (long long)(fs->now_ms - fs->claimed_ms));
   account_log_all (fs, "use-loaded");
+  waits_load_done (fs);
 }
 
 bool
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -524,6 +524,7 @@
         stop_orphan (fs, e, row);
       return;
     }
+  start_log_confirmed (fs, r, "list");
   r->in_list = true;
   r->inherited = false;
   if (e->boot_start_ms)
@@ -640,7 +641,15 @@
       continue;
     else if (r->stop_acked_ms
              && fs->now_ms - r->stop_acked_ms > STOP_RESEND_MS)
-      r->stop_acked_ms = 0;
+      {
+        out_line (fs->out,
+                  "event=stop-ineffective job=%s step=%d task=%d run=%lld "
+                  "exec=%s stops=%d since_ms=%lld",
+                  r->job->spec.id, r->step, r->index, (long long)r->run_id,
+                  e->rep.id, r->n_stops,
+                  (long long)(fs->now_ms - r->stopping_ms));
+        r->stop_acked_ms = 0;
+      }
 }
 
 /* Returns whether the clock in the answer to order @p shows a new boot: the
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -240,6 +240,13 @@
  * start.
  */
 void start_stop_gang (struct fsched *fs, struct job *j, int step);
+/**
+ * start_log_confirmed() - Log that a start is about to be confirmed of which
+ * an answer was lost; of inherited ones, only members of incomplete gangs.
+ * @by: what confirms it
+ */
+void start_log_confirmed (const struct fsched *fs, const struct start *r,
+                          const char *by);
 /** start_send() - Send a start order to the executor. */
 void start_send (struct fsched *fs, struct start *r);
 /**
@@ -784,5 +791,10 @@
  * The work is proportional to the number of jobs, once a second.
  */
 void waits_tick (struct fsched *fs);
+/**
+ * waits_load_done() - Log how many starts are inherited from earlier leaders,
+ * and the gangs of which some members are.
+ */
+void waits_load_done (struct fsched *fs);
 
 #endif
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -135,10 +135,10 @@
   fs->stats->ends[run_end]++;
   out_line (fs->out,
             "event=end job=%s step=%d task=%d run=%lld exec=%s result=%s "
-            "ran_ms=%lld state=%d",
+            "ran_ms=%lld state=%d inherited=%d stops=%d",
             j->spec.id, step, index, (long long)run_id, r->exec->rep.id,
             run_end_names[run_end], (long long)(fs->now_ms - r->sent_ms),
-            r->state);
+            r->state, r->inherited, r->n_stops);
   add_run_time (fs, r, run_end);
   fsched_keep_checkpoint (j, step, index, r->checkpoint);
   adjust_use (r, -1);
@@ -294,6 +294,25 @@
          && r->exec->answer_ms < FSCHED_CALL_TIMEOUT_MS;
 }
 
+void
+start_log_confirmed (const struct fsched *fs, const struct start *r,
+                     const char *by)
+{
+  bool gang = r->job->spec.steps[r->step].gang;
+
+  if (!r->answer_lost_ms || r->start_acked_ms)
+    return;
+  /* A new leader finds the most runs as the records say. */
+  if (r->inherited && (!gang || !step_waiting (&r->job->steps[r->step])))
+    return;
+  out_line (fs->out,
+            "event=start-confirmed job=%s step=%d task=%d run=%lld exec=%s "
+            "by=%s inherited=%d after_ms=%lld state=%d",
+            r->job->spec.id, r->step, r->index, (long long)r->run_id,
+            r->exec->rep.id, by, r->inherited,
+            (long long)(fs->now_ms - r->answer_lost_ms), r->state);
+}
+
 /* Processes the result of a start order: confirms the start, ends it, or sends
    it again. */
 static void
@@ -313,6 +332,7 @@
   switch (outcome)
     {
     case ORDER_DONE:
+      start_log_confirmed (fs, r, "answer");
       r->start_acked_ms = fs->now_ms;
       r->boot_start_ms = r->exec->boot_start_ms;
       start_mark_job_started (r->job);
@@ -351,6 +371,25 @@
     }
 }
 
+/* Logs the result of the last stop order for a run: of orders that are not
+   carried out the first, the second, the fourth and so on, and of the others
+   those that are not the first. */
+static void
+log_stop_result (const struct fsched *fs, const struct start *r)
+{
+  bool done = r->stop_outcome == ORDER_DONE;
+
+  if (done ? r->n_stops == 1 : (r->n_stops & (r->n_stops - 1)) != 0)
+    return;
+  out_line (fs->out,
+            "event=stop-%s job=%s step=%d task=%d run=%lld exec=%s outcome=%s "
+            "stops=%d since_ms=%lld",
+            done ? "answered" : "lost", r->job->spec.id, r->step, r->index,
+            (long long)r->run_id, r->exec->rep.id,
+            order_outcome_names[r->stop_outcome], r->n_stops,
+            (long long)(fs->now_ms - r->stopping_ms));
+}
+
 /* Processes the result of a stop order. */
 static void
 process_stop_result (const struct fsched *fs, struct start *r,
@@ -359,6 +398,7 @@
   r->stop_outcome = res->outcome;
   if (res->outcome == ORDER_DONE)
     r->stop_acked_ms = fs->now_ms;
+  log_stop_result (fs, r);
 }
 
 void
--- a/core/fsched_waits.c
+++ b/core/fsched_waits.c
@@ -322,11 +322,83 @@
   free (list);
 }
 
+static int
+count_inherited (const struct exec *e)
+{
+  const struct start *r;
+  int n = 0;
+
+  TAILQ_FOREACH (r, &e->runs, exec_link)
+    n += r->inherited;
+  return n;
+}
+
+/* Logs on which executors the starts of earlier leaders are not confirmed.
+   @n_partial: number of gangs of which only some members have starts */
+static void
+log_inherited (struct fsched *fs, int n_partial)
+{
+  struct count *counts = fsched_zalloc ((size_t)fs->n_execs, sizeof *counts);
+  const struct exec *e;
+  clb_auto char *text = NULL;
+  int n = 0;
+  int n_starts = 0;
+  int n_unreconciled = 0;
+
+  TAILQ_FOREACH (e, &fs->execs, link)
+    {
+      counts[n] = (struct count){ e->rep.id, count_inherited (e) };
+      n_starts += counts[n].n;
+      n += counts[n].n > 0;
+      n_unreconciled += !e->reconciled;
+    }
+  text = print_counts (counts, n);
+  free (counts);
+  out_line (fs->out,
+            "event=inherited starts=%d partial_gangs=%d execs=%d "
+            "unreconciled=%d old_leases_end_in_ms=%lld waiting_for=%s",
+            n_starts, n_partial, n, n_unreconciled,
+            (long long)(fs->old_leases_end_ms - fs->now_ms), text);
+}
+
+/* Returns whether only some members of a gang have starts. */
+static bool
+gang_is_partial (const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+
+  return j->spec.steps[step].gang && s->n_running > 0 && step_waiting (s) > 0;
+}
+
+/* Counts the gangs of which only some members have starts, and names the first
+   @max of them. */
+static int
+count_partial (struct fsched *fs, int max)
+{
+  struct job *j;
+  int n = 0;
+
+  TAILQ_FOREACH (j, &fs->queue, link)
+    for (size_t i = 0; i < j->spec.n_steps && !job_state_final (j->state); i++)
+      if (gang_is_partial (j, (int)i) && n++ < max)
+        why_log_step (fs, j, (int)i);
+  return n;
+}
+
+void
+waits_load_done (struct fsched *fs)
+{
+  fs->next_waits_line_ms = fs->now_ms + WAITS_INTERVAL_MS;
+  log_inherited (fs, count_partial (fs, WAITS_JOBS_MAX));
+}
+
 void
 waits_tick (struct fsched *fs)
 {
   if (fs->now_ms < fs->next_waits_line_ms)
     return;
   fs->next_waits_line_ms = fs->now_ms + WAITS_INTERVAL_MS;
+  if (!fs->reconciled)
+    log_inherited (fs, count_partial (fs, 0));
   log_waiting_jobs (fs);
 }
--- a/regress/unit/waits_test.c
+++ b/regress/unit/waits_test.c
@@ -18,8 +18,11 @@
   char ids[JOBS_MAX][JOB_ID_SIZE];
   int n;
   int n_summaries;
-  char summary[1024]; /* the last summary */
-  char line[1024];    /* the last line that names a job */
+  char summary[1024];   /* the last summary */
+  char line[1024];      /* the last line that names a job */
+  int n_inherited;      /* number of lines about inherited starts */
+  char inherited[1024]; /* the last one */
+  char events[65536];   /* all other lines about job 1 */
 };
 
 /* Adds a job that waits for an executor which does not exist.  @id: number in
@@ -56,6 +59,17 @@
       to->n_summaries++;
       clb_copy (to->summary, line, sizeof to->summary);
     }
+  else if (strncmp (line, "event=inherited ", 16) == 0)
+    {
+      to->n_inherited++;
+      clb_copy (to->inherited, line, sizeof to->inherited);
+    }
+  else if (strstr (line, " job=0000000000000001 ")
+           && strncmp (line, "event=waits ", 12) != 0)
+    {
+      size_t len = strlen (to->events);
+      snprintf (to->events + len, sizeof to->events - len, "%s\n", line);
+    }
 }
 
 /* Answers all orders, except start and stop orders for task @lost_task.
@@ -327,6 +341,142 @@
   tear_down (&x);
 }
 
+/* Returns in how many lines about job 1 @text occurs. */
+static int
+count_events (const struct named *named, const char *text)
+{
+  int n = 0;
+
+  for (const char *at = named->events; (at = strstr (at, text)); at++)
+    n++;
+  return n;
+}
+
+static void
+test_lost_and_answered_stops_are_logged (void)
+{
+  static struct named named;
+  struct fixture x;
+  int64_t end_ms;
+
+  named = (struct named){ 0 };
+  start_and_lose (&x, 3, true, 1, 6000, &named);
+  CU_ASSERT_EQUAL (count_events (&named, "event=start-lost "), 2);
+  /* Of 20 orders the 1st, 2nd, 4th, 8th and 16th. */
+  CU_ASSERT_EQUAL (count_events (&named, "event=stop-lost "), 5);
+  CU_ASSERT_EQUAL (count_events (&named, " outcome=lost stops=16 "), 1);
+  CU_ASSERT_EQUAL (count_events (&named, "event=stop-answered "), 0);
+  end_ms = x.now_ms + 1000;
+  while (x.now_ms < end_ms)
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+      answer_all_but (&x, -1, &named);
+    }
+  CU_ASSERT_EQUAL (count_events (&named, "event=stop-answered "), 1);
+  CU_ASSERT_EQUAL (count_events (&named, "task=1 run=1 exec=e0 result=never "),
+                   1);
+  tear_down (&x);
+}
+
+/* Begins the second term of a scheduler: a gang of three, of which one member
+   may be running on e0. */
+static void
+set_up_takeover (struct fixture *x, int64_t old_leases_ms)
+{
+  static uint64_t last_token;
+  struct job_spec spec = { .attempts = 1, .n_steps = 1 };
+
+  *x = (struct fixture){ .now_ms = START_MS, .boot_ms = BOOT_MS };
+  TAILQ_INIT (&x->out);
+  x->fs = fsched_new (&x->out, &last_token, x->now_ms, 2, old_leases_ms,
+                      &x->stats);
+  fsched_load_roster (x->fs, "e0 10.0.0.1:80\ne1 10.0.0.1:80\n");
+  fsched_load_intents (x->fs, "0", "0000000000000001 0 1 1000 e0 0\n");
+  clb_copy (spec.id, "0000000000000001", sizeof spec.id);
+  clb_copy (spec.tenant, "blue", sizeof spec.tenant);
+  clb_copy (spec.service, "svc", sizeof spec.service);
+  spec.steps = fsched_zalloc (1, sizeof *spec.steps);
+  spec.steps[0].tasks = 3;
+  spec.steps[0].gang = true;
+  spec.steps[0].need.millicores = 1000;
+  spec.target_ms = 60000;
+  fsched_add_job (x->fs, &spec, true, 100);
+  report_exec (x, "e0");
+  report_exec (x, "e1");
+  fsched_load_done (x->fs);
+}
+
+static void
+test_inherited_starts_are_logged_until_executors_answer (void)
+{
+  static struct named named;
+  struct fixture x;
+
+  set_up_takeover (&x, 8000);
+  named = (struct named){ 0 };
+  answer_all_but (&x, -1, &named);
+  CU_ASSERT_STRING_EQUAL (
+      named.inherited,
+      "event=inherited starts=1 partial_gangs=1 execs=1 unreconciled=2 "
+      "old_leases_end_in_ms=8000 waiting_for=e0:1");
+  CU_ASSERT_STRING_EQUAL (field (&named, "cause"), "gang-ending");
+  CU_ASSERT_STRING_EQUAL (field (&named, "holder"), "1");
+  CU_ASSERT_STRING_EQUAL (field (&named, "run"), "1000");
+  CU_ASSERT_STRING_EQUAL (field (&named, "exec"), "e0");
+  CU_ASSERT_STRING_EQUAL (field (&named, "state"), "unconfirmed");
+  CU_ASSERT_STRING_EQUAL (field (&named, "inherited"), "1");
+  work (&x, 3000, &named);
+  CU_ASSERT (named.n_inherited >= 3 && named.n_inherited <= 4);
+  for (int i = 0; i < 200; i++)
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+      answer_all_but (&x, -1, &named);
+    }
+  CU_ASSERT_EQUAL (count_events (&named, "event=end "), 1);
+  CU_ASSERT_EQUAL (
+      count_events (&named, "task=1 run=1000 exec=e0 result=never ran_ms="),
+      1);
+  CU_ASSERT_EQUAL (count_events (&named, " state=4 inherited=1 "), 1);
+  CU_ASSERT_EQUAL (x.fs->reconciled, true);
+  named.n_inherited = 0;
+  work (&x, 3000, &named);
+  CU_ASSERT_EQUAL (named.n_inherited, 0);
+  tear_down (&x);
+}
+
+static void
+test_confirmed_member_of_an_inherited_gang_is_logged (void)
+{
+  static struct named named;
+  struct fixture x;
+  struct run_row listed
+      = { .task = { .job = "0000000000000001", .index = 1 }, .run_id = 1000 };
+  struct order_result res = { .runs = &listed, .n_runs = 1 };
+  struct out *o;
+
+  set_up_takeover (&x, 8000);
+  named = (struct named){ 0 };
+  x.now_ms += STEP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  res.clock_ms = x.boot_ms + x.now_ms;
+  while ((o = out_take (&x.out)))
+    {
+      if (o->kind == OUT_LOG_LINE)
+        read_line (&named, o->u.line);
+      else if (o->kind == OUT_ORDER && strcmp (o->u.order->exec, "e0") == 0)
+        fsched_order_result (x.fs, x.now_ms, o->u.order->id, &res);
+      out_free (o);
+    }
+  CU_ASSERT_EQUAL (
+      count_events (&named,
+                    "event=start-confirmed job=0000000000000001 step=0 task=1 "
+                    "run=1000 exec=e0 by=list inherited=1 "),
+      1);
+  tear_down (&x);
+}
+
 UNIT_MAIN ("waits_test",
            { "a late job among many in time is named",
              test_a_late_job_among_many_in_time_is_named },
@@ -343,4 +493,10 @@
            { "a job held by its only run is named",
              test_a_job_held_by_its_only_run_is_named },
            { "a job whose starts are not recorded is named",
-             test_a_job_whose_starts_are_not_recorded_is_named })
+             test_a_job_whose_starts_are_not_recorded_is_named },
+           { "lost and answered stops are logged",
+             test_lost_and_answered_stops_are_logged },
+           { "inherited starts are logged until executors answer",
+             test_inherited_starts_are_logged_until_executors_answer },
+           { "a confirmed member of an inherited gang is logged",
+             test_confirmed_member_of_an_inherited_gang_is_logged })
