Put the decisive fields of lines about waiting jobs first

Records are cut after some 200 characters of a line, so that the run that holds a step, and the causes in the summary, would be lost at the end.

--- a/core/fsched_waits.c
+++ b/core/fsched_waits.c
@@ -301,11 +301,11 @@
 
   out_line (fs->out,
             "event=waits-summary jobs=%d named=%d oldest=%s late_ms=%lld "
-            "ready_ms=%lld queues=%s tenants=%s causes=%s",
+            "ready_ms=%lld causes=%s tenants=%s queues=%s",
             n, n_named, oldest->spec.id,
             (long long)(fs->now_ms - oldest->urgency.due_ms),
             (long long)(fs->now_ms - oldest->steps[list[0].step].ready_ms),
-            queues, accounts, causes);
+            causes, accounts, queues);
 }
 
 static void
--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -248,14 +248,14 @@
 
   out_line (
       fs->out,
-      "event=waits job=%s step=%d queue=%s tenant=%s cause=%s "
+      "event=waits job=%s step=%d queue=%s tenant=%s cause=%s%s "
       "ready_ms=%lld late_ms=%lld tasks=%d running=%d done=%d usable=%d "
       "allowed=%d denied=%d unknown=%d aside=%d tickets=%d fit=%d "
       "fit_free=%d asking_ms=%lld by=%s answers=%d lost=%d pause_ms=%lld "
       "outstanding=%d/%d long=%d lanes=%.1f rate=%.2f advisers=%d/%d "
-      "free=%d unsent_ms=%lld%s",
+      "free=%d unsent_ms=%lld",
       j->spec.id, step, j->spec.queue, j->spec.tenant, wait_cause_names[cause],
-      (long long)(fs->now_ms - s->ready_ms),
+      holder, (long long)(fs->now_ms - s->ready_ms),
       (long long)(fs->now_ms - j->urgency.due_ms), s->n_tasks, s->n_running,
       s->n_done, c.n_usable, c.n_allowed, c.n_denied, c.n_unknown, c.n_aside,
       c.n_tickets, c.n_fit, c.n_fit_free, (long long)asking_ms, by,
@@ -264,7 +264,7 @@
                                                 : 0),
       fs->n_queries_out, (int)fs->query_window, fs->n_long_out,
       lanes_count (fs), lanes_rate (fs), a.n_for_long, a.n_available, a.n_idle,
-      (long long)fsched_unsent_ms (fs), holder);
+      (long long)fsched_unsent_ms (fs));
   return cause;
 }
 
--- a/regress/unit/waits_test.c
+++ b/regress/unit/waits_test.c
@@ -201,8 +201,8 @@
       CU_ASSERT_EQUAL (named.n_summaries, 1);
       CU_ASSERT_PTR_NOT_NULL (strstr (named.summary, " jobs=3000 "));
       CU_ASSERT_PTR_NOT_NULL (strstr (
-          named.summary, " queues=q0:500,q1:500,q2:500,q3:500,others:1000 "
-                         "tenants=blue:3000 "));
+          named.summary, " tenants=blue:3000 "
+                         "queues=q0:500,q1:500,q2:500,q3:500,others:1000"));
       CU_ASSERT_PTR_NOT_NULL (
           strstr (named.summary, " oldest=0000000000000000 "));
       /* The oldest have lines, the others are counted. */
@@ -213,7 +213,7 @@
                                                 : "0000000000000150");
     }
   CU_ASSERT_PTR_NOT_NULL (
-      strstr (named.summary, " causes=unknown:2800,no-executor:200"));
+      strstr (named.summary, " causes=unknown:2800,no-executor:200 "));
   tear_down (&x);
 }
 
