Log for which step room is reserved, and since when

Callers saw accepted gangs that did not start although their executors had room. event=advice-unused cause=reserved said so, but not which step holds the room, why, or for how long, so that room kept for an answer on its way could not be told from room that goes round between steps.

A placing pass notes on each executor the most urgent step that it reserves room for, and on the step what for (query, answer, gang) and since which pass. advice-unused has it with the urgency classes of both jobs; waits says cause=reserved for steps that need advice, too, and for whom.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -567,6 +567,7 @@
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
       struct jstep *s = &j->steps[i];
+      s->job = j;
       s->n_tasks = (int)j->spec.steps[i].tasks;
       s->first_task = i ? s[-1].first_task + s[-1].n_tasks : 0;
       s->label_id = fsched_intern_label (fs, j->spec.steps[i].label);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -252,13 +252,22 @@
 
 TAILQ_HEAD (askingq, jstep);
 
+/** enum hold_kind - for what a placing pass reserves room for a step */
+enum hold_kind
+{
+  HOLD_NONE,
+  HOLD_QUERY,  /* for the answers to its outstanding queries */
+  HOLD_ANSWER, /* as before, and the answer is expected to start the gang */
+  HOLD_GANG,   /* for a gang that does not fit yet */
+};
+
 /** struct jstep - a step of a job in memory */
 struct jstep
 {
   /* In fsched_queue::asking if the flag is set. */
   TAILQ_ENTRY (jstep) asking_link;
   bool asking;
-  struct job *job;     /* the job of the step; set if the flag is */
+  struct job *job;
   struct jtask *tasks; /* owned */
   int n_tasks;
   int first_task; /* number of tasks of the steps before this one */
@@ -295,6 +304,11 @@
      for it as a gang that does not fit yet. */
   bool query_due;
   bool room_reserved;
+  int hold_kind; /* enum hold_kind, while room_reserved is set */
+  /* When room was first reserved for it, in passes without a break, and the
+     number of the last one. */
+  int64_t held_since_ms;
+  uint64_t held_pass;
   bool answer_new; /* the last answer was not tried in a placing pass yet */
   /* Number of advice queries that were overdue or failed since the last
      answer. */
@@ -477,6 +491,8 @@
   /* Capacity kept free in the current placing pass for more urgent work that
      waits for advice. */
   struct job_need reserved;
+  /* The most urgent step that room is reserved for; NULL: there is none. */
+  const struct jstep *holder;
   bool eligible; /* the current placing pass may give tasks to the executor */
   /* Number of orphans in the executor's last list: runs whose job is unknown,
      or whose task has another run. */
--- a/core/fsched_asking.c
+++ b/core/fsched_asking.c
@@ -41,7 +41,6 @@
   if (s->asking)
     return;
   s->asking = true;
-  s->job = j;
   j->queue_stats->n_asking++;
   while (before && before->ready_ms > s->ready_ms)
     before = TAILQ_PREV (before, askingq, asking_link);
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -322,6 +322,7 @@
     {
       e->eligible = exec_eligible (fs, e);
       e->reserved = (struct job_need){ 0 };
+      e->holder = NULL;
       if (!e->eligible)
         continue;
       fs->eligible[fs->n_eligible++] = e;
--- a/core/fsched_room.c
+++ b/core/fsched_room.c
@@ -14,6 +14,8 @@
   const struct job_step *s = &j->spec.steps[step];
   int n = exec_fit_count (e, j, step, max);
 
+  if (n > 0 && !e->holder)
+    e->holder = &j->steps[step];
   if (!s->best_effort_cpu)
     e->reserved.millicores += n * s->need.millicores;
   e->reserved.mem_mb += n * s->need.mem_mb;
@@ -29,12 +31,26 @@
     n_waiting -= reserve_capacity (execs->list[i].e, j, step, n_waiting);
 }
 
-/* Reserves capacity for the waiting tasks of a step on executors that it is
-   permitted or, if @asked is set, that its outstanding queries name. */
+/* Notes that the present pass reserves room for a step. */
 static void
-reserve_for_step (struct fsched *fs, struct job *j, int step, bool asked)
+mark_held (struct fsched *fs, struct jstep *s, enum hold_kind kind)
+{
+  s->room_reserved = true;
+  s->hold_kind = kind;
+  if (s->held_pass + 1 < fs->stats->passes)
+    s->held_since_ms = fs->now_ms;
+  s->held_pass = fs->stats->passes;
+}
+
+/* Reserves capacity for the waiting tasks of a step: for HOLD_GANG on the
+   executors that it is permitted, else on those that its outstanding queries
+   name. */
+static void
+reserve_for_step (struct fsched *fs, struct job *j, int step,
+                  enum hold_kind kind)
 {
   struct jstep *s = &j->steps[step];
+  bool asked = kind != HOLD_GANG;
   int n_waiting = step_waiting (s);
 
   for (int i = 0; i < s->n_permits; i++)
@@ -51,7 +67,7 @@
       p->n_reserved = reserve_capacity (e, j, step, n_waiting);
       n_waiting -= p->n_reserved;
     }
-  s->room_reserved = true;
+  mark_held (fs, s, kind);
 }
 
 void
@@ -60,7 +76,7 @@
   const struct jstep *s = &j->steps[step];
 
   if (s->n_asking > 0 && !s->room_reserved)
-    reserve_for_step (fs, j, step, true);
+    reserve_for_step (fs, j, step, HOLD_QUERY);
 }
 
 int
@@ -131,11 +147,11 @@
   if (!j->spec.steps[step].gang || s->n_queries == 0 || ABLATED (GANG_ROOM))
     return;
   if (s->n_asking > 0 && s->start_expected)
-    reserve_for_step (fs, j, step, true);
+    reserve_for_step (fs, j, step, HOLD_ANSWER);
   else if (need <= fs->gang_reserve_millicores
            && room_could_start (fs, j, step))
     {
       fs->gang_reserve_millicores -= need;
-      reserve_for_step (fs, j, step, false);
+      reserve_for_step (fs, j, step, HOLD_GANG);
     }
 }
--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -17,6 +17,30 @@
 const char *const unused_cause_names[]
     = { "permits", "tickets", "reserved", "other", NULL };
 
+enum
+{
+  /* Size of the text that says for which step room is reserved. */
+  RESERVED_TEXT_MAX = 100,
+};
+
+static const char *const hold_names[] = { "none", "query", "answer", "gang" };
+
+/* Returns the id of the job that room is reserved for; empty: there is
+   none. */
+static const char *
+holder_job (const struct jstep *holder)
+{
+  return holder ? holder->job->spec.id : "";
+}
+
+/* Returns for how long room has been reserved for a step, in ms; -1 if there
+   is none. */
+static int64_t
+held_ms (const struct fsched *fs, const struct jstep *holder)
+{
+  return holder ? fs->now_ms - holder->held_since_ms : -1;
+}
+
 /** struct exec_counts - executors of a step's service and label, by what is
  * known of their permits */
 struct exec_counts
@@ -32,6 +56,9 @@
      and the same without what is reserved for other jobs. */
   int n_fit_free;
   int n_fit;
+  /* The step that room is reserved for on the first of them whose room is not
+     free; NULL: none is. */
+  const struct jstep *holder;
 };
 
 /* Adds an eligible executor that may run the step to the counts. */
@@ -41,12 +68,17 @@
 {
   const struct jstep *s = &j->steps[step];
   struct exec unreserved = *e;
+  int n_free = exec_fit_count (e, j, step, s->n_tasks);
+  int n;
 
   unreserved.reserved = (struct job_need){ 0 };
+  n = exec_fit_count (&unreserved, j, step, s->n_tasks);
   c->n_allowed++;
   c->n_tickets += advice && permit_valid (fs, s, e);
-  c->n_fit_free += exec_fit_count (e, j, step, s->n_tasks);
-  c->n_fit += exec_fit_count (&unreserved, j, step, s->n_tasks);
+  c->n_fit_free += n_free;
+  c->n_fit += n;
+  if (!c->holder && n_free < n)
+    c->holder = e->holder;
 }
 
 static struct exec_counts
@@ -85,8 +117,7 @@
   return j->spec.steps[step].gang ? j->steps[step].n_tasks : 1;
 }
 
-/* Returns why a step waits that needs a permit.  Whether a more urgent job
-   takes the capacity is known only while no query is needed. */
+/* Returns why a step waits that needs a permit. */
 static enum wait_cause
 find_cause_advice (const struct fsched *fs, const struct job *j, int step,
                    const struct exec_counts *c)
@@ -101,6 +132,8 @@
     return CAUSE_NO_ROOM;
   if (fs->now_ms < s->next_query_ms)
     return CAUSE_QUERY_PAUSE;
+  if (c->n_askable == 0 && c->n_fit_free < tasks_needed (j, step))
+    return CAUSE_RESERVED;
   return adviser_is_free (fs, j) ? CAUSE_TURN : CAUSE_NO_ADVISER;
 }
 
@@ -235,6 +268,18 @@
   return text;
 }
 
+/* Prints for which step room is reserved, if that is why a step waits. */
+static void
+print_reserved (const struct fsched *fs, enum wait_cause cause,
+                const struct jstep *holder, char to[RESERVED_TEXT_MAX])
+{
+  *to = '\0';
+  if (cause == CAUSE_RESERVED && holder)
+    snprintf (to, RESERVED_TEXT_MAX,
+              " reserved_for=%s hold=%s reserved_ms=%lld", holder_job (holder),
+              hold_names[holder->hold_kind], (long long)held_ms (fs, holder));
+}
+
 static enum wait_cause
 log_step (struct fsched *fs, const struct job *j, int step)
 {
@@ -245,17 +290,19 @@
   const char *by;
   int64_t asking_ms = query_age (fs, s, &by);
   clb_auto char *holder = print_holder (fs, j, step);
+  char reserved[RESERVED_TEXT_MAX];
 
+  print_reserved (fs, cause, c.holder, reserved);
   out_line (
       fs->out,
-      "event=waits job=%s step=%d queue=%s tenant=%s cause=%s%s "
+      "event=waits job=%s step=%d queue=%s tenant=%s cause=%s%s%s "
       "ready_ms=%lld late_ms=%lld tasks=%d running=%d done=%d usable=%d "
       "allowed=%d denied=%d unknown=%d aside=%d tickets=%d fit=%d "
       "fit_free=%d asking_ms=%lld by=%s answers=%d lost=%d pause_ms=%lld "
       "outstanding=%d/%d long=%d lanes=%.1f rate=%.2f advisers=%d/%d "
       "free=%d unsent_ms=%lld",
       j->spec.id, step, j->spec.queue, j->spec.tenant, wait_cause_names[cause],
-      holder, (long long)(fs->now_ms - s->ready_ms),
+      holder, reserved, (long long)(fs->now_ms - s->ready_ms),
       (long long)(fs->now_ms - j->urgency.due_ms), s->n_tasks, s->n_running,
       s->n_done, c.n_usable, c.n_allowed, c.n_denied, c.n_unknown, c.n_aside,
       c.n_tickets, c.n_fit, c.n_fit_free, (long long)asking_ms, by,
@@ -301,6 +348,7 @@
   int n_fit = 0;        /* tasks that permitted executors can take */
   int n_ticket = 0;     /* of these, those with a valid ticket */
   int n_unreserved = 0; /* of these, without what is reserved for others */
+  const struct jstep *holder = NULL; /* of the first room that is reserved */
   enum unused_cause cause = UNUSED_OTHER;
 
   for (int i = 0; i < fs->n_eligible; i++)
@@ -319,6 +367,8 @@
         continue;
       n_ticket += fits;
       n_unreserved += exec_fit_count (e, j, step, s->n_tasks);
+      if (!holder && exec_fit_count (e, j, step, s->n_tasks) < fits)
+        holder = e->holder;
     }
   if (n_fit < needed)
     cause = UNUSED_PERMITS;
@@ -329,7 +379,11 @@
   fs->stats->answers_unused[cause]++;
   out_line (fs->out,
             "event=advice-unused job=%s step=%d cause=%s needed=%d fit=%d "
-            "fit_ticket=%d fit_unreserved=%d answers=%d",
+            "fit_ticket=%d fit_unreserved=%d answers=%d class=%d "
+            "reserved_for=%s reserved_class=%d hold=%s reserved_ms=%lld",
             j->spec.id, step, unused_cause_names[cause], needed, n_fit,
-            n_ticket, n_unreserved, s->n_queries);
+            n_ticket, n_unreserved, s->n_queries, j->urgency.class,
+            holder_job (holder), holder ? holder->job->urgency.class : -1,
+            hold_names[holder ? holder->hold_kind : HOLD_NONE],
+            (long long)held_ms (fs, holder));
 }
