A gang with tickets and room starts before its tickets expire

Callers saw accepted gangs wait although the executors that advice permits had room for them (LOST).

Room that is reserved for a step of the same rank does not keep a step with tickets from starting any more. Room for more urgent steps does, but from a gang only until it could not start after the next pass any more. So a gang that has tickets and room starts before its tickets expire, or a more urgent step has really taken the room; what is reserved steers queries. Reserved room does not end a pass either.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -491,6 +491,9 @@
   /* Capacity kept free in the current placing pass for more urgent work that
      waits for advice. */
   struct job_need reserved;
+  /* The part of it that is kept free for jobs of higher ranks than that which
+     the pass is placing, see place_rank(). */
+  struct job_need reserved_above;
   /* The most urgent step that room is reserved for; NULL: there is none. */
   const struct jstep *holder;
   bool eligible; /* the current placing pass may give tasks to the executor */
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -69,8 +69,8 @@
 }
 
 bool
-permit_valid (const struct fsched *fs, const struct jstep *s,
-              const struct exec *e)
+permit_valid_for (const struct fsched *fs, const struct jstep *s,
+                  const struct exec *e, int64_t for_ms)
 {
   const struct permit *p;
 
@@ -78,7 +78,14 @@
     return false;
   p = &s->permits[e->index];
   return p->state == PERMIT_ALLOWED && p->boot_start_ms == e->boot_start_ms
-         && p->valid_until_ms > fs->now_ms + FSCHED_TICKET_MARGIN_MS;
+         && p->valid_until_ms > fs->now_ms + for_ms;
+}
+
+bool
+permit_valid (const struct fsched *fs, const struct jstep *s,
+              const struct exec *e)
+{
+  return permit_valid_for (fs, s, e, FSCHED_TICKET_MARGIN_MS);
 }
 
 /* Returns the pause after @n >= 1 events in a row: @first_ms, and twice as
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -571,6 +571,19 @@
 
 /* Functions of fsched_room.c. */
 
+/** enum room_view - which room a step may use */
+enum room_view
+{
+  ROOM_UNRESERVED, /* what is not reserved for any step */
+  ROOM_OF_RANK,    /* also what is reserved for steps of its own rank */
+  ROOM_ALL,        /* all that no start uses */
+};
+
+/** room_count() - Return the number of a step's tasks, at most @max, that an
+ * executor has capacity for.
+ * @view: enum room_view */
+int room_count (const struct exec *e, const struct job *j, int step, int max,
+                int view);
 /** room_reserve_named() - Reserve room for @n_waiting tasks of a step on the
  * executors that a query names. */
 void room_reserve_named (const struct job *j, int step,
@@ -684,6 +697,10 @@
  */
 bool permit_valid (const struct fsched *fs, const struct jstep *s,
                    const struct exec *e);
+/** permit_valid_for() - Return whether the step has a permit for @e with a
+ * ticket that is valid for @for_ms at least. */
+bool permit_valid_for (const struct fsched *fs, const struct jstep *s,
+                       const struct exec *e, int64_t for_ms);
 /** permit_get() - Return the step's permit for @e, borrowed; add it if new. */
 struct permit *permit_get (struct jstep *s, const struct exec *e);
 /** enum advice_sending - what became of an attempt to send a query */
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -25,6 +25,9 @@
   /* Longest interval between passes over all jobs: the answers to their
      queries must not wait for long. */
   WHOLE_PASS_GAP_MAX_MS = 100,
+  /* Longest time from a pass to the next one that considers the same job: one
+     that is due is up to PASS_RETRY_MS late. */
+  PASS_GAP_MAX_MS = WHOLE_PASS_GAP_MAX_MS + PASS_RETRY_MS,
   /* Number of jobs placed between checks of whether any executor has capacity
      left. */
   CAPACITY_CHECK_JOBS = 8,
@@ -73,7 +76,7 @@
  * taken last: if the executor is the cause, the task has to run elsewhere.
  */
 static struct exec *
-best_fit (struct fsched *fs, const struct job *j, int step)
+best_fit (struct fsched *fs, const struct job *j, int step, int view)
 {
   struct exec *best = NULL;
   int64_t best_value = 0;
@@ -83,7 +86,7 @@
       struct exec *e = fs->eligible[i];
       int64_t value;
       if (!exec_usable (e, j, step) || !permitted (fs, j, step, e)
-          || exec_fit_count (e, j, step, 1) < 1)
+          || room_count (e, j, step, 1, view) < 1)
         continue;
       value = unfitness (j, step, e);
       if (!best || value < best_value)
@@ -99,7 +102,7 @@
    can take one of the tasks, and true otherwise, also if tasks are left
    because the client account has reached its limit. */
 static bool
-place_single_tasks (struct fsched *fs, struct job *j, int step)
+place_single_tasks (struct fsched *fs, struct job *j, int step, int view)
 {
   struct jstep *s = &j->steps[step];
 
@@ -111,7 +114,7 @@
         continue;
       if (!account_has_room (fs, j, step, 1))
         return true;
-      e = best_fit (fs, j, step);
+      e = best_fit (fs, j, step, view);
       if (!e)
         return false;
       intent_add (fs,
@@ -151,7 +154,7 @@
  */
 static size_t
 gang_candidates (struct fsched *fs, const struct job *j, int step, int rack_id,
-                 struct candidate *candidates)
+                 int view, struct candidate *candidates)
 {
   int n_members = j->steps[step].n_tasks;
   int n_fit = 0;
@@ -164,7 +167,7 @@
       if ((rack_id && rack_id != e->rack_id) || !exec_usable (e, j, step)
           || !permitted (fs, j, step, e))
         continue;
-      fits = exec_fit_count (e, j, step, n_members);
+      fits = room_count (e, j, step, n_members, view);
       if (fits < 1)
         continue;
       candidates[n++]
@@ -183,27 +186,27 @@
    prefers one, else all racks.  Returns the number of candidates, 0 if the
    gang fits nowhere. */
 static size_t
-choose_candidates (struct fsched *fs, const struct job *j, int step,
+choose_candidates (struct fsched *fs, const struct job *j, int step, int view,
                    struct candidate *candidates)
 {
   int data_rack_id = j->steps[step].data_rack_id;
   size_t n;
 
   if (data_rack_id
-      && (n = gang_candidates (fs, j, step, data_rack_id, candidates)))
+      && (n = gang_candidates (fs, j, step, data_rack_id, view, candidates)))
     return n;
   if (j->spec.steps[step].same_rack)
     for (int rack_id = 1; rack_id <= fs->racks.n; rack_id++)
-      if ((n = gang_candidates (fs, j, step, rack_id, candidates)))
+      if ((n = gang_candidates (fs, j, step, rack_id, view, candidates)))
         return n;
-  return gang_candidates (fs, j, step, 0, candidates);
+  return gang_candidates (fs, j, step, 0, view, candidates);
 }
 
 /* Places all members of a gang or none.  Returns false if there is no capacity
    for all of them, and true otherwise, also if none is placed because an
    earlier run has not ended or the client account has reached its limit. */
 static bool
-place_gang (struct fsched *fs, struct job *j, int step)
+place_gang (struct fsched *fs, struct job *j, int step, int view)
 {
   struct jstep *s = &j->steps[step];
   struct candidate *candidates;
@@ -218,7 +221,7 @@
   candidates = calloc ((size_t)fs->n_execs + 1, sizeof *candidates);
   if (!candidates)
     abort ();
-  n = choose_candidates (fs, j, step, candidates);
+  n = choose_candidates (fs, j, step, view, candidates);
   for (int i = 0; i < s->n_tasks && n; i++)
     if (s->tasks[i].next_run_id > run_id)
       run_id = s->tasks[i].next_run_id;
@@ -238,6 +241,57 @@
   return n > 0;
 }
 
+static bool
+place_in_view (struct fsched *fs, struct job *j, int step, int view)
+{
+  return j->spec.steps[step].gang ? place_gang (fs, j, step, view)
+                                  : place_single_tasks (fs, j, step, view);
+}
+
+/* Returns whether a gang could still start after the next pass, if no other
+   step takes the room.  One that needs no advice can; it counts as if it could
+   not once it has waited for as long as it is expected to run. */
+static bool
+may_start_later (struct fsched *fs, const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+  int needed = s->n_tasks;
+
+  if (j->spec.advice.base_ms <= 0)
+    return fs->now_ms - s->ready_ms < estim_predict (
+               &j->queue_stats->run_times, j->spec.steps[step].estimate_ms);
+  for (int i = 0; i < fs->n_eligible && needed > 0; i++)
+    {
+      const struct exec *e = fs->eligible[i];
+      if (exec_usable (e, j, step)
+          && permit_valid_for (fs, s, e,
+                               FSCHED_TICKET_MARGIN_MS + PASS_GAP_MAX_MS))
+        needed -= room_count (e, j, step, needed, ROOM_ALL);
+    }
+  return needed <= 0;
+}
+
+/*
+ * Places the tasks of a step that needs no advice or has tickets.  Room that
+ * is reserved for a step of the same rank is not kept from it: otherwise steps
+ * that each hold room for their next answer could keep each other waiting.
+ * Room that is reserved for more urgent steps is, but from a gang only until
+ * it could not start any more after the next pass: the room for all members is
+ * rarely free of reservations at once.  Returns as place_gang() does.
+ */
+static bool
+place_step (struct fsched *fs, struct job *j, int step)
+{
+  if (place_in_view (fs, j, step, ROOM_UNRESERVED))
+    return true;
+  if (j->steps[step].n_running > 0)
+    return false;
+  if (place_in_view (fs, j, step, ROOM_OF_RANK))
+    return true;
+  return j->spec.steps[step].gang && !may_start_later (fs, j, step)
+         && place_in_view (fs, j, step, ROOM_ALL);
+}
+
 /* Places the tasks of a job's ready steps. */
 static void
 place_job (struct fsched *fs, struct job *j)
@@ -251,10 +305,7 @@
       if (!s->ready || s->n_done + s->n_running >= s->n_tasks)
         continue;
       if (!needs_advice || s->tickets_until_ms > fs->now_ms)
-        {
-          placed = j->spec.steps[i].gang ? place_gang (fs, j, (int)i)
-                                         : place_single_tasks (fs, j, (int)i);
-        }
+        placed = place_step (fs, j, (int)i);
       if (!placed && s->answer_new)
         why_answer_unused (fs, j, (int)i);
       s->answer_new = false;
@@ -331,8 +382,8 @@
     }
 }
 
-/* Returns whether any executor has FREE_MIN_MILLICORES of CPU that are neither
-   used nor reserved. */
+/* Returns whether any executor has FREE_MIN_MILLICORES of CPU that no start
+   uses. */
 static bool
 has_free_capacity (const struct fsched *fs)
 {
@@ -340,7 +391,6 @@
     {
       const struct exec *e = fs->eligible[i];
       if (e->rep.capacity.millicores - e->used.millicores
-              - e->reserved.millicores
           >= FREE_MIN_MILLICORES)
         return true;
     }
@@ -441,6 +491,8 @@
   const struct job *first = fs->ready_jobs[begin];
   int i;
 
+  for (int k = 0; k < fs->n_eligible; k++)
+    fs->eligible[k]->reserved_above = fs->eligible[k]->reserved;
   for (i = begin; i < n && same_rank (first, fs->ready_jobs[i]); i++)
     {
       if (i % CAPACITY_CHECK_JOBS == 0 && !has_free_capacity (fs))
--- a/core/fsched_room.c
+++ b/core/fsched_room.c
@@ -5,6 +5,20 @@
  */
 #include "fsched_impl.h"
 
+int
+room_count (const struct exec *e, const struct job *j, int step, int max,
+            int view)
+{
+  struct exec seen;
+
+  if (view == ROOM_UNRESERVED)
+    return exec_fit_count (e, j, step, max);
+  seen = *e;
+  seen.reserved
+      = view == ROOM_OF_RANK ? e->reserved_above : (struct job_need){ 0 };
+  return exec_fit_count (&seen, j, step, max);
+}
+
 /* Reserves capacity on @e for at most @max tasks of the step, so that less
    urgent work does not get it in this pass.  Returns the number of tasks that
    capacity was reserved for. */
--- a/regress/unit/room_test.c
+++ b/regress/unit/room_test.c
@@ -38,5 +38,48 @@
   tear_down (&s.x);
 }
 
-UNIT_MAIN ("room", { "the log names the job that room is reserved for",
-                     test_log_names_the_job_that_room_is_reserved_for })
+static bool
+has_started (const struct service *s, const char *id)
+{
+  return fsched_find_job (s->x.fs, id)->task_started;
+}
+
+static void
+test_gang_with_tickets_is_held_back_until_they_expire_at_most (void)
+{
+  struct service s;
+
+  set_up_held_gang (&s);
+  answer_query (&s, &s.queries[0], 0);
+  run_for (&s, VALID_MS / 2, -1);
+  CU_ASSERT (!has_started (&s, "0000000000000001"));
+  run_for (&s, VALID_MS / 2, -1);
+  CU_ASSERT (has_started (&s, "0000000000000001"));
+  tear_down (&s.x);
+}
+
+static void
+test_gang_with_tickets_takes_room_reserved_for_an_equal_gang (void)
+{
+  struct service s;
+
+  set_up_service (&s);
+  fsched_adviser_seen (s.x.fs, "i2", "10.0.0.9:80", 0, 0);
+  add_job (&s.x, "0000000000000000", EXECS * CORES - 3, false);
+  run_for (&s, 100, -1);
+  add_advised_step (&s, "0000000000000001", 4, true, 0);
+  run_for (&s, 400, 20);
+  CU_ASSERT (!has_started (&s, "0000000000000001"));
+  add_advised_step (&s, "0000000000000002", 3, true, 0);
+  run_for (&s, 400, 20);
+  CU_ASSERT (has_started (&s, "0000000000000002"));
+  tear_down (&s.x);
+}
+
+UNIT_MAIN ("room",
+           { "the log names the job that room is reserved for",
+             test_log_names_the_job_that_room_is_reserved_for },
+           { "a gang with tickets is held back until they expire at most",
+             test_gang_with_tickets_is_held_back_until_they_expire_at_most },
+           { "a gang with tickets takes room reserved for an equal gang",
+             test_gang_with_tickets_takes_room_reserved_for_an_equal_gang })
