fsim: nothing starts on an executor that has just crashed

No leader can know of such a run. The order is lost now, as in deliver_order() if the executor is down already. A fault of the simulation, not of the core; the check itself is as before.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -503,6 +503,12 @@
   int refusal = -1;
 
   fexec_tick (s);
+  /* A run that was due has crashed the executor. */
+  if (!e->up)
+    {
+      res->outcome = ORDER_LOST;
+      return true;
+    }
   res->clock_ms = s->now_ms - e->boot_start_ms;
   if (res->clock_ms < 1)
     res->clock_ms = 1;
