--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -466,6 +466,13 @@
   free (d);
 }
 
+/* Return: true if the order starts a task with this index in its step. */
+static bool
+is_start_of (const struct order *o, int64_t index)
+{
+  return o->kind == ORDER_START && o->task.index == index;
+}
+
 /* Sends the result to the instance, unless the configured faults lose it.  If
    the result is lost, the instance learns after the order's time limit that no
    answer arrived. */
@@ -473,8 +480,10 @@
 send_result (struct fsim *s, struct order_delivery *d, struct fexec *e)
 {
   crash_if_due (s, e);
-  if (!fsim_can_reach (s, d->inst, e) || !e->up
-      || fsim_random (s) < e->lost_result_share)
+  if (!fsim_can_reach (s, d->inst, e) || !e->up || s->now_ms < e->hung_until_ms
+      || fsim_random (s) < e->lost_result_share
+      || is_start_of (&d->order, e->lost_start)
+      || (d->order.kind == ORDER_STOP && e->silent_stops))
     {
       e->last_fault_ms = s->now_ms;
       order_result_clear (&d->res);
@@ -600,6 +609,26 @@
   deliver_order (s, d);
 }
 
+/* Gives up an order of instance @i that the executor does not answer. */
+static void
+lose_order (struct fsim *s, struct order_delivery *d, struct fexec *e)
+{
+  e->last_fault_ms = s->now_ms;
+  d->res.outcome = ORDER_LOST;
+  fsim_schedule (s, d->order.timeout_ms, fexec_deliver_result, d);
+}
+
+/* Lets the executor execute a copy of an order later, without an answer. */
+static void
+execute_later (struct fsim *s, int i, const struct order *o, struct fexec *e,
+               int64_t after_ms)
+{
+  struct order_delivery *delayed = fexec_delivery_new (s, i, o);
+
+  delayed->boot_start_ms = e->boot_start_ms;
+  fsim_schedule (s, after_ms, deliver_delayed_order, delayed);
+}
+
 void
 fexec_send_order (struct fsim *s, int i, const struct order *o)
 {
@@ -613,15 +642,23 @@
       fsim_schedule (s, sent_in_ms + FSIM_LINK_MS, fexec_deliver_result, d);
       return;
     }
-  if (o->kind != ORDER_POLL && fsim_random (s) < e->delayed_order_share)
+  if (s->now_ms < e->hung_until_ms)
     {
-      struct order_delivery *delayed = fexec_delivery_new (s, i, o);
-      delayed->boot_start_ms = e->boot_start_ms;
-      e->last_fault_ms = s->now_ms;
-      fsim_schedule (s, 2000 + (int64_t)(fsim_random (s) * 10000),
-                     deliver_delayed_order, delayed);
-      d->res.outcome = ORDER_LOST;
-      fsim_schedule (s, o->timeout_ms, fexec_deliver_result, d);
+      execute_later (s, i, o, e, e->hung_until_ms - s->now_ms);
+      lose_order (s, d, e);
+      return;
+    }
+  if (is_start_of (o, e->dropped_start)
+      || (o->kind == ORDER_STOP && e->drops_stops))
+    {
+      lose_order (s, d, e);
+      return;
+    }
+  if ((o->kind != ORDER_POLL && fsim_random (s) < e->delayed_order_share)
+      || is_start_of (o, e->late_start))
+    {
+      execute_later (s, i, o, e, 2000 + (int64_t)(fsim_random (s) * 10000));
+      lose_order (s, d, e);
       return;
     }
   d->poll_deadline_ms += sent_in_ms;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -172,6 +172,17 @@
   /* Share (0 to 1) of start and stop orders that are not answered and are
      executed 2 to 12 seconds later. */
   double delayed_order_share;
+  /* Start orders of the tasks with these indexes in their step, -1: of none.
+     The first are executed, but not answered; the second do not arrive; the
+     third are executed 2 to 12 seconds later, and not answered. */
+  int64_t lost_start;
+  int64_t dropped_start;
+  int64_t late_start;
+  bool drops_stops;  /* stop orders do not arrive */
+  bool silent_stops; /* stop orders are executed, but not answered */
+  /* The executor answers nothing until this time, and executes then what has
+     arrived meanwhile. */
+  int64_t hung_until_ms;
   /* Every order is executed on arrival and answered this much later. */
   int64_t answer_delay_ms;
   /* True if every run that starts on this executor fails. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -579,6 +579,7 @@
       e->capacity = *capacity;
       e->shrunk_ms = -FSIM_SHRUNK_AFTER_MS;
       e->boot_delay_ms = FSIM_BOOT_DELAY_MS;
+      e->lost_start = e->dropped_start = e->late_start = -1;
       fexec_reboot (s, e);
     }
   s->n_inst = instances;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -352,6 +352,17 @@
    lose-results        the share value (0 to 1) of results is lost
    delay-orders        the share value (0 to 1) of start and stop orders is not
                        answered, and is executed 2 to 12 seconds later
+   lose-start          start orders of tasks with the index value in their step
+                       are executed, but not answered; -1 ends the fault
+   drop-start          such start orders do not arrive; -1 ends the fault
+   late-start          such start orders are not answered, and are executed 2
+                       to 12 seconds later; -1 ends the fault
+   drop-stops          with value 1, stop orders do not arrive; 0 ends the
+                       fault
+   silence-stops       with value 1, stop orders are executed, but not
+                       answered; 0 ends the fault
+   hang                answers nothing for value ms, and then executes what has
+                       arrived; discovery lists the executor all the while
    slow-answers        orders are executed on arrival, and answered value ms
                        later; 0 ends the fault
    fail-runs           with value 1, every run that starts fails; 0 ends the
@@ -386,6 +397,18 @@
     e->lost_result_share = value;
   else if (strcmp (what, "delay-orders") == 0)
     e->delayed_order_share = value;
+  else if (strcmp (what, "lose-start") == 0)
+    e->lost_start = (int64_t)value;
+  else if (strcmp (what, "drop-start") == 0)
+    e->dropped_start = (int64_t)value;
+  else if (strcmp (what, "late-start") == 0)
+    e->late_start = (int64_t)value;
+  else if (strcmp (what, "drop-stops") == 0)
+    e->drops_stops = value > 0;
+  else if (strcmp (what, "silence-stops") == 0)
+    e->silent_stops = value > 0;
+  else if (strcmp (what, "hang") == 0)
+    e->hung_until_ms = sim->now_ms + (int64_t)value;
   else if (strcmp (what, "slow-answers") == 0)
     e->answer_delay_ms = (int64_t)value;
   else if (strcmp (what, "fail-runs") == 0)
