A gang waits no longer for a member whose stops stay unanswered

The answer to the start of one member is lost, the gang is stopped, and the executor answers polls but not the stop orders for that member, which it does not run. The log shows start, start-lost and stop, and no end; the whole gang waits as long as that leader leads, and the next one starts it again at once.

Cause: process_missing_run() ended a run that is being stopped only after an acknowledged stop. Without one the start order might still arrive.

Change: a start keeps the deadline of its last order. A list that an executor sends after that deadline, by its own clock, and that lacks the run, ends it: the executor refuses the start as late from then on. The leader relied on that before, when leases of a silent executor lapse and it answers again.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -181,6 +181,9 @@
      not yet. */
   int64_t start_acked_ms;
   int64_t answer_lost_ms; /* when an answer to the start was lost; 0: never */
+  /* Deadline of the last start order, on the executor's clock; 0: this leader
+     has sent none. */
+  int64_t deadline_ms;
   /* When the executor acknowledged a stop order; 0: not yet.  The run has
      ended once a list of runs that was requested later does not contain it. */
   int64_t stop_acked_ms;
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -547,6 +547,14 @@
          && e->boot_start_ms != boot_start_ms;
 }
 
+/* Returns whether the executor refuses the start orders for a run from the
+   reading @clock_ms of its clock on, as their deadline has passed. */
+static bool
+start_refused_since (const struct start *r, int64_t clock_ms)
+{
+  return r->deadline_ms && clock_ms - FSCHED_CLOCK_MARGIN_MS > r->deadline_ms;
+}
+
 /* Processes a start whose run is in neither list that the executor returned
    for the last poll; the lists are complete.  They do not show the effect of
    orders that were sent after the poll. */
@@ -570,8 +578,9 @@
                                                        : RUN_END_NOT_STARTED);
   else if (r->start_acked_ms && exec_has_new_boot (e, r->boot_start_ms))
     start_end (fs, r, RUN_END_REBOOTED);
-  else if (r->state == START_STOPPING && r->stop_acked_ms
-           && r->stop_acked_ms <= e->poll_sent_ms)
+  else if (r->state == START_STOPPING
+           && ((r->stop_acked_ms && r->stop_acked_ms <= e->poll_sent_ms)
+               || start_refused_since (r, res->clock_ms)))
     start_end (fs, r, RUN_END_NOT_STARTED);
   else if (r->state == START_UNCONFIRMED
            && r->answer_lost_ms < e->poll_sent_ms)
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -184,6 +184,7 @@
   set_task (o, r);
   o->payload = strdup (r->job->spec.payload ? r->job->spec.payload : "");
   o->lease_deadline_ms = exec_clock_now (fs, r->exec) + FSCHED_LEASE_MS;
+  r->deadline_ms = o->lease_deadline_ms;
   if (o->lease_deadline_ms > r->exec->lease_deadline_ms)
     r->exec->lease_deadline_ms = o->lease_deadline_ms;
   if (t->checkpoint)
