Advice is not asked about steps that their account's limit does not let start

Cause: place_gang() returns before anything is asked if the account has no room, but a step without tickets is not placed at all: place_job() let it be asked about whatever its account used. Its outstanding query, and an answered gang's reservation, held room from others too.

Change: a step is asked about, and room is kept for its answer, only while its account has room for it, all members of a gang included. The next steps are asked about when room is free again, not in time for it: the account's room stands free during a query. Not covered: all steps of an account that fit one by one are still asked about together.

--- a/core/fsched_account.c
+++ b/core/fsched_account.c
@@ -76,6 +76,14 @@
   return false;
 }
 
+bool
+account_may_start (struct fsched *fs, const struct job *j, int step)
+{
+  bool gang = j->spec.steps[step].gang;
+
+  return account_has_room (fs, j, step, gang ? j->steps[step].n_tasks : 1);
+}
+
 void
 account_add (struct fsched_tenant *t, const struct job_need *need, int sign)
 {
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -418,6 +418,10 @@
  */
 bool account_has_room (struct fsched *fs, const struct job *j, int step,
                        int n);
+/** account_may_start() - Return whether the limit of the job's client account
+ * leaves room for a waiting step: for all members of a gang, or for one task.
+ */
+bool account_may_start (struct fsched *fs, const struct job *j, int step);
 /** account_add() - Add a run that needs @need to the use of an account, or
  * subtract it if @sign is -1. */
 void account_add (struct fsched_tenant *t, const struct job_need *need,
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -309,7 +309,8 @@
       if (!placed && s->answer_new)
         why_answer_unused (fs, j, (int)i);
       s->answer_new = false;
-      s->query_due = !placed && needs_advice;
+      s->query_due
+          = !placed && needs_advice && account_may_start (fs, j, (int)i);
       if (s->query_due)
         room_reserve_gang (fs, j, (int)i);
     }
@@ -327,7 +328,7 @@
       s->query_due = s->ready && s->n_done + s->n_running < s->n_tasks
                      && j->spec.advice.base_ms > 0
                      && s->tickets_until_ms <= fs->now_ms
-                     && account_has_room (fs, j, (int)i, 1);
+                     && account_may_start (fs, j, (int)i);
     }
 }
 
@@ -518,7 +519,9 @@
       end = place_rank (fs, begin, n);
       for (int i = begin; i < end; i++)
         for (size_t k = 0; k < fs->ready_jobs[i]->spec.n_steps; k++)
-          room_keep (fs, fs->ready_jobs[i], (int)k);
+          if (fs->ready_jobs[i]->steps[k].n_asking > 0
+              && account_may_start (fs, fs->ready_jobs[i], (int)k))
+            room_keep (fs, fs->ready_jobs[i], (int)k);
       for (int i = begin; i < end; i++)
         query_job (fs, fs->ready_jobs[i]);
       if (end < n && same_rank (fs->ready_jobs[begin], fs->ready_jobs[end]))
--- a/regress/fleet/quota.lua
+++ b/regress/fleet/quota.lua
@@ -5,6 +5,8 @@
 local function conf(version, limit, text)
   return "version " .. version .. "\n" .. [[
 queue q 0 3 1.5 250 0 0
+queue asked 0 3 2.2 1000 310 4.4
+queue later 1 3 1.5 250 0 0
 tenant red 1000 0 k
 ]] .. (text or ("tenant blue 1000 " .. limit .. " b\n"))
 end
@@ -177,3 +179,54 @@
   submit_small_jobs(2, 11, (l + 1) % 3)
   run(9000)
 end)
+
+-- Submits gangs of blue that need advice, with tasks of one core each.
+local function submit_asked_gangs(first, count, tasks, ms)
+  for n = first, first + count - 1 do
+    job{id = id(n), queue = "asked", advice_base_us = 310000,
+        advice_per_exec_us = 4400,
+        steps = {{tasks = tasks, gang = true, ms = ms or 1000}}}
+    submit(n % 3, id(n), "b")
+  end
+end
+
+local function count_queries()
+  local _, n = calls()
+  return n
+end
+
+scenario("advice is not asked about steps of an account at its limit", function()
+  start()
+  submit_blue(1, 10, 8000)
+  run(500)
+  submit_asked_gangs(2, 12, 6)
+  run(5000)
+  expect(count_queries() == 0, count_queries() .. " queries")
+  run(9000)
+  expect(task(id(2), 0, 0) > 0, "no gang starts when there is room again")
+end)
+
+scenario("a gang that its account's limit does not let start is not asked about",
+  function()
+  start()
+  submit_blue(1, 5, 8000)
+  run(500)
+  submit_asked_gangs(2, 12, 6)
+  run(5000)
+  expect(count_queries() == 0, count_queries() .. " queries")
+end)
+
+scenario("steps of an account at its limit hold no room", function()
+  start()
+  submit_asked_gangs(2, 12, 10)
+  run(30)
+  submit_blue(1, 10, 8000)
+  run(100)
+  expect(running() == 10, running() .. " tasks run")
+  for n = 101, 140 do
+    job{id = id(n), queue = "later", steps = {{tasks = 1, ms = 3000}}}
+    submit(n % 3, id(n), "k")
+  end
+  run(150)
+  expect(running() == 48, running() .. " tasks run")
+end)
