Plays of what counts towards an account's limit at a new leader

Runs that have ended, or are stopped before or while the leader changes, count at the next one only until their executors have answered: ten waiting jobs of the account start within 500 ms. Those on executors that hang count until the old leases have ended, 7.1 s after the claim, as they may still be running.

--- a/regress/fleet/quota.lua
+++ b/regress/fleet/quota.lua
@@ -230,3 +230,62 @@
   run(150)
   expect(running() == 48, running() .. " tasks run")
 end)
+
+local OLD_LEASES_MS = 7120 -- EARLIER_RUNS_WAIT_MS
+
+-- Kills the leader, submits 11 jobs of blue, and waits for the next leader.
+local function change_leader()
+  local old = kill_leader()
+  submit_small_jobs(2, 11, (old + 1) % 3)
+  while leader() < 0 or leader() == old do run(10) end
+end
+
+-- Return: the number of the 11 jobs that have started.
+local function count_small_started()
+  local n = 0
+  for k = 2, 12 do if task(id(k)) > 0 then n = n + 1 end end
+  return n
+end
+
+local function cancel_job() request((leader() + 1) % 3, id(1), "cancel", "b") end
+
+for _, case in ipairs{
+  {"done", function() run(2600) end},
+  {"stopped", function() cancel_job() run(60) end},
+  {"to be stopped", cancel_job},
+} do
+  local name, ends = table.unpack(case)
+  scenario("runs that are " .. name .. " do not count at the next leader for long",
+    function()
+    start()
+    submit_blue(1, 10, 3000)
+    run(300)
+    expect(running() == 10, running() .. " tasks run")
+    ends()
+    change_leader()
+    run(500)
+    expect(count_small_started() == 10, count_small_started() .. " jobs started")
+  end)
+end
+
+scenario("stopped runs on executors that hang count while old leases hold",
+  function()
+  start()
+  submit_blue(1, 10, 20000)
+  run(500)
+  local hung = 0
+  for k = 0, 11 do
+    if hung < 4 and running(k) > 0 then
+      hung = hung + running(k)
+      exec(k, "hang", 30000)
+    end
+  end
+  cancel_job()
+  run(400)
+  change_leader()
+  run(500)
+  expect(count_small_started() == 10 - hung,
+         count_small_started() .. " jobs started, " .. hung .. " runs hung")
+  run(OLD_LEASES_MS)
+  expect(count_small_started() == 10, count_small_started() .. " jobs started")
+end)
