Test: no accepted job waits for 3 s although it could run

No scenario checked this: advice_shared.lua asks only whether jobs start in the end, with tasks of 300 ms, for which the room never lacks.

regress/fsim/standing.c finds such jobs from what the simulation knows, every 100 ms: what runs where, what advice permits, limits and use of accounts, which tasks have ended. It tells apart those that stand while less than half of the capacity is in use. A report of a done task that an executor loses in a crash no longer counts as its end.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -723,6 +723,12 @@
       if (stats)
         stats->n_running--;
     }
+  for (int i = 0; i < e->n_ends; i++)
+    {
+      struct ftask_stats *stats = find_task_stats (s, &e->ends[i].task);
+      if (stats)
+        stats->ended_done = stats->end_acked;
+    }
   e->n_runs = 0;
   e->n_ends = 0;
   e->last_end_seq = 0;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -40,6 +40,8 @@
   FSIM_STARTS_AFTER_CRASHES_MAX = 3,
   /* An account may run this much more than its limit, and one more task. */
   FSIM_QUOTA_OVERAGE_PERCENT = 10,
+  /* A job that could run for this long on end, and is not run, stands. */
+  FSTANDING_MS = 3000,
   /* A limit may be in force for this long after the next configuration was
      written: the users' bound for the use of a new configuration. */
   FSIM_CONF_APPLY_MS = 3000,
@@ -217,6 +219,14 @@
   int n_past_runs;
 };
 
+/** enum fstanding_kind - kinds of jobs that stand, see standing.c */
+enum fstanding_kind
+{
+  FSTANDING_ANY,
+  FSTANDING_IDLE, /* while less than half of the capacity is in use */
+  FSTANDING_N
+};
+
 /** struct fjob - a job of the simulation and the state of its tasks */
 struct fjob
 {
@@ -231,11 +241,16 @@
   double permitted_share;
   int n_crashing; /* number of tasks of its first step that crash executors */
   int64_t crash_after_ms; /* time from the start of such a task to the crash */
-  bool accepted;
-  bool refused;         /* every submission of the job was refused */
-  int64_t submitted_ms; /* time of the last submission */
-  int64_t done_ms;      /* unused */
-  int last_state;       /* unused */
+  bool accepted;          /* a caller was told that the job is accepted */
+  bool cancelled;         /* a caller has asked to cancel the job */
+  bool refused;           /* every submission of the job was refused */
+  int64_t submitted_ms;   /* time of the last submission */
+  int64_t done_ms;        /* unused */
+  int last_state;         /* unused */
+  /* Used by standing.c: the job has ended; and since when it could run at all
+     checks, 0: it could not at the last one. */
+  bool ended;
+  int64_t could_run_since_ms[FSTANDING_N];
   /* One element per task, in the order of steps and task indexes. */
   struct ftask_stats *stats;
   int n_stats;
@@ -313,6 +328,22 @@
   int64_t n_refused; /* number of queries refused as too many waited */
 };
 
+/** struct flongest - the longest time for which a job could run and was not
+ * run
+ */
+struct flongest
+{
+  int64_t ms;
+  char job[JOB_ID_SIZE]; /* id of the job; empty: there was none */
+};
+
+/** struct fstanding - check for jobs that wait although they could run */
+struct fstanding
+{
+  bool watches; /* the check is running */
+  struct flongest longest[FSTANDING_N];
+};
+
 /** struct fsim_instance - a simulated process of the scheduler */
 struct fsim_instance
 {
@@ -391,6 +422,10 @@
   struct fsim_call *calls;
   size_t n_calls;
   struct fadvice advice;
+  struct fstanding standing;
+  /* Answers of the advice service that led to no start, by enum unused_cause,
+     at processes that were killed. */
+  uint64_t answers_unused[UNUSED_N];
   int64_t n_advice_queries; /* queries that the advice service has received */
   int n_violations;
   char first_violation[256]; /* empty if no violation was reported */
@@ -499,6 +534,21 @@
  */
 void fquota_check (struct fsim *s, const struct fjob *j,
                    const struct job_need *need);
+/** fquota_lowest_limit() - Return the lowest limit of the account @tenant that
+ * may be in force, in millicores; INT64_MAX if it has none. */
+int64_t fquota_lowest_limit (const struct fsim *s, const char *tenant);
+
+/* The following functions are defined in standing.c. */
+
+/**
+ * fstanding_watch() - Check from now on which jobs could run, and forget the
+ * longest time so far.
+ */
+void fstanding_watch (struct fsim *s);
+/** fstanding_stands() - Return whether @j could have run for FSTANDING_MS on
+ * end, at all checks since fstanding_watch() was first called. */
+bool fstanding_stands (const struct fsim *s, const struct fjob *j,
+                       enum fstanding_kind kind);
 
 /* The following functions are defined in table.c. */
 
--- a/regress/fsim/quota.c
+++ b/regress/fsim/quota.c
@@ -95,3 +95,18 @@
                     j->spec.tenant, (long long)used.millicores,
                     (long long)highest->limit.millicores);
 }
+
+int64_t
+fquota_lowest_limit (const struct fsim *s, const char *tenant)
+{
+  int64_t lowest = INT64_MAX;
+
+  for (int i = 0; i < s->n_limits; i++)
+    {
+      const struct flimit *l = &s->limits[i];
+      if (strcmp (l->tenant, tenant) == 0 && l->in_force_until_ms >= s->now_ms
+          && l->limit.millicores && l->limit.millicores < lowest)
+        lowest = l->limit.millicores;
+    }
+  return lowest;
+}
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -417,11 +417,14 @@
 record_answer (struct fsim *s, const struct out *o)
 {
   struct fsim_call *c = &s->calls[o->u.answer.call - 1];
+  struct fjob *j = fsim_find_job (s, c->id);
 
   c->status = o->u.answer.status;
   c->retry_ms = o->u.answer.retry_ms;
   c->answered_ms = s->now_ms;
   c->body = o->u.answer.body ? strdup (o->u.answer.body) : NULL;
+  if (j && c->verb == FLEET_VERB_SUBMIT && c->status == 200)
+    j->accepted = true;
 }
 
 void
@@ -539,6 +542,9 @@
 {
   if (!s->inst[i]->up)
     return;
+  for (int cause = 0; cause < UNUSED_N; cause++)
+    s->answers_unused[cause]
+        += s->inst[i]->fleet.stats.fsched.answers_unused[cause];
   s->inst[i]->up = false;
   s->inst[i]->incarnation++;
   fleet_fini (&s->inst[i]->fleet);
@@ -673,6 +679,7 @@
   c->call_id = s->n_calls;
   c->instance = instance;
   c->verb = verb;
+  clb_copy (c->id, strrchr (path, '/') + 1, sizeof c->id);
   rq.request_id = c->call_id;
   rq.verb = verb;
   rq.host = "h";
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -197,6 +197,8 @@
   const char *what = luaL_optstring (l, 3, "state");
   char path[128];
 
+  if (j && strcmp (what, "cancel") == 0)
+    j->cancelled = true;
   snprintf (path, sizeof path, "/%s/%s", j ? j->spec.queue : "q",
             luaL_checkstring (l, 2));
   lua_pushinteger (
@@ -592,6 +594,65 @@
   return 1;
 }
 
+/* watch_standing(): begins to look for jobs that stand, see standing.c, or
+   forgets what was found so far */
+static int
+verb_watch_standing (lua_State *l)
+{
+  (void)l;
+  fstanding_watch (sim);
+  return 0;
+}
+
+/* standing([kind]): returns five values for a kind of standing, "any" or
+   "idle" (by default): the number of jobs that stand now; a table with their
+   numbers by queue; the longest time in ms for which a job could run and was
+   not run since watch_standing(), and the job's id; the number of accepted
+   jobs that have not ended */
+static int
+verb_standing (lua_State *l)
+{
+  static const char *const kinds[] = { "any", "idle", NULL };
+  int kind = luaL_checkoption (l, 1, "idle", kinds);
+  struct fjob *j;
+  lua_Integer n_standing = 0;
+  lua_Integer n_left = 0;
+
+  lua_newtable (l);
+  RB_FOREACH (j, fjob_tree, &sim->jobs)
+    {
+      n_left += j->accepted && !j->ended;
+      if (!fstanding_stands (sim, j, kind))
+        continue;
+      lua_getfield (l, -1, j->spec.queue);
+      lua_pushinteger (l, lua_tointeger (l, -1) + 1);
+      lua_setfield (l, -3, j->spec.queue);
+      lua_pop (l, 1);
+      n_standing++;
+    }
+  lua_pushinteger (l, n_standing);
+  lua_insert (l, -2);
+  lua_pushinteger (l, sim->standing.longest[kind].ms);
+  lua_pushstring (l, sim->standing.longest[kind].job);
+  lua_pushinteger (l, n_left);
+  return 5;
+}
+
+/* unused(cause): returns how many answers of the advice service led to no
+   start for the cause with this name, at all processes so far */
+static int
+verb_unused (lua_State *l)
+{
+  int cause = luaL_checkoption (l, 1, NULL, unused_cause_names);
+  uint64_t n = sim->answers_unused[cause];
+
+  for (int i = 0; i < sim->n_inst; i++)
+    if (sim->inst[i]->up)
+      n += sim->inst[i]->fleet.stats.fsched.answers_unused[cause];
+  lua_pushinteger (l, (lua_Integer)n);
+  return 1;
+}
+
 /* violations(): returns two values, the number of violations and the text of
    the first, which is empty if there is none */
 static int
@@ -663,6 +724,9 @@
   { "calls", verb_calls },
   { "proxied", verb_proxied },
   { "refused", verb_refused },
+  { "watch_standing", verb_watch_standing },
+  { "standing", verb_standing },
+  { "unused", verb_unused },
   { "violations", verb_violations },
   { "expect", verb_expect },
   { "scenario", verb_scenario },
