--- a/regress/fleet/large_walk.lua
+++ b/regress/fleet/large_walk.lua
@@ -5,6 +5,7 @@
 scenario("large jobs and small ones are completed despite random faults",
   function()
   start_fleet{instances = 4, execs = 8}
+  watch_standing()
   local n, calls = 0, {}
   local function submit_job()
     n = n + 1
@@ -35,7 +36,7 @@
     end
     while #end_functions > 0 do table.remove(end_functions)() end
   end
-  run(40000)
+  rest(40000, n)
   for i = 1, n do
     if answer(calls[i]) == 200 then
       local s = state(0, id(i))
--- a/regress/fleet/lib.lua
+++ b/regress/fleet/lib.lua
@@ -120,3 +120,21 @@
   for _, fault in ipairs(EXTRA_FAULTS or {}) do list[#list + 1] = fault end
   return list
 end
+
+-- Runs the simulation for the given time in ms after faults, and expects that
+-- from 7 s after their end on no job could have run for 3 s and was not run.
+-- n is the number of jobs, key_of returns the API key of one.
+function rest(for_ms, n, key_of)
+  local calm_ms = math.max(FAULTS_END_MS, now()) + 7000
+  local end_ms = now() + for_ms
+  -- A job that crashes executors may fail during this time.  It does not count
+  -- once a caller has been told so.
+  while now() < end_ms do
+    for i = 1, n do request(0, id(i), "state", key_of and key_of(i)) end
+    run(math.min(500, end_ms - now()))
+    if now() < calm_ms + 500 then watch_standing() end
+  end
+  local _, _, longest, longest_id = standing("any")
+  expect(longest < 3000, "job " .. longest_id .. " could run for " .. longest
+         .. " ms and was not run")
+end
--- a/regress/fleet/quota_walk.lua
+++ b/regress/fleet/quota_walk.lua
@@ -16,6 +16,7 @@
   end
   set_limits(24000, 16000)
   run(1500)
+  watch_standing()
   local n, jobs = 0, {}
   local function submit_job()
     n = n + 1
@@ -57,5 +58,5 @@
     end
     while #end_functions > 0 do table.remove(end_functions)() end
   end
-  run(15000)
+  rest(15000, n, function(i) return jobs[i] end)
 end)
--- a/regress/fleet/walk.lua
+++ b/regress/fleet/walk.lua
@@ -1,14 +1,9 @@
 dofile("regress/fleet/lib.lua")
 
-local REST_MS = 25000
-local CALM_MS = 7000
-local ASK_MS = 500
-
 -- Injects one or two random faults at a time while jobs are submitted.  Every
 -- accepted job must be completed or failed within 25 s after the last faults.
 scenario("accepted jobs are completed or failed despite random faults",
   function()
-  FAULTS_END_MS = 0
   start_fleet{instances = 4, execs = 8, permitted_percent = 80}
   watch_standing()
   local n, calls = 0, {}
@@ -44,18 +39,7 @@
     end
     while #end_functions > 0 do table.remove(end_functions)() end
   end
-  local calm_ms = math.max(FAULTS_END_MS, now()) + CALM_MS
-  local end_ms = now() + REST_MS
-  -- A job that crashes executors may fail during this time.  It does not count
-  -- once a caller has been told so.
-  while now() + ASK_MS <= end_ms do
-    for i = 1, n do request(0, id(i)) end
-    run(ASK_MS)
-    if now() < calm_ms + ASK_MS then watch_standing() end
-  end
-  local _, _, longest, longest_id = standing("any")
-  expect(longest < 3000, "job " .. longest_id .. " could run for " .. longest
-         .. " ms and was not run")
+  rest(25000, n)
   for i = 1, n do
     local status = answer(calls[i])
     if status == 200 then
