Large fleets use all lanes of the advice service

The log says lanes=35.3 instances=97 same=0.0 apart=16.7 from the first second of each term to its end.

Cause: without a pair of answers on one lane, the estimate is two lanes and two more for each pair that was handled beside each other. These pairs lose weight with each further one (0.94), so that they add up to 16.7 at most and the estimate to 35.3 lanes. With 48 instances or more, that is less than three quarters of them: the leader took the lanes for scarce for ever, sent at most 35 queries that are not short, in the order of length, and rejected jobs by a rate of 35 at most. A leader that inherits "one lane for each instance" started with 34.

Change: while no pair was on one lane, all pairs apart count, however old. An inherited "all" means all. The weights decide as before once a pair was on one lane.

A third one shows that 100 instances that come to share one or ten lanes are still noticed.

--- a/core/fsched_lanes.c
+++ b/core/fsched_lanes.c
@@ -92,6 +92,9 @@
   l->n_same
       = n_lanes < LANES_ALL ? (double)LANES_INHERITED_PAIRS / n_lanes : 0;
   l->n_apart = LANES_INHERITED_PAIRS - l->n_same;
+  /* However many instances there are, each has a lane. */
+  if (n_lanes >= LANES_ALL)
+    l->n_all_apart = HUGE_VAL;
 }
 
 /* Returns the estimated number of lanes, not limited by that of the
@@ -100,7 +103,7 @@
 estimate (const struct lanes *l)
 {
   return l->n_same > 0 ? (l->n_same + l->n_apart) / l->n_same
-                       : LANES_START + LANES_PER_PAIR * l->n_apart;
+                       : LANES_START + LANES_PER_PAIR * l->n_all_apart;
 }
 
 int
@@ -303,12 +306,14 @@
 {
   l->n_same *= PAIR_KEEP;
   l->n_apart *= PAIR_KEEP;
-  if (apart)
-    l->n_apart++;
-  else
-    l->n_same++;
-  if (apart)
-    l->trial_gap_ms = TRIAL_GAP_MS;
+  if (!apart)
+    {
+      l->n_same++;
+      return;
+    }
+  l->n_apart++;
+  l->n_all_apart++;
+  l->trial_gap_ms = TRIAL_GAP_MS;
 }
 
 /* Returns the number of lanes that the last answers prove.  What is announced
--- a/core/fsched_lanes.h
+++ b/core/fsched_lanes.h
@@ -34,6 +34,9 @@
      beside each other; older pairs count less. */
   double n_same;
   double n_apart;
+  /* All pairs that were handled beside each other.  While no pair was handled
+     one after the other, older ones count as much. */
+  double n_all_apart;
   /* Announced time of queries that were answered while others waited to be
      sent, and the length of that time; what is older counts less.  In ms. */
   double work_ms;
--- a/regress/unit/lanes_test.c
+++ b/regress/unit/lanes_test.c
@@ -10,8 +10,9 @@
 enum
 {
   INSTANCES = 9,
+  INSTANCES_MANY = 100,
   START_MS = 60000, /* present time at the start of a test */
-  QUERIES_MAX = 64,
+  QUERIES_MAX = 512,
   KINDS = 3,
 };
 
@@ -28,10 +29,11 @@
   struct fsched_stats stats;
   struct fsched *fs;
   struct fsched_queue *queues[KINDS];
-  int n_groups;              /* groups of instances; each has one lane */
-  double slow_factor;        /* time that queries take, as a multiple */
-  double free_ms[INSTANCES]; /* when each lane is free */
-  double waiting[KINDS];     /* queries that wait to be sent */
+  int n_instances;
+  int n_groups;                   /* groups of instances; each has one lane */
+  double slow_factor;             /* time that queries take, as a multiple */
+  double free_ms[INSTANCES_MANY]; /* when each lane is free */
+  double waiting[KINDS];          /* queries that wait to be sent */
   struct pending_order queries[QUERIES_MAX];
   double ends_ms[QUERIES_MAX]; /* when the service answers; 0: unused */
   double work_ms;              /* time that lanes have worked */
@@ -50,16 +52,19 @@
 static void
 greet (struct model *m)
 {
-  for (int i = 0; i < INSTANCES; i++)
-    fsched_adviser_seen (m->fs, (char[]){ 'n', '0' + (char)i, 0 }, "a", 250,
-                         m->fs->now_ms);
+  for (int i = 0; i < m->n_instances; i++)
+    fsched_adviser_seen (
+        m->fs, (char[]){ 'n', (char)('0' + i / 10), (char)('0' + i % 10), 0 },
+        "a", 250, m->fs->now_ms);
 }
 
 static void
-set_up (struct model *m, int n_groups, double slow_factor)
+set_up_fleet (struct model *m, int n_instances, int n_groups,
+              double slow_factor)
 {
   memset (m, 0, sizeof *m);
   m->last_token = 1;
+  m->n_instances = n_instances;
   m->n_groups = n_groups;
   m->slow_factor = slow_factor;
   TAILQ_INIT (&m->out);
@@ -71,6 +76,12 @@
   srand (1);
 }
 
+static void
+set_up (struct model *m, int n_groups, double slow_factor)
+{
+  set_up_fleet (m, INSTANCES, n_groups, slow_factor);
+}
+
 static void
 tear_down (struct model *m)
 {
@@ -268,6 +279,52 @@
   tear_down (&m);
 }
 
+static void
+test_many_instances_have_a_lane_each (void)
+{
+  static const double factors[] = { 1, 2, 5 };
+
+  for (size_t i = 0; i < sizeof factors / sizeof *factors; i++)
+    {
+      struct model m;
+      set_up_fleet (&m, INSTANCES_MANY, INSTANCES_MANY, factors[i]);
+      play (&m, 6000, 40 / factors[i]);
+      CU_ASSERT (!lanes_are_limited (m.fs));
+      CU_ASSERT_EQUAL (fsched_lanes_known (m.fs), LANES_ALL);
+      tear_down (&m);
+    }
+}
+
+static void
+test_many_instances_share_lanes (void)
+{
+  static const int lanes[] = { 1, 10 };
+
+  for (size_t i = 0; i < sizeof lanes / sizeof *lanes; i++)
+    {
+      struct model m;
+      set_up_fleet (&m, INSTANCES_MANY, INSTANCES_MANY, 1);
+      play (&m, 6000, 40);
+      m.n_groups = lanes[i];
+      play (&m, 30000, lanes[i]);
+      CU_ASSERT (lanes_are_shared (m.fs));
+      CU_ASSERT (lanes_count (m.fs) < 2 * lanes[i]);
+      tear_down (&m);
+    }
+}
+
+static void
+test_next_leader_of_many_instances_uses_all (void)
+{
+  struct model m;
+
+  set_up_fleet (&m, INSTANCES_MANY, INSTANCES_MANY, 1);
+  fsched_inherit_lanes (m.fs, LANES_ALL);
+  CU_ASSERT (!lanes_are_limited (m.fs));
+  CU_ASSERT_EQUAL (fsched_lanes_known (m.fs), LANES_ALL);
+  tear_down (&m);
+}
+
 UNIT_MAIN ("lanes",
            { "one caller has one lane", test_one_caller_has_one_lane },
            { "a slow service is not taken for a shared one",
@@ -279,4 +336,9 @@
            { "lanes grow only with evidence",
              test_lanes_grow_only_with_evidence },
            { "the next leader starts from the lanes known",
-             test_next_leader_starts_from_the_lanes_known })
+             test_next_leader_starts_from_the_lanes_known },
+           { "many instances have a lane each",
+             test_many_instances_have_a_lane_each },
+           { "many instances share lanes", test_many_instances_share_lanes },
+           { "the next leader of many instances uses all",
+             test_next_leader_of_many_instances_uses_all })
