--- a/regress/fleet/advice_shared.lua
+++ b/regress/fleet/advice_shared.lua
@@ -80,10 +80,10 @@
   end
 end
 
--- Submits jobs of all queues for a time, at a load from 0 to 1.
-local function traffic(for_ms, load)
+-- Submits jobs of all queues, or of some, for a time, at a load from 0 to 1.
+local function traffic(for_ms, load, queues)
   for _ = 1, for_ms / STEP_MS do
-    for _, queue in ipairs(site) do
+    for _, queue in ipairs(queues or site) do
       local expected = (load or 1) * queue.rate * STEP_MS / 1000
       while random() < expected do
         submit_job(queue)
@@ -240,3 +240,12 @@
   local k = count_jobs().wide
   expect(k.left == 0, k.left .. " of 4 long jobs have not started in 60 s")
 end)
+
+for _, name in ipairs{"small", "grown"} do
+  scenario("accepted jobs start while advice takes all instances for one and"
+           .. " all queries are long, " .. name, function()
+    start_site(name, 1)
+    traffic(25000, 1, {site[3]})
+    expect_all_started()
+  end)
+end
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -3,6 +3,7 @@
 #include "fsched_impl.h"
 #include "unit.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Refuses every text; a configuration decoder for struct fleet_codec. */
@@ -163,6 +164,43 @@
   fleet_fini (&follower);
 }
 
+/* A reply with a value out of range would be dropped as a whole. */
+static void
+test_reply_with_inherited_overload_is_readable (void)
+{
+  struct fleet leader;
+  struct mesh_msg hello = { .kind = MESH_HELLO, .from = "n2", .addr = "b" };
+  struct out *o;
+  int n_read = 0;
+
+  start_instance (&leader, 1796352007000);
+  leader.leader.state = LEADER_LEADING;
+  leader.leader.renewed_ms = 1000;
+  leader.fsched = fsched_new (&leader.out, &leader.last_token, 1000, 1, 0,
+                              &leader.stats.fsched);
+  fsched_inherit_overload (leader.fsched, "wide");
+  fleet_mesh_msg (&leader, 1100, &hello);
+  while ((o = fleet_next_out (&leader)))
+    {
+      struct mesh_msg reply = { 0 };
+      struct codec_err ce;
+      char *buf = NULL;
+      size_t len;
+      if (o->kind == OUT_FLEET_MSG && o->u.mesh.msg->kind == MESH_HELLO_REPLY
+          && mesh_pack (o->u.mesh.msg, &buf, &len) == 0
+          && mesh_unpack (buf, len, &reply, &ce) == 0)
+        {
+          n_read++;
+          CU_ASSERT_EQUAL (reply.n_overloads, 1);
+          mesh_clear (&reply);
+        }
+      free (buf);
+      out_free (o);
+    }
+  CU_ASSERT_EQUAL (n_read, 1);
+  fleet_fini (&leader);
+}
+
 UNIT_MAIN ("fleet",
            { "a restarted process uses other store tokens",
              test_store_tokens_of_restarted_process },
@@ -171,4 +209,6 @@
            { "a message without a rank keeps the last rank",
              test_missing_rank_keeps_last_rank },
            { "followers learn of overloaded queues",
-             test_followers_learn_of_overloaded_queues })
+             test_followers_learn_of_overloaded_queues },
+           { "a reply with an inherited overload is readable",
+             test_reply_with_inherited_overload_is_readable })
--- a/regress/unit/lanes_test.c
+++ b/regress/unit/lanes_test.c
@@ -32,6 +32,7 @@
   int n_instances;
   int n_groups;                   /* groups of instances; each has one lane */
   double slow_factor;             /* time that queries take, as a multiple */
+  int path_ms;                    /* time to the service and back, each */
   double free_ms[INSTANCES_MANY]; /* when each lane is free */
   double waiting[KINDS];          /* queries that wait to be sent */
   struct pending_order queries[QUERIES_MAX];
@@ -67,6 +68,7 @@
   m->n_instances = n_instances;
   m->n_groups = n_groups;
   m->slow_factor = slow_factor;
+  m->path_ms = 2;
   TAILQ_INIT (&m->out);
   m->fs = fsched_new (&m->out, &m->last_token, START_MS, 1, 0, &m->stats);
   greet (m);
@@ -111,7 +113,7 @@
                                           .sent_ms = fs->now_ms };
   adviser_query_sent (fs, &m->queries[i], m->queues[kind], durations_ms[kind]);
   lane = adviser % m->n_groups;
-  begin_ms = fmax (m->free_ms[lane], (double)fs->now_ms + 2);
+  begin_ms = fmax (m->free_ms[lane], (double)fs->now_ms + m->path_ms);
   m->free_ms[lane] = begin_ms + m->slow_factor * durations_ms[kind];
   m->ends_ms[i] = m->free_ms[lane];
   m->work_ms += m->slow_factor * durations_ms[kind];
@@ -129,7 +131,8 @@
     {
       fs->now_ms++;
       for (int i = 0; i < QUERIES_MAX; i++)
-        if (m->ends_ms[i] > 0 && m->ends_ms[i] + 2 <= (double)fs->now_ms)
+        if (m->ends_ms[i] > 0
+            && m->ends_ms[i] + m->path_ms <= (double)fs->now_ms)
           {
             m->ends_ms[i] = 0;
             adviser_query_ended (fs, &m->queries[i], ORDER_DONE,
@@ -325,20 +328,94 @@
   tear_down (&m);
 }
 
-UNIT_MAIN ("lanes",
-           { "one caller has one lane", test_one_caller_has_one_lane },
-           { "a slow service is not taken for a shared one",
-             test_slow_service_is_not_taken_for_a_shared_one },
-           { "belief follows the service", test_belief_follows_the_service },
-           { "one lane is always busy", test_one_lane_is_always_busy },
-           { "late short queries leave one long query",
-             test_late_short_queries_leave_one_long_query },
-           { "lanes grow only with evidence",
-             test_lanes_grow_only_with_evidence },
-           { "the next leader starts from the lanes known",
-             test_next_leader_starts_from_the_lanes_known },
-           { "many instances have a lane each",
-             test_many_instances_have_a_lane_each },
-           { "many instances share lanes", test_many_instances_share_lanes },
-           { "the next leader of many instances uses all",
-             test_next_leader_of_many_instances_uses_all })
+/* Lets only queries of one kind arrive in play(). */
+static void
+play_kind (struct model *m, int kind, int for_ms, double load)
+{
+  for (int t = 0; t < for_ms; t++)
+    {
+      m->waiting[kind] += load / durations_ms[kind];
+      play (m, 1, 0);
+    }
+}
+
+static void
+test_rate_does_not_limit_short_queries (void)
+{
+  struct model m;
+
+  set_up (&m, 1, 1);
+  play (&m, 8000, 1);
+  m.path_ms = 13;
+  m.slow_factor = 8;
+  play (&m, 8000, 1);
+  m.slow_factor = 1;
+  memset (m.waiting, 0, sizeof m.waiting);
+  play_kind (&m, 0, 4000, 2);
+  m.work_ms = 0;
+  play_kind (&m, 0, 10000, 2);
+  CU_ASSERT (lanes_are_shared (m.fs));
+  CU_ASSERT (m.work_ms >= 9000);
+  tear_down (&m);
+}
+
+static void
+test_short_queries_leave_no_residue (void)
+{
+  struct model m;
+  struct pending_order p[3];
+
+  set_up (&m, 1, 1);
+  play (&m, 8000, 1);
+  play (&m, 20000, 0);
+  CU_ASSERT (lanes_are_shared (m.fs));
+  for (int i = 0; i < 1000; i++)
+    {
+      for (int k = 0; k < 3; k++)
+        {
+          p[k] = (struct pending_order){ .duration_ms
+                                         = 7.2 + 0.1 * ((3 * i + k) % 300) };
+          lanes_query_sent (m.fs, &p[k]);
+        }
+      for (int k = 0; k < 3; k++)
+        lanes_query_left (m.fs, &p[k]);
+    }
+  CU_ASSERT (m.fs->lanes.short_out_ms <= 0 && m.fs->lanes.short_out_ms >= 0);
+  CU_ASSERT (lanes_admit (m.fs, ADVICE_QUEUED_MAX_MS));
+  tear_down (&m);
+}
+
+static void
+test_weak_evidence_is_not_passed_on (void)
+{
+  struct model m;
+
+  set_up_fleet (&m, INSTANCES_MANY, INSTANCES_MANY, 1);
+  for (int i = 0; i < 1000 && m.fs->lanes.n_all_apart < 1; i++)
+    play (&m, 1, 4);
+  CU_ASSERT (m.fs->lanes.n_all_apart >= 1);
+  CU_ASSERT (lanes_are_limited (m.fs));
+  CU_ASSERT_EQUAL (fsched_lanes_known (m.fs), 0);
+  tear_down (&m);
+}
+
+UNIT_MAIN (
+    "lanes", { "one caller has one lane", test_one_caller_has_one_lane },
+    { "a slow service is not taken for a shared one",
+      test_slow_service_is_not_taken_for_a_shared_one },
+    { "belief follows the service", test_belief_follows_the_service },
+    { "one lane is always busy", test_one_lane_is_always_busy },
+    { "late short queries leave one long query",
+      test_late_short_queries_leave_one_long_query },
+    { "lanes grow only with evidence", test_lanes_grow_only_with_evidence },
+    { "the next leader starts from the lanes known",
+      test_next_leader_starts_from_the_lanes_known },
+    { "many instances have a lane each",
+      test_many_instances_have_a_lane_each },
+    { "many instances share lanes", test_many_instances_share_lanes },
+    { "the next leader of many instances uses all",
+      test_next_leader_of_many_instances_uses_all },
+    { "the rate does not limit short queries",
+      test_rate_does_not_limit_short_queries },
+    { "short queries leave no residue", test_short_queries_leave_no_residue },
+    { "weak evidence is not passed on", test_weak_evidence_is_not_passed_on })
