--- a/regress/fleet/advice_large.lua
+++ b/regress/fleet/advice_large.lua
@@ -22,9 +22,9 @@
 local FINISH_MS = 14000 -- the users' finish_s
 local jobs = {}
 
-local function start_site(permitted_percent)
+local function start_site(permitted_percent, instances)
   jobs = {}
-  start_fleet{instances = INSTANCES, execs = EXECS, cores = 64, mem = 131072,
+  start_fleet{instances = instances or INSTANCES, execs = EXECS, cores = 64, mem = 131072,
               permitted_percent = permitted_percent or 45, ticket_ms = 1500}
   run(1500)
   advice("jitter", 0.1)
@@ -156,3 +156,22 @@
   expect(not is_rejected(n), "a job is rejected after the end of the trouble")
   expect(n_rejected("quick") == 0, "short jobs were rejected")
 end)
+
+scenario("long queries use most instances of a fleet of 64", function()
+  start_site(100, 64)
+  local function wide_traffic(for_ms)
+    for _ = 1, for_ms / 20 do
+      for _ = 1, 2 do submit_job("wide", 1) end
+      run(20)
+    end
+  end
+  wide_traffic(5000)
+  local _, _, _, _, before_ms = calls()
+  wide_traffic(4000)
+  local _, _, _, _, after_ms = calls()
+  local lanes = (after_ms - before_ms) / 4000
+  if os.getenv("SHOW") then print("lanes", lanes) end
+  expect(lanes >= 45, "the service handles " .. lanes .. " queries at a time")
+  expect(n_rejected() == 0, n_rejected() .. " jobs were rejected")
+  expect_all_started(FINISH_MS)
+end)
