A gang is asked about once, not four times, while no executor has room for it

Callers saw gangs wait for tens of seconds for advice while all instances were busy with queries about other gangs.

A step with a query under way sends no further one unless it names an executor that has room, as was so after the first answer already.

--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -223,7 +223,8 @@
     return ADVICE_BLOCKED;
   choice_execs (fs, j, step, n_waiting, &execs);
   /* Without room, the tickets of a further answer would expire unused. */
-  if (execs.n == 0 || (s->n_queries > 0 && !any_has_room (&execs)))
+  if (execs.n == 0
+      || ((s->n_queries > 0 || s->n_asking > 0) && !any_has_room (&execs)))
     {
       s->needs_more_names = false;
       recheck_denied (fs, j, step);
--- a/regress/fleet/gang.lua
+++ b/regress/fleet/gang.lua
@@ -107,3 +107,21 @@
   end
   expect(waiting == 0, waiting .. " gangs have not started after 15 s")
 end)
+
+scenario("a gang is asked about once while no executor has room for it", function()
+  CONFIG = CONFIG:gsub("310 4.4", "540 7.7 1500")
+  start_fleet{instances = 8, execs = 300, cores = 4, permitted_percent = 30,
+              ticket_ms = 1500}
+  job{id = id(1), steps = {{tasks = 300, cpu = 3000, ms = 20000}}}
+  submit(0, id(1))
+  run(3000)
+  expect(running() == 300, running() .. " tasks run")
+  local _, before = calls()
+  job{id = id(2), queue = "wide", advice_base_us = 540000,
+      advice_per_exec_us = 7700,
+      steps = {{tasks = 20, cpu = 2000, gang = true, ms = 500}}}
+  submit(0, id(2))
+  run(2500)
+  local _, after = calls()
+  expect(after - before == 1, after - before .. " queries were sent")
+end)
