Renewed tickets do not prolong how long a gang is held back

A gang notes since when reserved room alone keeps it from starting, and takes that room after a ticket's lifetime at the latest; one that needs no advice after its expected run time.

room_test.c: the test with renewed tickets fails before.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -307,6 +307,9 @@
      for it as a gang that does not fit yet. */
   bool query_due;
   bool room_reserved;
+  /* Since when reserved room alone has kept the gang from starting; 0: it does
+     not, or other things do too. */
+  int64_t held_back_ms;
   int hold_kind; /* enum hold_kind, while room_reserved is set */
   /* When room was first reserved for it, in passes without a break, and the
      number of the last one. */
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -248,35 +248,61 @@
                                   : place_single_tasks (fs, j, step, view);
 }
 
-/* Returns whether a gang could still start after the next pass, if no other
-   step takes the room.  One that needs no advice can; it counts as if it could
-   not once it has waited for as long as it is expected to run. */
+/* Returns whether all members of a gang fit, reserved room included, on
+   executors that it may start on for @for_ms at least. */
 static bool
-may_start_later (struct fsched *fs, const struct job *j, int step)
+gang_fits (struct fsched *fs, const struct job *j, int step, int64_t for_ms)
 {
   const struct jstep *s = &j->steps[step];
-  int needed = s->n_tasks;
+  bool advice = j->spec.advice.base_ms > 0;
+  int n_left = s->n_tasks;
 
-  if (j->spec.advice.base_ms <= 0)
-    return fs->now_ms - s->ready_ms < estim_predict (
-               &j->queue_stats->run_times, j->spec.steps[step].estimate_ms);
-  for (int i = 0; i < fs->n_eligible && needed > 0; i++)
+  for (int i = 0; i < fs->n_eligible && n_left > 0; i++)
     {
       const struct exec *e = fs->eligible[i];
       if (exec_usable (e, j, step)
-          && permit_valid_for (fs, s, e,
-                               FSCHED_TICKET_MARGIN_MS + PASS_GAP_MAX_MS))
-        needed -= room_count (e, j, step, needed, ROOM_ALL);
+          && (!advice || permit_valid_for (fs, s, e, for_ms)))
+        n_left -= room_count (e, j, step, n_left, ROOM_ALL);
     }
-  return needed <= 0;
+  return n_left <= 0;
+}
+
+/* Returns for how long reserved room may keep a gang from starting, in ms: a
+   ticket's lifetime or, without advice, as long as the gang is expected to
+   run. */
+static int64_t
+held_back_max_ms (const struct job *j, int step)
+{
+  return j->spec.advice.base_ms > 0
+             ? j->spec.advice.valid_ms
+             : estim_predict (&j->queue_stats->run_times,
+                              j->spec.steps[step].estimate_ms);
+}
+
+/* Returns whether room that is reserved for more urgent steps still keeps a
+   gang from starting, or all its members do not fit anyway. */
+static bool
+is_held_back (struct fsched *fs, const struct job *j, int step)
+{
+  struct jstep *s = &j->steps[step];
+
+  if (!gang_fits (fs, j, step, FSCHED_TICKET_MARGIN_MS))
+    {
+      s->held_back_ms = 0;
+      return true;
+    }
+  if (!s->held_back_ms)
+    s->held_back_ms = fs->now_ms;
+  return fs->now_ms - s->held_back_ms < held_back_max_ms (j, step)
+         && gang_fits (fs, j, step, FSCHED_TICKET_MARGIN_MS + PASS_GAP_MAX_MS);
 }
 
 /*
  * Places the tasks of a step that needs no advice or has tickets.  Room that
  * is reserved for a step of the same rank is not kept from it: otherwise steps
  * that each hold room for their next answer could keep each other waiting.
- * Room that is reserved for more urgent steps is, but from a gang only until
- * it could not start any more after the next pass: the room for all members is
+ * Room that is reserved for more urgent steps is, but from a gang for a
+ * limited time only, and not beyond its tickets: the room for all members is
  * rarely free of reservations at once.  Returns as place_gang() does.
  */
 static bool
@@ -288,7 +314,7 @@
     return false;
   if (place_in_view (fs, j, step, ROOM_OF_RANK))
     return true;
-  return j->spec.steps[step].gang && !may_start_later (fs, j, step)
+  return j->spec.steps[step].gang && !is_held_back (fs, j, step)
          && place_in_view (fs, j, step, ROOM_ALL);
 }
 
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -82,6 +82,7 @@
   set_pending (fs, r, state == START_INTENT);
   j->steps[step].n_running += !t->done;
   j->steps[step].n_queries = 0;
+  j->steps[step].held_back_ms = 0;
   TAILQ_INSERT_TAIL (&e->runs, r, exec_link);
   adjust_use (r, 1);
   return r;
--- a/regress/unit/room_test.c
+++ b/regress/unit/room_test.c
@@ -44,6 +44,18 @@
   return fsched_find_job (s->x.fs, id)->task_started;
 }
 
+/* Lets the tickets of a job be valid for their whole lifetime from now on, as
+   further answers do. */
+static void
+renew_tickets (struct service *s, const char *id)
+{
+  struct jstep *step = &fsched_find_job (s->x.fs, id)->steps[0];
+
+  for (int i = 0; i < step->n_permits; i++)
+    step->permits[i].valid_until_ms = s->x.now_ms + VALID_MS;
+  step->tickets_until_ms = s->x.now_ms + VALID_MS;
+}
+
 static void
 test_gang_with_tickets_is_held_back_until_they_expire_at_most (void)
 {
@@ -58,6 +70,23 @@
   tear_down (&s.x);
 }
 
+static void
+test_gang_whose_tickets_are_renewed_is_held_back_no_longer (void)
+{
+  struct service s;
+
+  set_up_held_gang (&s);
+  answer_query (&s, &s.queries[0], 0);
+  for (int t = 0; t < VALID_MS; t += VALID_MS / 10)
+    {
+      run_for (&s, VALID_MS / 10, -1);
+      renew_tickets (&s, "0000000000000001");
+    }
+  run_for (&s, 400, -1);
+  CU_ASSERT (has_started (&s, "0000000000000001"));
+  tear_down (&s.x);
+}
+
 static void
 test_gang_with_tickets_takes_room_reserved_for_an_equal_gang (void)
 {
@@ -81,5 +110,7 @@
              test_log_names_the_job_that_room_is_reserved_for },
            { "a gang with tickets is held back until they expire at most",
              test_gang_with_tickets_is_held_back_until_they_expire_at_most },
+           { "a gang whose tickets are renewed is held back no longer",
+             test_gang_whose_tickets_are_renewed_is_held_back_no_longer },
            { "a gang with tickets takes room reserved for an equal gang",
              test_gang_with_tickets_takes_room_reserved_for_an_equal_gang })
