fsim: no gang with tickets and room waits for longer than a ticket's lifetime

The bound on how long reserved room may keep a gang from starting is checked in all scenarios and walks: every 50 ms, from what the leader believes. The time in which it may not give orders, or has 64 pending starts, does not count.

--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -56,6 +56,8 @@
   /* Number of past changes that a feed of the table can return.  The simulated
      table does not enforce this limit. */
   FSIM_HISTORY_MAX = 100000,
+  /* Maximum number of gangs that fheld_check() observes at a time. */
+  FSIM_HELD_MAX = 256,
 };
 
 struct fsim;
@@ -346,6 +348,14 @@
   char job[JOB_ID_SIZE]; /* id of the job; empty: there was none */
 };
 
+/** struct fheld - a gang that could start, see heldback.c */
+struct fheld
+{
+  const struct jstep *step; /* borrowed; valid at seen_ms only */
+  int64_t since_ms;         /* when it could first start */
+  int64_t seen_ms;          /* time of the last check that found it */
+};
+
 /** struct fstanding - check for jobs that wait although they could run */
 struct fstanding
 {
@@ -434,6 +444,8 @@
   size_t n_calls;
   struct fadvice advice;
   struct fstanding standing;
+  struct fheld held[FSIM_HELD_MAX];
+  int64_t held_checked_ms; /* time of the last fheld_check() */
   /* Answers of the advice service that led to no start, by enum unused_cause,
      at processes that were killed. */
   uint64_t answers_unused[UNUSED_N];
@@ -556,6 +568,9 @@
  * longest time so far.
  */
 void fstanding_watch (struct fsim *s);
+/** fheld_check() - Report gangs that reserved room keeps from starting for too
+ * long; called as an event, which schedules the next check. */
+void fheld_check (struct fsim *s, void *arg);
 /** fstanding_stands() - Return whether @j could have run for FSTANDING_MS on
  * end, at all checks since fstanding_watch() was first called. */
 bool fstanding_stands (const struct fsim *s, const struct fjob *j,
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -598,6 +598,7 @@
       fsim_start_instance (s, i);
     }
   fsim_schedule (s, 5, on_exec_timer, NULL);
+  fsim_schedule (s, 5, fheld_check, NULL);
   return s;
 }
 
