Steps that hold room pass each other over within bounds only

Reserved room alone keeps a step from being asked about and from starting for a ticket's lifetime in all: after that its queries name all room, and its answer lets it start. Steps that are not gangs may take room of gangs that do not fit yet, but none that is kept for answers. A gang counts the CPU that others take from the room it holds; once it is as much as it needs itself, only steps of jobs accepted before it may take more. So the job that was accepted first is passed over by none but more urgent ones that start, and each other one by as much work as its own and by older jobs.

The log names the step that holds room from the query on, and none that got no room. Known red: room_record_test.c, a slow table.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -307,9 +307,12 @@
      for it as a gang that does not fit yet. */
   bool query_due;
   bool room_reserved;
-  /* Since when reserved room alone has kept the gang from starting; 0: it does
-     not, or other things do too. */
+  /* Since when reserved room alone has kept the step from being asked about
+     again, or a gang from starting; 0: other things do, or nothing. */
   int64_t held_back_ms;
+  /* CPU of what has started in room that was reserved for the gang while it
+     did not fit, in millicores. */
+  int64_t passed_millicores;
   int hold_kind; /* enum hold_kind, while room_reserved is set */
   /* When room was first reserved for it, in passes without a break, and the
      number of the last one. */
@@ -500,8 +503,16 @@
   /* The part of it that is kept free for jobs of higher ranks than that which
      the pass is placing, see place_rank(). */
   struct job_need reserved_above;
+  /* The part of it for gangs that do not fit yet, by whether others may still
+     pass them over, see room_pass_over(); and the firm part of
+     reserved_above. */
+  struct job_need reserved_gangs;
+  struct job_need reserved_firm;
+  struct job_need firm_above;
+  /* When the first of the jobs that reserved_firm is for was accepted. */
+  int64_t firm_arrival_ms;
   /* The most urgent step that room is reserved for; NULL: there is none. */
-  const struct jstep *holder;
+  struct jstep *holder;
   bool eligible; /* the current placing pass may give tasks to the executor */
   /* Number of orphans in the executor's last list: runs whose job is unknown,
      or whose task has another run. */
@@ -858,6 +869,8 @@
   int queries_left;
   bool asking_due;      /* steps in fsched_queue::asking may be asked about */
   int64_t next_aged_ms; /* earliest time of the next query about an old one */
+  /* Longest lifetime of a ticket of a step that room was reserved for. */
+  int64_t longest_ticket_ms;
   /* CPU that the current pass may still reserve for gangs that do not fit. */
   int64_t gang_reserve_millicores;
   /* Advice queries that are outstanding, overdue or not, and the long ones
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -234,7 +234,7 @@
   adviser = adviser_pick (fs, duration_ms);
   if (adviser < 0)
     return ADVICE_BLOCKED;
-  room_reserve_named (j, step, &execs, n_waiting);
+  room_reserve_named (fs, j, step, &execs, n_waiting);
   send_query (fs, j, step, &execs, adviser, duration_ms);
   advice_find_free (fs);
   return ADVICE_SENT;
--- a/core/fsched_choice.c
+++ b/core/fsched_choice.c
@@ -112,9 +112,10 @@
 }
 
 /* Collects what a query about a step may name, those with the most capacity
-   first. */
+   first.  @view: enum room_view */
 static void
-collect_choice (struct fsched *fs, struct job *j, int step, struct choice *c)
+collect_choice (struct fsched *fs, struct job *j, int step, int view,
+                struct choice *c)
 {
   struct jstep *s = &j->steps[step];
   int64_t until_ms = ticket_needed_until_ms (fs, j, step);
@@ -136,7 +137,7 @@
         p->state = PERMIT_UNKNOWN;
       if (p->state == PERMIT_DENIED)
         continue;
-      fits = room_fits (e, j, step);
+      fits = room_fits (e, j, step, view);
       if (p->state == PERMIT_UNKNOWN)
         c->unknown[c->n_unknown++] = (struct named_exec){ e, fits };
       else if (p->state == PERMIT_QUERIED)
@@ -163,6 +164,52 @@
   free (c->unknown);
 }
 
+/* Returns whether the step is expected to start on what a query may name. */
+static bool
+has_room (const struct choice *c, double share, int n_needed)
+{
+  double n = c->permitted_fits + c->expected_fits;
+
+  for (size_t i = 0; i < c->n_unknown && n < n_needed; i++)
+    n += share * c->unknown[i].fits;
+  return n >= n_needed;
+}
+
+/*
+ * Collects what a query about a step may name, as collect_choice() does.  Room
+ * that is reserved for other steps is left to them, but not for longer than
+ * room_held_max_ms(): a gang that does not fit yet may hold it for as long as
+ * other tasks run.
+ */
+static void
+collect_within_bound (struct fsched *fs, struct job *j, int step,
+                      struct choice *c)
+{
+  struct jstep *s = &j->steps[step];
+  double share = j->queue_stats->permitted_share;
+  int n_needed = j->spec.steps[step].gang ? step_waiting (s) : 1;
+  struct choice all = { 0 };
+
+  collect_choice (fs, j, step, ROOM_UNRESERVED, c);
+  if (s->n_queries == 0 || has_room (c, share, n_needed))
+    {
+      s->held_back_ms = 0;
+      return;
+    }
+  collect_choice (fs, j, step, ROOM_ALL, &all);
+  if (!has_room (&all, share, n_needed))
+    s->held_back_ms = 0;
+  else if (!s->held_back_ms)
+    s->held_back_ms = fs->now_ms;
+  else if (fs->now_ms - s->held_back_ms >= room_held_max_ms (fs, j))
+    {
+      clear_choice (c);
+      *c = all;
+      return;
+    }
+  clear_choice (&all);
+}
+
 static void
 add_named (struct named_execs *out, const struct named_exec *cand)
 {
@@ -244,7 +291,7 @@
   double share = j->queue_stats->permitted_share;
   struct choice c = { 0 };
 
-  collect_choice (fs, j, step, &c);
+  collect_within_bound (fs, j, step, &c);
   if (j->spec.steps[step].gang)
     choose_gang_execs (&c, share, n_waiting, out);
   else
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -579,8 +579,11 @@
 enum room_view
 {
   ROOM_UNRESERVED, /* what is not reserved for any step */
-  ROOM_OF_RANK,    /* also what is reserved for steps of its own rank */
-  ROOM_ALL,        /* all that no start uses */
+  /* Also what is reserved for steps of its own rank, unless firmly. */
+  ROOM_OF_RANK,
+  /* What is not reserved, or for gangs that do not fit yet and not firmly. */
+  ROOM_OF_GANGS,
+  ROOM_ALL, /* all that no start uses, and that is not reserved firmly */
 };
 
 /** room_count() - Return the number of a step's tasks, at most @max, that an
@@ -588,9 +591,18 @@
  * @view: enum room_view */
 int room_count (const struct exec *e, const struct job *j, int step, int max,
                 int view);
+/**
+ * room_pass_over() - Account for a start of a task of step @step in room that
+ * may be reserved for a gang that does not fit yet.
+ *
+ * What is reserved for the gang is firm once as much CPU as it needs itself
+ * was taken from it: only steps of jobs that were accepted before may take it
+ * then.
+ */
+void room_pass_over (const struct exec *e, const struct job *j, int step);
 /** room_reserve_named() - Reserve room for @n_waiting tasks of a step on the
  * executors that a query names. */
-void room_reserve_named (const struct job *j, int step,
+void room_reserve_named (struct fsched *fs, struct job *j, int step,
                          const struct named_execs *execs, int n_waiting);
 /**
  * room_keep() - In the current pass, reserve room for a step on the executors
@@ -602,8 +614,17 @@
  * permitted executors for a gang that does not fit yet. */
 void room_reserve_gang (struct fsched *fs, struct job *j, int step);
 /** room_fits() - Return the number of a step's tasks that an executor has
- * capacity for, with what is reserved for the step itself. */
-int room_fits (const struct exec *e, const struct job *j, int step);
+ * capacity for, with what is reserved for the step itself.
+ * @view: enum room_view */
+int room_fits (const struct exec *e, const struct job *j, int step, int view);
+/**
+ * room_held_max_ms() - Return for how long reserved room alone may keep a step
+ * from being asked about, and a gang from starting.
+ *
+ * Return: the lifetime of the step's tickets or, without advice, of those of
+ * the steps that room is reserved for; in ms.
+ */
+int64_t room_held_max_ms (const struct fsched *fs, const struct job *j);
 /** room_could_start() - Return whether the executors that a step is permitted
  * could start it if they were idle. */
 bool room_could_start (struct fsched *fs, struct job *j, int step);
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -117,6 +117,7 @@
       e = best_fit (fs, j, step, view);
       if (!e)
         return false;
+      room_pass_over (e, j, step);
       intent_add (fs,
                   start_new (fs, j, step, i, e, t->next_run_id, START_INTENT));
     }
@@ -234,6 +235,7 @@
       while (candidates[next].fits == 0)
         next++;
       candidates[next].fits--;
+      room_pass_over (candidates[next].e, j, step);
       intent_add (fs, start_new (fs, j, step, i, candidates[next].e, run_id,
                                  START_INTENT));
     }
@@ -248,74 +250,60 @@
                                   : place_single_tasks (fs, j, step, view);
 }
 
-/* Returns whether all members of a gang fit, reserved room included, on
-   executors that it may start on for @for_ms at least. */
+/* Returns whether a step's tasks, all of a gang or one otherwise, fit in a
+   view on executors that they may start on for @for_ms at least. */
 static bool
-gang_fits (struct fsched *fs, const struct job *j, int step, int64_t for_ms)
+step_fits (struct fsched *fs, const struct job *j, int step, int view,
+           int64_t for_ms)
 {
   const struct jstep *s = &j->steps[step];
   bool advice = j->spec.advice.base_ms > 0;
-  int n_left = s->n_tasks;
+  int n_left = j->spec.steps[step].gang ? s->n_tasks : 1;
 
   for (int i = 0; i < fs->n_eligible && n_left > 0; i++)
     {
       const struct exec *e = fs->eligible[i];
       if (exec_usable (e, j, step)
           && (!advice || permit_valid_for (fs, s, e, for_ms)))
-        n_left -= room_count (e, j, step, n_left, ROOM_ALL);
+        n_left -= room_count (e, j, step, n_left, view);
     }
   return n_left <= 0;
 }
 
-/* Returns for how long reserved room may keep a gang from starting, in ms: a
-   ticket's lifetime or, without advice, as long as the gang is expected to
-   run. */
-static int64_t
-held_back_max_ms (const struct job *j, int step)
-{
-  return j->spec.advice.base_ms > 0
-             ? j->spec.advice.valid_ms
-             : estim_predict (&j->queue_stats->run_times,
-                              j->spec.steps[step].estimate_ms);
-}
-
 /* Returns whether room that is reserved for more urgent steps still keeps a
-   gang from starting, or all its members do not fit anyway. */
+   step from starting, or it does not fit anyway. */
 static bool
-is_held_back (struct fsched *fs, const struct job *j, int step)
+is_held_back (struct fsched *fs, const struct job *j, int step, int view)
 {
   struct jstep *s = &j->steps[step];
 
-  if (!gang_fits (fs, j, step, FSCHED_TICKET_MARGIN_MS))
-    {
-      s->held_back_ms = 0;
-      return true;
-    }
+  if (!step_fits (fs, j, step, view, FSCHED_TICKET_MARGIN_MS))
+    return true;
   if (!s->held_back_ms)
     s->held_back_ms = fs->now_ms;
-  return fs->now_ms - s->held_back_ms < held_back_max_ms (j, step)
-         && gang_fits (fs, j, step, FSCHED_TICKET_MARGIN_MS + PASS_GAP_MAX_MS);
+  return fs->now_ms - s->held_back_ms < room_held_max_ms (fs, j)
+         && step_fits (fs, j, step, view,
+                       FSCHED_TICKET_MARGIN_MS + PASS_GAP_MAX_MS);
 }
 
 /*
  * Places the tasks of a step that needs no advice or has tickets.  Room that
  * is reserved for a step of the same rank is not kept from it: otherwise steps
  * that each hold room for their next answer could keep each other waiting.
- * Room that is reserved for more urgent steps is, but from a gang for a
- * limited time only, and not beyond its tickets: the room for all members is
- * rarely free of reservations at once.  Returns as place_gang() does.
+ * Room that is reserved for more urgent steps is, for a limited time and not
+ * beyond its tickets; that for the answers to queries only from a gang, as the
+ * room for all members is rarely free of reservations at once.  Returns as
+ * place_gang() does.
  */
 static bool
 place_step (struct fsched *fs, struct job *j, int step)
 {
-  if (place_in_view (fs, j, step, ROOM_UNRESERVED))
-    return true;
-  if (j->steps[step].n_running > 0)
-    return false;
-  if (place_in_view (fs, j, step, ROOM_OF_RANK))
-    return true;
-  return j->spec.steps[step].gang && !is_held_back (fs, j, step)
-         && place_in_view (fs, j, step, ROOM_ALL);
+  int view = j->spec.steps[step].gang ? ROOM_ALL : ROOM_OF_GANGS;
+
+  return place_in_view (fs, j, step, ROOM_UNRESERVED)
+         || place_in_view (fs, j, step, ROOM_OF_RANK)
+         || (!is_held_back (fs, j, step, view)
+             && place_in_view (fs, j, step, view));
 }
 
 /* Places the tasks of a job's ready steps. */
@@ -400,6 +388,8 @@
     {
       e->eligible = exec_eligible (fs, e);
       e->reserved = (struct job_need){ 0 };
+      e->reserved_gangs = e->reserved_firm = (struct job_need){ 0 };
+      e->firm_arrival_ms = 0;
       e->holder = NULL;
       if (!e->eligible)
         continue;
@@ -519,7 +509,11 @@
   int i;
 
   for (int k = 0; k < fs->n_eligible; k++)
-    fs->eligible[k]->reserved_above = fs->eligible[k]->reserved;
+    {
+      struct exec *e = fs->eligible[k];
+      e->reserved_above = e->reserved;
+      e->firm_above = e->reserved_firm;
+    }
   for (i = begin; i < n && same_rank (first, fs->ready_jobs[i]); i++)
     {
       if (i % CAPACITY_CHECK_JOBS == 0 && !has_free_capacity (fs))
--- a/core/fsched_room.c
+++ b/core/fsched_room.c
@@ -5,57 +5,134 @@
  */
 #include "fsched_impl.h"
 
+/* Returns @a and @sign times @b. */
+static struct job_need
+add_need (struct job_need a, const struct job_need *b, int sign)
+{
+  a.millicores += sign * b->millicores;
+  a.mem_mb += sign * b->mem_mb;
+  a.accels += sign * b->accels;
+  return a;
+}
+
+/* Returns what a view of a job leaves out of the room on an executor. */
+static struct job_need
+reserved_in (const struct exec *e, const struct job *j, int view)
+{
+  bool passes_firm = j->arrival_ms < e->firm_arrival_ms;
+  struct job_need firm;
+
+  switch (view)
+    {
+    case ROOM_OF_RANK:
+      if (passes_firm)
+        return e->reserved_above;
+      firm = add_need (e->reserved_firm, &e->firm_above, -1);
+      return add_need (e->reserved_above, &firm, 1);
+    case ROOM_OF_GANGS:
+      firm = add_need (e->reserved, &e->reserved_gangs, -1);
+      return passes_firm ? add_need (firm, &e->reserved_firm, -1) : firm;
+    case ROOM_ALL:
+      return passes_firm ? (struct job_need){ 0 } : e->reserved_firm;
+    default:
+      return e->reserved;
+    }
+}
+
 int
 room_count (const struct exec *e, const struct job *j, int step, int max,
             int view)
 {
-  struct exec seen;
-
-  if (view == ROOM_UNRESERVED)
-    return exec_fit_count (e, j, step, max);
-  seen = *e;
-  seen.reserved
-      = view == ROOM_OF_RANK ? e->reserved_above : (struct job_need){ 0 };
-  return exec_fit_count (&seen, j, step, max);
+  struct exec seen = *e;
+  int n;
+
+  seen.reserved = reserved_in (e, j, view);
+  n = exec_fit_count (&seen, j, step, max);
+  return n > 0 ? n : 0;
+}
+
+/* Returns whether no other step may pass over a gang any more. */
+static bool
+is_firm (const struct job *j, int step)
+{
+  const struct jstep *s = &j->steps[step];
+
+  return s->passed_millicores
+         >= s->n_tasks * j->spec.steps[step].need.millicores;
+}
+
+void
+room_pass_over (const struct exec *e, const struct job *j, int step)
+{
+  struct jstep *holder = e->holder;
+
+  if (holder && holder != &j->steps[step] && holder->hold_kind == HOLD_GANG)
+    holder->passed_millicores += j->spec.steps[step].need.millicores;
+}
+
+int64_t
+room_held_max_ms (const struct fsched *fs, const struct job *j)
+{
+  return j->spec.advice.base_ms > 0 ? j->spec.advice.valid_ms
+                                    : fs->longest_ticket_ms;
 }
 
 /* Reserves capacity on @e for at most @max tasks of the step, so that less
    urgent work does not get it in this pass.  Returns the number of tasks that
    capacity was reserved for. */
 static int
-reserve_capacity (struct exec *e, const struct job *j, int step, int max)
+reserve_capacity (struct exec *e, struct job *j, int step, int max,
+                  enum hold_kind kind)
 {
   const struct job_step *s = &j->spec.steps[step];
   int n = exec_fit_count (e, j, step, max);
-
-  if (n > 0 && !e->holder)
+  struct job_need sum
+      = { .millicores = s->best_effort_cpu ? 0 : n * s->need.millicores,
+          .mem_mb = n * s->need.mem_mb,
+          .accels = n * s->need.accels };
+
+  if (n <= 0)
+    return 0;
+  if (!e->holder)
     e->holder = &j->steps[step];
-  if (!s->best_effort_cpu)
-    e->reserved.millicores += n * s->need.millicores;
-  e->reserved.mem_mb += n * s->need.mem_mb;
-  e->reserved.accels += n * s->need.accels;
+  e->reserved = add_need (e->reserved, &sum, 1);
+  if (kind == HOLD_GANG && is_firm (j, step))
+    {
+      e->reserved_firm = add_need (e->reserved_firm, &sum, 1);
+      if (!e->firm_arrival_ms || j->arrival_ms < e->firm_arrival_ms)
+        e->firm_arrival_ms = j->arrival_ms;
+    }
+  else if (kind == HOLD_GANG)
+    e->reserved_gangs = add_need (e->reserved_gangs, &sum, 1);
   return n;
 }
 
-void
-room_reserve_named (const struct job *j, int step,
-                    const struct named_execs *execs, int n_waiting)
-{
-  for (size_t i = 0; i < execs->n && n_waiting > 0; i++)
-    n_waiting -= reserve_capacity (execs->list[i].e, j, step, n_waiting);
-}
-
 /* Notes that the present pass reserves room for a step. */
 static void
 mark_held (struct fsched *fs, struct jstep *s, enum hold_kind kind)
 {
-  s->room_reserved = true;
+  int64_t ticket_ms = s->job->spec.advice.valid_ms;
+
+  if (ticket_ms > fs->longest_ticket_ms)
+    fs->longest_ticket_ms = ticket_ms;
   s->hold_kind = kind;
   if (s->held_pass + 1 < fs->stats->passes)
     s->held_since_ms = fs->now_ms;
   s->held_pass = fs->stats->passes;
 }
 
+void
+room_reserve_named (struct fsched *fs, struct job *j, int step,
+                    const struct named_execs *execs, int n_waiting)
+{
+  int n_left = n_waiting;
+
+  for (size_t i = 0; i < execs->n && n_left > 0; i++)
+    n_left -= reserve_capacity (execs->list[i].e, j, step, n_left, HOLD_QUERY);
+  if (n_left < n_waiting)
+    mark_held (fs, &j->steps[step], HOLD_QUERY);
+}
+
 /* Reserves capacity for the waiting tasks of a step: for HOLD_GANG on the
    executors that it is permitted, else on those that its outstanding queries
    name. */
@@ -78,10 +155,12 @@
       p = &s->permits[e->index];
       if (asked ? !p->asked : p->state != PERMIT_ALLOWED)
         continue;
-      p->n_reserved = reserve_capacity (e, j, step, n_waiting);
+      p->n_reserved = reserve_capacity (e, j, step, n_waiting, kind);
       n_waiting -= p->n_reserved;
     }
-  mark_held (fs, s, kind);
+  s->room_reserved = true;
+  if (n_waiting < step_waiting (s))
+    mark_held (fs, s, kind);
 }
 
 void
@@ -94,7 +173,7 @@
 }
 
 int
-room_fits (const struct exec *e, const struct job *j, int step)
+room_fits (const struct exec *e, const struct job *j, int step, int view)
 {
   const struct job_step *spec = &j->spec.steps[step];
   const struct jstep *s = &j->steps[step];
@@ -103,8 +182,8 @@
               ? s->permits[e->index].n_reserved
               : 0;
 
-  if (n == 0)
-    return exec_fit_count (e, j, step, s->n_tasks);
+  if (n == 0 || view != ROOM_UNRESERVED)
+    return room_count (e, j, step, s->n_tasks, view);
   own = *e;
   if (!spec->best_effort_cpu)
     own.reserved.millicores -= n * spec->need.millicores;
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -83,6 +83,7 @@
   j->steps[step].n_running += !t->done;
   j->steps[step].n_queries = 0;
   j->steps[step].held_back_ms = 0;
+  j->steps[step].passed_millicores = 0;
   TAILQ_INSERT_TAIL (&e->runs, r, exec_link);
   adjust_use (r, 1);
   return r;
--- /dev/null
+++ b/regress/unit/room_record_test.c
@@ -0,0 +1,73 @@
+/* Test of a gang that is held back while the table is slow. */
+#include "advice_fixture.h"
+
+enum
+{
+  LONG_ADVICE_MS = 5000, /* announced duration of a query that stays open */
+  TARGET_MS = 60000,     /* latency objective of a job that is on time */
+};
+
+/* Lets a late gang have tickets while all room is reserved for the answer to
+   the query about a job that is on time. */
+static void
+set_up_held_gang (struct service *s)
+{
+  set_up_service (s);
+  fsched_adviser_seen (s->x.fs, "i2", "10.0.0.9:80", 0, 0);
+  add_advised_step (s, "0000000000000001", 2, true, 0);
+  run_for (s, 40, -1);
+  CU_ASSERT_EQUAL_FATAL (s->n_queries, 1);
+  s->advice_ms = LONG_ADVICE_MS;
+  add_advised_step (s, "0000000000000002", EXECS * CORES, true, TARGET_MS);
+  run_for (s, 40, -1);
+  CU_ASSERT_EQUAL_FATAL (s->n_queries, 2);
+}
+
+static bool
+has_started (const struct service *s, const char *id)
+{
+  return fsched_find_job (s->x.fs, id)->task_started;
+}
+
+/* As run_for() with queries that are answered at once, until a job has
+   started; each write of records takes @write_ms. */
+static void
+run_slow_table (struct service *s, const char *id, int64_t write_ms,
+                int64_t for_ms)
+{
+  int64_t end_ms = s->x.now_ms + for_ms;
+  int64_t written_ms = 0;
+
+  while (s->x.now_ms < end_ms && !has_started (s, id))
+    {
+      int n = s->n_queries;
+      s->x.now_ms += STEP_MS;
+      fsched_tick (s->x.fs, s->x.now_ms, true);
+      if (s->x.now_ms >= written_ms)
+        {
+          if (written_ms)
+            fsched_recorded (s->x.fs);
+          collect (&s->x);
+          written_ms = s->x.now_ms + write_ms;
+        }
+      take_orders (s);
+      for (int i = n; i < s->n_queries; i++)
+        answer_query (s, &s->queries[i], 0);
+    }
+}
+
+static void
+test_held_gang_starts_though_its_record_takes_time (void)
+{
+  struct service s;
+
+  set_up_held_gang (&s);
+  answer_query (&s, &s.queries[0], 0);
+  run_slow_table (&s, "0000000000000001", 220, 3 * VALID_MS);
+  CU_ASSERT (has_started (&s, "0000000000000001"));
+  tear_down (&s.x);
+}
+
+UNIT_MAIN ("room record",
+           { "a held gang starts though its record takes time",
+             test_held_gang_starts_though_its_record_takes_time })
--- a/regress/unit/room_test.c
+++ b/regress/unit/room_test.c
@@ -105,6 +105,39 @@
   tear_down (&s.x);
 }
 
+/* Sets the number of cores of the last executor. */
+static void
+set_last_cores (struct service *s, int cores)
+{
+  struct exec_report rep
+      = { .capacity = { .millicores = cores * 1000, .mem_mb = 1000 } };
+
+  clb_copy (rep.id, "e3", sizeof rep.id);
+  clb_copy (rep.addr, "10.0.0.1:80", sizeof rep.addr);
+  clb_copy (rep.service, "svc", sizeof rep.service);
+  fsched_exec_report (s->x.fs, &rep);
+}
+
+static void
+test_gang_is_asked_about_although_a_larger_one_holds_room (void)
+{
+  struct service s;
+
+  set_up_service (&s);
+  fsched_adviser_seen (s.x.fs, "i2", "10.0.0.9:80", 0, 0);
+  add_job (&s.x, "0000000000000000", EXECS * CORES - 3, false);
+  run_for (&s, 100, -1);
+  set_last_cores (&s, 1);
+  add_advised_step (&s, "0000000000000001", 4, true, 0);
+  add_advised_step (&s, "0000000000000002", 3, true, 0);
+  run_for (&s, VALID_MS + 500, 20);
+  CU_ASSERT (!has_started (&s, "0000000000000002"));
+  set_last_cores (&s, CORES);
+  run_for (&s, VALID_MS + 500, 20);
+  CU_ASSERT (has_started (&s, "0000000000000002"));
+  tear_down (&s.x);
+}
+
 UNIT_MAIN ("room",
            { "the log names the job that room is reserved for",
              test_log_names_the_job_that_room_is_reserved_for },
@@ -113,4 +146,6 @@
            { "a gang whose tickets are renewed is held back no longer",
              test_gang_whose_tickets_are_renewed_is_held_back_no_longer },
            { "a gang with tickets takes room reserved for an equal gang",
-             test_gang_with_tickets_takes_room_reserved_for_an_equal_gang })
+             test_gang_with_tickets_takes_room_reserved_for_an_equal_gang },
+           { "a gang is asked about although a larger one holds room",
+             test_gang_is_asked_about_although_a_larger_one_holds_room })
