A gang that an answer did not let start names more executors in its next query

Callers saw gangs wait for several seconds while half of the fleet was idle: each query names as few executors as are expected to suffice, and with one of nine permitted the next names nine again. A gang of 11 took five queries of 0.6 s beside 30 idle instances.

Each answer that did not let the gang start adds as many tasks as it has to what the next query is to find, as a query takes much longer than its names.

--- a/core/fsched_choice.c
+++ b/core/fsched_choice.c
@@ -253,15 +253,19 @@
   return n_expected;
 }
 
-/* Fills @out for a query about a gang, all of whose members need valid tickets
-   at the same time. */
+/*
+ * Fills @out for a query about a gang, all of whose members need valid tickets
+ * at the same time.  Each of the @n_answers that did not let it start adds to
+ * the executors that the next query names, as a query takes much longer than
+ * its names; 0 while the service has no time to spare.
+ */
 static void
 choose_gang_execs (const struct choice *c, double share, int n_waiting,
-                   struct named_execs *out)
+                   int n_answers, struct named_execs *out)
 {
   int n_wanted = n_waiting + n_waiting / GANG_SPARE_FRACTION;
-  double n_lacking
-      = SPARE_FACTOR * n_waiting - c->permitted_fits - c->expected_fits;
+  double n_lacking = (double)SPARE_FACTOR * (n_answers + 1) * n_waiting
+                     - c->permitted_fits - c->expected_fits;
 
   if (c->permitted_fits >= n_waiting)
     {
@@ -293,7 +297,8 @@
 
   collect_within_bound (fs, j, step, &c);
   if (j->spec.steps[step].gang)
-    choose_gang_execs (&c, share, n_waiting, out);
+    choose_gang_execs (&c, share, n_waiting,
+                       lanes_are_limited (fs) ? 0 : s->n_queries, out);
   else
     {
       add_expired (&c, out, SPARE_FACTOR * n_waiting);
