A gang is held back no longer if passes are rare

A gang that room for more urgent steps keeps from starting takes it before its tickets expire, but counted on a pass every 200 ms. With thousands of jobs, or a leader that lacks processor time, passes are rarer, and the tickets expired unused. The time between the last two passes over all jobs counts if it is longer.

room_test.c: the test with passes 490 ms apart fails before.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -836,6 +836,7 @@
      are over those that were URGENCY_ON_TIME in the pass before. */
   int64_t next_whole_pass_ms;
   int64_t last_whole_pass_ms; /* when the last pass over all jobs began */
+  int64_t whole_pass_gap_ms;  /* time between the last two of them */
   /* Time of the next pass if nothing changes before; 0: none. */
   int64_t retry_pass_ms;
   struct store_limits limits; /* of the table service */
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -270,6 +270,18 @@
   return n_left <= 0;
 }
 
+/* Returns for how long a ticket must still be valid so that the start may wait
+   for the next pass that considers the step, in ms. */
+static int64_t
+wait_needs_ms (const struct fsched *fs)
+{
+  int64_t gap_ms = fs->whole_pass_gap_ms > PASS_GAP_MAX_MS
+                       ? fs->whole_pass_gap_ms
+                       : PASS_GAP_MAX_MS;
+
+  return FSCHED_TICKET_MARGIN_MS + gap_ms;
+}
+
 /* Returns whether room that is reserved for more urgent steps still keeps a
    step from starting, or it does not fit anyway. */
 static bool
@@ -282,8 +294,7 @@
   if (!s->held_back_ms)
     s->held_back_ms = fs->now_ms;
   return fs->now_ms - s->held_back_ms < room_held_max_ms (fs, j)
-         && step_fits (fs, j, step, view,
-                       FSCHED_TICKET_MARGIN_MS + PASS_GAP_MAX_MS);
+         && step_fits (fs, j, step, view, wait_needs_ms (fs));
 }
 
 /*
@@ -586,7 +597,10 @@
     return;
   fs->queries_left = max_queries (fs, whole);
   if (whole)
-    fs->last_whole_pass_ms = fs->now_ms;
+    {
+      fs->whole_pass_gap_ms = fs->now_ms - fs->last_whole_pass_ms;
+      fs->last_whole_pass_ms = fs->now_ms;
+    }
   advice_find_free (fs);
   place_and_query (fs, n);
 }
--- a/regress/unit/room_test.c
+++ b/regress/unit/room_test.c
@@ -138,6 +138,55 @@
   tear_down (&s.x);
 }
 
+/* Lets the scheduler work every @gap_ms until a job has started, for at most
+   @for_ms.  New queries are answered at once. */
+static void
+run_rarely (struct service *s, const char *id, int64_t gap_ms, int64_t for_ms)
+{
+  int64_t end_ms = s->x.now_ms + for_ms;
+
+  while (s->x.now_ms < end_ms && !has_started (s, id))
+    {
+      int n = s->n_queries;
+      run_for (s, STEP_MS, -1);
+      for (int i = n; i < s->n_queries; i++)
+        answer_query (s, &s->queries[i], 0);
+      s->x.now_ms += gap_ms - STEP_MS;
+    }
+}
+
+static void
+test_gang_with_tickets_starts_though_passes_are_rare (void)
+{
+  struct service s;
+
+  set_up_held_gang (&s);
+  answer_query (&s, &s.queries[0], 0);
+  run_rarely (&s, "0000000000000001", 490, 3 * VALID_MS);
+  CU_ASSERT (has_started (&s, "0000000000000001"));
+  tear_down (&s.x);
+}
+
+static void
+test_log_says_since_when_a_query_of_this_pass_reserves_room (void)
+{
+  struct service s;
+
+  set_up_service (&s);
+  fsched_adviser_seen (s.x.fs, "i2", "10.0.0.9:80", 0, 0);
+  add_advised_step (&s, "0000000000000001", 2, true, 0);
+  run_for (&s, 100, -1);
+  CU_ASSERT_EQUAL_FATAL (s.n_queries, 1);
+  s.advice_ms = LONG_ADVICE_MS;
+  add_advised_step (&s, "0000000000000002", EXECS * CORES, true, TARGET_MS);
+  answer_query (&s, &s.queries[0], 0);
+  s.text = "reserved_for=0000000000000002 reserved_class=0 hold=query "
+           "reserved_ms=0";
+  run_for (&s, STEP_MS, -1);
+  CU_ASSERT_EQUAL (s.n_lines, 1);
+  tear_down (&s.x);
+}
+
 UNIT_MAIN ("room",
            { "the log names the job that room is reserved for",
              test_log_names_the_job_that_room_is_reserved_for },
@@ -148,4 +197,8 @@
            { "a gang with tickets takes room reserved for an equal gang",
              test_gang_with_tickets_takes_room_reserved_for_an_equal_gang },
            { "a gang is asked about although a larger one holds room",
-             test_gang_is_asked_about_although_a_larger_one_holds_room })
+             test_gang_is_asked_about_although_a_larger_one_holds_room },
+           { "a gang with tickets starts though passes are rare",
+             test_gang_with_tickets_starts_though_passes_are_rare },
+           { "the log says since when a query of this pass reserves room",
+             test_log_says_since_when_a_query_of_this_pass_reserves_room })
