--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -68,7 +68,7 @@
 {
   const struct jstep *s = &j->steps[step];
   struct exec unreserved = *e;
-  int n_free = exec_fit_count (e, j, step, s->n_tasks);
+  int n_free = room_fits (e, j, step, ROOM_UNRESERVED);
   int n;
 
   unreserved.reserved = (struct job_need){ 0 };
