--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -2,11 +2,12 @@
  * fleet-standin - serves a stand-in of the fleet's platform on the loopback
  * interface: the table service, the executors and the advice service.
  *
- * usage: fleet-standin [-c CORES] [-m MEM_MB] [-n RACK] [-a IP]...
+ * usage: fleet-standin [-c CORES] [-m MEM_MB] [-n RACK] [-z ZONES] [-a IP]...
  *                      PORT EXECUTORS CONFIG [ADVERTISED-OFFSET]
  *
  * Each executor has CORES (16) and MEM_MB (32768).  RACK (0: all) executors
- * are in a rack.  Besides 127.0.0.1, the advice service listens on each IP.
+ * are in a rack.  The executors are in ZONES (1) zones a, b, c..., in turn.
+ * Besides 127.0.0.1, the advice service listens on each IP.
  *
  * EXECUTORS is the number of executors.  CONFIG is a file with the fleet's
  * configuration at the start.  ADVERTISED-OFFSET (default 0) is added to the
@@ -22,6 +23,7 @@
  * further violations (see regress/fsim/execs.c).  It reads commands from
  * standard input, one per line (MS is a time in ms):
  *   table down MS       the table refuses all calls for MS
+ *   table late MS       from now on, the table's answers come MS later
  *   table lost SHARE    from now on, until the next such command, each write
  *                       is executed but not answered with the probability
  *                       SHARE (0 to 1; 0 at the start)
@@ -32,6 +34,10 @@
  *   exec K crash        ends the boot of executor K; all its runs are lost
  *   exec K reborn       begins a new boot of executor K
  *   exec K cut MS       executor K does not answer for MS
+ *   exec K late MS      from now on, the answers of executor K come MS later
+ *   exec K lost SHARE   from now on, executor K answers a SHARE (0 to 1; 0 at
+ *                       the start) of start and stop orders never; half of
+ *                       these it executes at once, half 2 to 12 s later
  *   exec K fails 0|1    with 1, every run that starts on executor K fails;
  *                       0 ends the fault
  *   advice FAULT VALUE  begins or ends a fault of the advice service, see
@@ -40,15 +46,16 @@
  *   queue DIGIT NAME SHARE
  *                       jobs whose ids begin with DIGIT are of queue NAME, for
  *                       which SHARE of the executors are permitted
- *   left IN OUT         reads jobs from IN, a line "ID CPU MEM_MB TASKS..."
- *                       for each, with the tasks of every step.  Writes a
- *                       line "ID STARTED_MS LEFT DONE" for each to OUT: the
- *                       time of its first start by CLOCK_MONOTONIC (0: none),
- *                       1 if it could run but has nothing running, see
- *                       job_is_left(), and 1 if all its steps are done.  The
- *                       last line is "end CORES LAG_MS": cores in use, and the
- *                       longest time between two calls of the stand-in's timer
- *                       since the last command
+ *   left IN OUT         reads jobs from IN, a line "ID ACCOUNT CPU MEM_MB
+ *                       GANG TASKS..." for each, with GANG 0 or 1 and the
+ *                       tasks of every step.
+ *                       Writes a line "ID STARTED_MS LEFT DONE" for each to
+ *                       OUT: the time of its first start by CLOCK_MONOTONIC
+ *                       (0: none), whether it could run but has nothing
+ *                       running (enum left), and 1 if all its steps are done.
+ *                       The last line is "end CORES LAG_MS": cores in use, and
+ *                       the longest time between two calls of the stand-in's
+ *                       timer since the last command
  *   config FILE         replaces the fleet's configuration by the text in FILE
  *   entry ID FILE       replaces the discovery entry of the executor with this
  *                       id, or adds one, by the text in FILE
@@ -74,6 +81,22 @@
   /* Largest accepted body of a request, in bytes. */
   BODY_MAX = 4 << 20,
   STEP_NONE = -2, /* see step_at_turn() */
+  ZONES_MAX = 26, /* largest number of zones */
+  /* An order that is executed late is executed between these times after its
+     arrival. */
+  LATE_ORDER_MIN_MS = 2000,
+  LATE_ORDER_MAX_MS = 12000,
+};
+
+/* enum left - whether a job could run but has nothing running */
+enum left
+{
+  LEFT_NOT,  /* it runs, is done, or executors lack room for it twice over */
+  LEFT_IDLE, /* it could run */
+  LEFT_HELD, /* its client account's limit has no room for it */
+  /* It could run, and its account uses less than half of its limit, and the
+     runs less than half of the executors: the users' rule counts it. */
+  LEFT_RULE,
 };
 
 /* struct server - a listening socket of the stand-in */
@@ -98,8 +121,33 @@
   struct order order; /* the poll; used if server->exec is not NULL */
 };
 
+/* struct late_answer - an answer that is sent later */
+struct late_answer
+{
+  TAILQ_ENTRY (late_answer) link;
+  struct server *server;
+  uint64_t request_id;
+  int64_t due_ms;
+  int status;
+  char *text; /* owned */
+};
+
+/* struct late_order - an order that is not answered and executed later */
+struct late_order
+{
+  TAILQ_ENTRY (late_order) link;
+  struct fexec *exec;
+  int64_t boot_start_ms; /* a later boot does not execute it */
+  int64_t due_ms;
+  struct order order; /* owns its payload */
+};
+
 static TAILQ_HEAD (, pending_request)
     pending_requests = TAILQ_HEAD_INITIALIZER (pending_requests);
+static TAILQ_HEAD (, late_answer)
+    late_answers = TAILQ_HEAD_INITIALIZER (late_answers);
+static TAILQ_HEAD (, late_order)
+    late_orders = TAILQ_HEAD_INITIALIZER (late_orders);
 static struct fsim *sim;
 static struct server table_server;
 static struct server *exec_servers;
@@ -108,6 +156,9 @@
 static int advertised_offset;
 /* Number of executors in a rack; 0: all are in one. */
 static int rack_size;
+static int n_zones = 1;
+/* Time by which the table's answers are late. */
+static int64_t table_late_ms;
 /* Time of the last call of on_timer(), and the longest time between two calls
    since the last command "left". */
 static int64_t timer_ms;
@@ -125,15 +176,53 @@
   return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000 - start_ms;
 }
 
-/* Answers a request with @json.  The function takes ownership of @json. */
+static void
+send_answer (struct server *s, uint64_t request_id, int status,
+             const char *text)
+{
+  httpd_answer (s->http, request_id, status, "application/json", text,
+                strlen (text), 0);
+}
+
+/* Answers a request with @json, later if the server is late.  The function
+   takes ownership of @json. */
 static void
 answer_json (struct server *s, uint64_t request_id, int status, json_t *json)
 {
   clb_auto char *text = json_dumps (json, JSON_COMPACT);
+  int64_t late_ms = s->exec ? s->exec->answer_delay_ms : table_late_ms;
+  struct late_answer *a;
 
-  httpd_answer (s->http, request_id, status, "application/json", text,
-                strlen (text), 0);
   json_decref (json);
+  if (late_ms <= 0)
+    {
+      send_answer (s, request_id, status, text);
+      return;
+    }
+  a = calloc (1, sizeof *a);
+  a->server = s;
+  a->request_id = request_id;
+  a->due_ms = now () + late_ms;
+  a->status = status;
+  a->text = text;
+  text = NULL;
+  TAILQ_INSERT_TAIL (&late_answers, a, link);
+}
+
+/* Sends the late answers that are due. */
+static void
+send_late_answers (void)
+{
+  struct late_answer *a, *next;
+
+  TAILQ_FOREACH_SAFE (a, &late_answers, link, next)
+    if (now () >= a->due_ms)
+      {
+        TAILQ_REMOVE (&late_answers, a, link);
+        send_answer (a->server, a->request_id, a->status, a->text);
+        free (a->text);
+        free (a);
+      }
 }
 
 /* Functions of the table service. */
@@ -538,6 +627,77 @@
   j->submitted_ms = now () + start_ms;
 }
 
+/* Return: true if the executor is up and not cut off. */
+static bool
+can_answer (const struct fexec *e)
+{
+  return e->up && now () >= e->partitioned_until_ms;
+}
+
+/* Executes an order without an answer.  The function takes ownership of the
+   payload. */
+static void
+execute_unanswered (struct fexec *e, struct order *o)
+{
+  struct order_result res = { 0 };
+
+  e->last_fault_ms = sim->now_ms;
+  register_job (o);
+  free (o->payload);
+  o->payload = NULL;
+  fexec_apply (sim, e, o, true, true, &res);
+  order_result_clear (&res);
+}
+
+static void
+execute_late_orders (void)
+{
+  struct late_order *l, *next;
+
+  TAILQ_FOREACH_SAFE (l, &late_orders, link, next)
+    {
+      if (now () < l->due_ms)
+        continue;
+      TAILQ_REMOVE (&late_orders, l, link);
+      if (can_answer (l->exec) && l->boot_start_ms == l->exec->boot_start_ms)
+        execute_unanswered (l->exec, &l->order);
+      free (l->order.payload);
+      free (l);
+    }
+}
+
+/* Loses the answer to an order, if chance says so: executes the order now or
+   later.  Takes ownership of the payload then.
+
+   Return: true if the order must not be answered. */
+static bool
+lose_answer (struct fexec *e, struct order *o)
+{
+  struct late_order *l;
+  double chance;
+
+  if (o->kind == ORDER_POLL || e->lost_result_share <= 0)
+    return false;
+  chance = fsim_random (sim);
+  if (chance >= e->lost_result_share)
+    return false;
+  if (chance < e->lost_result_share / 2)
+    {
+      execute_unanswered (e, o);
+      return true;
+    }
+  l = calloc (1, sizeof *l);
+  l->exec = e;
+  l->boot_start_ms = e->boot_start_ms;
+  l->due_ms = now () + LATE_ORDER_MIN_MS
+              + (int64_t)(fsim_random (sim)
+                          * (LATE_ORDER_MAX_MS - LATE_ORDER_MIN_MS));
+  l->order = *o;
+  e->last_fault_ms = sim->now_ms;
+  TAILQ_INSERT_TAIL (&late_orders, l, link);
+  return true;
+}
+
 static void
 on_exec_request (void *arg, const struct httpd_req *rq)
 {
@@ -546,13 +706,18 @@
   sim->now_ms = now ();
   p->server = arg;
   p->request_id = rq->id;
-  if (!p->server->exec->up || now () < p->server->exec->partitioned_until_ms)
+  if (!can_answer (p->server->exec))
     {
       /* The order gets no answer, so it times out at the instance. */
       free (p);
       return;
     }
   read_order (rq, &p->order);
+  if (lose_answer (p->server->exec, &p->order))
+    {
+      free (p);
+      return;
+    }
   register_job (&p->order);
   free (p->order.payload);
   p->order.payload = NULL;
@@ -602,10 +767,14 @@
     timer_gap_ms = sim->now_ms - timer_ms;
   timer_ms = sim->now_ms;
   fexec_tick (sim);
+  execute_late_orders ();
+  send_late_answers ();
   report_violations ();
   TAILQ_FOREACH_SAFE (p, &pending_requests, link, next)
     {
       bool deadline_passed = now () >= p->deadline_ms;
+      if (p->server->exec && now () < p->server->exec->partitioned_until_ms)
+        continue;
       if (p->server->exec && !deadline_passed && !p->server->exec->n_ends
           && p->order.fencing_token >= p->server->exec->fencing_token)
         continue;
@@ -677,9 +846,10 @@
 write_discovery_entry (const struct server *s)
 {
   char key[CLB_ID_MAX + 16];
+  char zone[] = { (char)('a' + s->exec->index % n_zones), '\0' };
   json_auto_t *entry
       = json_pack ("{s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}}", "service", "svc",
-                   "address", s->addr, "zone", "a", "state", "ready",
+                   "address", s->addr, "zone", zone, "state", "ready",
                    "capacity", "cpu", (json_int_t)s->exec->capacity.millicores,
                    "mem_mb", (json_int_t)s->exec->capacity.mem_mb, "gpu", 0);
   char addr[CLB_ADDR_MAX];
@@ -763,7 +933,9 @@
 struct left_job
 {
   char id[JOB_ID_SIZE];
+  char account[CLB_NAME_MAX];
   struct job_need need; /* of each task */
+  int gang;             /* 1: each step's tasks start together */
   int64_t tasks[JOB_STEPS_MAX];
   int n_steps;
 };
@@ -818,24 +990,89 @@
   return STEP_NONE;
 }
 
-/* Return: true if the job has nothing running although the turn of @step has
-   come and permitted executors have room for the whole step twice over.
-   @unused: capacity that nothing uses, by executor */
-static bool
-job_is_left (const struct left_job *l, int step, const struct job_need *unused)
+/* Return: the limit of a client account in the newest configuration; NULL if
+   it has none. */
+static const struct job_need *
+limit_of (const char *account)
+{
+  for (int i = sim->n_limits - 1; i >= 0; i--)
+    if (strcmp (sim->limits[i].tenant, account) == 0)
+      return sim->limits[i].in_force_until_ms == INT64_MAX
+                     && sim->limits[i].limit.millicores
+                 ? &sim->limits[i].limit
+                 : NULL;
+  return NULL;
+}
+
+/* struct usage - what runs at a moment */
+struct usage
+{
+  struct job_need unused[FSIM_EXECS_MAX]; /* by executor */
+  int64_t millicores;                     /* in use on all executors */
+  int64_t capacity;                       /* millicores that answer */
+};
+
+/* Return: what the runs of a client account use. */
+static struct job_need
+used_by_account (const char *account)
+{
+  struct job_need used = { 0 };
+
+  for (int k = 0; k < n_execs; k++)
+    for (int i = 0; i < sim->exec[k]->n_runs; i++)
+      {
+        const struct frun *r = &sim->exec[k]->runs[i];
+        const struct fjob *j = fsim_find_job (sim, r->task.job);
+        if (!j || strcmp (j->spec.tenant, account) != 0)
+          continue;
+        used.millicores += r->need.millicores;
+        used.mem_mb += r->need.mem_mb;
+      }
+  return used;
+}
+
+/* Return: how the job is left that has nothing running although the turn of
+   @step has come and there is room. */
+static enum left
+sort_left (const struct left_job *l, int step, const struct usage *u)
+{
+  const struct job_need *limit = limit_of (l->account);
+  struct job_need used = { 0 };
+  int64_t tasks = l->gang ? l->tasks[step] : 1;
+
+  if (limit)
+    used = used_by_account (l->account);
+  if (limit
+      && (used.millicores + tasks * l->need.millicores > limit->millicores
+          || (limit->mem_mb
+              && used.mem_mb + tasks * l->need.mem_mb > limit->mem_mb)))
+    return LEFT_HELD;
+  if (2 * u->millicores < u->capacity
+      && (!limit
+          || (2 * used.millicores < limit->millicores
+              && (!limit->mem_mb || 2 * used.mem_mb < limit->mem_mb))))
+    return LEFT_RULE;
+  return LEFT_IDLE;
+}
+
+/* Return: whether the job has nothing running although the turn of @step has
+   come and permitted executors that answer have room for the whole step twice
+   over. */
+static enum left
+job_is_left (const struct left_job *l, int step, const struct usage *u)
 {
   struct task_ref ref = { .step = step };
   int64_t room = 0;
 
   if (step < 0 || step >= l->n_steps)
-    return false;
+    return LEFT_NOT;
   clb_copy (ref.job, l->id, sizeof ref.job);
   for (int i = 0; i < n_execs && room < 2 * l->tasks[step]; i++)
-    if (sim->exec[i]->up
+    if (can_answer (sim->exec[i])
         && (!sadv_needs_tickets (l->id)
             || sadv_permits (&ref, sim->exec[i]->id)))
-      room += room_for (&unused[i], &l->need);
-  return room >= 2 * l->tasks[step];
+      room += room_for (&u->unused[i], &l->need);
+  return room >= 2 * l->tasks[step] ? sort_left (l, step, u) : LEFT_NOT;
 }
 
 /* Reads a line of the input of the command "left".  Return: false if it is not
@@ -849,8 +1086,10 @@
   int len;
 
   memset (l, 0, sizeof *l);
-  if (sscanf (line, "%16s %lld %lld%n", id, &cpu, &mem, &at) != 3 || cpu <= 0
-      || mem <= 0)
+  if (sscanf (line, "%16s %47s %lld %lld %d%n", id, l->account, &cpu, &mem,
+              &l->gang, &at)
+          != 5
+      || cpu <= 0 || mem <= 0)
     return false;
   clb_copy (l->id, id, sizeof l->id);
   l->need = (struct job_need){ .millicores = cpu, .mem_mb = mem };
@@ -862,15 +1101,31 @@
 }
 
 static void
-write_left_job (FILE *to, const struct left_job *l,
-                const struct job_need *unused)
+write_left_job (FILE *to, const struct left_job *l, const struct usage *u)
 {
   const struct fjob *j = fsim_find_job (sim, l->id);
   int step = step_at_turn (l);
 
   fprintf (to, "%s %lld %d %d\n", l->id,
            (long long)(j && j->stats ? j->submitted_ms : 0),
-           job_is_left (l, step, unused), step == STEP_NONE);
+           (int)job_is_left (l, step, u), step == STEP_NONE);
+}
+
+static void
+measure_usage (struct usage *u)
+{
+  u->millicores = 0;
+  u->capacity = 0;
+  for (int i = 0; i < n_execs; i++)
+    {
+      struct job_need used = used_by_runs (sim->exec[i]);
+      u->millicores += used.millicores;
+      if (can_answer (sim->exec[i]))
+        u->capacity += sim->exec[i]->capacity.millicores;
+      u->unused[i] = sim->exec[i]->capacity;
+      u->unused[i].millicores -= used.millicores;
+      u->unused[i].mem_mb -= used.mem_mb;
+    }
 }
 
 /* Writes the states of the jobs in the file @in to the file @out, which
@@ -878,29 +1133,21 @@
 static void
 write_left_jobs (const char *in, const char *out)
 {
-  static struct job_need unused[FSIM_EXECS_MAX];
+  static struct usage usage;
   char line[256];
   char part[300];
   struct left_job l;
-  int64_t millicores = 0;
   FILE *from = fopen (in, "r");
   FILE *to;
 
   snprintf (part, sizeof part, "%s.part", out);
   to = fopen (part, "w");
-  for (int i = 0; i < n_execs; i++)
-    {
-      struct job_need used = used_by_runs (sim->exec[i]);
-      millicores += used.millicores;
-      unused[i] = sim->exec[i]->capacity;
-      unused[i].millicores -= used.millicores;
-      unused[i].mem_mb -= used.mem_mb;
-    }
+  measure_usage (&usage);
   while (from && to && fgets (line, sizeof line, from))
     if (read_left_job (line, &l))
-      write_left_job (to, &l, unused);
+      write_left_job (to, &l, &usage);
   if (to)
-    fprintf (to, "end %lld %lld\n", (long long)millicores / 1000,
+    fprintf (to, "end %lld %lld\n", (long long)usage.millicores / 1000,
              (long long)timer_gap_ms);
   timer_gap_ms = 0;
   if (from)
@@ -914,6 +1161,8 @@
 {
   if (strcmp (fault, "down") == 0)
     sim->table.down_until_ms = now () + (int64_t)value;
+  else if (strcmp (fault, "late") == 0)
+    table_late_ms = (int64_t)value;
   else if (strcmp (fault, "lost") == 0)
     sim->table.lost_reply_share = value;
   else if (strcmp (fault, "row-bytes") == 0)
@@ -940,6 +1189,10 @@
     }
   else if (strcmp (fault, "cut") == 0)
     e->partitioned_until_ms = now () + (int64_t)value;
+  else if (strcmp (fault, "late") == 0)
+    e->answer_delay_ms = (int64_t)value;
+  else if (strcmp (fault, "lost") == 0)
+    e->lost_result_share = value;
   else if (strcmp (fault, "fails") == 0)
     e->fails_runs = value > 0;
 }
@@ -1015,13 +1268,15 @@
   int n_ips = 0;
   int port, n, opt;
 
-  while ((opt = getopt (argc, argv, "+c:m:n:a:")) != -1)
+  while ((opt = getopt (argc, argv, "+c:m:n:z:a:")) != -1)
     if (opt == 'c')
       capacity.millicores = 1000 * atoll (optarg);
     else if (opt == 'm')
       capacity.mem_mb = atoll (optarg);
     else if (opt == 'n')
       rack_size = atoi (optarg);
+    else if (opt == 'z' && atoi (optarg) > 0 && atoi (optarg) <= ZONES_MAX)
+      n_zones = atoi (optarg);
     else if (opt == 'a' && n_ips < 64)
       ips[n_ips++] = optarg;
     else
@@ -1030,9 +1285,10 @@
   argv += optind - 1;
   if (argc != 4 && argc != 5)
     {
-      fprintf (stderr,
-               "usage: fleet-standin [-c CORES] [-m MEM_MB] [-n RACK] "
-               "[-a IP]... PORT EXECUTORS CONFIG [ADVERTISED-OFFSET]\n");
+      fprintf (
+          stderr,
+          "usage: fleet-standin [-c CORES] [-m MEM_MB] [-n RACK] "
+          "[-z ZONES] [-a IP]... PORT EXECUTORS CONFIG [ADVERTISED-OFFSET]\n");
       return 64;
     }
   /* Writing to a connection that the peer has closed must not end the process.
--- a/regress/standin/fleetmix.c
+++ b/regress/standin/fleetmix.c
@@ -3,13 +3,15 @@
  * then prints how many of the accepted ones are not started.
  *
  * usage: fleet-mix [-s SEED] [-x FACTOR] [-t TRAFFIC_S] [-w TASK_MS]
- *                  [-l LIMIT_S] [-a ACCOUNTS] [-p POLLS_S] -i FIFO -d DIR
+ *                  [-l LIMIT_S] [-a ACCOUNTS] [-p POLLS_S]
+ *                  [-H AT_S,FOR_S,TIMES]... -i FIFO -d DIR
  *                  -q NAME,FIELD=VALUE... [-q ...] IP:PORT...
  *
  * Each queue has the host NAME and the prefix /q/; the ids of the jobs of the
  * N-th queue begin with the digit N.  Jobs go to the given instances in turn,
  * with the keys k1, k2... of ACCOUNTS client accounts in turn.  FACTOR
  * multiplies the rates.  With TASK_MS, each task is meant to take that long.
+ * With -H, the first account sends TIMES its usual rate from AT_S for FOR_S.
  * For the fields of a queue see struct queue.
  *
  * After the traffic the program asks fleet-standin each second, by the command
@@ -20,13 +22,16 @@
  *
  * At the times report_s after the traffic the program prints a line for each
  * queue:
- *   after S QUEUE accepted N pending N unfinished N left N left3 N
+ *   after S QUEUE accepted N pending N unfinished N left N left3 N held3 N
+ *   rule3 N
  * Jobs are "pending" until a task has started, and "unfinished" until an
  * instance says that they are completed; "left3" are jobs that have been left
- * for 3 s.  Then it prints, for each queue, submissions and the waits of jobs
- * of the last LATE_S of the traffic, from the first submission to the first
- * start.  It ends when all accepted jobs are completed, or LIMIT_S after the
- * traffic.
+ * for 3 s, "held3" those of them for which the limit of their account had no
+ * room at times, and "rule3" those that the users' rule counts, see enum left
+ * of fleet-standin.  Then it prints, for each queue, submissions and the waits
+ * of jobs of the last LATE_S of the traffic, from the first submission to the
+ * first start.  It ends when all accepted jobs are completed, or LIMIT_S after
+ * the traffic.
  */
 #include <curl/curl.h>
 #include <errno.h>
@@ -44,6 +49,7 @@
 enum
 {
   QUEUES_MAX = 8,
+  HOT_MAX = 4, /* largest number of windows with a busier account */
   STEPS_MAX = 2,
   JOBS_MAX = 100000,
   /* Interval between two queries for the state of the same job. */
@@ -79,6 +85,7 @@
   /* Every so many seconds, at FACTOR 1, a job of this many tasks is added. */
   double wide_s, wide;
   double next_at_s, next_wide_at_s; /* time of the next job; of a wide one */
+  double next_hot_at_s[HOT_MAX];    /* time of the next job of a window */
   int n_refused, n_unknown, n_tries;
 };
 
@@ -131,6 +138,24 @@
   bool done;        /* all its steps are done */
   int64_t next_ms;  /* time of the next request */
   int n_left;       /* seconds for which it has been left so far */
+  int n_unheld;     /* the same without the limit of its account */
+  int n_rule;       /* the same by the users' rule */
+};
+
+/* struct hot - a window in which the first account sends more jobs */
+struct hot
+{
+  double at_s, for_s;
+  double times; /* rate over the account's usual one */
+};
+
+/* Values of LEFT in the answers of fleet-standin. */
+enum left
+{
+  LEFT_NOT,
+  LEFT_IDLE,
+  LEFT_HELD,
+  LEFT_RULE,
 };
 
 /* struct call - a request that is pending */
@@ -152,6 +177,8 @@
 static char **addrs;
 static int n_addrs;
 static int n_accounts = 1;
+static struct hot hots[HOT_MAX];
+static int n_hots;
 static double factor = 1;
 static double traffic_s = 25;
 static double limit_s = 62;
@@ -214,9 +241,10 @@
 }
 
 /* Adds a job of a queue.
-   @wide: number of tasks of its only step; 0: steps as drawn */
+   @wide: number of tasks of its only step; 0: steps as drawn
+   @account: its account; 0: the next in turn */
 static void
-add_job (struct queue *q, int wide)
+add_job (struct queue *q, int wide, int account)
 {
   struct mix_job *j = &jobs[n_jobs];
   int64_t now_ms = now ();
@@ -225,7 +253,7 @@
     return;
   *j = (struct mix_job){ .queue = q, .first_sent_ms = now_ms };
   j->number = ++n_jobs;
-  j->account = 1 + n_jobs % n_accounts;
+  j->account = account ? account : 1 + n_jobs % n_accounts;
   j->gang = wide || random_share () < q->gang;
   j->n_steps = wide ? 1 : 1 + (random_share () < q->steps - 1);
   j->cpu = wide ? (int)q->cpu : draw_int (q->cpu, q->cpu_spread, q->cpu_max);
@@ -240,6 +268,23 @@
     }
 }
 
+/* Adds the due jobs that the first account sends beyond its usual ones in
+   window @i. */
+static void
+add_hot_jobs (struct queue *q, int i, double at_s)
+{
+  const struct hot *h = &hots[i];
+  double rate = q->rate * factor * (h->times - 1) / n_accounts;
+  double *next_s = &q->next_hot_at_s[i];
+
+  if (*next_s <= 0)
+    *next_s = h->at_s;
+  for (; rate > 0 && *next_s <= at_s && *next_s < h->at_s + h->for_s;
+       *next_s += -log (random_share ()) / rate)
+    if (*next_s > h->at_s)
+      add_job (q, 0, 1);
+}
+
 static void
 add_due_jobs (void)
 {
@@ -250,10 +295,12 @@
     {
       for (; q->next_at_s <= at_s;
            q->next_at_s += -log (random_share ()) / (q->rate * factor))
-        add_job (q, 0);
+        add_job (q, 0, 0);
       for (; q->wide > 0 && q->next_wide_at_s <= at_s;
            q->next_wide_at_s += q->wide_s / factor)
-        add_job (q, (int)q->wide);
+        add_job (q, (int)q->wide, 0);
+      for (int i = 0; i < n_hots; i++)
+        add_hot_jobs (q, i, at_s);
     }
 }
 
@@ -465,7 +512,8 @@
     if (is_unfinished (j) || (j->state == JOB_ENDED && !j->begun_ms))
       {
         job_id (j, id);
-        fprintf (f, "%s %d %d", id, j->cpu, j->mem);
+        fprintf (f, "%s t%d %d %d %d", id, j->account, j->cpu, j->mem,
+                 j->gang);
         for (int i = 0; i < j->n_steps; i++)
           fprintf (f, " %d", j->tasks[i]);
         fprintf (f, "\n");
@@ -496,7 +544,9 @@
   if (!j || sscanf (line, "%*s %lld %d %d", &begun_ms, &left, &done) != 3)
     return;
   j->begun_ms = begun_ms;
-  j->n_left = left ? j->n_left + 1 : 0;
+  j->n_left = left != LEFT_NOT ? j->n_left + 1 : 0;
+  j->n_unheld = left == LEFT_IDLE || left == LEFT_RULE ? j->n_unheld + 1 : 0;
+  j->n_rule = left == LEFT_RULE ? j->n_rule + 1 : 0;
   if (done && !j->done)
     j->next_ms = 0;
   j->done = done;
@@ -528,6 +578,7 @@
 print_queue_counts (const struct queue *q, int after_s)
 {
   int n_accepted = 0, n_pending = 0, n_unfinished = 0, n_left = 0, n_left3 = 0;
+  int n_held3 = 0, n_rule3 = 0;
 
   for (const struct mix_job *j = jobs; j < jobs + n_jobs; j++)
     {
@@ -538,10 +589,14 @@
       n_unfinished += is_unfinished (j);
       n_left += is_unfinished (j) && j->n_left > 0;
       n_left3 += is_unfinished (j) && j->n_left > LEFT_S;
+      n_held3
+          += is_unfinished (j) && j->n_left > LEFT_S && j->n_unheld <= LEFT_S;
+      n_rule3 += is_unfinished (j) && j->n_rule > LEFT_S;
     }
-  printf (
-      "after %d %s accepted %d pending %d unfinished %d left %d left3 %d\n",
-      after_s, q->name, n_accepted, n_pending, n_unfinished, n_left, n_left3);
+  printf ("after %d %s accepted %d pending %d unfinished %d left %d left3 %d "
+          "held3 %d rule3 %d\n",
+          after_s, q->name, n_accepted, n_pending, n_unfinished, n_left,
+          n_left3, n_held3, n_rule3);
 }
 
 static int
@@ -643,10 +698,11 @@
     if (is_unfinished (j))
       {
         job_id (j, id);
-        printf ("unfinished %s %s %s gang %d tasks %d,%d cpu %d mem %d left_s "
-                "%d age_s %lld\n",
-                id, j->queue->name, j->begun_ms ? "begun" : "pending", j->gang,
-                j->tasks[0], j->tasks[1], j->cpu, j->mem, j->n_left,
+        printf ("unfinished %s %s t%d %s gang %d tasks %d,%d cpu %d mem %d "
+                "left_s %d unheld_s %d age_s %lld\n",
+                id, j->queue->name, j->account,
+                j->begun_ms ? "begun" : "pending", j->gang, j->tasks[0],
+                j->tasks[1], j->cpu, j->mem, j->n_left, j->n_unheld,
                 (long long)(now () - j->first_sent_ms) / 1000);
       }
 }
@@ -680,6 +736,19 @@
          && q->mem > 0;
 }
 
+/* Reads a window from the command line.  Return: false if it is not valid. */
+static bool
+read_hot (const char *text)
+{
+  struct hot *h = &hots[n_hots];
+
+  if (n_hots == HOT_MAX
+      || sscanf (text, "%lf,%lf,%lf", &h->at_s, &h->for_s, &h->times) != 3)
+    return false;
+  n_hots++;
+  return h->at_s >= 0 && h->for_s > 0 && h->times >= 1;
+}
+
 static bool
 read_option (int opt)
 {
@@ -713,6 +782,8 @@
     case 'd':
       fifo_dir = optarg;
       return true;
+    case 'H':
+      return read_hot (optarg);
     case 'q':
       return read_queue (optarg);
     default:
@@ -727,17 +798,17 @@
   bool valid = true;
   int opt;
 
-  while ((opt = getopt (argc, argv, "s:x:t:w:l:a:p:i:d:q:")) != -1)
+  while ((opt = getopt (argc, argv, "s:x:t:w:l:a:p:H:i:d:q:")) != -1)
     valid = valid && read_option (opt);
   addrs = argv + optind;
   n_addrs = argc - optind;
   if (!valid || !n_addrs || !n_queues || fifo < 0 || !fifo_dir)
     {
-      fprintf (stderr,
-               "usage: fleet-mix [-s SEED] [-x FACTOR] [-t TRAFFIC_S] "
-               "[-w TASK_MS] [-l LIMIT_S] [-a ACCOUNTS] "
-               "[-p POLLS_S] -i FIFO -d DIR -q NAME,FIELD=VALUE... [-q ...] "
-               "IP:PORT...\n");
+      fprintf (stderr, "usage: fleet-mix [-s SEED] [-x FACTOR] [-t TRAFFIC_S] "
+                       "[-w TASK_MS] [-l LIMIT_S] [-a ACCOUNTS] "
+                       "[-p POLLS_S] [-H AT_S,FOR_S,TIMES]... -i FIFO -d DIR "
+                       "-q NAME,FIELD=VALUE... [-q ...] "
+                       "IP:PORT...\n");
       return 64;
     }
   for (int i = 0; i < n_queues; i++)
