--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -193,12 +193,12 @@
   return j->spec.steps[step].gang ? CAUSE_GANG_ENDING : CAUSE_RUN_ENDING;
 }
 
+/* Returns why a step waits if that does not depend on the executors, else
+   CAUSE_UNKNOWN. */
 static enum wait_cause
-find_cause (struct fsched *fs, const struct job *j, int step,
-            const struct exec_counts *c)
+find_cause_inside (struct fsched *fs, const struct job *j, int step)
 {
   const struct jstep *s = &j->steps[step];
-  int needed = tasks_needed (j, step);
 
   if (j->set_aside)
     return CAUSE_SET_ASIDE;
@@ -206,8 +206,20 @@
     return find_cause_run (fs, j, step);
   if (j->spec.steps[step].gang && s->n_running > 0)
     return CAUSE_GANG_ENDING;
-  if (!account_has_room (fs, j, step, needed))
+  if (!account_has_room (fs, j, step, tasks_needed (j, step)))
     return CAUSE_ACCOUNT_LIMIT;
+  return CAUSE_UNKNOWN;
+}
+
+static enum wait_cause
+find_cause (struct fsched *fs, const struct job *j, int step,
+            const struct exec_counts *c)
+{
+  int needed = tasks_needed (j, step);
+  enum wait_cause cause = find_cause_inside (fs, j, step);
+
+  if (cause != CAUSE_UNKNOWN)
+    return cause;
   if (c->n_usable == 0)
     return CAUSE_NO_EXECUTOR;
   if (j->spec.advice.base_ms > 0)
@@ -327,17 +339,11 @@
 int
 why_cause_quick (struct fsched *fs, const struct job *j, int step)
 {
-  const struct jstep *s = &j->steps[step];
+  enum wait_cause cause = find_cause_inside (fs, j, step);
 
-  if (j->set_aside)
-    return CAUSE_SET_ASIDE;
-  if (step_waiting (s) == 0)
-    return find_cause_run (fs, j, step);
-  if (j->spec.steps[step].gang && s->n_running > 0)
-    return CAUSE_GANG_ENDING;
-  if (!account_has_room (fs, j, step, tasks_needed (j, step)))
-    return CAUSE_ACCOUNT_LIMIT;
-  return s->n_asking > 0 ? CAUSE_QUERY_SENT : CAUSE_UNKNOWN;
+  return cause == CAUSE_UNKNOWN && j->steps[step].n_asking > 0
+             ? CAUSE_QUERY_SENT
+             : cause;
 }
 
 void
--- a/regress/unit/advice_fixture.h
+++ b/regress/unit/advice_fixture.h
@@ -11,6 +11,8 @@
   ADVICE_MS = 100, /* announced duration of a query */
   VALID_MS = 2000, /* lifetime of a ticket */
   QUERIES_MAX = 200,
+  LONG_ADVICE_MS = 5000, /* announced duration of a query that stays open */
+  TARGET_MS = 60000,     /* latency objective of a job that is on time */
 };
 
 /* struct query - an advice query that the scheduler has sent */
@@ -159,4 +161,26 @@
     }
 }
 
+static inline bool
+has_started (const struct service *s, const char *id)
+{
+  return fsched_find_job (s->x.fs, id)->task_started;
+}
+
+/* Lets a late gang have tickets while all room is reserved for the answer to
+   the query about a job that is on time. */
+static inline void
+set_up_held_gang (struct service *s)
+{
+  set_up_service (s);
+  fsched_adviser_seen (s->x.fs, "i2", "10.0.0.9:80", 0, 0);
+  add_advised_step (s, "0000000000000001", 2, true, 0);
+  run_for (s, 40, -1);
+  CU_ASSERT_EQUAL_FATAL (s->n_queries, 1);
+  s->advice_ms = LONG_ADVICE_MS;
+  add_advised_step (s, "0000000000000002", EXECS * CORES, true, TARGET_MS);
+  run_for (s, 40, -1);
+  CU_ASSERT_EQUAL_FATAL (s->n_queries, 2);
+}
+
 #endif
--- a/regress/unit/room_test.c
+++ b/regress/unit/room_test.c
@@ -1,28 +1,6 @@
 /* Tests of the room that is reserved for steps which wait for advice. */
 #include "advice_fixture.h"
 
-enum
-{
-  LONG_ADVICE_MS = 5000, /* announced duration of a query that stays open */
-  TARGET_MS = 60000,     /* latency objective of a job that is on time */
-};
-
-/* Lets a late gang have tickets while all room is reserved for the answer to
-   the query about a job that is on time. */
-static void
-set_up_held_gang (struct service *s)
-{
-  set_up_service (s);
-  fsched_adviser_seen (s->x.fs, "i2", "10.0.0.9:80", 0, 0);
-  add_advised_step (s, "0000000000000001", 2, true, 0);
-  run_for (s, 40, -1);
-  CU_ASSERT_EQUAL_FATAL (s->n_queries, 1);
-  s->advice_ms = LONG_ADVICE_MS;
-  add_advised_step (s, "0000000000000002", EXECS * CORES, true, TARGET_MS);
-  run_for (s, 40, -1);
-  CU_ASSERT_EQUAL_FATAL (s->n_queries, 2);
-}
-
 static void
 test_log_names_the_job_that_room_is_reserved_for (void)
 {
@@ -38,12 +16,6 @@
   tear_down (&s.x);
 }
 
-static bool
-has_started (const struct service *s, const char *id)
-{
-  return fsched_find_job (s->x.fs, id)->task_started;
-}
-
 /* Lets the tickets of a job be valid for their whole lifetime from now on, as
    further answers do. */
 static void
