--- a/Makefile
+++ b/Makefile
@@ -137,6 +137,9 @@
 $(BUILD)/regress/fleet-mix: $(BUILD)/regress/standin/fleetmix.o
 	@$(CC) $(SAN) $^ -o $@ -lcurl -lm
 
+# regress/mutants links the objects of unit tests again.
+.SECONDARY: $(UNITS:=.o)
+
 $(BUILD)/regress/unit/%: $(BUILD)/regress/unit/%.o $(STANDIN) $(PLATFORM) \
 	$(CORE) $(NET)
 	@$(CC) $(SAN) $^ -o $@ $(NET_LIBS) $(CORE_LIBS) -lcunit
