The log of waiting jobs does not refer to a job that is freed

Found by reading the diff: executors keep a reference to the step that room was last reserved for, until the next placing pass, and lines about waiting jobs use it between passes. If the holder's job is cancelled and its end recorded in between, up to 100 ms, the line would read freed memory. Freeing a job drops these references.

room_test.c: the new test fails before.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -95,6 +95,7 @@
 static void
 job_free (struct fsched *fs, struct job *j)
 {
+  room_forget_job (fs, j);
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
       struct jstep *s = &j->steps[i];
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -600,6 +600,9 @@
  * then.
  */
 void room_pass_over (const struct exec *e, const struct job *j, int step);
+/** room_forget_job() - Let no executor refer to the steps of @j, which is
+ * freed. */
+void room_forget_job (struct fsched *fs, const struct job *j);
 /** room_reserve_named() - Reserve room for @n_waiting tasks of a step on the
  * executors that a query names. */
 void room_reserve_named (struct fsched *fs, struct job *j, int step,
--- a/core/fsched_room.c
+++ b/core/fsched_room.c
@@ -70,6 +70,16 @@
     holder->passed_millicores += j->spec.steps[step].need.millicores;
 }
 
+void
+room_forget_job (struct fsched *fs, const struct job *j)
+{
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &fs->execs, link)
+    if (e->holder && e->holder->job == j)
+      e->holder = NULL;
+}
+
 int64_t
 room_held_max_ms (const struct fsched *fs, const struct job *j)
 {
--- a/regress/unit/room_test.c
+++ b/regress/unit/room_test.c
@@ -159,6 +159,27 @@
   tear_down (&s.x);
 }
 
+static void
+test_cancelled_job_holds_no_room_for_the_log (void)
+{
+  struct service s;
+  const struct exec *e;
+
+  set_up_held_gang (&s);
+  answer_query (&s, &s.queries[0], 0);
+  run_for (&s, 200, -1);
+  fsched_cancel (s.x.fs, "0000000000000002");
+  for (int i = 0; i < 3 && fsched_find_job (s.x.fs, "0000000000000002"); i++)
+    {
+      collect (&s.x);
+      fsched_recorded (s.x.fs);
+    }
+  CU_ASSERT_PTR_NULL (fsched_find_job (s.x.fs, "0000000000000002"));
+  TAILQ_FOREACH (e, &s.x.fs->execs, link)
+    CU_ASSERT_PTR_NULL (e->holder);
+  tear_down (&s.x);
+}
+
 UNIT_MAIN ("room",
            { "the log names the job that room is reserved for",
              test_log_names_the_job_that_room_is_reserved_for },
@@ -173,4 +194,6 @@
            { "a gang with tickets starts though passes are rare",
              test_gang_with_tickets_starts_though_passes_are_rare },
            { "the log says since when a query of this pass reserves room",
-             test_log_says_since_when_a_query_of_this_pass_reserves_room })
+             test_log_says_since_when_a_query_of_this_pass_reserves_room },
+           { "a cancelled job holds no room for the log",
+             test_cancelled_job_holds_no_room_for_the_log })
