Log what a new leader concludes of intents, and the executor's boot

Each intent of a task that is not done has a line if it is not taken as running, with the cause, at most 200 lines a term; the sums name the causes separately. The lines start, start-confirmed, end, crash and run-adopted state the start of the executor's boot. No logic has changed.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -768,6 +768,7 @@
   /* All progress that was changed by ends up to this sequence number is
      recorded. */
   uint64_t recorded_ends;
+  int n_logged; /* loaded intents that are not taken as running */
 };
 
 /** enum row_kind - kinds of the rows that a write holds */
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -93,9 +93,10 @@
   fs->stats->crashes++;
   out_line (fs->out,
             "event=crash job=%s step=%lld task=%lld run=%lld exec=%s "
-            "crashes=%d confirmed=%d",
+            "crashes=%d confirmed=%d boot=%lld new_boot=%lld",
             l->task.job, (long long)l->task.step, (long long)l->task.index,
-            (long long)l->run_id, e->rep.id, t->n_crashes, !l->unconfirmed);
+            (long long)l->run_id, e->rep.id, t->n_crashes, !l->unconfirmed,
+            (long long)l->boot_start_ms, (long long)e->boot_start_ms);
   if (too_many_crashes (t))
     fsched_end_job (fs, j, JOB_FAILED, "crashes-executors");
 }
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -498,10 +498,10 @@
     return NULL;
   out_line (fs->out,
             "event=run-adopted job=%s step=%lld task=%lld run=%lld "
-            "exec=%s percent=%lld",
+            "exec=%s percent=%lld boot=%lld",
             row->task.job, (long long)row->task.step,
             (long long)row->task.index, (long long)row->run_id, e->rep.id,
-            (long long)row->percent);
+            (long long)row->percent, (long long)e->boot_start_ms);
   r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
                  row->run_id, START_ACKED);
   if (t->done || job_state_final (j->state))
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -22,6 +22,8 @@
 {
   /* Maximum number of intents in one row; a full row takes some 20 kB. */
   ROW_INTENTS_MAX = 400,
+  /* Maximum number of loaded intents that have a log line of their own. */
+  LOGGED_INTENTS_MAX = 200,
 };
 
 /** struct intent - the record of one start */
@@ -388,12 +390,18 @@
 {
   FATE_RUNNING,      /* the run may still be running */
   FATE_JOB_UNKNOWN,  /* the job or the task is not known */
-  FATE_RUN_ENDED,    /* the run is known to have ended */
+  FATE_DONE,         /* the task is done */
+  FATE_FAILED,       /* the run is recorded as failed */
+  FATE_CRASHED,      /* a crash of the executor under the run is recorded */
   FATE_EARLIER_RUN,  /* the task has a later run */
   FATE_EXEC_UNKNOWN, /* the executor is not in the roster */
   FATE_N
 };
 
+static const char *const fate_names[FATE_N]
+    = { "running", "job-unknown", "done",        "failed",
+        "crashed", "earlier-run", "exec-unknown" };
+
 /*
  * Returns enum intent_fate as far as the records of the job tell it.  Sets
  * @job to the job of the intent, and @task to the task, if the result is
@@ -410,12 +418,12 @@
     return FATE_JOB_UNKNOWN;
   t = &j->steps[e->task.step].tasks[e->task.index];
   if (t->done && e->run_id != t->stopping_run_id)
-    return FATE_RUN_ENDED;
+    return FATE_DONE;
   for (int i = 0; i < t->n_failed; i++)
     if (t->failed_runs[i].id == e->run_id)
-      return FATE_RUN_ENDED;
+      return FATE_FAILED;
   if (crash_is_counted (t, e->run_id))
-    return FATE_RUN_ENDED;
+    return FATE_CRASHED;
   *job = j;
   *task = t;
   return FATE_RUNNING;
@@ -450,6 +458,24 @@
   return FATE_RUNNING;
 }
 
+/* Logs what a new leader concluded from a loaded intent.  @fate: enum
+   intent_fate, not FATE_RUNNING.  Intents of jobs and tasks that are over have
+   no line. */
+static void
+log_not_running (struct fsched *fs, const struct intent *e, int fate)
+{
+  if (fate == FATE_JOB_UNKNOWN || fate == FATE_DONE)
+    return;
+  if (++fs->intents.n_logged > LOGGED_INTENTS_MAX)
+    return;
+  out_line (fs->out,
+            "event=intent-not-running job=%s step=%lld task=%lld run=%lld "
+            "exec=%s boot=%lld why=%s",
+            e->task.job, (long long)e->task.step, (long long)e->task.index,
+            (long long)e->run_id, e->exec, (long long)e->boot_start_ms,
+            fate_names[fate]);
+}
+
 void
 intents_load_done (struct fsched *fs)
 {
@@ -457,6 +483,7 @@
   struct job *j;
   struct jtask *t;
   int n_fates[FATE_N] = { 0 };
+  int fate;
 
   /* Only a task's last run may be running: a leader starts a task again only
      when its earlier run has certainly ended. */
@@ -467,11 +494,19 @@
         t->last_run_id = (int32_t)e->run_id;
   for (int i = 0; i < INTENT_ROWS; i++)
     TAILQ_FOREACH (e, &fs->intents.rows[i], link)
-      n_fates[assume_running (fs, e)]++;
+      {
+        fate = assume_running (fs, e);
+        n_fates[fate]++;
+        if (fate != FATE_RUNNING)
+          log_not_running (fs, e, fate);
+      }
   out_line (fs->out,
-            "event=intents-loaded running=%d job_unknown=%d run_ended=%d "
-            "earlier_run=%d exec_unknown=%d",
+            "event=intents-loaded running=%d job_unknown=%d done=%d failed=%d "
+            "crashed=%d earlier_run=%d exec_unknown=%d unlogged=%d",
             n_fates[FATE_RUNNING], n_fates[FATE_JOB_UNKNOWN],
-            n_fates[FATE_RUN_ENDED], n_fates[FATE_EARLIER_RUN],
-            n_fates[FATE_EXEC_UNKNOWN]);
+            n_fates[FATE_DONE], n_fates[FATE_FAILED], n_fates[FATE_CRASHED],
+            n_fates[FATE_EARLIER_RUN], n_fates[FATE_EXEC_UNKNOWN],
+            fs->intents.n_logged > LOGGED_INTENTS_MAX
+                ? fs->intents.n_logged - LOGGED_INTENTS_MAX
+                : 0);
 }
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -137,10 +137,10 @@
   fs->stats->ends[run_end]++;
   out_line (fs->out,
             "event=end job=%s step=%d task=%d run=%lld exec=%s result=%s "
-            "ran_ms=%lld state=%d inherited=%d stops=%d",
+            "ran_ms=%lld state=%d inherited=%d stops=%d boot=%lld",
             j->spec.id, step, index, (long long)run_id, r->exec->rep.id,
             run_end_names[run_end], (long long)(fs->now_ms - r->sent_ms),
-            r->state, r->inherited, r->n_stops);
+            r->state, r->inherited, r->n_stops, (long long)r->boot_start_ms);
   add_run_time (fs, r, run_end);
   fsched_keep_checkpoint (j, step, index, r->checkpoint);
   adjust_use (r, -1);
@@ -203,7 +203,7 @@
             "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
             "lease_ms=%d saved=%s used=%lld/%lld contact_age_ms=%lld "
             "tenant=%s tenant_used=%lld,%lld tenant_limit=%lld,%lld "
-            "config=%lld",
+            "config=%lld boot=%lld",
             r->job->spec.id, r->step, r->index, (long long)r->run_id,
             r->exec->rep.id, r->tries, FSCHED_LEASE_MS, o->checkpoint,
             (long long)r->exec->used.millicores,
@@ -212,7 +212,7 @@
             r->job->account->name, (long long)r->job->account->used.millicores,
             (long long)r->job->account->used.mem_mb,
             (long long)limit.millicores, (long long)limit.mem_mb,
-            (long long)account_conf_version (fs));
+            (long long)account_conf_version (fs), (long long)r->boot_start_ms);
 }
 
 static void
@@ -310,10 +310,11 @@
     return;
   out_line (fs->out,
             "event=start-confirmed job=%s step=%d task=%d run=%lld exec=%s "
-            "by=%s inherited=%d after_ms=%lld state=%d",
+            "by=%s inherited=%d after_ms=%lld state=%d boot=%lld",
             r->job->spec.id, r->step, r->index, (long long)r->run_id,
             r->exec->rep.id, by, r->inherited,
-            (long long)(fs->now_ms - r->answer_lost_ms), r->state);
+            (long long)(fs->now_ms - r->answer_lost_ms), r->state,
+            (long long)r->exec->boot_start_ms);
 }
 
 /* Processes the result of a start order: confirms the start, ends it, or sends
