Simulated executors: a restart is seen only by its start, and gets late orders

A boot of a simulated executor began with the clock at 0, only the boot that an order was sent to carried it out, and the answer to a start named the boot. The clock of a boot begins at any reading now, an order that is carried out late reaches whichever boot is there, only answers to polls name the boot, and scripts can let connections of the former boot fail, freeze the discovery entry and delay polls.

--- /dev/null
+++ b/regress/fleet/restart.lua
@@ -0,0 +1,42 @@
+dofile("regress/fleet/lib.lua")
+
+-- Starts a fleet of two executors of which only number 0 is listed.
+local function start_pair()
+  start_fleet{execs = 2}
+  exec(1, "listed", 0)
+  run(3000)
+end
+
+-- Submits job n of one task that runs for ms.
+local function submit_job(n, ms)
+  job{id = id(n), steps = {{tasks = 1, ms = ms}}}
+  submit(n % 3, id(n))
+end
+
+-- Restarts executor 0 under its id; its clock begins at clock_ms.  Its entry in
+-- the discovery list, if stale, still shows the boot before.
+local function restart(clock_ms, stale)
+  exec(0, "entry-frozen", stale)
+  exec(0, "boot-clock", clock_ms)
+  exec(0, "reboot")
+end
+
+for _, clock_ms in ipairs{1, 2000000} do
+  for _, stale in ipairs{0, 1} do
+    local variant = ", clock " .. clock_ms .. ", stale entry " .. stale
+    scenario("a run that the next boot began is not started again by the next "
+             .. "leader" .. variant, function()
+      start_pair()
+      restart(clock_ms, stale)
+      exec(0, "dead-connections", 1)
+      submit_job(1, 9000)
+      run(400)
+      kill_leader()
+      exec(0, "partition", 5000)
+      exec(0, "entry-frozen", 0)
+      exec(1, "listed", 1)
+      run(20000)
+      expect(state(leader(), id(1)) == "completed", "the job is not completed")
+    end)
+  end
+end
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -28,8 +28,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Start orders that are late are executed this much later. */
+#define LATE_ORDER_MS(s) (2000 + (int64_t)(fsim_random (s) * 10000))
+
 enum
 {
+  /* The clock of a boot begins below this reading. */
+  BOOT_CLOCK_MAX_MS = 3000000,
   /* A run ends no later than this time after a stop order for it. */
   STOP_DELAY_MS = 100,
   /* A member of a gang waits for the other members for this time. */
@@ -43,6 +48,13 @@
   ENDS_PAGE_MAX = 500,
 };
 
+/* Return: the reading of the executor's clock. */
+static int64_t
+clock_now (const struct fsim *s, const struct fexec *e)
+{
+  return e->boot_clock_ms + s->now_ms - e->boot_start_ms;
+}
+
 /* Return: the executor at address @addr, which ends in its index, or NULL. */
 static struct fexec *
 find_exec_at (struct fsim *s, const char *addr)
@@ -352,7 +364,7 @@
 {
   if (o->fencing_token < e->fencing_token)
     return REFUSED_FENCE;
-  if (o->lease_deadline_ms <= s->now_ms - e->boot_start_ms)
+  if (o->lease_deadline_ms <= clock_now (s, e))
     return REFUSED_LEASE_OVER;
   for (int i = 0; i < e->n_runs; i++)
     if (same_task (&e->runs[i].task, &o->task)
@@ -368,12 +380,12 @@
   return -1;
 }
 
-/* Extends the lease to @deadline_ms after the start of the boot, but to no
-   more than LEASE_MAX_MS from now. */
+/* Extends the lease to @deadline_ms on the executor's clock, but to no more
+   than LEASE_MAX_MS from now. */
 static void
 extend_lease (struct fsim *s, struct fexec *e, int64_t deadline_ms)
 {
-  int64_t until_ms = e->boot_start_ms + deadline_ms;
+  int64_t until_ms = s->now_ms + deadline_ms - clock_now (s, e);
 
   if (until_ms > s->now_ms + LEASE_MAX_MS)
     until_ms = s->now_ms + LEASE_MAX_MS;
@@ -527,10 +539,11 @@
       res->outcome = ORDER_LOST;
       return true;
     }
-  res->clock_ms = s->now_ms - e->boot_start_ms;
+  res->clock_ms = clock_now (s, e);
   if (res->clock_ms < 1)
     res->clock_ms = 1;
-  res->boot_start_ms = e->boot_start_ms;
+  if (o->kind == ORDER_POLL)
+    res->boot_start_ms = e->boot_start_ms;
   res->outcome = ORDER_DONE;
   if (o->fencing_token < e->fencing_token)
     refusal = REFUSED_FENCE;
@@ -613,28 +626,28 @@
 
   /* The instance already has the result ORDER_LOST. */
   d->drop_result = true;
-  /* deliver_order() loses the order if the executor is down, or if it has
-     rebooted, so that its boot_start_ms differs from d->boot_start_ms. */
   deliver_order (s, d);
 }
 
-/* Gives up an order of instance @i that the executor does not answer. */
+/* Gives up an order of instance @i that the executor does not answer, after
+   @after_ms. */
 static void
-lose_order (struct fsim *s, struct order_delivery *d, struct fexec *e)
+lose_order (struct fsim *s, struct order_delivery *d, struct fexec *e,
+            int64_t after_ms)
 {
   e->last_fault_ms = s->now_ms;
   d->res.outcome = ORDER_LOST;
-  fsim_schedule (s, d->order.timeout_ms, fexec_deliver_result, d);
+  fsim_schedule (s, after_ms, fexec_deliver_result, d);
 }
 
-/* Lets the executor execute a copy of an order later, without an answer. */
+/* Lets whichever boot the executor has then execute a copy of an order later,
+   without an answer. */
 static void
-execute_later (struct fsim *s, int i, const struct order *o, struct fexec *e,
-               int64_t after_ms)
+execute_later (struct fsim *s, int i, const struct order *o, int64_t after_ms)
 {
   struct order_delivery *delayed = fexec_delivery_new (s, i, o);
 
-  delayed->boot_start_ms = e->boot_start_ms;
+  delayed->poll_deadline_ms = 0;
   fsim_schedule (s, after_ms, deliver_delayed_order, delayed);
 }
 
@@ -651,23 +664,35 @@
       fsim_schedule (s, sent_in_ms + FSIM_LINK_MS, fexec_deliver_result, d);
       return;
     }
+  if (e->up && e->n_dead_connections > 0 && fsim_can_reach (s, i, e))
+    {
+      e->n_dead_connections--;
+      lose_order (s, d, e, 2 * FSIM_LINK_MS);
+      return;
+    }
   if (s->now_ms < e->hung_until_ms)
     {
-      execute_later (s, i, o, e, e->hung_until_ms - s->now_ms);
-      lose_order (s, d, e);
+      execute_later (s, i, o, e->hung_until_ms - s->now_ms);
+      lose_order (s, d, e, o->timeout_ms);
       return;
     }
   if (is_start_of (o, e->dropped_start)
       || (o->kind == ORDER_STOP && e->drops_stops))
     {
-      lose_order (s, d, e);
+      lose_order (s, d, e, o->timeout_ms);
+      return;
+    }
+  if (o->kind == ORDER_POLL && e->poll_delay_ms)
+    {
+      execute_later (s, i, o, e->poll_delay_ms);
+      lose_order (s, d, e, o->timeout_ms);
       return;
     }
   if ((o->kind != ORDER_POLL && fsim_random (s) < e->delayed_order_share)
       || is_start_of (o, e->late_start))
     {
-      execute_later (s, i, o, e, 2000 + (int64_t)(fsim_random (s) * 10000));
-      lose_order (s, d, e);
+      execute_later (s, i, o, LATE_ORDER_MS (s));
+      lose_order (s, d, e, o->timeout_ms);
       return;
     }
   d->poll_deadline_ms += sent_in_ms;
@@ -681,6 +706,8 @@
   char key[CLB_ID_MAX + 16];
   char value[256];
 
+  if (e->entry_frozen)
+    return;
   snprintf (key, sizeof key, "servers/%s", e->id);
   snprintf (value, sizeof value, "%s %d %lld %lld %lld", e->addr, e->draining,
             (long long)e->capacity.millicores, (long long)e->capacity.mem_mb,
@@ -715,7 +742,7 @@
   char key[CLB_ID_MAX + 16];
 
   snprintf (key, sizeof key, "servers/%s", r->id);
-  if (!r->e->up || strcmp (r->e->id, r->id) != 0)
+  if (!r->e->entry_frozen && (!r->e->up || strcmp (r->e->id, r->id) != 0))
     ftable_put (s, key, NULL);
   free (r);
 }
@@ -761,6 +788,9 @@
   /* The start of a boot must not be 0, which means in
      order_delivery::boot_start_ms that the boot is unknown. */
   e->boot_start_ms = s->now_ms + 1;
+  e->boot_clock_ms = e->next_boot_clock_ms >= 0
+                         ? e->next_boot_clock_ms
+                         : (int64_t)(fsim_random (s) * BOOT_CLOCK_MAX_MS);
   if (e->renames)
     snprintf (e->id, sizeof e->id, "%s-%lld", e->addr,
               (long long)e->boot_start_ms);
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -167,6 +167,10 @@
   bool draining;
   /* Start of the present or last boot, in simulated time. */
   int64_t boot_start_ms;
+  /* Reading of the executor's clock at the start of the boot, and of the next
+     boot; -1: the next one draws it. */
+  int64_t boot_clock_ms;
+  int64_t next_boot_clock_ms;
   /* No instance reaches the executor until this time. */
   int64_t partitioned_until_ms;
   /* End of the executor's lease.  All runs of the executor end at this time,
@@ -187,6 +191,13 @@
   int64_t late_start;
   bool drops_stops;  /* stop orders do not arrive */
   bool silent_stops; /* stop orders are executed, but not answered */
+  /* Polls are not answered, and are executed after this time; 0: at once. */
+  int64_t poll_delay_ms;
+  /* Number of orders that are still lost on connections of the boot before:
+     they fail without a delay. */
+  int n_dead_connections;
+  /* The discovery entry stays as it is, and is not removed. */
+  bool entry_frozen;
   /* The executor answers nothing until this time, and executes then what has
      arrived meanwhile. */
   int64_t hung_until_ms;
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -359,6 +359,14 @@
    drop-start          such start orders do not arrive; -1 ends the fault
    late-start          such start orders are not answered, and are executed 2
                        to 12 seconds later; -1 ends the fault
+   late-polls          polls are not answered, and are executed value ms
+                       later; 0 ends the fault
+   dead-connections    the next value orders fail at once and do not arrive:
+                       they are sent on connections of the boot before
+   boot-clock          the clock of the next boots begins at value; -1: at a
+                       reading that is drawn
+   entry-frozen        with value 1, the discovery entry stays as it is,
+                       whatever happens to the executor; 0 ends the fault
    drop-stops          with value 1, stop orders do not arrive; 0 ends the
                        fault
    silence-stops       with value 1, stop orders are executed, but not
@@ -405,6 +413,17 @@
     e->dropped_start = (int64_t)value;
   else if (strcmp (what, "late-start") == 0)
     e->late_start = (int64_t)value;
+  else if (strcmp (what, "late-polls") == 0)
+    e->poll_delay_ms = (int64_t)value;
+  else if (strcmp (what, "dead-connections") == 0)
+    e->n_dead_connections = (int)value;
+  else if (strcmp (what, "boot-clock") == 0)
+    e->next_boot_clock_ms = (int64_t)value;
+  else if (strcmp (what, "entry-frozen") == 0)
+    {
+      e->entry_frozen = value > 0;
+      fexec_update_discovery_entry (sim, e);
+    }
   else if (strcmp (what, "drop-stops") == 0)
     e->drops_stops = value > 0;
   else if (strcmp (what, "silence-stops") == 0)
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -137,12 +137,12 @@
   char *text; /* owned */
 };
 
-/* struct late_order - an order that is not answered and executed later */
+/* struct late_order - an order that is not answered and executed later, by the
+   boot that the executor has then */
 struct late_order
 {
   TAILQ_ENTRY (late_order) link;
   struct fexec *exec;
-  int64_t boot_start_ms; /* a later boot does not execute it */
   int64_t due_ms;
   struct order order; /* owns its payload */
 };
@@ -664,7 +664,7 @@
       if (now () < l->due_ms)
         continue;
       TAILQ_REMOVE (&late_orders, l, link);
-      if (can_answer (l->exec) && l->boot_start_ms == l->exec->boot_start_ms)
+      if (can_answer (l->exec))
         execute_unanswered (l->exec, &l->order);
       free (l->order.payload);
       free (l);
@@ -708,7 +708,6 @@
     }
   l = calloc (1, sizeof *l);
   l->exec = e;
-  l->boot_start_ms = e->boot_start_ms;
   l->due_ms = now () + LATE_ORDER_MIN_MS
               + (int64_t)(fsim_random (sim)
                           * (LATE_ORDER_MAX_MS - LATE_ORDER_MIN_MS));
