What holds for one boot of an executor is not taken for the next one

An executor that is back under its old id carries out orders that were meant for its former boot: Target-Instance names only the id. The scheduler ended the runs of the former boot by the clock of any answer, by a list that was older than the start it lacked, or without a sign of which boot had carried out a start; a late copy of a start then ran beside the next run.

Orders have a fencing token for each boot now: the epoch, and the number of boots that the leader has noticed of the executor. A boot that has received one order meant for it refuses all that were meant for the boot before. A sign of a new boot (a newer start in the discovery entry, or a clock that went back or further ahead than time has passed) only makes the leader ask at once which boot it is; until then nothing is placed there. Only a list ends a run: one of that boot, requested after the start was answered, of a poll with a higher token than all copies of the start that may still arrive. Answers to stops and deadlines of an earlier boot count no longer. A lapsed run that the new boot lists is no crash.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -277,13 +277,15 @@
 
   o->kind = kind;
   o->id = ++*fs->last_token;
-  o->fencing_token = fs->epoch;
+  o->fencing_token = fs->epoch << FSCHED_FENCE_BOOT_BITS;
   o->timeout_ms = FSCHED_CALL_TIMEOUT_MS + (e ? e->answer_ms : 0);
   if (e)
     {
       clb_copy (o->exec, e->rep.id, sizeof o->exec);
       clb_copy (o->addr, e->rep.addr, sizeof o->addr);
-      p->exec_clock_ms = e->answered ? e->clock_ms : 0;
+      o->fencing_token += e->n_boots;
+      p->exec_clock_ms = e->boot_known ? e->clock_ms : 0;
+      p->exec_clock_sent_ms = e->clock_sent_ms;
       p->n_exec_boots = e->n_boots;
     }
   p->id = o->id;
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -115,6 +115,10 @@
   /* A refused row that is larger than this, in bytes, is taken to exceed the
      largest row. */
   FSCHED_ROW_BYTES_MIN = 1024,
+  /* A fencing token is the epoch of the term, shifted by this, and the number
+     of boots that the leader has noticed of the executor. */
+  FSCHED_FENCE_BOOT_BITS = 16,
+  FSCHED_FENCE_BOOTS_MAX = (1 << FSCHED_FENCE_BOOT_BITS) - 1,
   /* Number of rows in the ring of intents: enough for 10 s at 25 writes/s. */
   INTENT_ROWS = 256,
 };
@@ -173,7 +177,8 @@
   int index;      /* index of the task in its step */
   int state;      /* enum start_state */
   int64_t run_id; /* number of the run among the runs of the task */
-  /* Start of the executor's boot that the task was placed on; 0: unknown. */
+  /* Start of the executor's boot that has listed the run or, until then, that
+     the task was placed on; 0: unknown. */
   int64_t boot_start_ms;
   /* When the start was sent; until then, when it was created. */
   int64_t sent_ms;
@@ -196,6 +201,10 @@
   int stop_outcome;
   uint64_t order_id; /* id of the outstanding start or stop order; 0: none */
   int tries;         /* number of start orders sent */
+  /* Number of start orders that were answered, or certainly not sent.  The
+     others may still be carried out. */
+  int n_settled;
+  int n_exec_boots; /* exec::n_boots when the last start order was sent */
   /* The executor's list of runs that is being processed contains the run. */
   bool in_list;
   /* An earlier leader started the run, and its executor has not answered this
@@ -519,13 +528,19 @@
   /* Number of orphans in the executor's last list: runs whose job is unknown,
      or whose task has another run. */
   int n_orphans;
-  size_t n_bad_rows;     /* order_result::n_bad_rows of the last poll */
-  bool ends_left;        /* order_result::ends_left of the last poll */
-  int64_t boot_start_ms; /* start of the executor's boot; 0: unknown */
-  int n_boots;           /* number of boots that this leader has detected */
+  size_t n_bad_rows; /* order_result::n_bad_rows of the last poll */
+  bool ends_left;    /* order_result::ends_left of the last poll */
+  /* Start of the boot that answered the last poll; 0: not reported. */
+  int64_t boot_start_ms;
+  /* The executor has answered a poll since the last sign of a new boot. */
+  bool boot_known;
+  /* Number of boots that this leader has noticed after the first; at most
+     FSCHED_FENCE_BOOTS_MAX. */
+  int n_boots;
   /* Start of the last boot that discovery has listed as draining; 0: none. */
   int64_t drained_boot_ms;
   int64_t clock_ms;        /* the executor's clock in its last answer */
+  int64_t clock_sent_ms;   /* when the order was sent that was answered */
   int64_t last_contact_ms; /* local time of the last answer */
   /* Latest end of the leases given to the executor, on the executor's
      clock. */
@@ -587,8 +602,10 @@
   struct start *run;
   struct exec *exec; /* of a poll: the executor that is polled */
   /* Of an order to an executor: the last reading of its clock when the order
-     was sent, 0 if there was none, and the exec::n_boots at that time. */
+     was sent, 0 if there was none of its present boot, when the order was sent
+     that it came with, and the exec::n_boots at that time. */
   int64_t exec_clock_ms;
+  int64_t exec_clock_sent_ms;
   int n_exec_boots;
   char job[JOB_ID_SIZE]; /* of an advice query: id of the job */
   int step;              /* of an advice query: index of the step */
@@ -797,7 +814,7 @@
   int64_t now_ms;
   struct outq *out;     /* borrowed; for orders, writes and log lines */
   uint64_t *last_token; /* borrowed; last id given to a call or order */
-  int64_t epoch;        /* epoch of this term; fencing token of its orders */
+  int64_t epoch;        /* epoch of this term; part of its fencing tokens */
   struct fsched_stats *stats; /* borrowed; outlives the scheduler */
   const struct fconf *conf;   /* borrowed; NULL: not known yet */
   struct job_tree jobs;       /* all jobs, by id */
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -120,28 +120,60 @@
   fs->n_lapsed++;
 }
 
+static void
+free_lapsed (struct fsched *fs, struct exec *e, struct lost_run *l)
+{
+  TAILQ_REMOVE (&e->lapsed, l, link);
+  free (l);
+  fs->n_lapsed--;
+}
+
 void
 crash_free_lapsed (struct fsched *fs, struct exec *e)
 {
   struct lost_run *l;
 
   while ((l = TAILQ_FIRST (&e->lapsed)))
-    {
-      TAILQ_REMOVE (&e->lapsed, l, link);
-      free (l);
-      fs->n_lapsed--;
-    }
+    free_lapsed (fs, e, l);
+}
+
+/* Returns whether @t and @run_id identify the run @l. */
+static bool
+is_run (const struct lost_run *l, const struct task_ref *t, int64_t run_id)
+{
+  return l->run_id == run_id && l->task.step == t->step
+         && l->task.index == t->index && strcmp (l->task.job, t->job) == 0;
+}
+
+/* Returns whether the answer to a poll lists the run as running or ended. */
+static bool
+is_listed (const struct lost_run *l, const struct order_result *res)
+{
+  for (size_t i = 0; i < res->n_runs; i++)
+    if (is_run (l, &res->runs[i].task, res->runs[i].run_id))
+      return true;
+  for (size_t i = 0; i < res->n_ends; i++)
+    if (is_run (l, &res->ends[i].task, res->ends[i].run_id))
+      return true;
+  return false;
 }
 
 void
-crash_check_lapsed (struct fsched *fs, struct exec *e)
+crash_check_lapsed (struct fsched *fs, struct exec *e,
+                    const struct order_result *res)
 {
-  const struct lost_run *l;
+  struct lost_run *l, *next;
 
-  TAILQ_FOREACH (l, &e->lapsed, link)
-    if (exec_has_new_boot (e, l->boot_start_ms))
-      count_lost_run (fs, e, l);
-  crash_free_lapsed (fs, e);
+  TAILQ_FOREACH_SAFE (l, &e->lapsed, link, next)
+    {
+      bool listed = is_listed (l, res);
+      /* The other ends may tell of the run. */
+      if (!listed && res->ends_left)
+        continue;
+      if (!listed && exec_has_new_boot (e, l->boot_start_ms))
+        count_lost_run (fs, e, l);
+      free_lapsed (fs, e, l);
+    }
 }
 
 void
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -13,6 +13,9 @@
   /* Slowest rate of an executor's clock, in percent of the local clock's rate:
      it may lose 2%. */
   CLOCK_RATE_LOW = 98,
+  /* Fastest rate of an executor's clock that is not taken for a sign of a new
+     boot. */
+  CLOCK_RATE_HIGH = 102,
   /* A stop order is sent again if the run is still listed this long after the
      executor acknowledged the stop. */
   STOP_RESEND_MS = 2000,
@@ -58,47 +61,6 @@
   return e;
 }
 
-/* Returns whether @t and @run_id identify the run of @r. */
-static bool
-is_run_of (const struct start *r, const struct task_ref *t, int64_t run_id)
-{
-  return r->run_id == run_id && r->step == t->step && r->index == t->index
-         && strcmp (r->job->spec.id, t->job) == 0;
-}
-
-/* Returns whether the answer to a poll lists the run of @r as running or
-   ended. */
-static bool
-is_listed_run (const struct start *r, const struct order_result *res)
-{
-  for (size_t i = 0; i < res->n_runs; i++)
-    if (is_run_of (r, &res->runs[i].task, res->runs[i].run_id))
-      return true;
-  for (size_t i = 0; i < res->n_ends; i++)
-    if (is_run_of (r, &res->ends[i].task, res->ends[i].run_id))
-      return true;
-  return false;
-}
-
-/* Ends a start that belongs to an earlier boot of its executor.  A start that
-   is not acknowledged may still reach the new boot, so it is stopped instead
-   of ended.  A start in START_SENT is left as it is: its result is still to
-   come. */
-static void
-end_boot_run (struct fsched *fs, struct start *r)
-{
-  if (r->start_acked_ms)
-    {
-      start_end (fs, r, RUN_END_REBOOTED);
-      return;
-    }
-  /* The executor may have crashed before it could answer. */
-  if (r->answer_lost_ms)
-    crash_count (fs, r);
-  if (r->state != START_SENT)
-    start_stop (fs, r);
-}
-
 /* Resets the sequence numbers of the executor's ends, so that none of the new
    boot is acknowledged unseen. */
 static void
@@ -111,29 +73,51 @@
   e->recorded_end_seq = 0;
 }
 
-/* Ends the runs of an executor's earlier boot, and resets the sequence numbers
-   and failures of that boot.  @res: the new boot's answer to a poll, which may
-   list runs that the boot has started already; NULL: not known. */
+/* Voids all that was known of the executor's boot: another one has begun.  The
+   runs stay until a list of the new boot tells what became of them.  From now
+   on, orders have a higher fencing token, so that a boot which has received
+   one of them refuses the orders that were meant for the boot before. */
 static void
-end_boot_runs (struct fsched *fs, struct exec *e,
-               const struct order_result *res)
+void_boot (struct fsched *fs, struct exec *e)
 {
-  struct start *r, *next;
+  struct start *r;
 
-  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    if (res && is_listed_run (r, res))
-      r->boot_start_ms = res->boot_start_ms;
-    /* The new boot may have started the run, and its end may be left.  An
-       answer with all ends decides. */
-    else if (!res || !res->ends_left || !res->boot_start_ms)
-      end_boot_run (fs, r);
+  if (e->n_boots < FSCHED_FENCE_BOOTS_MAX)
+    e->n_boots++;
   reset_end_seqs (e);
   e->failures_in_row = 0;
   e->quarantine_until_ms = 0;
   e->quarantine_ms = 0;
+  TAILQ_FOREACH (r, &e->runs, exec_link)
+    {
+      r->stop_acked_ms = 0;
+      r->deadline_ms = 0;
+      if (r->state == START_INTENT)
+        start_stop (fs, r);
+    }
   fs->pass_due = true;
 }
 
+/* Asks an executor at once which boot it is in, after a sign of a new one.
+   Until it has answered, no tasks are placed on it. */
+static void
+ask_boot (struct fsched *fs, struct exec *e, const char *sign)
+{
+  int64_t longest_lease_ms;
+
+  out_line (fs->out, "event=exec-boot-unknown exec=%s sign=%s boot=%lld",
+            e->rep.id, sign, (long long)e->boot_start_ms);
+  void_boot (fs, e);
+  e->boot_known = false;
+  /* What the new boot has begun may have a lease of full length. */
+  longest_lease_ms = exec_clock_now (fs, e) + FSCHED_LEASE_MS;
+  if (longest_lease_ms > e->lease_deadline_ms)
+    e->lease_deadline_ms = longest_lease_ms;
+  e->poll_id = 0;
+  e->next_poll_ms = fs->now_ms;
+  exec_mark_unreachable (fs, e, sign);
+}
+
 void
 fsched_exec_report (struct fsched *fs, const struct exec_report *rep)
 {
@@ -156,8 +140,10 @@
       fs->pass_due = true;
     }
   e->rep = *rep;
-  if (exec_has_new_boot (e, rep->boot_start_ms))
-    reset_end_seqs (e);
+  /* An entry that is older than the boot tells nothing. */
+  if (e->boot_known && e->boot_start_ms
+      && rep->boot_start_ms > e->boot_start_ms)
+    ask_boot (fs, e, "entry");
   if (rep->draining)
     e->drained_boot_ms = rep->boot_start_ms;
   e->domain = domain_get (fs, rep->zone);
@@ -324,6 +310,20 @@
   e->answer_ms = ms;
 }
 
+/* Ends the runs of an executor at whose address another one answers, which
+   refuses the orders for it. */
+static void
+end_replaced_runs (struct fsched *fs, struct exec *e)
+{
+  struct start *r, *next;
+
+  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
+    if (r->state != START_SENT && r->state != START_INTENT
+        && r->state != START_DROPPED)
+      start_end (fs, r, RUN_END_REBOOTED);
+  void_boot (fs, e);
+}
+
 /* Processes a failed poll: marks the executor as unreachable and schedules the
    next poll. */
 static void
@@ -333,7 +333,7 @@
   if (res->outcome == ORDER_REFUSED && res->reason == REFUSED_FENCE)
     fs->fenced = true;
   if (res->outcome == ORDER_WRONG_BOOT)
-    end_boot_runs (fs, e, NULL);
+    end_replaced_runs (fs, e);
   if (!e->unreachable)
     {
       e->unreachable_since_ms = fs->now_ms;
@@ -375,14 +375,14 @@
 }
 
 void
-exec_mark_unreachable (struct fsched *fs, struct exec *e)
+exec_mark_unreachable (struct fsched *fs, struct exec *e, const char *why)
 {
   if (e->unreachable)
     return;
   e->unreachable = true;
   e->unreachable_since_ms = fs->now_ms;
-  out_line (fs->out, "event=exec-unreachable exec=%s outcome=order-timeout",
-            e->rep.id);
+  out_line (fs->out, "event=exec-unreachable exec=%s outcome=%s", e->rep.id,
+            why);
 }
 
 void
@@ -555,11 +555,37 @@
   return r->deadline_ms && clock_ms - FSCHED_CLOCK_MARGIN_MS > r->deadline_ms;
 }
 
+/* Returns whether start orders for @r may still be carried out by the boot
+   that answered the poll @p: they are neither settled nor fenced off by the
+   poll. */
+static bool
+start_may_arrive (const struct start *r, const struct pending_order *p)
+{
+  return r->tries > r->n_settled && r->n_exec_boots >= p->n_exec_boots;
+}
+
+/* Processes a start whose run the boot that answered the poll @p neither runs
+   nor has ended, and which cannot be carried out there any more. */
+static void
+end_missing_run (struct fsched *fs, struct exec *e, struct start *r)
+{
+  bool new_boot = exec_has_new_boot (e, r->boot_start_ms);
+
+  /* A start without an answer may have been carried out by the boot before. */
+  if (new_boot && (r->start_acked_ms || r->answer_lost_ms))
+    start_end (fs, r, RUN_END_REBOOTED);
+  else if (!r->start_acked_ms || r->stop_acked_ms)
+    start_end (fs, r, RUN_END_NOT_STARTED);
+  else
+    start_stop (fs, r);
+}
+
 /* Processes a start whose run is in neither list that the executor returned
-   for the last poll; the lists are complete.  They do not show the effect of
-   orders that were sent after the poll. */
+   for the poll @p; the lists are complete.  They do not show the effect of
+   orders that were sent, or answered, after the poll. */
 static void
 process_missing_run (struct fsched *fs, struct exec *e, struct start *r,
+                     const struct pending_order *p,
                      const struct order_result *res)
 {
   /* The run may be in a row that cannot be used, so it is stopped by name. */
@@ -576,17 +602,18 @@
     start_end (fs, r,
                exec_has_new_boot (e, r->boot_start_ms) ? RUN_END_REBOOTED
                                                        : RUN_END_NOT_STARTED);
-  else if (r->start_acked_ms && exec_has_new_boot (e, r->boot_start_ms))
-    start_end (fs, r, RUN_END_REBOOTED);
+  else if (r->state == START_INTENT || r->state == START_DROPPED
+           || r->start_acked_ms >= p->sent_ms || r->stop_acked_ms > p->sent_ms)
+    return;
+  else if (!start_may_arrive (r, p))
+    end_missing_run (fs, e, r);
+  /* The next poll has a higher fencing token than the start. */
+  else if (r->n_exec_boots < e->n_boots)
+    return;
   else if (r->state == START_STOPPING
-           && ((r->stop_acked_ms && r->stop_acked_ms <= e->poll_sent_ms)
-               || start_refused_since (r, res->clock_ms)))
-    start_end (fs, r, RUN_END_NOT_STARTED);
-  else if (r->state == START_UNCONFIRMED
-           && r->answer_lost_ms < e->poll_sent_ms)
-    start_stop (fs, r);
-  else if (r->state == START_ACKED && r->start_acked_ms
-           && r->start_acked_ms < e->poll_sent_ms)
+           && (r->stop_acked_ms || start_refused_since (r, res->clock_ms)))
+    end_missing_run (fs, e, r);
+  else if (r->state == START_UNCONFIRMED && r->answer_lost_ms < p->sent_ms)
     start_stop (fs, r);
 }
 
@@ -625,7 +652,7 @@
 /* Processes the lists of ended and running tasks in a poll's answer. */
 static void
 process_lists (struct fsched *fs, struct exec *e,
-               const struct order_result *res)
+               const struct pending_order *p, const struct order_result *res)
 {
   struct start *r, *next;
   int orphans_before = e->n_orphans;
@@ -645,7 +672,7 @@
   set_ends_left (fs, e, res);
   TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
     if (!r->in_list && !e->ends_left)
-      process_missing_run (fs, e, r, res);
+      process_missing_run (fs, e, r, p, res);
     else if (!r->in_list)
       continue;
     else if (r->stop_acked_ms
@@ -661,58 +688,77 @@
       }
 }
 
-/* Returns whether the clock in the answer to order @p shows a new boot: the
-   clock restarts with each boot, and was past the reading that was known when
-   the order was sent.  How late the answer comes says nothing. */
+/* Returns whether the clock in the answer to order @p shows another boot than
+   the one that was known when the order was sent: it went back, or further
+   ahead than the time that has passed.  A boot begins at any reading.  How
+   late the answer comes says nothing. */
 static bool
-clock_went_back (const struct exec *e, const struct pending_order *p,
-                 int64_t clock_ms)
+clock_shows_boot (const struct fsched *fs, const struct exec *e,
+                  const struct pending_order *p, int64_t clock_ms)
 {
-  return clock_ms > 0 && clock_ms < p->exec_clock_ms
-         && p->n_exec_boots == e->n_boots;
+  int64_t elapsed_ms = fs->now_ms - p->exec_clock_sent_ms;
+
+  if (clock_ms <= 0 || !p->exec_clock_ms || p->n_exec_boots != e->n_boots)
+    return false;
+  return clock_ms < p->exec_clock_ms
+         || clock_ms - p->exec_clock_ms
+                > elapsed_ms * CLOCK_RATE_HIGH / 100 + FSCHED_CLOCK_MARGIN_MS;
 }
 
-/* Ends the runs of the executor's earlier boot and resets its state for the
-   new boot, which has answered an order.  @res: the answer, if the order was a
-   poll; NULL: it was not.  @clock_ms: the executor's clock in the answer. */
+/* Keeps the reading of the executor's clock in the answer to order @p. */
 static void
-process_new_boot (struct fsched *fs, struct exec *e, int64_t clock_ms,
-                  const struct order_result *res)
+keep_clock (const struct fsched *fs, struct exec *e,
+            const struct pending_order *p, int64_t clock_ms)
 {
-  int64_t boot_start_ms = res ? res->boot_start_ms : 0;
-
-  out_line (fs->out,
-            "event=exec-rebooted exec=%s clock_ms=%lld boot_start=%lld",
-            e->rep.id, (long long)clock_ms, (long long)boot_start_ms);
-  end_boot_runs (fs, e, res);
-  e->n_boots++;
-  e->boot_start_ms = boot_start_ms;
   e->clock_ms = clock_ms;
+  e->clock_sent_ms = p->sent_ms;
   e->last_contact_ms = fs->now_ms;
-  e->lease_deadline_ms = clock_ms + FSCHED_LEASE_MS;
 }
 
 bool
 exec_detect_reboot (struct fsched *fs, struct exec *e,
                     const struct pending_order *p, int64_t clock_ms)
 {
-  if (!clock_went_back (e, p, clock_ms))
+  if (!clock_shows_boot (fs, e, p, clock_ms))
     return false;
-  process_new_boot (fs, e, clock_ms, NULL);
-  exec_mark_unreachable (fs, e);
+  keep_clock (fs, e, p, clock_ms);
+  e->lease_deadline_ms = 0;
+  ask_boot (fs, e, "clock");
   return true;
 }
 
+/* Notes the boot that has answered the poll @p. */
+static void
+set_boot (struct fsched *fs, struct exec *e, const struct pending_order *p,
+          const struct order_result *res)
+{
+  bool new_boot = exec_has_new_boot (e, res->boot_start_ms)
+                  || clock_shows_boot (fs, e, p, res->clock_ms);
+
+  if (new_boot)
+    out_line (fs->out,
+              "event=exec-rebooted exec=%s clock_ms=%lld boot_start=%lld "
+              "boot_before=%lld known=%d",
+              e->rep.id, (long long)res->clock_ms,
+              (long long)res->boot_start_ms, (long long)e->boot_start_ms,
+              !e->boot_known);
+  /* After another sign of the boot, the poll itself had the higher token. */
+  if (new_boot && e->boot_known)
+    void_boot (fs, e);
+  if (new_boot)
+    e->lease_deadline_ms = res->clock_ms + FSCHED_LEASE_MS;
+  if (new_boot || res->boot_start_ms)
+    e->boot_start_ms = res->boot_start_ms;
+  e->boot_known = true;
+}
+
 /* Marks an executor as reachable after it has answered a poll, and detects a
    new boot. */
 static void
 mark_reachable (struct fsched *fs, struct exec *e,
                 const struct pending_order *p, const struct order_result *res)
 {
-  if (clock_went_back (e, p, res->clock_ms)
-      || (e->answered && res->boot_start_ms && e->boot_start_ms
-          && res->boot_start_ms != e->boot_start_ms))
-    process_new_boot (fs, e, res->clock_ms, res);
+  set_boot (fs, e, p, res);
   if (!e->answered || e->unreachable)
     {
       out_line (
@@ -722,13 +768,9 @@
                                      : 0));
       fs->pass_due = true;
     }
-  e->boot_start_ms
-      = res->boot_start_ms ? res->boot_start_ms : e->boot_start_ms;
-  crash_check_lapsed (fs, e);
   e->answered = true;
   e->unreachable = false;
-  e->clock_ms = res->clock_ms;
-  e->last_contact_ms = fs->now_ms;
+  keep_clock (fs, e, p, res->clock_ms);
 }
 
 void
@@ -767,7 +809,8 @@
       return;
     }
   mark_reachable (fs, e, p, res);
-  process_lists (fs, e, res);
+  process_lists (fs, e, p, res);
+  crash_check_lapsed (fs, e, res);
   if (!e->ends_left)
     e->reconciled = true;
   /* While ends are not recorded, the next poll is delayed until they are, or
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -298,9 +298,12 @@
 void crash_add_lapsed (struct fsched *fs, const struct start *r);
 /**
  * crash_check_lapsed() - Count the crash under the runs that lapsed, after the
- * executor has answered: if it has a new boot, it did not only fail to answer.
+ * executor has answered a poll: if it has a new boot, it did not only fail to
+ * answer.  The new boot may have carried out the start of a run that it lists.
+ * @res: the answer; its lists have been processed
  */
-void crash_check_lapsed (struct fsched *fs, struct exec *e);
+void crash_check_lapsed (struct fsched *fs, struct exec *e,
+                         const struct order_result *res);
 /**
  * crash_exec_replaced() - Count the crash under the lapsed runs of the
  * executor that had the address of @successor before.
@@ -344,15 +347,14 @@
 void exec_poll_result (struct fsched *fs, const struct pending_order *p,
                        const struct order_result *res);
 /**
- * exec_detect_reboot() - Detect a new boot by the clock in an answer: the
- * clock restarts with each boot.
+ * exec_detect_reboot() - Detect a new boot by the clock in an answer to a
+ * start or stop order, which does not name the boot.
  * @p: the order that was answered; borrowed
  * @clock_ms: the executor's clock; 0: not reported
  *
- * At a new boot, the starts that the earlier boot had acknowledged are ended
- * and freed.
+ * At a sign of a new boot, the executor is polled at once.
  *
- * Return: whether the executor has a new boot.
+ * Return: whether there is one.
  */
 bool exec_detect_reboot (struct fsched *fs, struct exec *e,
                          const struct pending_order *p, int64_t clock_ms);
@@ -363,8 +365,10 @@
 /**
  * exec_mark_unreachable() - Mark @e as unreachable until a poll of it
  * succeeds; meanwhile, no tasks are placed on it.
+ * @why: for the log line
  */
-void exec_mark_unreachable (struct fsched *fs, struct exec *e);
+void exec_mark_unreachable (struct fsched *fs, struct exec *e,
+                            const char *why);
 /**
  * exec_count_failure() - Count a failed run or busy answer of @e, and
  * quarantine @e if there were FSCHED_QUARANTINE_FAILURES in a row.
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -220,6 +220,7 @@
   if (r->exec->index < s->n_permits && s->permits[r->exec->index].ticket)
     clb_copy (o->ticket, s->permits[r->exec->index].ticket, sizeof o->ticket);
   fs->stats->starts += r->tries++ == 0;
+  r->n_exec_boots = r->exec->n_boots;
   set_pending (fs, r, true);
   domain_start_sent (fs, r->exec);
   out_line (fs->out,
@@ -344,14 +345,17 @@
    it again. */
 static void
 process_start_result (struct fsched *fs, struct start *r,
+                      const struct pending_order *p,
                       const struct order_result *res)
 {
   int outcome = res->outcome;
 
+  r->n_settled += outcome != ORDER_LOST;
+
   /* No more tasks are placed on the executor until a poll of it succeeds. */
   if (outcome == ORDER_UNREACHED
       || (outcome == ORDER_LOST && !may_try_again (r)))
-    exec_mark_unreachable (fs, r->exec);
+    exec_mark_unreachable (fs, r->exec, "order-timeout");
   /* If an earlier answer was lost, the earlier copy of the start order may
      have arrived, whatever the result of this copy is. */
   if (r->answer_lost_ms && outcome != ORDER_DONE)
@@ -361,7 +365,8 @@
     case ORDER_DONE:
       start_log_confirmed (fs, r, "answer");
       r->start_acked_ms = fs->now_ms;
-      r->boot_start_ms = r->exec->boot_start_ms;
+      if (p->n_exec_boots == r->exec->n_boots)
+        r->boot_start_ms = r->exec->boot_start_ms;
       start_mark_job_started (r->job);
       advice_ticket_accepted (r);
       if (r->state == START_SENT)
@@ -385,8 +390,6 @@
                 r->job->spec.id, r->step, r->index, (long long)r->run_id,
                 r->exec->rep.id);
       r->answer_lost_ms = fs->now_ms;
-      if (exec_has_new_boot (r->exec, r->boot_start_ms))
-        crash_count (fs, r);
       if (r->state != START_SENT)
         return;
       if (may_try_again (r) && fs->may_order && !r->exec->unreachable)
@@ -420,10 +423,12 @@
 /* Processes the result of a stop order. */
 static void
 process_stop_result (const struct fsched *fs, struct start *r,
+                     const struct pending_order *p,
                      const struct order_result *res)
 {
   r->stop_outcome = res->outcome;
-  if (res->outcome == ORDER_DONE)
+  /* A stop that an earlier boot has carried out binds only that boot. */
+  if (res->outcome == ORDER_DONE && p->n_exec_boots == r->exec->n_boots)
     r->stop_acked_ms = fs->now_ms;
   log_stop_result (fs, r);
 }
@@ -433,7 +438,6 @@
               const struct order_result *res)
 {
   struct start *r = p->run;
-  bool acked = r->start_acked_ms;
 
   r->order_id = 0;
   set_pending (fs, r, false);
@@ -442,10 +446,9 @@
       domain_answered (fs, r->exec);
       exec_add_answer_time (fs, r->exec, p);
     }
-  if (exec_detect_reboot (fs, r->exec, p, res->clock_ms) && acked)
-    return;
+  exec_detect_reboot (fs, r->exec, p, res->clock_ms);
   if (p->kind == ORDER_START)
-    process_start_result (fs, r, res);
+    process_start_result (fs, r, p, res);
   else
-    process_stop_result (fs, r, res);
+    process_stop_result (fs, r, p, res);
 }
--- a/regress/fleet/crashes.lua
+++ b/regress/fleet/crashes.lua
@@ -107,11 +107,11 @@
   submit(0, id(1))
   for e = 0, 2 do
     run(2100)
+    if e < 2 then exec(e + 1, "crash") end
     exec(e, "reboot")
+    expect(task(id(1)) == 0, "the task was started")
     run(900)
-    if e < 2 then exec(e + 1, "crash") end
   end
-  expect(task(id(1)) == 0, "the task was started")
   run(12000)
   expect(state(0, id(1)) == "completed", "state is " .. state(0, id(1)))
 end)
--- a/regress/fleet/restart.lua
+++ b/regress/fleet/restart.lua
@@ -40,3 +40,20 @@
     end)
   end
 end
+
+for _, stale in ipairs{0, 1} do
+  scenario("a start that was meant for the boot before is refused, stale entry "
+           .. stale, function()
+    start_pair()
+    exec(0, "late-start", 0)
+    submit_job(1, 12000)
+    run(100)
+    exec(0, "late-start", -1)
+    run(700)
+    restart(1, stale)
+    run(1000)
+    exec(0, "entry-frozen", 0)
+    run(15000)
+    expect(state(0, id(1)) == "completed", "the job is not completed")
+  end)
+end
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -8,17 +8,19 @@
   LATE_MS = 1800,
 };
 
-/* Returns the first order of @kind that the scheduler has given since; the
-   other orders are lost.  The caller frees it with order_free(). */
+/* Returns the first order of @kind that the scheduler has given since, to
+   executor @exec unless that is NULL; the other orders are lost.  The caller
+   frees it with order_free(). */
 static struct order *
-take_order (struct fixture *x, int kind)
+take_order_to (struct fixture *x, int kind, const char *exec)
 {
   struct order *found = NULL;
   struct out *o;
 
   while ((o = out_take (&x->out)))
     {
-      if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind)
+      if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind
+          && (!exec || strcmp (o->u.order->exec, exec) == 0))
         {
           found = o->u.order;
           o->u.order = NULL;
@@ -30,6 +32,12 @@
   return found;
 }
 
+static struct order *
+take_order (struct fixture *x, int kind)
+{
+  return take_order_to (x, kind, NULL);
+}
+
 /* Passes the answer to order @o, which the executor makes now, to the
    scheduler
    @late_ms later.  Frees the order. */
@@ -42,6 +50,9 @@
                               .runs = runs,
                               .n_runs = n_runs };
 
+  if (o && o->kind == ORDER_POLL)
+    res.boot_start_ms = x->boot_start_ms;
+
   CU_ASSERT_PTR_NOT_NULL (o);
   if (!o)
     return;
@@ -113,10 +124,14 @@
   tear_down (&x);
 }
 
+/* Lets the executors restart before the start of a second job is answered,
+   with their clocks at @clock_ms, and then answer a poll. */
 static void
-test_earlier_clock_is_a_reboot (void)
+restart_before_answer (int64_t clock_ms)
 {
   struct fixture x;
+  struct run_row listed
+      = { .task = { .job = "0000000000000002" }, .run_id = 1 };
 
   set_up_run (&x);
   add_job (&x, "0000000000000002", 1, false);
@@ -124,12 +139,29 @@
   fsched_tick (x.fs, x.now_ms, true);
   collect (&x);
   fsched_recorded (x.fs);
-  x.boot_ms = 10 - x.now_ms;
+  x.boot_ms = clock_ms - x.now_ms;
   answer_late (&x, take_order (&x, ORDER_START), 0, NULL, 0);
+  CU_ASSERT (!exec_eligible (x.fs, exec_find (x.fs, "e0")));
+  x.now_ms += FSCHED_EXEC_SWEEP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  x.boot_start_ms++;
+  answer_late (&x, take_order_to (&x, ORDER_POLL, "e0"), 0, &listed, 1);
   CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 1000);
   tear_down (&x);
 }
 
+static void
+test_earlier_clock_is_a_reboot (void)
+{
+  restart_before_answer (10);
+}
+
+static void
+test_clock_far_ahead_is_a_reboot (void)
+{
+  restart_before_answer (INT64_C (2) * BOOT_MS);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -183,6 +215,8 @@
            { "a late answer to a poll is no reboot",
              test_late_answer_to_a_poll_is_no_reboot },
            { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot },
+           { "a clock far ahead is a reboot",
+             test_clock_far_ahead_is_a_reboot },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
--- a/regress/unit/sched_fixture.h
+++ b/regress/unit/sched_fixture.h
@@ -18,6 +18,8 @@
   STEP_MS = 20,     /* time between two calls of the scheduler */
 };
 
+#define BOOT_START_MS 1775486528289 /* of all executors */
+
 /* struct fixture - a scheduler, one client account and its executors */
 struct fixture
 {
@@ -26,6 +28,7 @@
   struct fsched *fs;
   int64_t now_ms;
   int64_t boot_ms; /* the executors' clocks are ahead of now_ms by this */
+  int64_t boot_start_ms;
   struct fconf conf;
   struct fconf_tenant account;
   int n_started; /* number of start orders that were answered */
@@ -46,7 +49,8 @@
 report_exec (struct fixture *x, const char *id)
 {
   struct exec_report rep
-      = { .capacity = { .millicores = CORES * 1000, .mem_mb = 1000 } };
+      = { .capacity = { .millicores = CORES * 1000, .mem_mb = 1000 },
+          .boot_start_ms = x->boot_start_ms };
 
   clb_copy (rep.id, id, sizeof rep.id);
   clb_copy (rep.addr, "10.0.0.1:80", sizeof rep.addr);
@@ -60,7 +64,9 @@
   static uint64_t last_token;
   char id[CLB_ID_MAX];
 
-  *x = (struct fixture){ .now_ms = START_MS, .boot_ms = BOOT_MS };
+  *x = (struct fixture){ .now_ms = START_MS,
+                         .boot_ms = BOOT_MS,
+                         .boot_start_ms = BOOT_START_MS };
   TAILQ_INIT (&x->out);
   x->fs = fsched_new (&x->out, &last_token, x->now_ms, 1, 0, &x->stats);
   clb_copy (x->account.name, "blue", sizeof x->account.name);
@@ -95,6 +101,8 @@
           = { .outcome = ORDER_DONE, .clock_ms = x->boot_ms + x->now_ms };
       if (o->kind == OUT_ORDER)
         {
+          if (o->u.order->kind == ORDER_POLL)
+            res.boot_start_ms = x->boot_start_ms;
           x->n_started += o->u.order->kind == ORDER_START;
           fsched_order_result (x->fs, x->now_ms, o->u.order->id, &res);
         }
