Polls do not let the next boot of an executor forget ends that nobody has seen

Callers saw a task run again after a run of it had ended done. Cause: each poll repeated the number up to which ends are recorded, also to an executor that did not answer.

A poll states the number only while there are recorded ends that the boot has not forgotten yet, and never to an executor that does not answer or whose boot is not known.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -556,6 +556,9 @@
   int64_t writing_end_seq;
   /* Ends of runs up to this sequence number are recorded. */
   int64_t recorded_end_seq;
+  /* The boot has acknowledged that it has forgotten the ends up to this
+     sequence number. */
+  int64_t forgotten_end_seq;
   uint64_t poll_id; /* id of the poll that is outstanding and not overdue; 0:
                        none */
   uint64_t last_poll_id; /* id of the last poll; 0: none */
@@ -612,6 +615,7 @@
   int adviser;           /* of an advice query: index into fsched::advisers */
   int64_t sent_ms;
   int64_t wait_ms; /* of a poll: delay of the answer that it permits */
+  int64_t recorded_end_seq; /* of a poll: order::recorded_end_seq */
   /* Of an advice query, see fsched_adviser.c. */
   struct fsched_queue *queue; /* queue of the job */
   double duration_ms;         /* announced duration of the query */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -71,6 +71,7 @@
   e->round_end_seq = 0;
   e->writing_end_seq = 0;
   e->recorded_end_seq = 0;
+  e->forgotten_end_seq = 0;
 }
 
 /* Voids all that was known of the executor's boot: another one has begun.  The
@@ -252,7 +253,12 @@
   e->poll_id = o->id;
   e->last_poll_id = o->id;
   e->poll_sent_ms = fs->now_ms;
-  o->recorded_end_seq = e->recorded_end_seq;
+  /* The numbers are those of one boot.  An executor that does not answer may
+     be in the next one. */
+  if (e->boot_known && !e->unreachable
+      && e->recorded_end_seq > e->forgotten_end_seq)
+    o->recorded_end_seq = e->recorded_end_seq;
+  pend->recorded_end_seq = o->recorded_end_seq;
   /* A poll of an unreachable executor does not extend its lease.  Otherwise
      each poll would move the assumed end of the lease, and the lease would
      never count as expired. */
@@ -809,6 +815,9 @@
       return;
     }
   mark_reachable (fs, e, p, res);
+  if (p->n_exec_boots == e->n_boots
+      && p->recorded_end_seq > e->forgotten_end_seq)
+    e->forgotten_end_seq = p->recorded_end_seq;
   process_lists (fs, e, p, res);
   crash_check_lapsed (fs, e, res);
   if (!e->ends_left)
--- a/core/order.h
+++ b/core/order.h
@@ -62,7 +62,8 @@
   /* Of a start or poll: end of the lease, on the executor's clock.  In a poll,
      0 means that the lease is not renewed. */
   int64_t lease_deadline_ms;
-  /* Of a poll: the leader has recorded the ends up to this end_row::seq. */
+  /* Of a poll: the leader has recorded the ends up to this end_row::seq, which
+     the executor may forget; 0: none that it has not forgotten. */
   int64_t recorded_end_seq;
   /* Of a poll: how long the executor may wait for a run to end before it
      answers. */
--- a/regress/fleet/restart.lua
+++ b/regress/fleet/restart.lua
@@ -57,3 +57,21 @@
     expect(state(0, id(1)) == "completed", "the job is not completed")
   end)
 end
+
+scenario("polls that are not answered forget no ends of the next boot",
+  function()
+  start_pair()
+  for n = 1, 8 do
+    submit_job(n, 300)
+    run(100)
+  end
+  run(1000)
+  restart(1, 1)
+  exec(0, "lose-results", 1)
+  submit_job(20, 300)
+  run(3500)
+  exec(0, "lose-results", 0)
+  exec(0, "entry-frozen", 0)
+  run(8000)
+  expect(state(0, id(20)) == "completed", "the job is not completed")
+end)
