Tasks are not placed by the discovery entry of another boot

The start in the entry must be that of the boot that answers, if both are known.

exec_test, "the entry of the boot before is not used": the second of its six assertions on eligibility fails without the condition.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -124,6 +124,7 @@
 {
   struct exec *e = exec_find (fs, rep->id);
   bool addr_changed;
+  bool boot_changed;
 
   if (!e)
     {
@@ -133,11 +134,12 @@
       e->reconciled = true;
     }
   addr_changed = strcmp (e->rep.addr, rep->addr) != 0;
-  if (!e->listed || e->rep.draining != rep->draining)
+  boot_changed = e->rep.boot_start_ms != rep->boot_start_ms;
+  if (!e->listed || e->rep.draining != rep->draining || boot_changed)
     {
-      out_line (fs->out, "event=exec-%s exec=%s zone=%s addr=%s",
+      out_line (fs->out, "event=exec-%s exec=%s zone=%s addr=%s boot=%lld",
                 rep->draining ? "draining" : "listed", rep->id, rep->zone,
-                rep->addr);
+                rep->addr, (long long)rep->boot_start_ms);
       fs->pass_due = true;
     }
   e->rep = *rep;
@@ -888,12 +890,20 @@
   account_log_all (fs, "use-reconciled");
 }
 
+/* Returns whether the executor's discovery entry is known to be that of
+   another boot, which may have had other labels and another capacity. */
+static bool
+entry_is_of_other_boot (const struct exec *e)
+{
+  return exec_has_new_boot (e, e->rep.boot_start_ms);
+}
+
 bool
 exec_eligible (const struct fsched *fs, const struct exec *e)
 {
   return exec_recently_listed (fs, e) && e->answered && !e->unreachable
          && e->recorded && e->reconciled && !e->n_orphans && !e->rep.draining
-         && !(e->domain && e->domain->silent)
+         && !entry_is_of_other_boot (e) && !(e->domain && e->domain->silent)
          && fs->now_ms >= e->quarantine_until_ms;
 }
 
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -162,6 +162,34 @@
   restart_before_answer (INT64_C (2) * BOOT_MS);
 }
 
+/* Restarts executor e0 and lets it answer a poll in the new boot. */
+static void
+test_entry_of_the_boot_before_is_not_used (void)
+{
+  struct fixture x;
+  const struct exec *e;
+
+  set_up (&x);
+  settle (&x);
+  e = exec_find (x.fs, "e0");
+  CU_ASSERT (exec_eligible (x.fs, e));
+  x.boot_start_ms++;
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  step (&x);
+  CU_ASSERT (!exec_eligible (x.fs, e));
+  report_exec (&x, "e0");
+  CU_ASSERT (exec_eligible (x.fs, e));
+  x.boot_start_ms++;
+  report_exec (&x, "e0");
+  CU_ASSERT (!exec_eligible (x.fs, e));
+  step (&x);
+  CU_ASSERT (exec_eligible (x.fs, e));
+  x.boot_start_ms--;
+  report_exec (&x, "e0");
+  CU_ASSERT (!exec_eligible (x.fs, e));
+  tear_down (&x);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -217,6 +245,8 @@
            { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot },
            { "a clock far ahead is a reboot",
              test_clock_far_ahead_is_a_reboot },
+           { "the entry of the boot before is not used",
+             test_entry_of_the_boot_before_is_not_used },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
