A crash under a task wants evidence that the run was on the boot that crashed

Callers were told that a job had failed though no run of it had, and though it crashed nothing: starts that never ran counted as crashes (start-lost, crash confirmed=0, end result=never), and so did a run that ended done, as its intent, written before the start, named a boot that never ran it.

It is confirmed only if this leader has seen the run: the start was acknowledged, or a list had it. An intent proves neither. Three confirmed crashes fail the job, or four of any kind; before, one of the three could be unconfirmed. A start without an answer does not count if the executor was late with the answer to a poll already when the start was sent.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -210,6 +210,9 @@
   /* An earlier leader started the run, and its executor has not answered this
      leader yet. */
   bool inherited;
+  /* The executor was late with the answer to a poll when the start was first
+     sent. */
+  bool sent_to_silent;
   bool pending;          /* the start counts in fsched::n_pending_starts */
   struct intent *intent; /* the record of the start; NULL: none */
   /* Name of the latest checkpoint that the executor reported; empty: none. */
@@ -473,6 +476,7 @@
   int64_t run_id;
   int64_t boot_start_ms; /* as start::boot_start_ms */
   bool unconfirmed;      /* as job_crash::unconfirmed */
+  bool sent_to_silent;   /* as start::sent_to_silent */
 };
 TAILQ_HEAD (lost_runq, lost_run);
 
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -42,9 +42,7 @@
 
   for (int i = 0; i < t->n_crashes; i++)
     n_confirmed += !t->crashes[i].unconfirmed;
-  return t->n_crashes >= JOB_CRASHES_ANY_MAX
-         || (t->n_crashes >= JOB_CRASHES_MAX
-             && n_confirmed >= JOB_CRASHES_CONFIRMED_MIN);
+  return t->n_crashes >= JOB_CRASHES_ANY_MAX || n_confirmed >= JOB_CRASHES_MAX;
 }
 
 bool
@@ -66,11 +64,13 @@
   to->task.index = r->index;
   to->run_id = r->run_id;
   to->boot_start_ms = r->boot_start_ms;
-  to->unconfirmed = !r->start_acked_ms && !r->inherited;
+  to->unconfirmed = !r->start_acked_ms;
+  to->sent_to_silent = r->sent_to_silent;
 }
 
 /* Counts a crash of executor @e under a run, unless the executor drained: it
-   has then left as announced. */
+   has then left as announced.  A start that was not answered by an executor
+   that was silent already is no evidence of a crash under the run. */
 static void
 count_lost_run (struct fsched *fs, const struct exec *e,
                 const struct lost_run *l)
@@ -82,6 +82,7 @@
   struct jtask *t;
 
   if (!j || job_state_final (j->state)
+      || (l->unconfirmed && l->sent_to_silent)
       || (l->boot_start_ms && l->boot_start_ms == e->drained_boot_ms))
     return;
   s = &j->steps[l->task.step];
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -245,6 +245,14 @@
   return e->poll_wait_ms + e->answer_ms + FSCHED_POLL_SLACK_MS;
 }
 
+bool
+exec_is_silent (const struct fsched *fs, const struct exec *e)
+{
+  return e->poll_id
+         && fs->now_ms - e->poll_sent_ms
+                > e->poll_wait_ms + e->answer_ms + FSCHED_CLOCK_MARGIN_MS;
+}
+
 static void
 send_poll (struct fsched *fs, struct exec *e)
 {
--- a/core/job.h
+++ b/core/job.h
@@ -24,11 +24,9 @@
   /* Maximum number of failed runs stored of one task; no queue allows more
      attempts. */
   JOB_FAILURES_MAX = 64,
-  /* Number of executors that may crash under one task.  After that many, the
-     task is not started again and its job fails, unless fewer than
-     JOB_CRASHES_CONFIRMED_MIN of the crashes are confirmed. */
+  /* Number of confirmed crashes of executors under one task after which the
+     task is not started again and its job fails. */
   JOB_CRASHES_MAX = 3,
-  JOB_CRASHES_CONFIRMED_MIN = 2,
   /* Number of crashes under one task, confirmed or not, after which its job
      fails in any case. */
   JOB_CRASHES_ANY_MAX = 4,
@@ -140,8 +138,8 @@
   int64_t run_id;
   /* Address of the executor, which may have a new id in its next boot. */
   char addr[CLB_ADDR_MAX];
-  /* The executor did not acknowledge the start, so that it may have crashed
-     before. */
+  /* The leader that counted the crash has not seen the run on the boot that
+     crashed, which may have done so before. */
   bool unconfirmed;
 };
 
--- a/regress/unit/crash_test.c
+++ b/regress/unit/crash_test.c
@@ -54,6 +54,40 @@
   free_outputs (&out);
 }
 
+/* Returns the state of the job after crashes under three runs of a task, of
+   which the first @n_unconfirmed are unconfirmed. */
+static int
+state_after_three_crashes (int n_unconfirmed)
+{
+  struct outq out = TAILQ_HEAD_INITIALIZER (out);
+  struct fsched_stats stats = { 0 };
+  struct fsched *fs = scheduler_with_job (&out, &stats);
+  struct job *j = fsched_find_job (fs, JOB_ID);
+  int state;
+
+  fsched_load_roster (fs, "i-1 10.0.0.1:80\n");
+  for (int i = 1; i <= JOB_CRASHES_MAX; i++)
+    {
+      struct start r = { .job = j,
+                         .exec = exec_find (fs, "i-1"),
+                         .run_id = i,
+                         .start_acked_ms = i > n_unconfirmed };
+      crash_count (fs, &r);
+    }
+  CU_ASSERT_EQUAL (j->steps[0].n_crashes, JOB_CRASHES_MAX);
+  state = j->state;
+  fsched_free (fs);
+  free_outputs (&out);
+  return state;
+}
+
+static void
+test_three_crashes_fail_a_job_if_confirmed (void)
+{
+  CU_ASSERT_EQUAL (state_after_three_crashes (0), JOB_FAILED);
+  CU_ASSERT_NOT_EQUAL (state_after_three_crashes (1), JOB_FAILED);
+}
+
 static void
 test_crashes_are_recorded (void)
 {
@@ -104,6 +138,8 @@
 
 UNIT_MAIN ("crash",
            { "a crash under a run counts once", test_a_run_counts_once },
+           { "three crashes fail a job if they are confirmed",
+             test_three_crashes_fail_a_job_if_confirmed },
            { "crashes are recorded with the progress",
              test_crashes_are_recorded },
            { "intents with and without the executor's boot are read",
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -190,6 +190,98 @@
   tear_down (&x);
 }
 
+/* Loses the answer to the start order that the scheduler gives next. */
+static void
+lose_start (struct fixture *x)
+{
+  struct order_result lost = { .outcome = ORDER_LOST };
+  struct order *o = take_order (x, ORDER_START);
+
+  CU_ASSERT_PTR_NOT_NULL (o);
+  if (o)
+    fsched_order_result (x->fs, x->now_ms, o->id, &lost);
+  order_free (o);
+}
+
+/* Returns the number of crashes that count under a task whose start was sent
+   twice and never answered, @silent_ms after the last poll of its executor,
+   which then answers polls in a new boot. */
+static int
+crashes_after_lost_start (int64_t silent_ms)
+{
+  struct fixture x;
+  int n_crashes;
+
+  set_up_run (&x);
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  step (&x);
+  x.now_ms += FSCHED_POLL_GAP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  order_free (take_order (&x, ORDER_POLL));
+  x.now_ms += silent_ms;
+  add_job (&x, "0000000000000002", 1, false);
+  fsched_tick (x.fs, x.now_ms, true);
+  collect (&x);
+  fsched_recorded (x.fs);
+  lose_start (&x);
+  lose_start (&x);
+  x.boot_ms = 0;
+  x.boot_start_ms++;
+  for (int64_t end_ms = x.now_ms + 3000; x.now_ms < end_ms;)
+    step (&x);
+  n_crashes
+      = fsched_find_job (x.fs, "0000000000000002")->steps[0].tasks->n_crashes;
+  tear_down (&x);
+  return n_crashes;
+}
+
+static void
+test_start_to_a_silent_executor_is_no_crash (void)
+{
+  CU_ASSERT_EQUAL (crashes_after_lost_start (0), 1);
+  CU_ASSERT_EQUAL (crashes_after_lost_start (FSCHED_POLL_WAIT_MS + 300), 0);
+}
+
+/* Returns the number of crashes that count under a task whose lease has
+   expired, after its executor has answered a poll in a new boot.
+   @n_listed: 1 if that lists the run, 0 if it does not */
+static int
+crashes_after_lapse (size_t n_listed)
+{
+  struct fixture x;
+  struct run_row listed
+      = { .task = { .job = "0000000000000001" }, .run_id = 1 };
+  struct order *o;
+  int n_crashes;
+
+  set_up_run (&x);
+  for (int64_t end_ms = x.now_ms + 2 * FSCHED_LEASE_MS; x.now_ms < end_ms;)
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+      order_free (take_order (&x, ORDER_POLL));
+    }
+  CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 0);
+  x.boot_start_ms++;
+  while (!(o = take_order_to (&x, ORDER_POLL, "e0")))
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+    }
+  answer_late (&x, o, 0, &listed, n_listed);
+  n_crashes
+      = fsched_find_job (x.fs, "0000000000000001")->steps[0].tasks->n_crashes;
+  tear_down (&x);
+  return n_crashes;
+}
+
+static void
+test_lapsed_run_in_a_new_boot_is_no_crash (void)
+{
+  CU_ASSERT_EQUAL (crashes_after_lapse (0), 1);
+  CU_ASSERT_EQUAL (crashes_after_lapse (1), 0);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -247,6 +339,10 @@
              test_clock_far_ahead_is_a_reboot },
            { "the entry of the boot before is not used",
              test_entry_of_the_boot_before_is_not_used },
+           { "a start that a silent executor does not answer is no crash",
+             test_start_to_a_silent_executor_is_no_crash },
+           { "a lapsed run that a new boot lists is no crash",
+             test_lapsed_run_in_a_new_boot_is_no_crash },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
