A run that a new leader adopts has an intent

A run that a list names and that no intent stands for was adopted without one: if the leader was lost again and the executor did not answer, the next leader did not know that the run might be going on. Intents that are written again keep naming the boot that the task was placed on, though another one may have carried the start out.

An adopted run gets an intent with the next write, and an intent that is written again names the boot that has listed the run.

restart_test, "an adopted run has an intent": fails without the change (mutant adopt-without-intent).

--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -81,8 +81,7 @@
   struct jstep *s;
   struct jtask *t;
 
-  if (!j || job_state_final (j->state)
-      || (l->unconfirmed && l->sent_to_silent)
+  if (!j || job_state_final (j->state) || (l->unconfirmed && l->sent_to_silent)
       || (l->boot_start_ms && l->boot_start_ms == e->drained_boot_ms))
     return;
   s = &j->steps[l->task.step];
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -520,6 +520,7 @@
             (long long)row->percent, (long long)e->boot_start_ms);
   r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
                  row->run_id, START_ACKED);
+  intent_add (fs, r);
   if (t->done || job_state_final (j->state))
     start_stop (fs, r);
   return r;
@@ -545,6 +546,7 @@
   r->inherited = false;
   if (e->boot_start_ms)
     r->boot_start_ms = e->boot_start_ms;
+  intent_set_boot (r);
   start_mark_job_started (r->job);
   if (!r->start_acked_ms)
     r->start_acked_ms = fs->now_ms;
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -108,11 +108,17 @@
 /** intents_fini() - Free the intents, but not @p itself. */
 void intents_fini (struct intents *p);
 /**
- * intent_add() - Add the intent of a new start.
+ * intent_add() - Add the intent of a start.
  *
- * The intent is recorded with the next write; then the start is sent.
+ * The intent is recorded with the next write; then a start that is new is
+ * sent.
  */
 void intent_add (struct fsched *fs, struct start *r);
+/**
+ * intent_set_boot() - Let the intent of a start name the boot that the start
+ * is known to run on when it is written next.
+ */
+void intent_set_boot (const struct start *r);
 /**
  * intent_ended() - Detach the intent of a start that has ended.
  *
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -95,6 +95,13 @@
   fs->intents_write_due = true;
 }
 
+void
+intent_set_boot (const struct start *r)
+{
+  if (r->intent)
+    r->intent->boot_start_ms = r->boot_start_ms;
+}
+
 void
 intent_ended (struct fsched *fs, struct start *r)
 {
--- a/regress/unit/restart_test.c
+++ b/regress/unit/restart_test.c
@@ -57,14 +57,17 @@
   tear_down (&x);
 }
 
-/* Passes the answer to order @o to the scheduler; the executor runs nothing.
-   Frees the order. */
+/* Passes the answer to order @o, with a list of @n_runs runs, to the
+   scheduler. Frees the order. */
 static void
-answer (struct fixture *x, struct order *o, int64_t boot_start_ms)
+answer_with_runs (struct fixture *x, struct order *o, int64_t boot_start_ms,
+                  struct run_row *runs, size_t n_runs)
 {
   struct order_result res = { .outcome = ORDER_DONE,
                               .clock_ms = x->boot_ms + x->now_ms,
-                              .boot_start_ms = boot_start_ms };
+                              .boot_start_ms = boot_start_ms,
+                              .runs = runs,
+                              .n_runs = n_runs };
 
   CU_ASSERT_PTR_NOT_NULL (o);
   if (o)
@@ -72,6 +75,12 @@
   order_free (o);
 }
 
+static void
+answer (struct fixture *x, struct order *o, int64_t boot_start_ms)
+{
+  answer_with_runs (x, o, boot_start_ms, NULL, 0);
+}
+
 /* Returns the next order of @kind to executor "e0"; the others are lost. */
 static struct order *
 next_order (struct fixture *x, int kind)
@@ -97,22 +106,32 @@
   return found;
 }
 
-/* Returns whether the next write states that a run was lost. */
+/* Returns whether a value of the next write contains @text. */
 static bool
-write_states_lost_run (struct fixture *x)
+write_states (struct fixture *x, const char *text)
 {
   struct store_op op = { 0 };
   bool found = false;
 
   fsched_collect (x->fs, &op, LEADER_ROWS_MAX);
   for (size_t i = 0; i < op.n_puts; i++)
-    found |= op.puts[i].value
-             && strstr (op.puts[i].value, "\"lost\":[{\"no\":1,") != NULL;
+    found |= op.puts[i].value && strstr (op.puts[i].value, text);
   codec_free (&store_op_desc, &op);
   fsched_recorded (x->fs);
   return found;
 }
 
+/* Leaves only the first @n executors with capacity. */
+static void
+leave_room_on (struct fixture *x, int n)
+{
+  struct exec *e;
+
+  TAILQ_FOREACH (e, &x->fs->execs, link)
+    if (n-- <= 0)
+      e->rep.capacity.millicores = 0;
+}
+
 static void
 test_list_older_than_a_start_does_not_end_it (void)
 {
@@ -122,12 +141,7 @@
   set_up (&x);
   set_limit (&x, 10000);
   settle (&x);
-  for (int i = 1; i < EXECS; i++)
-    {
-      char id[CLB_ID_MAX];
-      snprintf (id, sizeof id, "e%d", i);
-      exec_find (x.fs, id)->rep.capacity.millicores = 0;
-    }
+  leave_room_on (&x, 1);
   x.now_ms += FSCHED_POLL_WAIT_MS;
   poll = next_order (&x, ORDER_POLL);
   add_job (&x, JOB, 1, false);
@@ -137,11 +151,29 @@
   x.now_ms += FSCHED_POLL_GAP_MS;
   answer (&x, next_order (&x, ORDER_POLL), BOOT_START_MS + 1);
   CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 0);
-  CU_ASSERT (write_states_lost_run (&x));
+  CU_ASSERT (write_states (&x, "\"lost\":[{\"no\":1,"));
+  tear_down (&x);
+}
+
+static void
+test_adopted_run_has_an_intent (void)
+{
+  struct fixture x;
+  struct run_row listed = { .task = { .job = JOB }, .run_id = 3 };
+
+  set_up (&x);
+  settle (&x);
+  leave_room_on (&x, 0);
+  add_job (&x, JOB, 1, false);
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  answer_with_runs (&x, next_order (&x, ORDER_POLL), BOOT_START_MS, &listed,
+                    1);
+  CU_ASSERT (write_states (&x, JOB " 0 0 3 e0 1775486528289\n"));
   tear_down (&x);
 }
 
 UNIT_MAIN ("restart_test", { "a crash ends no run", test_crash_ends_no_run },
            { "a recorded end ends a run", test_recorded_end_ends_a_run },
            { "a list that is older than a start does not end it",
-             test_list_older_than_a_start_does_not_end_it })
+             test_list_older_than_a_start_does_not_end_it },
+           { "an adopted run has an intent", test_adopted_run_has_an_intent })
