A stale discovery entry does not use up an executor's fencing tokens

While another executor answers at an address that a stale entry still names, each failed poll counted as a new boot: one token every 150 ms. The first such answer voids the boot now; the next ones find it void already. The log line exec-rebooted says whether the leader had asked already (asked=).

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -337,7 +337,9 @@
     if (r->state != START_SENT && r->state != START_INTENT
         && r->state != START_DROPPED)
       start_end (fs, r, RUN_END_REBOOTED);
-  void_boot (fs, e);
+  if (e->boot_known)
+    void_boot (fs, e);
+  e->boot_known = false;
 }
 
 /* Processes a failed poll: marks the executor as unreachable and schedules the
@@ -756,7 +758,7 @@
   if (new_boot)
     out_line (fs->out,
               "event=exec-rebooted exec=%s clock_ms=%lld boot_start=%lld "
-              "boot_before=%lld known=%d",
+              "boot_before=%lld asked=%d",
               e->rep.id, (long long)res->clock_ms,
               (long long)res->boot_start_ms, (long long)e->boot_start_ms,
               !e->boot_known);
