A list that ends a run of a task adopts another run of it that it shows

A task ran twice: the new boot of an executor had carried out a late copy of an earlier run, and its list showed that run and lacked the task's present one. The rows of running tasks were looked at first, so that the earlier run was an orphan that had to be stopped; then the present run ended, and the task was started again elsewhere while the earlier run went on.

Rows of known runs come first, then missing runs, then the other rows. An adopted member of a gang whose other members have another run is stopped.

exec_test, "another run of a task in a new boot is adopted", fails without the change.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -497,9 +497,22 @@
             orphan_reason (fs, row));
 }
 
+/* Returns whether a member of a gang has another run than @run_id. */
+static bool
+gang_has_other_run (const struct job *j, int64_t step, int64_t run_id)
+{
+  const struct jstep *s = &j->steps[step];
+
+  for (int i = 0; j->spec.steps[step].gang && i < s->n_tasks; i++)
+    if (s->tasks[i].run && s->tasks[i].run->run_id != run_id)
+      return true;
+  return false;
+}
+
 /*
  * Creates a start for a run that an earlier leader started, and stops the run
- * if its job has ended or its task is done.  Returns NULL if the run is an
+ * if its job has ended, its task is done, or the gang that it is a member of
+ * has other runs.  Returns NULL if the run is an
  * orphan: its job is unknown, or its task has another run.
  */
 static struct start *
@@ -523,7 +536,8 @@
   r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
                  row->run_id, START_ACKED);
   intent_add (fs, r);
-  if (t->done || job_state_final (j->state))
+  if (t->done || job_state_final (j->state)
+      || gang_has_other_run (j, row->task.step, row->run_id))
     start_stop (fs, r);
   return r;
 }
@@ -669,6 +683,41 @@
     }
 }
 
+/* Processes the rows of running tasks in a poll's answer: those of known runs,
+   or the others. */
+static void
+process_run_rows (struct fsched *fs, struct exec *e,
+                  const struct order_result *res, bool known)
+{
+  for (size_t i = 0; i < res->n_runs; i++)
+    {
+      const struct run_row *row = &res->runs[i];
+      if ((find_run (fs, e, &row->task, row->run_id) != NULL) == known)
+        process_run_row (fs, e, row);
+    }
+}
+
+/* Sends stops again for runs that are still listed long after a stop was
+   acknowledged. */
+static void
+resend_stops (const struct fsched *fs, struct exec *e)
+{
+  struct start *r;
+
+  TAILQ_FOREACH (r, &e->runs, exec_link)
+    if (r->in_list && r->stop_acked_ms
+        && fs->now_ms - r->stop_acked_ms > STOP_RESEND_MS)
+      {
+        out_line (fs->out,
+                  "event=stop-ineffective job=%s step=%d task=%d run=%lld "
+                  "exec=%s stops=%d since_ms=%lld",
+                  r->job->spec.id, r->step, r->index, (long long)r->run_id,
+                  e->rep.id, r->n_stops,
+                  (long long)(fs->now_ms - r->stopping_ms));
+        r->stop_acked_ms = 0;
+      }
+}
+
 /* Processes the lists of ended and running tasks in a poll's answer. */
 static void
 process_lists (struct fsched *fs, struct exec *e,
@@ -682,30 +731,19 @@
   for (size_t i = 0; i < res->n_ends; i++)
     process_end_row (fs, e, &res->ends[i]);
   hold_ends (fs, e, res);
+  process_run_rows (fs, e, res, true);
+  set_ends_left (fs, e, res);
+  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
+    if (!r->in_list && !e->ends_left)
+      process_missing_run (fs, e, r, p, res);
+  /* A task of which this ends the run may have another one here. */
   e->n_orphans = 0;
-  for (size_t i = 0; i < res->n_runs; i++)
-    process_run_row (fs, e, &res->runs[i]);
+  process_run_rows (fs, e, res, false);
   if (e->n_orphans && fs->now_ms >= e->next_orphan_stop_ms)
     e->next_orphan_stop_ms = fs->now_ms + FSCHED_STOP_RETRY_MS;
   if (orphans_before && !e->n_orphans)
     fs->pass_due = true;
-  set_ends_left (fs, e, res);
-  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    if (!r->in_list && !e->ends_left)
-      process_missing_run (fs, e, r, p, res);
-    else if (!r->in_list)
-      continue;
-    else if (r->stop_acked_ms
-             && fs->now_ms - r->stop_acked_ms > STOP_RESEND_MS)
-      {
-        out_line (fs->out,
-                  "event=stop-ineffective job=%s step=%d task=%d run=%lld "
-                  "exec=%s stops=%d since_ms=%lld",
-                  r->job->spec.id, r->step, r->index, (long long)r->run_id,
-                  e->rep.id, r->n_stops,
-                  (long long)(fs->now_ms - r->stopping_ms));
-        r->stop_acked_ms = 0;
-      }
+  resend_stops (fs, e);
 }
 
 /* Returns whether the clock in the answer to order @p shows another boot than
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -282,6 +282,25 @@
   CU_ASSERT_EQUAL (crashes_after_lapse (1), 0);
 }
 
+/* An executor restarts and runs another run of the task in its new boot. */
+static void
+test_other_run_in_a_new_boot_is_adopted (void)
+{
+  struct fixture x;
+  struct run_row listed
+      = { .task = { .job = "0000000000000001" }, .run_id = 7 };
+  const struct start *r;
+
+  set_up_run (&x);
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  x.boot_start_ms++;
+  answer_late (&x, take_order_to (&x, ORDER_POLL, "e0"), 0, &listed, 1);
+  r = fsched_find_job (x.fs, "0000000000000001")->steps[0].tasks->run;
+  CU_ASSERT (r && r->run_id == 7 && r->state == START_ACKED);
+  tear_down (&x);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -343,6 +362,8 @@
              test_start_to_a_silent_executor_is_no_crash },
            { "a lapsed run that a new boot lists is no crash",
              test_lapsed_run_in_a_new_boot_is_no_crash },
+           { "another run of a task in a new boot is adopted",
+             test_other_run_in_a_new_boot_is_adopted },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
