A run that is missing in lists is stopped also if a copy of its start was lost

A task waited for ever, and its room stayed taken: a copy of its start had no answer, a later copy was confirmed, and then no list of the same boot showed the run or its end (such as after a damaged row). A copy might still arrive, so that the list did not end the run, and nothing else did.

Such a run is stopped by name, as before; the acknowledged stop and a later list end it. exec_test, "a missing run is stopped though a copy of its start was lost", fails without the change: none ended in 5 s.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -647,7 +647,9 @@
   else if (r->state == START_STOPPING
            && (r->stop_acked_ms || start_refused_since (r, res->clock_ms)))
     end_missing_run (fs, e, r);
-  else if (r->state == START_UNCONFIRMED && r->answer_lost_ms < p->sent_ms)
+  else if (r->state == START_ACKED
+           || (r->state == START_UNCONFIRMED
+               && r->answer_lost_ms < p->sent_ms))
     start_stop (fs, r);
 }
 
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -301,6 +301,26 @@
   tear_down (&x);
 }
 
+/* The executor lists neither the run nor its end. */
+static void
+test_missing_run_with_a_lost_copy_is_stopped (void)
+{
+  struct fixture x;
+
+  set_up_run (&x);
+  add_job (&x, "0000000000000002", 1, false);
+  x.now_ms += STEP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  collect (&x);
+  fsched_recorded (x.fs);
+  lose_start (&x);
+  answer_late (&x, take_order (&x, ORDER_START), 0, NULL, 0);
+  for (int64_t end_ms = x.now_ms + 5000; x.now_ms < end_ms;)
+    step (&x);
+  CU_ASSERT_EQUAL (x.stats.ends[RUN_END_NOT_STARTED], 2);
+  tear_down (&x);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -364,6 +384,8 @@
              test_lapsed_run_in_a_new_boot_is_no_crash },
            { "another run of a task in a new boot is adopted",
              test_other_run_in_a_new_boot_is_adopted },
+           { "a missing run is stopped though a copy of its start was lost",
+             test_missing_run_with_a_lost_copy_is_stopped },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
