A run that a list shows revokes its recorded end

A task ran twice: the lease of a run was over, its end was recorded, and then the next boot of the executor carried out a late copy of the start. The run was adopted, the leader was lost, the executor cut off; the record still said that the run had ended (event=intent-not-running why=ended), and the next leader started the task again.

The adopted run is taken out of the recorded end, in the same write as its intent.

restart_test, "a listed run revokes its recorded end", fails without the change.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -536,6 +536,7 @@
   r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
                  row->run_id, START_ACKED);
   intent_add (fs, r);
+  start_revoke_end (fs, r);
   if (t->done || job_state_final (j->state)
       || gang_has_other_run (j, row->task.step, row->run_id))
     start_stop (fs, r);
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -243,6 +243,11 @@
  * @lost: whether the run was lost with its executor
  */
 void start_note_end (struct jtask *t, const struct job_end *end, bool lost);
+/**
+ * start_revoke_end() - Note that the run of @r goes on, although it was taken
+ * for ended: its executor has listed it.
+ */
+void start_revoke_end (struct fsched *fs, const struct start *r);
 /** start_stop() - Stop a run, or drop a start that has not been sent. */
 void start_stop (struct fsched *fs, struct start *r);
 /**
--- a/core/fsched_progress.c
+++ b/core/fsched_progress.c
@@ -84,7 +84,7 @@
               .crashes = k->crashes,
               .n_crashes = (size_t)k->n_crashes,
               .lost = &k->ended,
-              .n_lost = k->ended_lost && !k->done };
+              .n_lost = k->ended_lost && k->ended.run_id > 0 && !k->done };
       if (m.done || m.n_failed || m.n_crashes || m.n_lost)
         out[n_filled++] = m;
     }
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -126,6 +126,18 @@
   t->ended_lost |= lost;
 }
 
+void
+start_revoke_end (struct fsched *fs, const struct start *r)
+{
+  struct jtask *t = start_get_task (r);
+
+  if (r->run_id > t->ended.run_id)
+    return;
+  t->ended.run_id = r->run_id - 1;
+  if (t->ended_lost && !job_state_final (r->job->state))
+    progress_mark_task (fs, r->job, r->step, r->index);
+}
+
 /* Notes the end of the run of @r.  It is recorded if the executor did not
    report it: a new leader would wait for an executor that may not answer. */
 static void
--- a/regress/unit/restart_test.c
+++ b/regress/unit/restart_test.c
@@ -81,9 +81,9 @@
   answer_with_runs (x, o, boot_start_ms, NULL, 0);
 }
 
-/* Returns the next order of @kind to executor "e0"; the others are lost. */
+/* Returns the next order of @kind to executor @exec; the others are lost. */
 static struct order *
-next_order (struct fixture *x, int kind)
+next_order_to (struct fixture *x, int kind, const char *exec)
 {
   struct order *found = NULL;
   struct out *o;
@@ -95,7 +95,7 @@
   while ((o = out_take (&x->out)))
     {
       if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind
-          && strcmp (o->u.order->exec, "e0") == 0)
+          && strcmp (o->u.order->exec, exec) == 0)
         {
           found = o->u.order;
           o->kind = OUT_LOG_LINE;
@@ -106,19 +106,37 @@
   return found;
 }
 
-/* Returns whether a value of the next write contains @text. */
-static bool
-write_states (struct fixture *x, const char *text)
+static struct order *
+next_order (struct fixture *x, int kind)
+{
+  return next_order_to (x, kind, "e0");
+}
+
+/* Returns the values of the next write, which the caller frees. */
+static char *
+next_write (struct fixture *x)
 {
   struct store_op op = { 0 };
-  bool found = false;
+  char *text = NULL;
+  size_t len = 0;
+  FILE *f = open_memstream (&text, &len);
 
   fsched_collect (x->fs, &op, LEADER_ROWS_MAX);
   for (size_t i = 0; i < op.n_puts; i++)
-    found |= op.puts[i].value && strstr (op.puts[i].value, text);
+    fputs (op.puts[i].value ? op.puts[i].value : "", f);
+  fclose (f);
   codec_free (&store_op_desc, &op);
   fsched_recorded (x->fs);
-  return found;
+  return text;
+}
+
+/* Returns whether a value of the next write contains @text. */
+static bool
+write_states (struct fixture *x, const char *text)
+{
+  clb_auto char *written = next_write (x);
+
+  return strstr (written, text) != NULL;
 }
 
 /* Leaves only the first @n executors with capacity. */
@@ -172,8 +190,26 @@
   tear_down (&x);
 }
 
+static void
+test_listed_run_revokes_its_end (void)
+{
+  struct fixture x;
+  struct run_row listed = { .task = { .job = JOB }, .run_id = 1 };
+  clb_auto char *written = NULL;
+
+  load_job (&x, 1);
+  answer_with_runs (&x, next_order_to (&x, ORDER_POLL, "e9"), 8, &listed, 1);
+  written = next_write (&x);
+  CU_ASSERT_PTR_NOT_NULL (strstr (written, JOB " 0 0 1 e9 8\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (written, "\"crashes\":[{\"no\":1,"));
+  CU_ASSERT_PTR_NULL (strstr (written, "\"lost\""));
+  tear_down (&x);
+}
+
 UNIT_MAIN ("restart_test", { "a crash ends no run", test_crash_ends_no_run },
            { "a recorded end ends a run", test_recorded_end_ends_a_run },
            { "a list that is older than a start does not end it",
              test_list_older_than_a_start_does_not_end_it },
-           { "an adopted run has an intent", test_adopted_run_has_an_intent })
+           { "an adopted run has an intent", test_adopted_run_has_an_intent },
+           { "a listed run revokes its recorded end",
+             test_listed_run_revokes_its_end })
