An answer from an executor's old address ends no run at its new one

A poll that was on its way to the old address of an executor was answered 421 after the discovery entry had named a new address; the runs at the new address were ended and started again elsewhere.

A new address of an executor is a sign of a new boot, as a newer start in the entry is: the leader asks there at once, and drops answers to earlier polls.

exec_test, "an answer from an old address ends no run", fails without the change.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -144,9 +144,10 @@
     }
   e->rep = *rep;
   /* An entry that is older than the boot tells nothing. */
-  if (e->boot_known && e->boot_start_ms
-      && rep->boot_start_ms > e->boot_start_ms)
-    ask_boot (fs, e, "entry");
+  if (e->boot_known
+      && (addr_changed
+          || (e->boot_start_ms && rep->boot_start_ms > e->boot_start_ms)))
+    ask_boot (fs, e, addr_changed ? "address" : "entry");
   if (rep->draining)
     e->drained_boot_ms = rep->boot_start_ms;
   e->domain = domain_get (fs, rep->zone);
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -321,6 +321,29 @@
   tear_down (&x);
 }
 
+/* The executor moves while a poll is on its way to its old address, where
+   another one answers. */
+static void
+test_answer_from_an_old_address_ends_no_run (void)
+{
+  struct fixture x;
+  struct order_result wrong_boot = { .outcome = ORDER_WRONG_BOOT };
+  struct exec_report rep;
+  struct order *poll;
+
+  set_up_run (&x);
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  poll = take_order_to (&x, ORDER_POLL, "e0");
+  rep = exec_find (x.fs, "e0")->rep;
+  clb_copy (rep.addr, "10.0.0.9:80", sizeof rep.addr);
+  fsched_exec_report (x.fs, &rep);
+  fsched_order_result (x.fs, x.now_ms, poll->id, &wrong_boot);
+  order_free (poll);
+  CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 1000);
+  tear_down (&x);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -386,6 +409,8 @@
              test_other_run_in_a_new_boot_is_adopted },
            { "a missing run is stopped though a copy of its start was lost",
              test_missing_run_with_a_lost_copy_is_stopped },
+           { "an answer from an old address ends no run",
+             test_answer_from_an_old_address_ends_no_run },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
