A start that was not sent does not lapse

A start whose intent was not recorded when the executor's leases were over was taken for a lapsed run, and counted as a crash once the executor answered in a new boot, although nothing had been sent.

Such a start ends as not started. exec_test, "a start that was not sent does not lapse", fails without the change: two lapsed runs instead of one.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -303,6 +303,11 @@
                   - (e->answered ? e->last_contact_ms : fs->claimed_ms)));
   while ((r = TAILQ_FIRST (&e->runs)))
     {
+      if (r->state == START_INTENT || r->state == START_DROPPED)
+        {
+          start_end (fs, r, RUN_END_NOT_STARTED);
+          continue;
+        }
       fs->stats->runs_lapsed++;
       crash_add_lapsed (fs, r);
       start_end (fs, r, RUN_END_LAPSED);
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -344,6 +344,24 @@
   tear_down (&x);
 }
 
+static void
+test_unsent_start_does_not_lapse (void)
+{
+  struct fixture x;
+
+  set_up_run (&x);
+  add_job (&x, "0000000000000002", 1, false);
+  for (int64_t end_ms = x.now_ms + 2 * FSCHED_LEASE_MS; x.now_ms < end_ms;)
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+      order_free (take_order (&x, ORDER_POLL));
+    }
+  CU_ASSERT_EQUAL (x.stats.ends[RUN_END_LAPSED], 1);
+  CU_ASSERT_EQUAL (x.stats.ends[RUN_END_NOT_STARTED], 1);
+  tear_down (&x);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -411,6 +429,8 @@
              test_missing_run_with_a_lost_copy_is_stopped },
            { "an answer from an old address ends no run",
              test_answer_from_an_old_address_ends_no_run },
+           { "a start that was not sent does not lapse",
+             test_unsent_start_does_not_lapse },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
