Unit tests: one function takes an order of a kind to an executor

The tests of executors and of restarts had a copy each of the loop that takes an order, and two of the one in which no order arrives.

--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -8,30 +8,6 @@
   LATE_MS = 1800,
 };
 
-/* Returns the first order of @kind that the scheduler has given since, to
-   executor @exec unless that is NULL; the other orders are lost.  The caller
-   frees it with order_free(). */
-static struct order *
-take_order_to (struct fixture *x, int kind, const char *exec)
-{
-  struct order *found = NULL;
-  struct out *o;
-
-  while ((o = out_take (&x->out)))
-    {
-      if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind
-          && (!exec || strcmp (o->u.order->exec, exec) == 0))
-        {
-          found = o->u.order;
-          o->u.order = NULL;
-          o->kind = OUT_LOG_LINE;
-          o->u.line = NULL;
-        }
-      out_free (o);
-    }
-  return found;
-}
-
 static struct order *
 take_order (struct fixture *x, int kind)
 {
@@ -242,6 +218,18 @@
   CU_ASSERT_EQUAL (crashes_after_lost_start (FSCHED_POLL_WAIT_MS + 300), 0);
 }
 
+/* Lets no order arrive until all leases are over. */
+static void
+lose_orders_until_lapse (struct fixture *x)
+{
+  for (int64_t end_ms = x->now_ms + 2 * FSCHED_LEASE_MS; x->now_ms < end_ms;)
+    {
+      x->now_ms += STEP_MS;
+      fsched_tick (x->fs, x->now_ms, true);
+      order_free (take_order (x, ORDER_POLL));
+    }
+}
+
 /* Returns the number of crashes that count under a task whose lease has
    expired, after its executor has answered a poll in a new boot.
    @n_listed: 1 if that lists the run, 0 if it does not */
@@ -255,12 +243,7 @@
   int n_crashes;
 
   set_up_run (&x);
-  for (int64_t end_ms = x.now_ms + 2 * FSCHED_LEASE_MS; x.now_ms < end_ms;)
-    {
-      x.now_ms += STEP_MS;
-      fsched_tick (x.fs, x.now_ms, true);
-      order_free (take_order (&x, ORDER_POLL));
-    }
+  lose_orders_until_lapse (&x);
   CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 0);
   x.boot_start_ms++;
   while (!(o = take_order_to (&x, ORDER_POLL, "e0")))
@@ -351,12 +334,7 @@
 
   set_up_run (&x);
   add_job (&x, "0000000000000002", 1, false);
-  for (int64_t end_ms = x.now_ms + 2 * FSCHED_LEASE_MS; x.now_ms < end_ms;)
-    {
-      x.now_ms += STEP_MS;
-      fsched_tick (x.fs, x.now_ms, true);
-      order_free (take_order (&x, ORDER_POLL));
-    }
+  lose_orders_until_lapse (&x);
   CU_ASSERT_EQUAL (x.stats.ends[RUN_END_LAPSED], 1);
   CU_ASSERT_EQUAL (x.stats.ends[RUN_END_NOT_STARTED], 1);
   tear_down (&x);
--- a/regress/unit/restart_test.c
+++ b/regress/unit/restart_test.c
@@ -85,25 +85,11 @@
 static struct order *
 next_order_to (struct fixture *x, int kind, const char *exec)
 {
-  struct order *found = NULL;
-  struct out *o;
-
   x->now_ms += STEP_MS;
   fsched_tick (x->fs, x->now_ms, true);
   collect (x);
   fsched_recorded (x->fs);
-  while ((o = out_take (&x->out)))
-    {
-      if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind
-          && strcmp (o->u.order->exec, exec) == 0)
-        {
-          found = o->u.order;
-          o->kind = OUT_LOG_LINE;
-          o->u.line = NULL;
-        }
-      out_free (o);
-    }
-  return found;
+  return take_order_to (x, kind, exec);
 }
 
 static struct order *
--- a/regress/unit/sched_fixture.h
+++ b/regress/unit/sched_fixture.h
@@ -110,6 +110,30 @@
     }
 }
 
+/* Returns the first order of @kind that the scheduler has given since, to
+   executor @exec unless that is NULL; the other orders are lost.  The caller
+   frees it with order_free(). */
+static inline struct order *
+take_order_to (struct fixture *x, int kind, const char *exec)
+{
+  struct order *found = NULL;
+  struct out *o;
+
+  while ((o = out_take (&x->out)))
+    {
+      if (!found && o->kind == OUT_ORDER && o->u.order->kind == kind
+          && (!exec || strcmp (o->u.order->exec, exec) == 0))
+        {
+          found = o->u.order;
+          o->u.order = NULL;
+          o->kind = OUT_LOG_LINE;
+          o->u.line = NULL;
+        }
+      out_free (o);
+    }
+  return found;
+}
+
 /* Lets the scheduler work and its executors answer. */
 static inline void
 step (struct fixture *x)
