A crash counts although the start has no answer yet

A task that crashes its executors at once was started more often than allowed (BUDGET): a new boot's list ended its run while the start was still outstanding, and only starts whose answer was known to be lost counted.

Any start order that may have been carried out counts now. exec_test, "a crash counts before the start is given up", fails without the change.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -613,7 +613,7 @@
   bool new_boot = exec_has_new_boot (e, r->boot_start_ms);
 
   /* A start without an answer may have been carried out by the boot before. */
-  if (new_boot && (r->start_acked_ms || r->answer_lost_ms))
+  if (new_boot && (r->start_acked_ms || r->tries > r->n_settled))
     start_end (fs, r, RUN_END_REBOOTED);
   else if (!r->start_acked_ms || r->stop_acked_ms)
     start_end (fs, r, RUN_END_NOT_STARTED);
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -179,11 +179,13 @@
   order_free (o);
 }
 
-/* Returns the number of crashes that count under a task whose start was sent
-   twice and never answered, @silent_ms after the last poll of its executor,
-   which then answers polls in a new boot. */
+/* Returns the number of crashes that count under a task whose start was sent,
+   @silent_ms after the last poll of its executor, and never answered; the
+   executor then answers polls in a new boot.
+   @n_lost: number of start orders that are known to have no answer; with 0,
+            the only one is still outstanding */
 static int
-crashes_after_lost_start (int64_t silent_ms)
+crashes_after_unanswered_start (int64_t silent_ms, int n_lost)
 {
   struct fixture x;
   int n_crashes;
@@ -199,8 +201,10 @@
   fsched_tick (x.fs, x.now_ms, true);
   collect (&x);
   fsched_recorded (x.fs);
-  lose_start (&x);
-  lose_start (&x);
+  for (int i = 0; i < n_lost; i++)
+    lose_start (&x);
+  if (!n_lost)
+    order_free (take_order (&x, ORDER_START));
   x.boot_ms = 0;
   x.boot_start_ms++;
   for (int64_t end_ms = x.now_ms + 3000; x.now_ms < end_ms;)
@@ -214,8 +218,16 @@
 static void
 test_start_to_a_silent_executor_is_no_crash (void)
 {
-  CU_ASSERT_EQUAL (crashes_after_lost_start (0), 1);
-  CU_ASSERT_EQUAL (crashes_after_lost_start (FSCHED_POLL_WAIT_MS + 300), 0);
+  int64_t silent_ms = FSCHED_POLL_WAIT_MS + 300;
+
+  CU_ASSERT_EQUAL (crashes_after_unanswered_start (0, 2), 1);
+  CU_ASSERT_EQUAL (crashes_after_unanswered_start (silent_ms, 2), 0);
+}
+
+static void
+test_crash_counts_before_the_start_is_given_up (void)
+{
+  CU_ASSERT_EQUAL (crashes_after_unanswered_start (0, 0), 1);
 }
 
 /* Lets no order arrive until all leases are over. */
@@ -399,6 +411,8 @@
              test_entry_of_the_boot_before_is_not_used },
            { "a start that a silent executor does not answer is no crash",
              test_start_to_a_silent_executor_is_no_crash },
+           { "a crash counts before the start is given up",
+             test_crash_counts_before_the_start_is_given_up },
            { "a lapsed run that a new boot lists is no crash",
              test_lapsed_run_in_a_new_boot_is_no_crash },
            { "another run of a task in a new boot is adopted",
