A leader that stood still does not let ends be forgotten

A task ran again after a run of it had ended done. The leader had stood still for 2.6 s, in which an executor restarted under its id; its next poll still stated the recorded ends of the former boot, was carried out late, and the new boot forgot ends that no list had shown.

A poll states the number only if the executor has answered within the time for which a poll may wait. Otherwise the next answer comes first; it takes one poll more.

exec_test, "a leader that stood still lets no ends be forgotten", fails without the change.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -254,6 +254,17 @@
                 > e->poll_wait_ms + e->answer_ms + FSCHED_CLOCK_MARGIN_MS;
 }
 
+/* Returns whether a poll may state up to which number ends are recorded.  The
+   numbers are those of one boot: an executor that does not answer, or that was
+   not asked as the leader stood still, may be in the next one. */
+static bool
+may_forget_ends (const struct fsched *fs, const struct exec *e)
+{
+  return e->boot_known && !e->unreachable
+         && fs->now_ms - e->last_contact_ms <= FSCHED_POLL_WAIT_MS
+         && e->recorded_end_seq > e->forgotten_end_seq;
+}
+
 static void
 send_poll (struct fsched *fs, struct exec *e)
 {
@@ -264,10 +275,7 @@
   e->poll_id = o->id;
   e->last_poll_id = o->id;
   e->poll_sent_ms = fs->now_ms;
-  /* The numbers are those of one boot.  An executor that does not answer may
-     be in the next one. */
-  if (e->boot_known && !e->unreachable
-      && e->recorded_end_seq > e->forgotten_end_seq)
+  if (may_forget_ends (fs, e))
     o->recorded_end_seq = e->recorded_end_seq;
   pend->recorded_end_seq = o->recorded_end_seq;
   /* A poll of an unreachable executor does not extend its lease.  Otherwise
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -352,6 +352,50 @@
   tear_down (&x);
 }
 
+/* Returns up to which number the next poll lets executor e0 forget ends, after
+   one end is recorded and the leader then stood still for @still_ms. */
+static int64_t
+forgotten_after (int64_t still_ms)
+{
+  struct fixture x;
+  struct end_row end = { .seq = 5,
+                         .task = { .job = "0000000000000001" },
+                         .run_id = 1,
+                         .run_end = RUN_END_DONE };
+  struct order_result res = { .outcome = ORDER_DONE,
+                              .boot_start_ms = BOOT_START_MS,
+                              .ends = &end,
+                              .n_ends = 1 };
+  struct order *o;
+  int64_t forgotten;
+
+  set_up_run (&x);
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  o = take_order_to (&x, ORDER_POLL, "e0");
+  res.clock_ms = x.boot_ms + x.now_ms;
+  fsched_order_result (x.fs, x.now_ms, o->id, &res);
+  order_free (o);
+  collect (&x);
+  fsched_recorded (x.fs);
+  collect (&x);
+  fsched_recorded (x.fs);
+  x.now_ms += FSCHED_POLL_GAP_MS + still_ms;
+  fsched_tick (x.fs, x.now_ms, true);
+  o = take_order_to (&x, ORDER_POLL, "e0");
+  forgotten = o ? o->recorded_end_seq : -1;
+  order_free (o);
+  tear_down (&x);
+  return forgotten;
+}
+
+static void
+test_leader_that_stood_still_lets_no_ends_be_forgotten (void)
+{
+  CU_ASSERT_EQUAL (forgotten_after (0), 5);
+  CU_ASSERT_EQUAL (forgotten_after (FSCHED_POLL_WAIT_MS), 0);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -423,6 +467,8 @@
              test_answer_from_an_old_address_ends_no_run },
            { "a start that was not sent does not lapse",
              test_unsent_start_does_not_lapse },
+           { "a leader that stood still lets no ends be forgotten",
+             test_leader_that_stood_still_lets_no_ends_be_forgotten },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
