No crash of the former boot counts under a run that the new boot confirmed

The answer that confirmed a start showed by its clock that it came from a new boot.

The boot of such a run is unknown until a list shows it. A list that lacks it lets it be stopped by name. exec_test, "a run that the new boot confirmed is no crash", fails without the change: one crash instead of none.

--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -356,11 +356,13 @@
 }
 
 /* Processes the result of a start order: confirms the start, ends it, or sends
-   it again. */
+   it again.
+   @boot_shown: the answer has shown a new boot, whose start is not known yet
+ */
 static void
 process_start_result (struct fsched *fs, struct start *r,
                       const struct pending_order *p,
-                      const struct order_result *res)
+                      const struct order_result *res, bool boot_shown)
 {
   int outcome = res->outcome;
 
@@ -379,7 +381,9 @@
     case ORDER_DONE:
       start_log_confirmed (fs, r, "answer");
       r->start_acked_ms = fs->now_ms;
-      if (p->n_exec_boots == r->exec->n_boots)
+      if (boot_shown)
+        r->boot_start_ms = 0;
+      else if (p->n_exec_boots == r->exec->n_boots)
         r->boot_start_ms = r->exec->boot_start_ms;
       start_mark_job_started (r->job);
       advice_ticket_accepted (r);
@@ -452,6 +456,7 @@
               const struct order_result *res)
 {
   struct start *r = p->run;
+  bool boot_shown;
 
   r->order_id = 0;
   set_pending (fs, r, false);
@@ -460,9 +465,9 @@
       domain_answered (fs, r->exec);
       exec_add_answer_time (fs, r->exec, p);
     }
-  exec_detect_reboot (fs, r->exec, p, res->clock_ms);
+  boot_shown = exec_detect_reboot (fs, r->exec, p, res->clock_ms);
   if (p->kind == ORDER_START)
-    process_start_result (fs, r, p, res);
+    process_start_result (fs, r, p, res, boot_shown);
   else
     process_stop_result (fs, r, p, res);
 }
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -101,11 +101,14 @@
 }
 
 /* Lets the executors restart before the start of a second job is answered,
-   with their clocks at @clock_ms, and then answer a poll. */
-static void
-restart_before_answer (int64_t clock_ms)
+   with their clocks at @clock_ms, and then answer a poll, which lists
+   @n_listed runs.  Returns the number of crashes that count under the second
+   job. */
+static int
+restart_before_answer (int64_t clock_ms, size_t n_listed)
 {
   struct fixture x;
+  int n_crashes;
   struct run_row listed
       = { .task = { .job = "0000000000000002" }, .run_id = 1 };
 
@@ -121,21 +124,30 @@
   x.now_ms += FSCHED_EXEC_SWEEP_MS;
   fsched_tick (x.fs, x.now_ms, true);
   x.boot_start_ms++;
-  answer_late (&x, take_order_to (&x, ORDER_POLL, "e0"), 0, &listed, 1);
+  answer_late (&x, take_order_to (&x, ORDER_POLL, "e0"), 0, &listed, n_listed);
   CU_ASSERT_EQUAL (fsched_tenant (x.fs, "blue")->used.millicores, 1000);
+  n_crashes
+      = fsched_find_job (x.fs, "0000000000000002")->steps[0].tasks->n_crashes;
   tear_down (&x);
+  return n_crashes;
 }
 
 static void
 test_earlier_clock_is_a_reboot (void)
 {
-  restart_before_answer (10);
+  CU_ASSERT_EQUAL (restart_before_answer (10, 1), 0);
 }
 
 static void
 test_clock_far_ahead_is_a_reboot (void)
 {
-  restart_before_answer (INT64_C (2) * BOOT_MS);
+  CU_ASSERT_EQUAL (restart_before_answer (INT64_C (2) * BOOT_MS, 1), 0);
+}
+
+static void
+test_run_of_the_boot_that_shows_itself_is_no_crash (void)
+{
+  CU_ASSERT_EQUAL (restart_before_answer (10, 0), 0);
 }
 
 /* Restarts executor e0 and lets it answer a poll in the new boot. */
@@ -451,6 +463,8 @@
            { "an earlier clock is a reboot", test_earlier_clock_is_a_reboot },
            { "a clock far ahead is a reboot",
              test_clock_far_ahead_is_a_reboot },
+           { "a run that the new boot confirmed is no crash",
+             test_run_of_the_boot_that_shows_itself_is_no_crash },
            { "the entry of the boot before is not used",
              test_entry_of_the_boot_before_is_not_used },
            { "a start that a silent executor does not answer is no crash",
