A restarted executor is asked again at once when a connection of its former boot fails

After a sign of a new boot up to three polls that fail at once are repeated after 15 ms. That makes the time shorter in which a late order is not refused; it does not end it.

exec_test, "polls pass over the connections of the boot before", fails without the change.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -538,6 +538,7 @@
   int64_t boot_start_ms;
   /* The executor has answered a poll since the last sign of a new boot. */
   bool boot_known;
+  int n_resets; /* polls since that sign which failed at once */
   /* Number of boots that this leader has noticed after the first; at most
      FSCHED_FENCE_BOOTS_MAX. */
   int n_boots;
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -16,6 +16,8 @@
   /* Fastest rate of an executor's clock that is not taken for a sign of a new
      boot. */
   CLOCK_RATE_HIGH = 102,
+  /* Number of connections to an executor that its former boot may leave. */
+  EXEC_CONNECTIONS_MAX = 3,
   /* A stop order is sent again if the run is still listed this long after the
      executor acknowledged the stop. */
   STOP_RESEND_MS = 2000,
@@ -110,6 +112,7 @@
             e->rep.id, sign, (long long)e->boot_start_ms);
   void_boot (fs, e);
   e->boot_known = false;
+  e->n_resets = 0;
   /* What the new boot has begun may have a lease of full length. */
   longest_lease_ms = exec_clock_now (fs, e) + FSCHED_LEASE_MS;
   if (longest_lease_ms > e->lease_deadline_ms)
@@ -340,6 +343,21 @@
   e->answer_ms = ms;
 }
 
+/* Returns the pause after a failed poll.  After a restart, each connection of
+   the boot before fails at once when it is used. */
+static int64_t
+poll_retry_ms (const struct fsched *fs, struct exec *e,
+               const struct order_result *res)
+{
+  bool reset = res->outcome == ORDER_LOST
+               && fs->now_ms - e->poll_sent_ms < FSCHED_POLL_RETRY_MS;
+
+  if (!reset || e->boot_known || e->n_resets >= EXEC_CONNECTIONS_MAX)
+    return FSCHED_POLL_RETRY_MS;
+  e->n_resets++;
+  return FSCHED_POLL_GAP_MS;
+}
+
 /* Ends the runs of an executor at whose address another one answers, which
    refuses the orders for it. */
 static void
@@ -375,7 +393,7 @@
                 !TAILQ_EMPTY (&e->runs));
     }
   e->unreachable = true;
-  e->next_poll_ms = fs->now_ms + FSCHED_POLL_RETRY_MS;
+  e->next_poll_ms = fs->now_ms + poll_retry_ms (fs, e, res);
 }
 
 /* Counts a poll as failed that has no answer in time.  It stays outstanding:
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -408,6 +408,39 @@
   CU_ASSERT_EQUAL (forgotten_after (FSCHED_POLL_WAIT_MS), 0);
 }
 
+static void
+test_polls_pass_over_dead_connections (void)
+{
+  struct fixture x;
+  struct order_result lost = { .outcome = ORDER_LOST };
+  struct order *o;
+  int64_t since_ms;
+
+  set_up (&x);
+  settle (&x);
+  x.boot_start_ms++;
+  report_exec (&x, "e0");
+  since_ms = x.now_ms;
+  for (int i = 0; i < 3; i++)
+    {
+      do
+        fsched_tick (x.fs, ++x.now_ms, true);
+      while (!(o = take_order_to (&x, ORDER_POLL, "e0")));
+      fsched_order_result (x.fs, x.now_ms, o->id, &lost);
+      order_free (o);
+    }
+  do
+    fsched_tick (x.fs, ++x.now_ms, true);
+  while (!(o = take_order_to (&x, ORDER_POLL, "e0")));
+  CU_ASSERT (x.now_ms - since_ms < FSCHED_POLL_RETRY_MS);
+  fsched_order_result (x.fs, x.now_ms, o->id, &lost);
+  order_free (o);
+  x.now_ms += FSCHED_POLL_RETRY_MS / 2;
+  fsched_tick (x.fs, x.now_ms, true);
+  CU_ASSERT_PTR_NULL (take_order_to (&x, ORDER_POLL, "e0"));
+  tear_down (&x);
+}
+
 static void
 test_failure_of_a_second_run_does_not_count (void)
 {
@@ -483,6 +516,8 @@
              test_unsent_start_does_not_lapse },
            { "a leader that stood still lets no ends be forgotten",
              test_leader_that_stood_still_lets_no_ends_be_forgotten },
+           { "polls pass over the connections of the boot before",
+             test_polls_pass_over_dead_connections },
            { "the failure of a second run of a done task does not count",
              test_failure_of_a_second_run_does_not_count },
            { "odd lines of records cost only themselves",
