Walks restart executors under their ids in series

New faults of all four walks: restarts in series with one to three dead connections, a restart with a stale entry, two restarts within two seconds, polls that the next boot carries out late, and a failure domain that restarts and is cut off soon after, with or without the loss of the leader (docs/incidents/restarted-executors.md).

A frozen discovery entry of a boot whose successor has another id was never removed; it is removed now when the fault ends, as the platform does.

--- a/regress/fleet/lib.lua
+++ b/regress/fleet/lib.lua
@@ -66,6 +66,65 @@
   return ms
 end
 
+-- Functions that run() is still to call, see later().
+local calls = {}
+
+-- Lets run() call f after the given time in ms.  What f does lasts for for_ms.
+local function later(ms, f, for_ms)
+  lasting(ms + (for_ms or 0))
+  calls[#calls + 1] = {at_ms = now() + math.ceil(ms), f = f}
+end
+
+-- Runs the simulation for the given time in ms, with the calls of later().
+local run_without_calls = run
+function run(ms)
+  local end_ms = now() + math.floor(ms)
+  while true do
+    local first
+    for i, c in ipairs(calls) do
+      if c.at_ms <= end_ms and (not first or c.at_ms < calls[first].at_ms) then
+        first = i
+      end
+    end
+    if not first then break end
+    local c = table.remove(calls, first)
+    run_without_calls(c.at_ms - now())
+    c.f()
+  end
+  run_without_calls(end_ms - now())
+end
+
+-- Return: a random integer from 0 to n - 1.
+local function pick(n) return math.floor(random() * n) end
+
+-- Restarts executor e under its id.  The next n_dead orders to it fail.
+local function restart(e, n_dead)
+  exec(e, "new-id", 0)
+  exec(e, "reboot")
+  exec(e, "dead-connections", n_dead)
+end
+
+-- Restarts all executors of a failure domain under their ids and cuts them off
+-- soon after; the leader may be lost in between.
+local function recut()
+  local zone, cut_ms, for_ms
+      = pick(3), 300 + random() * 2700, 500 + random() * 9000
+  -- See read_discovery_entry() in regress/fsim/sim.c.
+  for e = zone, 7, 3 do
+    exec(e, "crash")
+    later(random() * 600, function() restart(e, pick(3)) end)
+    later(cut_ms, function() exec(e, "partition", for_ms) end, for_ms)
+  end
+  if random() < 0.5 then
+    later(random() * cut_ms, function()
+      local l = leader()
+      if l < 0 then return end
+      instance(l, "kill")
+      later(1000, function() instance(l, "start") end)
+    end, 1000)
+  end
+end
+
 -- Return: a list of functions, for four instances and eight executors of 16
 -- cores, and those in EXTRA_FAULTS if a script sets it.  Each injects a random fault and returns a function that ends the
 -- fault, or nil if the fault ends by itself.
@@ -116,6 +175,26 @@
     function() local e = math.floor(random() * 8)
       exec(e, "drain", 1)
       return function() exec(e, "reboot") exec(e, "drain", 0) end end,
+    function()
+      local first, gap_ms = pick(8), random() * 600
+      for k = 0, pick(4) do
+        later(k * gap_ms, function()
+          restart((first + k) % 8, 1 + pick(3))
+        end)
+      end
+    end,
+    function() local e = pick(8)
+      exec(e, "entry-frozen", 1)
+      restart(e, pick(3))
+      return function() exec(e, "entry-frozen", 0) end end,
+    function() local e = pick(8)
+      restart(e, pick(3))
+      later(100 + random() * 1900, function() restart(e, pick(3)) end) end,
+    function() local e = pick(8)
+      exec(e, "late-polls", 100 + random() * 2500)
+      later(random() * 1500, function() restart(e, pick(3)) end)
+      return function() exec(e, "late-polls", 0) end end,
+    recut,
   }
   for _, fault in ipairs(EXTRA_FAULTS or {}) do list[#list + 1] = fault end
   return list
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -741,8 +741,13 @@
   struct entry_removal *r = arg;
   char key[CLB_ID_MAX + 16];
 
+  if (r->e->entry_frozen && !s->shutting_down)
+    {
+      fsim_schedule (s, 100, delete_discovery_entry, r);
+      return;
+    }
   snprintf (key, sizeof key, "servers/%s", r->id);
-  if (!r->e->entry_frozen && (!r->e->up || strcmp (r->e->id, r->id) != 0))
+  if (!r->e->up || strcmp (r->e->id, r->id) != 0)
     ftable_put (s, key, NULL);
   free (r);
 }
