A start is no crash if the next boot began before it was sent, not if the executor was slow

An executor that is slow is late, too.

The start of the boot that follows tells more: if it is earlier than the moment at which the start was sent, by the wall clocks of leader and executor, the former boot was gone already. Nothing else excludes a start without an answer; it stays unconfirmed. If a wall clock is wrong by seconds, some such crashes count that should not, or the other way round. The starts of simulated boots are in the wall clock's time now, as on the platform.

exec_test, "a start that was sent after the next boot began is no crash", takes the place of the test of silent executors: both directions are checked as before.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -540,6 +540,7 @@
       fleet_load_tick (f);
       follow_tick (&f->exec_feed, f->now_ms);
       follow_tick (&f->job_feed, f->now_ms);
+      f->fsched->wall_offset_ms = f->wall_ms - f->now_ms;
       fsched_tick (f->fsched, f->now_ms,
                    leader_may_order (&f->leader, f->now_ms)
                        && !f->fsched->fenced);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -210,9 +210,9 @@
   /* An earlier leader started the run, and its executor has not answered this
      leader yet. */
   bool inherited;
-  /* The executor was late with the answer to a poll when the start was first
-     sent. */
-  bool sent_to_silent;
+  /* When the start was first sent, by the wall clock; 0: this leader has not
+     sent it. */
+  int64_t sent_wall_ms;
   bool pending;          /* the start counts in fsched::n_pending_starts */
   struct intent *intent; /* the record of the start; NULL: none */
   /* Name of the latest checkpoint that the executor reported; empty: none. */
@@ -476,7 +476,7 @@
   int64_t run_id;
   int64_t boot_start_ms; /* as start::boot_start_ms */
   bool unconfirmed;      /* as job_crash::unconfirmed */
-  bool sent_to_silent;   /* as start::sent_to_silent */
+  int64_t sent_wall_ms;  /* as start::sent_wall_ms */
 };
 TAILQ_HEAD (lost_runq, lost_run);
 
@@ -821,9 +821,10 @@
 struct fsched
 {
   int64_t now_ms;
-  struct outq *out;     /* borrowed; for orders, writes and log lines */
-  uint64_t *last_token; /* borrowed; last id given to a call or order */
-  int64_t epoch;        /* epoch of this term; part of its fencing tokens */
+  struct outq *out;       /* borrowed; for orders, writes and log lines */
+  uint64_t *last_token;   /* borrowed; last id given to a call or order */
+  int64_t wall_offset_ms; /* from local times to those of the wall clock */
+  int64_t epoch;          /* epoch of this term; part of its fencing tokens */
   struct fsched_stats *stats; /* borrowed; outlives the scheduler */
   const struct fconf *conf;   /* borrowed; NULL: not known yet */
   struct job_tree jobs;       /* all jobs, by id */
--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -65,15 +65,16 @@
   to->run_id = r->run_id;
   to->boot_start_ms = r->boot_start_ms;
   to->unconfirmed = !r->start_acked_ms;
-  to->sent_to_silent = r->sent_to_silent;
+  to->sent_wall_ms = r->sent_wall_ms;
 }
 
 /* Counts a crash of executor @e under a run, unless the executor drained: it
-   has then left as announced.  A start that was not answered by an executor
-   that was silent already is no evidence of a crash under the run. */
+   has then left as announced.
+   @next_boot_ms: start of the boot that followed; 0: unknown.  A start without
+   an answer that was sent after it is no evidence of a crash under the run. */
 static void
 count_lost_run (struct fsched *fs, const struct exec *e,
-                const struct lost_run *l)
+                const struct lost_run *l, int64_t next_boot_ms)
 {
   struct job *j = fsched_task_job (fs, &l->task);
   struct job_crash crash
@@ -81,7 +82,8 @@
   struct jstep *s;
   struct jtask *t;
 
-  if (!j || job_state_final (j->state) || (l->unconfirmed && l->sent_to_silent)
+  if (!j || job_state_final (j->state)
+      || (l->unconfirmed && next_boot_ms && next_boot_ms < l->sent_wall_ms)
       || (l->boot_start_ms && l->boot_start_ms == e->drained_boot_ms))
     return;
   s = &j->steps[l->task.step];
@@ -107,7 +109,10 @@
   struct lost_run l = { 0 };
 
   lost_run_init (&l, r);
-  count_lost_run (fs, r->exec, &l);
+  count_lost_run (fs, r->exec, &l,
+                  exec_has_new_boot (r->exec, l.boot_start_ms)
+                      ? r->exec->boot_start_ms
+                      : 0);
 }
 
 void
@@ -171,7 +176,7 @@
       if (!listed && res->ends_left)
         continue;
       if (!listed && exec_has_new_boot (e, l->boot_start_ms))
-        count_lost_run (fs, e, l);
+        count_lost_run (fs, e, l, e->boot_start_ms);
       free_lapsed (fs, e, l);
     }
 }
@@ -190,7 +195,7 @@
           || strcmp (e->rep.addr, successor->rep.addr) != 0)
         continue;
       TAILQ_FOREACH (l, &e->lapsed, link)
-        count_lost_run (fs, e, l);
+        count_lost_run (fs, e, l, successor->rep.boot_start_ms);
       crash_free_lapsed (fs, e);
     }
 }
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -249,14 +249,6 @@
   return e->poll_wait_ms + e->answer_ms + FSCHED_POLL_SLACK_MS;
 }
 
-bool
-exec_is_silent (const struct fsched *fs, const struct exec *e)
-{
-  return e->poll_id
-         && fs->now_ms - e->poll_sent_ms
-                > e->poll_wait_ms + e->answer_ms + FSCHED_CLOCK_MARGIN_MS;
-}
-
 /* Returns whether a poll may state up to which number ends are recorded.  The
    numbers are those of one boot: an executor that does not answer, or that was
    not asked as the leader stood still, may be in the next one. */
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -369,9 +369,6 @@
  */
 bool exec_detect_reboot (struct fsched *fs, struct exec *e,
                          const struct pending_order *p, int64_t clock_ms);
-/** exec_is_silent() - Return whether the executor is late with the answer to
- * the outstanding poll, although that is not overdue yet. */
-bool exec_is_silent (const struct fsched *fs, const struct exec *e);
 /** exec_add_answer_time() - Add the time that the answer to @p took to
  * exec::answer_ms. */
 void exec_add_answer_time (const struct fsched *fs, struct exec *e,
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -232,7 +232,7 @@
   if (r->exec->index < s->n_permits && s->permits[r->exec->index].ticket)
     clb_copy (o->ticket, s->permits[r->exec->index].ticket, sizeof o->ticket);
   if (r->tries == 0)
-    r->sent_to_silent = exec_is_silent (fs, r->exec);
+    r->sent_wall_ms = fs->now_ms + fs->wall_offset_ms;
   fs->stats->starts += r->tries++ == 0;
   r->n_exec_boots = r->exec->n_boots;
   set_pending (fs, r, true);
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -543,7 +543,7 @@
   if (res->clock_ms < 1)
     res->clock_ms = 1;
   if (o->kind == ORDER_POLL)
-    res->boot_start_ms = e->boot_start_ms;
+    res->boot_start_ms = s->wall_start_ms + e->boot_start_ms;
   res->outcome = ORDER_DONE;
   if (o->fencing_token < e->fencing_token)
     refusal = REFUSED_FENCE;
@@ -711,7 +711,7 @@
   snprintf (key, sizeof key, "servers/%s", e->id);
   snprintf (value, sizeof value, "%s %d %lld %lld %lld", e->addr, e->draining,
             (long long)e->capacity.millicores, (long long)e->capacity.mem_mb,
-            (long long)e->boot_start_ms);
+            (long long)(s->wall_start_ms + e->boot_start_ms));
   ftable_put (s, key, e->up && e->listed ? value : NULL);
 }
 
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -429,6 +429,7 @@
 struct fsim
 {
   int64_t now_ms;          /* simulated time */
+  int64_t wall_start_ms;   /* wall clock when the simulated time is 0 */
   uint64_t last_event_seq; /* fsim_event::seq of the latest scheduled event */
   uint64_t rng_state;      /* state of the random generator */
   /* Scheduled events: a binary heap, earliest event first. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -498,7 +498,7 @@
   if (!in->frozen)
     {
       fleet_tick (&in->fleet, s->now_ms,
-                  WALL_CLOCK_START_MS + s->now_ms + in->clock_offset_ms);
+                  s->wall_start_ms + s->now_ms + in->clock_offset_ms);
       fsim_process_outputs (s, t->inst);
     }
   fsim_schedule (s, INSTANCE_TICK_MS, on_instance_timer, t);
@@ -510,7 +510,7 @@
   struct fsim_instance *in = s->inst[i];
   struct instance_timer *t = calloc (1, sizeof *t);
   struct fleet_settings settings
-      = { .boot = WALL_CLOCK_START_MS + s->now_ms,
+      = { .boot = s->wall_start_ms + s->now_ms,
           .revoke_ms = 5000,
           .conf_apply_ms = 3000,
           .millicores = in->millicores,
@@ -568,6 +568,7 @@
 {
   struct fsim *s = calloc (1, sizeof *s);
 
+  s->wall_start_ms = WALL_CLOCK_START_MS;
   s->rng_state = seed * 2654435761u + 88172645463325252ULL;
   s->permitted_share = 0.5;
   s->ticket_ms = FSIM_TICKET_MS;
@@ -636,7 +637,7 @@
 pass_request (struct fsim *s, int i, const struct fleet_request *rq)
 {
   fleet_request (&s->inst[i]->fleet, s->now_ms,
-                 WALL_CLOCK_START_MS + s->now_ms + s->inst[i]->clock_offset_ms,
+                 s->wall_start_ms + s->now_ms + s->inst[i]->clock_offset_ms,
                  rq);
   fsim_process_outputs (s, i);
 }
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -171,6 +171,15 @@
 /* Start of the stand-in, by CLOCK_MONOTONIC. */
 static int64_t start_ms;
 
+static int64_t
+wall_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
 /* Return: time in ms since the start of the stand-in. */
 static int64_t
 now (void)
@@ -1326,6 +1335,7 @@
   advertised_offset = argc == 5 ? atoi (argv[4]) : 0;
   start_ms = now ();
   sim = fsim_new (1, 0, n, &capacity);
+  sim->wall_start_ms = wall_ms ();
   start_server (&table_server, port, on_table_request);
   exec_servers = calloc ((size_t)n, sizeof *exec_servers);
   for (int i = 0; i < n; i++)
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -6,6 +6,7 @@
 {
   /* By so much, an answer comes later than the executor made it. */
   LATE_MS = 1800,
+  MINUTE_MS = 60000,
 };
 
 static struct order *
@@ -191,13 +192,13 @@
   order_free (o);
 }
 
-/* Returns the number of crashes that count under a task whose start was sent,
-   @silent_ms after the last poll of its executor, and never answered; the
-   executor then answers polls in a new boot.
+/* Returns the number of crashes that count under a task whose start was sent
+   and never answered; the executor then answers polls in a new boot, which
+   began @born_ms after the start was sent.
    @n_lost: number of start orders that are known to have no answer; with 0,
             the only one is still outstanding */
 static int
-crashes_after_unanswered_start (int64_t silent_ms, int n_lost)
+crashes_after_unanswered_start (int64_t born_ms, int n_lost)
 {
   struct fixture x;
   int n_crashes;
@@ -208,8 +209,8 @@
   x.now_ms += FSCHED_POLL_GAP_MS;
   fsched_tick (x.fs, x.now_ms, true);
   order_free (take_order (&x, ORDER_POLL));
-  x.now_ms += silent_ms;
   add_job (&x, "0000000000000002", 1, false);
+  x.fs->wall_offset_ms = BOOT_START_MS + MINUTE_MS - x.now_ms;
   fsched_tick (x.fs, x.now_ms, true);
   collect (&x);
   fsched_recorded (x.fs);
@@ -218,7 +219,7 @@
   if (!n_lost)
     order_free (take_order (&x, ORDER_START));
   x.boot_ms = 0;
-  x.boot_start_ms++;
+  x.boot_start_ms += MINUTE_MS + born_ms;
   for (int64_t end_ms = x.now_ms + 3000; x.now_ms < end_ms;)
     step (&x);
   n_crashes
@@ -228,18 +229,16 @@
 }
 
 static void
-test_start_to_a_silent_executor_is_no_crash (void)
+test_start_sent_after_the_next_boot_is_no_crash (void)
 {
-  int64_t silent_ms = FSCHED_POLL_WAIT_MS + 300;
-
-  CU_ASSERT_EQUAL (crashes_after_unanswered_start (0, 2), 1);
-  CU_ASSERT_EQUAL (crashes_after_unanswered_start (silent_ms, 2), 0);
+  CU_ASSERT_EQUAL (crashes_after_unanswered_start (300, 2), 1);
+  CU_ASSERT_EQUAL (crashes_after_unanswered_start (-300, 2), 0);
 }
 
 static void
 test_crash_counts_before_the_start_is_given_up (void)
 {
-  CU_ASSERT_EQUAL (crashes_after_unanswered_start (0, 0), 1);
+  CU_ASSERT_EQUAL (crashes_after_unanswered_start (300, 0), 1);
 }
 
 /* Lets no order arrive until all leases are over. */
@@ -500,8 +499,8 @@
              test_run_of_the_boot_that_shows_itself_is_no_crash },
            { "the entry of the boot before is not used",
              test_entry_of_the_boot_before_is_not_used },
-           { "a start that a silent executor does not answer is no crash",
-             test_start_to_a_silent_executor_is_no_crash },
+           { "a start that was sent after the next boot began is no crash",
+             test_start_sent_after_the_next_boot_is_no_crash },
            { "a crash counts before the start is given up",
              test_crash_counts_before_the_start_is_given_up },
            { "a lapsed run that a new boot lists is no crash",
