A leader that was paused sends no start after its right to order is over

A task ran twice: a leader was paused while the write with a start's intent was on its way, and another led meanwhile. When the first went on, the answer to the write came before its next tick; it sent the start, as its right to give orders was looked up with each tick only. The next boot of the executor, which the new leader had not reached yet, knew no higher token and carried it out.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -465,6 +465,15 @@
   fleet_load_start (f);
 }
 
+/* Takes the right to give orders from the scheduler once it is over: the
+   process may have been paused since the last tick. */
+static void
+update_may_order (struct fleet *f)
+{
+  f->fsched->may_order
+      = f->fsched->may_order && leader_may_order (&f->leader, f->now_ms);
+}
+
 /* If call @token was made by the leader election, handles @rep and returns
    true; otherwise returns false. */
 static bool
@@ -483,6 +492,7 @@
       if (f->fsched)
         {
           f->fsched->fenced = false;
+          update_may_order (f);
           fsched_recorded (f->fsched);
         }
       break;
@@ -607,7 +617,10 @@
   if (*o->reply_to)
     fleet_send_advice_reply (f, o, res);
   else if (f->fsched)
-    fsched_order_result (f->fsched, now_ms, o->id, res);
+    {
+      update_may_order (f);
+      fsched_order_result (f->fsched, now_ms, o->id, res);
+    }
   send_due_output (f);
 }
 
