The stand-in restarts executors under their ids as the users' platform does

"exec K restart MS" ends a boot and begins the next one MS later, with a clock at any reading; its discovery entry, which states the boot's start now, follows within 1.5 s. Only the answer to a poll names the boot. Polls that wait are lost with their boot; before, the next boot answered them, or a boot that had ended did. "polls-lost" executes half of the polls 2 to 12 s later, as "lost" does with orders, by the boot that is there then. A line "unanswered" shows each order that is executed without an answer, with the boot's fencing token before it, so that a violation can be traced. soak-proxy resets connections of the former boot on their next use ("stale"), and fleet-load -l gives one job in ten long tasks.

--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -13,6 +13,8 @@
  *   N stall-reply    forward nothing from the target to the client
  *   N stall-request  forward nothing from the client to the target
  *   N reset          reset all connections of the link, also new ones
+ *   N stale          reset each present connection of the link when its client
+ *                    sends more on it; the mode stays as it is
  * A stall loses no bytes: once the mode of the link lets them pass again, they
  * arrive in order, as after a retransmission by TCP, unless one end has closed
  * the connection.
@@ -74,6 +76,7 @@
   int n_open_ends; /* number of ends whose handles are not closed yet */
   bool closing;    /* both ends are being closed */
   bool connected;  /* the connection to the target is established */
+  bool stale;      /* more bytes from the client reset the connection */
   /* Time at which the last bytes to each end are to be written.  Bytes that
      are read later are not written earlier, so that a shorter delay does not
      reorder the stream. */
@@ -249,6 +252,8 @@
 
   if (n < 0)
     close_pair (p, n == UV_ECONNRESET);
+  else if (n > 0 && p->stale && s == (uv_stream_t *)&p->end[0])
+    close_pair (p, true);
   else if (n > 0)
     forward_bytes (p, s == (uv_stream_t *)&p->end[0], buf->base, (size_t)n);
 }
@@ -311,6 +316,17 @@
     close_pair (p, true);
 }
 
+/* Marks the connections of link @index as stale. */
+static void
+mark_stale (int index)
+{
+  struct conn_pair *p;
+
+  LIST_FOREACH (p, &pairs, entry)
+  if (p->link == &links[index])
+    p->stale = true;
+}
+
 /* Sets the mode of a link by its name.  @value is the delay or the rate. */
 static void
 set_link_mode (int index, const char *name, int value)
@@ -319,6 +335,11 @@
 
   if (index < 0 || index >= n_links)
     return;
+  if (strcmp (name, "stale") == 0)
+    {
+      mark_stale (index);
+      return;
+    }
   for (int m = 0; m < MODE_N; m++)
     if (strcmp (name, mode_names[m]) == 0)
       links[index].mode = (enum mode)m;
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -20,7 +20,8 @@
  * and the advice service on the port after that of the last executor.
  *
  * The program prints a line "violation ..." when the executors have detected
- * further violations (see regress/fsim/execs.c).  It reads commands from
+ * further violations (see regress/fsim/execs.c), and a line "unanswered ..."
+ * for each order that it executes without an answer.  It reads commands from
  * standard input, one per line (MS is a time in ms):
  *   table down MS       the table refuses all calls for MS
  *   table late MS       from now on, the table's answers come MS later
@@ -33,13 +34,17 @@
  *                       since a version before the present one fails
  *   exec K crash        ends the boot of executor K; all its runs are lost
  *   exec K reborn       begins a new boot of executor K
+ *   exec K restart MS   ends the boot of executor K; MS later the next one
+ *                       begins, and its discovery entry is written within
+ *                       1.5 s
  *   exec K cut MS       executor K does not answer for MS
  *   exec K late MS      from now on, the answers of executor K come MS later
  *   exec K lost SHARE   from now on, executor K answers a SHARE (0 to 1; 0 at
  *                       the start) of start and stop orders never; half of
  *                       these it executes at once, half 2 to 12 s later
  *   exec K polls-lost SHARE
- *                       from now on, executor K answers a SHARE of polls never
+ *                       the same for polls.  The boot that executor K has at
+ *                       the time executes a late order or poll
  *   exec K fails 0|1    with 1, every run that starts on executor K fails;
  *                       0 ends the fault
  *   advice FAULT VALUE  begins or ends a fault of the advice service, see
@@ -88,6 +93,9 @@
      arrival. */
   LATE_ORDER_MIN_MS = 2000,
   LATE_ORDER_MAX_MS = 12000,
+  /* After a restart, a discovery entry is written within this time: the users'
+     heartbeat. */
+  ENTRY_DELAY_MAX_MS = 1500,
 };
 
 /* enum left - whether a job could run but has nothing running */
@@ -108,6 +116,10 @@
 {
   struct httpd *http;
   double lost_poll_share; /* share of polls that get no answer */
+  /* Times of the next boot and of the next write of the discovery entry, -1:
+     none. */
+  int64_t boot_due_ms;
+  int64_t entry_due_ms;
   /* Executor that is served; NULL for the table. */
   struct fexec *exec;
   char addr[CLB_ADDR_MAX];
@@ -122,8 +134,9 @@
   uint64_t request_id;
   /* Time at which the request is answered at the latest. */
   int64_t deadline_ms;
-  struct store_op op; /* the feed; used if server->exec is NULL */
-  struct order order; /* the poll; used if server->exec is not NULL */
+  struct store_op op;    /* the feed; used if server->exec is NULL */
+  struct order order;    /* the poll; used if server->exec is not NULL */
+  int64_t boot_start_ms; /* start of the boot that has received the poll */
 };
 
 /* struct late_answer - an answer that is sent later */
@@ -495,6 +508,7 @@
       = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
   json_t *running = json_array ();
   json_t *finished = json_array ();
+  json_t *json;
   char name[96];
 
   for (size_t i = 0; i < res->n_runs; i++)
@@ -514,10 +528,14 @@
                                         name, (json_int_t)e->run_id,
                                         end_names[e->run_end], e->checkpoint));
     }
-  return json_pack ("{s:I, s:I, s:o, s:o, s:s}", "clock_ms",
-                    (json_int_t)res->clock_ms, "born",
-                    (json_int_t)res->boot_start_ms, "running", running,
-                    "finished", finished, "reason", reasons[res->reason]);
+  json = json_pack ("{s:I, s:o, s:o, s:s}", "clock_ms",
+                    (json_int_t)res->clock_ms, "running", running, "finished",
+                    finished, "reason", reasons[res->reason]);
+  /* Only the answer to a poll names the boot. */
+  if (res->boot_start_ms)
+    json_object_set_new (json, "born",
+                         json_integer ((json_int_t)res->boot_start_ms));
+  return json;
 }
 
 static int64_t
@@ -648,18 +666,44 @@
   return e->up && now () >= e->partitioned_until_ms;
 }
 
+/* Prints a line for an order that is executed without an answer.
+   @fence: the highest fencing token that the boot had received before */
+static void
+report_unanswered (const struct fexec *e, const struct order *o, int64_t fence,
+                   const struct order_result *res)
+{
+  char task[96] = "";
+
+  if (o->kind != ORDER_POLL)
+    pf_task_name (&o->task, true, task, sizeof task);
+  printf ("unanswered at %lld: %s boot %lld fence %lld: %s %s run %lld "
+          "token %lld last_seen %lld deadline %lld clock %lld: %s\n",
+          (long long)sim->now_ms, e->id, (long long)e->boot_start_ms,
+          (long long)fence,
+          o->kind == ORDER_START  ? "start"
+          : o->kind == ORDER_STOP ? "stop"
+                                  : "poll",
+          task, (long long)o->run_id, (long long)o->fencing_token,
+          (long long)o->recorded_end_seq, (long long)o->lease_deadline_ms,
+          (long long)res->clock_ms,
+          res->outcome == ORDER_DONE ? "done" : "refused");
+  fflush (stdout);
+}
+
 /* Executes an order without an answer.  The function takes ownership of the
    payload. */
 static void
 execute_unanswered (struct fexec *e, struct order *o)
 {
   struct order_result res = { 0 };
+  int64_t fence = e->fencing_token;
 
   e->last_fault_ms = sim->now_ms;
   register_job (o);
   free (o->payload);
   o->payload = NULL;
   fexec_apply (sim, e, o, true, true, &res);
+  report_unanswered (e, o, fence, &res);
   order_result_clear (&res);
 }
 
@@ -680,18 +724,6 @@
     }
 }
 
-/* Executes a poll without an answer, if chance says so.
-
-   Return: true if the poll must not be answered. */
-static bool
-lose_poll (const struct server *s, struct order *o)
-{
-  if (s->lost_poll_share <= 0 || fsim_random (sim) >= s->lost_poll_share)
-    return false;
-  execute_unanswered (s->exec, o);
-  return true;
-}
-
 /* Loses the answer to an order, if chance says so: executes the order now or
    later.  Takes ownership of the payload then.
 
@@ -701,16 +733,16 @@
 {
   struct fexec *e = s->exec;
   struct late_order *l;
+  double share
+      = o->kind == ORDER_POLL ? s->lost_poll_share : e->lost_result_share;
   double chance;
 
-  if (o->kind == ORDER_POLL)
-    return lose_poll (s, o);
-  if (e->lost_result_share <= 0)
+  if (share <= 0)
     return false;
   chance = fsim_random (sim);
-  if (chance >= e->lost_result_share)
+  if (chance >= share)
     return false;
-  if (chance < e->lost_result_share / 2)
+  if (chance < share / 2)
     {
       execute_unanswered (e, o);
       return true;
@@ -750,6 +782,7 @@
   free (p->order.payload);
   p->order.payload = NULL;
   p->deadline_ms = now () + p->order.wait_ms;
+  p->boot_start_ms = p->server->exec->boot_start_ms;
   if (!try_order (p->server, rq->id, &p->order, true, p->order.wait_ms == 0))
     TAILQ_INSERT_TAIL (&pending_requests, p, link);
   else
@@ -771,6 +804,72 @@
       }
 }
 
+/* Writes the discovery entry of an executor to the table. */
+static void
+write_discovery_entry (const struct server *s)
+{
+  char key[CLB_ID_MAX + 16];
+  char zone[] = { (char)('a' + s->exec->index % n_zones), '\0' };
+  json_auto_t *entry
+      = json_pack ("{s:s, s:s, s:s, s:s, s:I, s:{s:I, s:I, s:i}}", "service",
+                   "svc", "address", s->addr, "zone", zone, "state", "ready",
+                   "born", (json_int_t)s->exec->boot_start_ms, "capacity",
+                   "cpu", (json_int_t)s->exec->capacity.millicores, "mem_mb",
+                   (json_int_t)s->exec->capacity.mem_mb, "gpu", 0);
+  char addr[CLB_ADDR_MAX];
+  char rack[16];
+  clb_auto char *text = NULL;
+
+  snprintf (rack, sizeof rack, "r%d",
+            1 + (rack_size ? s->exec->index / rack_size : 0));
+  json_object_set_new (entry, "labels", json_pack ("[s,s]", "kind", rack));
+  snprintf (addr, sizeof addr, "127.0.0.1:%d",
+            atoi (strchr (s->addr, ':') + 1) + advertised_offset);
+  json_object_set_new (entry, "address", json_string (addr));
+  text = json_dumps (entry, JSON_COMPACT);
+  snprintf (key, sizeof key, "servers/%s", s->exec->id);
+  ftable_put (sim, key, text);
+}
+
+/* Begins a new boot of an executor, unless one has begun meanwhile. */
+static void
+begin_boot (struct server *s)
+{
+  s->boot_due_ms = -1;
+  if (s->exec->up)
+    return;
+  fexec_reboot (sim, s->exec);
+  s->entry_due_ms
+      = sim->now_ms + (int64_t)(fsim_random (sim) * ENTRY_DELAY_MAX_MS);
+}
+
+/* Return: true if the boot that has received the poll has ended. */
+static bool
+is_of_ended_boot (const struct pending_request *p)
+{
+  const struct fexec *e = p->server->exec;
+
+  return e && (!e->up || e->boot_start_ms != p->boot_start_ms);
+}
+
+/* Begins the boots and writes the discovery entries that are due. */
+static void
+restart_execs (void)
+{
+  for (int i = 0; i < n_execs; i++)
+    {
+      struct server *s = &exec_servers[i];
+      if (s->boot_due_ms >= 0 && sim->now_ms >= s->boot_due_ms)
+        begin_boot (s);
+      if (s->entry_due_ms >= 0 && sim->now_ms >= s->entry_due_ms
+          && s->exec->up)
+        {
+          s->entry_due_ms = -1;
+          write_discovery_entry (s);
+        }
+    }
+}
+
 /* Prints a line if violations were detected since the last such line. */
 static void
 report_violations (void)
@@ -794,6 +893,7 @@
   if (timer_ms && sim->now_ms - timer_ms > timer_gap_ms)
     timer_gap_ms = sim->now_ms - timer_ms;
   timer_ms = sim->now_ms;
+  restart_execs ();
   fexec_tick (sim);
   execute_late_orders ();
   send_late_answers ();
@@ -801,6 +901,12 @@
   TAILQ_FOREACH_SAFE (p, &pending_requests, link, next)
     {
       bool deadline_passed = now () >= p->deadline_ms;
+      if (is_of_ended_boot (p))
+        {
+          TAILQ_REMOVE (&pending_requests, p, link);
+          free (p);
+          continue;
+        }
       if (p->server->exec && now () < p->server->exec->partitioned_until_ms)
         continue;
       if (p->server->exec && !deadline_passed && !p->server->exec->n_ends
@@ -869,32 +975,6 @@
     listen_for_advice (ips[i], port);
 }
 
-/* Writes the discovery entry of an executor to the table. */
-static void
-write_discovery_entry (const struct server *s)
-{
-  char key[CLB_ID_MAX + 16];
-  char zone[] = { (char)('a' + s->exec->index % n_zones), '\0' };
-  json_auto_t *entry
-      = json_pack ("{s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}}", "service", "svc",
-                   "address", s->addr, "zone", zone, "state", "ready",
-                   "capacity", "cpu", (json_int_t)s->exec->capacity.millicores,
-                   "mem_mb", (json_int_t)s->exec->capacity.mem_mb, "gpu", 0);
-  char addr[CLB_ADDR_MAX];
-  char rack[16];
-  clb_auto char *text = NULL;
-
-  snprintf (rack, sizeof rack, "r%d",
-            1 + (rack_size ? s->exec->index / rack_size : 0));
-  json_object_set_new (entry, "labels", json_pack ("[s,s]", "kind", rack));
-  snprintf (addr, sizeof addr, "127.0.0.1:%d",
-            atoi (strchr (s->addr, ':') + 1) + advertised_offset);
-  json_object_set_new (entry, "address", json_string (addr));
-  text = json_dumps (entry, JSON_COMPACT);
-  snprintf (key, sizeof key, "servers/%s", s->exec->id);
-  ftable_put (sim, key, text);
-}
-
 /* Return: the contents of the file, to be freed.  The program exits if the
    file is empty or cannot be read. */
 static char *
@@ -1221,6 +1301,13 @@
       fexec_reboot (sim, e);
       write_discovery_entry (&exec_servers[exec_index]);
     }
+  else if (strcmp (fault, "restart") == 0)
+    {
+      if (e->up)
+        fexec_crash (sim, e);
+      exec_servers[exec_index].boot_due_ms = now () + (int64_t)value;
+      restart_execs ();
+    }
   else if (strcmp (fault, "cut") == 0)
     e->partitioned_until_ms = now () + (int64_t)value;
   else if (strcmp (fault, "late") == 0)
@@ -1340,7 +1427,13 @@
   exec_servers = calloc ((size_t)n, sizeof *exec_servers);
   for (int i = 0; i < n; i++)
     {
+      /* Only the stand-in writes entries, which have another format. */
+      sim->exec[i]->entry_frozen = true;
+      /* The clock of the simulation's first boot begins at 0, those of others
+         at any reading. */
+      fexec_reboot (sim, sim->exec[i]);
       exec_servers[i].exec = sim->exec[i];
+      exec_servers[i].boot_due_ms = exec_servers[i].entry_due_ms = -1;
       start_server (&exec_servers[i], port + 1 + i, on_exec_request);
       write_discovery_entry (&exec_servers[i]);
     }
--- a/regress/standin/fleetload.c
+++ b/regress/standin/fleetload.c
@@ -2,7 +2,7 @@
  * fleet-load - submits jobs at a given rate, polls their states and prints how
  * long it took until they were reported as completed.
  *
- * usage: fleet-load [-r] [-c] JOBS RATE FIRST-ID IP:PORT...
+ * usage: fleet-load [-r] [-c] [-l] JOBS RATE FIRST-ID IP:PORT...
  *
  * The last line of output is "N passed, N failed".  A job passes if it was
  * accepted and is reported as completed.
@@ -21,6 +21,8 @@
  *
  * With -c the program cancels each CANCEL_EACH-th job once it is accepted.
  * Such a job passes if it is reported as cancelled or completed.
+ *
+ * With -l each LONG_EACH-th job has tasks of LONG_MS that need less.
  */
 #include "httpc.h"
 
@@ -44,6 +46,9 @@
   GIVE_UP_MS = 30000,
   /* With -c: one job of so many is cancelled. */
   CANCEL_EACH = 8,
+  /* With -l: one job of so many has tasks of LONG_MS. */
+  LONG_EACH = 10,
+  LONG_MS = 6000,
   JOBS_MAX = 100000,
 };
 
@@ -80,6 +85,7 @@
 static int first_id;  /* job i has the id first_id + i */
 static bool resubmit; /* option -r: submit jobs again that are not accepted */
 static bool cancel;   /* option -c: cancel some jobs */
+static bool has_long; /* option -l: some jobs have long tasks */
 
 static int64_t
 now (void)
@@ -189,11 +195,17 @@
 static void
 submit_job (int i)
 {
-  send_request (i, "POST",
-                "{\"spec\":\"cpu=500 account=red\",\"steps\":[{"
-                "\"task_count\":3,\"cpu\":500,"
-                "\"mem_mb\":100,\"estimate_ms\":300}]}",
-                on_submit_answer);
+  bool is_long = has_long && i % LONG_EACH == 0;
+  int cpu = is_long ? 50 : 500;
+  int ms = is_long ? LONG_MS : 300;
+  char body[256];
+
+  snprintf (body, sizeof body,
+            "{\"spec\":\"cpu=%d account=red steps=3x%d\",\"steps\":[{"
+            "\"task_count\":3,\"cpu\":%d,\"mem_mb\":100,"
+            "\"estimate_ms\":%d}]}",
+            cpu, ms, cpu, ms);
+  send_request (i, "POST", body, on_submit_answer);
   jobs[i].n_tries++;
 }
 
@@ -266,10 +278,12 @@
       resubmit = true;
     else if (strcmp (argv[1], "-c") == 0)
       cancel = true;
+    else if (strcmp (argv[1], "-l") == 0)
+      has_long = true;
   if (argc < 5)
     {
-      fprintf (stderr,
-               "usage: fleet-load [-r] [-c] JOBS RATE FIRST-ID IP:PORT...\n");
+      fprintf (stderr, "usage: fleet-load [-r] [-c] [-l] JOBS RATE FIRST-ID "
+                       "IP:PORT...\n");
       return 64;
     }
   n_jobs_to_submit = atoi (argv[1]) < JOBS_MAX ? atoi (argv[1]) : JOBS_MAX;
