--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -809,12 +809,13 @@
 write_discovery_entry (const struct server *s)
 {
   char key[CLB_ID_MAX + 16];
+  int64_t born_ms = sim->wall_start_ms + s->exec->boot_start_ms;
   char zone[] = { (char)('a' + s->exec->index % n_zones), '\0' };
   json_auto_t *entry
       = json_pack ("{s:s, s:s, s:s, s:s, s:I, s:{s:I, s:I, s:i}}", "service",
                    "svc", "address", s->addr, "zone", zone, "state", "ready",
-                   "born", (json_int_t)s->exec->boot_start_ms, "capacity",
-                   "cpu", (json_int_t)s->exec->capacity.millicores, "mem_mb",
+                   "born", (json_int_t)born_ms, "capacity", "cpu",
+                   (json_int_t)s->exec->capacity.millicores, "mem_mb",
                    (json_int_t)s->exec->capacity.mem_mb, "gpu", 0);
   char addr[CLB_ADDR_MAX];
   char rack[16];
