--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -21,8 +21,9 @@
  *
  * The program prints a line "violation ..." when the executors have detected
  * further violations (see regress/fsim/execs.c), and a line "unanswered ..."
- * for each order that it executes without an answer.  It reads commands from
- * standard input, one per line (MS is a time in ms):
+ * for each order that it executes without an answer, and a line "unseen ..."
+ * for each poll that lets an executor forget ends which no answer has listed.
+ * It reads commands from standard input, one per line (MS is a time in ms):
  *   table down MS       the table refuses all calls for MS
  *   table late MS       from now on, the table's answers come MS later
  *   table lost SHARE    from now on, until the next such command, each write
@@ -567,6 +568,24 @@
   o->wait_ms = int_member (body, "wait_ms");
 }
 
+/* Prints a line if the poll lets the boot forget ends that no answer has
+   listed. */
+static void
+report_unseen_ends (const struct fexec *e, const struct order *o)
+{
+  if (o->kind != ORDER_POLL || !e->up || o->fencing_token < e->fencing_token
+      || o->recorded_end_seq <= e->listed_end_seq || !e->n_ends
+      || e->ends[e->n_ends - 1].seq <= e->listed_end_seq)
+    return;
+  printf ("unseen at %lld: %s boot %lld fence %lld: poll token %lld last_seen "
+          "%lld, ends %lld, listed %lld\n",
+          (long long)sim->now_ms, e->id, (long long)e->boot_start_ms,
+          (long long)e->fencing_token, (long long)o->fencing_token,
+          (long long)o->recorded_end_seq, (long long)e->last_end_seq,
+          (long long)e->listed_end_seq);
+  fflush (stdout);
+}
+
 /* Executes an order and answers it.  A poll is not answered while the executor
    has no ended runs to report and @waited is false; the function must then be
    called again.
@@ -579,7 +598,11 @@
            bool first, bool waited)
 {
   struct order_result res = { 0 };
-  bool done = fexec_apply (sim, s->exec, o, first, waited, &res);
+  bool done;
+
+  if (first)
+    report_unseen_ends (s->exec, o);
+  done = fexec_apply (sim, s->exec, o, first, waited, &res);
 
   if (done)
     answer_json (s, request_id, res.outcome == ORDER_DONE ? 200 : 409,
@@ -702,6 +725,7 @@
   register_job (o);
   free (o->payload);
   o->payload = NULL;
+  report_unseen_ends (e, o);
   fexec_apply (sim, e, o, true, true, &res);
   report_unanswered (e, o, fence, &res);
   order_result_clear (&res);
