--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -705,13 +705,14 @@
 {
   char key[CLB_ID_MAX + 16];
   char value[256];
+  long long born_ms = s->wall_start_ms + e->boot_start_ms;
 
   if (e->entry_frozen)
     return;
   snprintf (key, sizeof key, "servers/%s", e->id);
   snprintf (value, sizeof value, "%s %d %lld %lld %lld", e->addr, e->draining,
             (long long)e->capacity.millicores, (long long)e->capacity.mem_mb,
-            (long long)(s->wall_start_ms + e->boot_start_ms));
+            born_ms);
   ftable_put (s, key, e->up && e->listed ? value : NULL);
 }
 
