--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -307,6 +307,64 @@
   tear_down (&x);
 }
 
+/* Executor e0 restarts under a gang of two, and lists run 7 of a member. */
+static void
+test_member_of_an_earlier_gang_run_is_stopped (void)
+{
+  struct fixture x;
+  struct run_row listed
+      = { .task = { .job = "0000000000000002" }, .run_id = 7 };
+  const struct start *r;
+
+  set_up_run (&x);
+  exec_find (x.fs, "e1")->rep.capacity.millicores = 1000;
+  exec_find (x.fs, "e0")->rep.capacity.millicores = 2000;
+  add_job (&x, "0000000000000002", 2, true);
+  step (&x);
+  settle (&x);
+  listed.task.index = strcmp (fsched_find_job (x.fs, "0000000000000002")
+                                  ->steps[0]
+                                  .tasks[0]
+                                  .run->exec->rep.id,
+                              "e0")
+                      != 0;
+  x.now_ms += FSCHED_POLL_WAIT_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  x.boot_start_ms++;
+  answer_late (&x, take_order_to (&x, ORDER_POLL, "e0"), 0, &listed, 1);
+  r = fsched_find_job (x.fs, "0000000000000002")
+          ->steps[0]
+          .tasks[listed.task.index]
+          .run;
+  CU_ASSERT (r && r->run_id == 7 && r->state == START_STOPPING);
+  tear_down (&x);
+}
+
+/* Another executor answers at the address that the entry of e0 still names. */
+static void
+test_stale_entry_uses_up_one_fencing_token (void)
+{
+  struct fixture x;
+  struct order_result wrong_boot = { .outcome = ORDER_WRONG_BOOT };
+  struct order *poll;
+
+  set_up (&x);
+  settle (&x);
+  for (int n_answers = 0; n_answers < 3;)
+    {
+      x.now_ms += STEP_MS;
+      fsched_tick (x.fs, x.now_ms, true);
+      poll = take_order_to (&x, ORDER_POLL, "e0");
+      if (!poll)
+        continue;
+      fsched_order_result (x.fs, x.now_ms, poll->id, &wrong_boot);
+      order_free (poll);
+      n_answers++;
+    }
+  CU_ASSERT_EQUAL (exec_find (x.fs, "e0")->n_boots, 1);
+  tear_down (&x);
+}
+
 /* The executor lists neither the run nor its end. */
 static void
 test_missing_run_with_a_lost_copy_is_stopped (void)
@@ -507,6 +565,10 @@
              test_lapsed_run_in_a_new_boot_is_no_crash },
            { "another run of a task in a new boot is adopted",
              test_other_run_in_a_new_boot_is_adopted },
+           { "a member of a gang that has another run is stopped",
+             test_member_of_an_earlier_gang_run_is_stopped },
+           { "a stale entry uses up one fencing token",
+             test_stale_entry_uses_up_one_fencing_token },
            { "a missing run is stopped though a copy of its start was lost",
              test_missing_run_with_a_lost_copy_is_stopped },
            { "an answer from an old address ends no run",
