A start that never ran is no crash for the next leader

Jobs were shown as failed (crashes-executors) although no run of theirs had failed: two real crashes, and a start that its executor had refused or never received. The leader that gave the start up ended it as never started, but recorded only ends of runs that were lost with their executors.

Once runs of a task were lost with their executors, each later end of a run of that task is recorded, so that the intent tells the next leader nothing new. The write comes with that of the next intent.

--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -139,15 +139,18 @@
 }
 
 /* Notes the end of the run of @r.  It is recorded if the executor did not
-   report it: a new leader would wait for an executor that may not answer. */
+   report it: a new leader would wait for an executor that may not answer.
+   Later ends of the task are recorded as well: for a run that never started, a
+   new leader could count another crash. */
 static void
 note_end (struct fsched *fs, const struct start *r, int run_end)
 {
   struct job_end end = { .run_id = r->run_id, .how = run_end };
-  bool lost = run_end == RUN_END_REBOOTED || run_end == RUN_END_LAPSED;
+  struct jtask *t = start_get_task (r);
 
-  start_note_end (start_get_task (r), &end, lost);
-  if (lost && !job_state_final (r->job->state))
+  start_note_end (t, &end,
+                  run_end == RUN_END_REBOOTED || run_end == RUN_END_LAPSED);
+  if (t->ended_lost && !job_state_final (r->job->state))
     progress_mark_task (fs, r->job, r->step, r->index);
 }
 
--- a/regress/unit/restart_test.c
+++ b/regress/unit/restart_test.c
@@ -192,10 +192,39 @@
   tear_down (&x);
 }
 
+static void
+test_start_that_never_ran_is_recorded_after_a_crash (void)
+{
+  struct fixture x;
+  struct order_result refused
+      = { .outcome = ORDER_REFUSED, .reason = REFUSED_NO_ROOM };
+  struct order *start;
+
+  set_up (&x);
+  set_limit (&x, 10000);
+  settle (&x);
+  leave_room_on (&x, 1);
+  add_job (&x, JOB, 1, false);
+  answer (&x, next_order (&x, ORDER_START), 0);
+  x.boot_start_ms++;
+  report_exec (&x, "e0");
+  answer (&x, next_order (&x, ORDER_POLL), BOOT_START_MS + 1);
+  CU_ASSERT (write_states (&x, "\"lost\":[{\"no\":1,"));
+  start = next_order (&x, ORDER_START);
+  CU_ASSERT_PTR_NOT_NULL (start);
+  if (start)
+    fsched_order_result (x.fs, x.now_ms, start->id, &refused);
+  order_free (start);
+  CU_ASSERT (write_states (&x, "\"lost\":[{\"no\":2,"));
+  tear_down (&x);
+}
+
 UNIT_MAIN ("restart_test", { "a crash ends no run", test_crash_ends_no_run },
            { "a recorded end ends a run", test_recorded_end_ends_a_run },
            { "a list that is older than a start does not end it",
              test_list_older_than_a_start_does_not_end_it },
            { "an adopted run has an intent", test_adopted_run_has_an_intent },
            { "a listed run revokes its recorded end",
-             test_listed_run_revokes_its_end })
+             test_listed_run_revokes_its_end },
+           { "a start that never ran is recorded after a crash",
+             test_start_that_never_ran_is_recorded_after_a_crash })
