Executors: boots and lists have files of their own

core/fsched_exec.c had 1,050 lines. What voids a boot, asks for it and detects it is core/fsched_boot.c now, what an answer's lists of runs and ends mean is core/fsched_lists.c; 600 lines remain. Functions are moved and renamed, not changed: exec_detect_reboot is boot_detect, exec_has_new_boot boot_has_changed.

--- a/core/fsched_crash.c
+++ b/core/fsched_crash.c
@@ -110,7 +110,7 @@
 
   lost_run_init (&l, r);
   count_lost_run (fs, r->exec, &l,
-                  exec_has_new_boot (r->exec, l.boot_start_ms)
+                  boot_has_changed (r->exec, l.boot_start_ms)
                       ? r->exec->boot_start_ms
                       : 0);
 }
@@ -175,7 +175,7 @@
       /* The other ends may tell of the run. */
       if (!listed && res->ends_left)
         continue;
-      if (!listed && exec_has_new_boot (e, l->boot_start_ms))
+      if (!listed && boot_has_changed (e, l->boot_start_ms))
         count_lost_run (fs, e, l, e->boot_start_ms);
       free_lapsed (fs, e, l);
     }
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -1,6 +1,6 @@
 /*
- * Executors of the fleet's scheduler: discovery, leases, and reconciliation of
- * the lists of running and ended tasks that executors report.
+ * Executors of the fleet's scheduler: discovery, leases, polls, and
+ * reconciliation after a change of the leader.
  */
 #include "fsched_impl.h"
 
@@ -13,14 +13,8 @@
   /* Slowest rate of an executor's clock, in percent of the local clock's rate:
      it may lose 2%. */
   CLOCK_RATE_LOW = 98,
-  /* Fastest rate of an executor's clock that is not taken for a sign of a new
-     boot. */
-  CLOCK_RATE_HIGH = 102,
   /* Number of connections to an executor that its former boot may leave. */
   EXEC_CONNECTIONS_MAX = 3,
-  /* A stop order is sent again if the run is still listed this long after the
-     executor acknowledged the stop. */
-  STOP_RESEND_MS = 2000,
   /* A measured time that is shorter than exec::answer_ms reduces it by this
      part of the difference. */
   ANSWER_DECAY_DIVISOR = 4,
@@ -63,65 +57,6 @@
   return e;
 }
 
-/* Resets the sequence numbers of the executor's ends, so that none of the new
-   boot is acknowledged unseen. */
-static void
-reset_end_seqs (struct exec *e)
-{
-  e->seen_end_seq = 0;
-  e->held_end_seq = 0;
-  e->round_end_seq = 0;
-  e->writing_end_seq = 0;
-  e->recorded_end_seq = 0;
-  e->forgotten_end_seq = 0;
-}
-
-/* Voids all that was known of the executor's boot: another one has begun.  The
-   runs stay until a list of the new boot tells what became of them.  From now
-   on, orders have a higher fencing token, so that a boot which has received
-   one of them refuses the orders that were meant for the boot before. */
-static void
-void_boot (struct fsched *fs, struct exec *e)
-{
-  struct start *r;
-
-  if (e->n_boots < FSCHED_FENCE_BOOTS_MAX)
-    e->n_boots++;
-  reset_end_seqs (e);
-  e->failures_in_row = 0;
-  e->quarantine_until_ms = 0;
-  e->quarantine_ms = 0;
-  TAILQ_FOREACH (r, &e->runs, exec_link)
-    {
-      r->stop_acked_ms = 0;
-      r->deadline_ms = 0;
-      if (r->state == START_INTENT)
-        start_stop (fs, r);
-    }
-  fs->pass_due = true;
-}
-
-/* Asks an executor at once which boot it is in, after a sign of a new one.
-   Until it has answered, no tasks are placed on it. */
-static void
-ask_boot (struct fsched *fs, struct exec *e, const char *sign)
-{
-  int64_t longest_lease_ms;
-
-  out_line (fs->out, "event=exec-boot-unknown exec=%s sign=%s boot=%lld",
-            e->rep.id, sign, (long long)e->boot_start_ms);
-  void_boot (fs, e);
-  e->boot_known = false;
-  e->n_resets = 0;
-  /* What the new boot has begun may have a lease of full length. */
-  longest_lease_ms = exec_clock_now (fs, e) + FSCHED_LEASE_MS;
-  if (longest_lease_ms > e->lease_deadline_ms)
-    e->lease_deadline_ms = longest_lease_ms;
-  e->poll_id = 0;
-  e->next_poll_ms = fs->now_ms;
-  exec_mark_unreachable (fs, e, sign);
-}
-
 void
 fsched_exec_report (struct fsched *fs, const struct exec_report *rep)
 {
@@ -150,7 +85,7 @@
   if (e->boot_known
       && (addr_changed
           || (e->boot_start_ms && rep->boot_start_ms > e->boot_start_ms)))
-    ask_boot (fs, e, addr_changed ? "address" : "entry");
+    boot_ask (fs, e, addr_changed ? "address" : "entry");
   if (rep->draining)
     e->drained_boot_ms = rep->boot_start_ms;
   e->domain = domain_get (fs, rep->zone);
@@ -362,7 +297,7 @@
         && r->state != START_DROPPED)
       start_end (fs, r, RUN_END_REBOOTED);
   if (e->boot_known)
-    void_boot (fs, e);
+    boot_void (fs, e);
   e->boot_known = false;
 }
 
@@ -452,398 +387,13 @@
             (long long)e->quarantine_ms);
 }
 
-/* Returns the start on the executor with this task and run id, or NULL. */
-static struct start *
-find_run (const struct fsched *fs, const struct exec *e,
-          const struct task_ref *t, int64_t run_id)
-{
-  const struct job *j = fsched_task_job (fs, t);
-  struct start *r = j ? j->steps[t->step].tasks[t->index].run : NULL;
-
-  return r && r->exec == e && r->run_id == run_id ? r : NULL;
-}
-
-/* Processes an ended run that an executor reports. */
-static void
-process_end_row (struct fsched *fs, struct exec *e, const struct end_row *row)
-{
-  struct start *r = find_run (fs, e, &row->task, row->run_id);
-  struct job *j = fsched_task_job (fs, &row->task);
-
-  if (row->seq <= e->seen_end_seq)
-    return;
-  e->seen_end_seq = row->seq;
-  fs->record_due = true;
-  if (j)
-    start_mark_job_started (j);
-  if (r)
-    {
-      clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
-      start_end (fs, r, row->run_end);
-    }
-  else if (j)
-    {
-      out_line (fs->out,
-                "event=end-found job=%s step=%lld task=%lld run=%lld "
-                "exec=%s result=%s",
-                row->task.job, (long long)row->task.step,
-                (long long)row->task.index, (long long)row->run_id, e->rep.id,
-                run_end_names[row->run_end]);
-      fsched_keep_checkpoint (j, (int)row->task.step, (int)row->task.index,
-                              row->checkpoint);
-      fsched_task_ended (fs, j, (int)row->task.step, (int)row->task.index,
-                         row->run_id, row->run_end);
-    }
-}
-
-/* Returns why a run that an executor reports is an orphan, for the log. */
-static const char *
-orphan_reason (const struct fsched *fs, const struct run_row *row)
-{
-  return fsched_task_job (fs, &row->task) ? "other-run" : "job-unknown";
-}
-
-/* Sends a stop order for an orphan, see exec::n_orphans. */
-static void
-stop_orphan (struct fsched *fs, struct exec *e, const struct run_row *row)
-{
-  struct pending_order *pend;
-  struct order *o = fsched_order_new (fs, ORDER_STOP, e, &pend);
-
-  o->task = row->task;
-  o->run_id = row->run_id;
-  fs->stats->stops++;
-  out_line (fs->out,
-            "event=stop-orphan job=%s step=%lld task=%lld run=%lld "
-            "exec=%s why=%s",
-            row->task.job, (long long)row->task.step,
-            (long long)row->task.index, (long long)row->run_id, e->rep.id,
-            orphan_reason (fs, row));
-}
-
-/* Returns whether a member of a gang has another run than @run_id. */
-static bool
-gang_has_other_run (const struct job *j, int64_t step, int64_t run_id)
-{
-  const struct jstep *s = &j->steps[step];
-
-  for (int i = 0; j->spec.steps[step].gang && i < s->n_tasks; i++)
-    if (s->tasks[i].run && s->tasks[i].run->run_id != run_id)
-      return true;
-  return false;
-}
-
-/*
- * Creates a start for a run that an earlier leader started, and stops the run
- * if its job has ended, its task is done, or the gang that it is a member of
- * has other runs.  Returns NULL if the run is an
- * orphan: its job is unknown, or its task has another run.
- */
-static struct start *
-adopt_run (struct fsched *fs, struct exec *e, const struct run_row *row)
-{
-  struct job *j = fsched_task_job (fs, &row->task);
-  struct jtask *t;
-  struct start *r;
-
-  if (!j)
-    return NULL;
-  t = &j->steps[row->task.step].tasks[row->task.index];
-  if (t->run)
-    return NULL;
-  out_line (fs->out,
-            "event=run-adopted job=%s step=%lld task=%lld run=%lld "
-            "exec=%s percent=%lld boot=%lld",
-            row->task.job, (long long)row->task.step,
-            (long long)row->task.index, (long long)row->run_id, e->rep.id,
-            (long long)row->percent, (long long)e->boot_start_ms);
-  r = start_new (fs, j, (int)row->task.step, (int)row->task.index, e,
-                 row->run_id, START_ACKED);
-  intent_add (fs, r);
-  start_revoke_end (fs, r);
-  if (t->done || job_state_final (j->state)
-      || gang_has_other_run (j, row->task.step, row->run_id))
-    start_stop (fs, r);
-  return r;
-}
-
-/* Processes a running task that an executor reports. */
-static void
-process_run_row (struct fsched *fs, struct exec *e, const struct run_row *row)
-{
-  struct start *r = find_run (fs, e, &row->task, row->run_id);
-
-  if (!r)
-    r = adopt_run (fs, e, row);
-  if (!r)
-    {
-      e->n_orphans++;
-      if (fs->now_ms >= e->next_orphan_stop_ms)
-        stop_orphan (fs, e, row);
-      return;
-    }
-  start_log_confirmed (fs, r, "list");
-  r->in_list = true;
-  r->inherited = false;
-  if (e->boot_start_ms)
-    r->boot_start_ms = e->boot_start_ms;
-  intent_set_boot (r);
-  start_mark_job_started (r->job);
-  if (!r->start_acked_ms)
-    r->start_acked_ms = fs->now_ms;
-  if (r->state == START_SENT || r->state == START_UNCONFIRMED)
-    r->state = START_ACKED;
-  if (r->percent != row->percent)
-    r->percent_changed_ms = fs->now_ms;
-  r->percent = row->percent;
-  clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
-}
-
-bool
-exec_has_new_boot (const struct exec *e, int64_t boot_start_ms)
-{
-  return boot_start_ms && e->boot_start_ms
-         && e->boot_start_ms != boot_start_ms;
-}
-
-/* Returns whether the executor refuses the start orders for a run from the
-   reading @clock_ms of its clock on, as their deadline has passed. */
-static bool
-start_refused_since (const struct start *r, int64_t clock_ms)
-{
-  return r->deadline_ms && clock_ms - FSCHED_CLOCK_MARGIN_MS > r->deadline_ms;
-}
-
-/* Returns whether start orders for @r may still be carried out by the boot
-   that answered the poll @p: they are neither settled nor fenced off by the
-   poll. */
-static bool
-start_may_arrive (const struct start *r, const struct pending_order *p)
-{
-  return r->tries > r->n_settled && r->n_exec_boots >= p->n_exec_boots;
-}
-
-/* Processes a start whose run the boot that answered the poll @p neither runs
-   nor has ended, and which cannot be carried out there any more. */
-static void
-end_missing_run (struct fsched *fs, struct exec *e, struct start *r)
-{
-  bool new_boot = exec_has_new_boot (e, r->boot_start_ms);
-
-  /* A start without an answer may have been carried out by the boot before. */
-  if (new_boot && (r->start_acked_ms || r->tries > r->n_settled))
-    start_end (fs, r, RUN_END_REBOOTED);
-  else if (!r->start_acked_ms || r->stop_acked_ms)
-    start_end (fs, r, RUN_END_NOT_STARTED);
-  else
-    start_stop (fs, r);
-}
-
-/* Processes a start whose run is in neither list that the executor returned
-   for the poll @p; the lists are complete.  They do not show the effect of
-   orders that were sent, or answered, after the poll. */
-static void
-process_missing_run (struct fsched *fs, struct exec *e, struct start *r,
-                     const struct pending_order *p,
-                     const struct order_result *res)
-{
-  /* The run may be in a row that cannot be used, so it is stopped by name. */
-  if (r->inherited && res->n_bad_rows)
-    {
-      r->inherited = false;
-      start_stop (fs, r);
-      return;
-    }
-  /* The start is an earlier leader's.  Its run is not running and cannot start
-     any more: the poll made this leader's fencing token known to the executor,
-     which refuses orders with lower ones. */
-  if (r->inherited)
-    start_end (fs, r,
-               exec_has_new_boot (e, r->boot_start_ms) ? RUN_END_REBOOTED
-                                                       : RUN_END_NOT_STARTED);
-  else if (r->state == START_INTENT || r->state == START_DROPPED
-           || r->start_acked_ms >= p->sent_ms || r->stop_acked_ms > p->sent_ms)
-    return;
-  else if (!start_may_arrive (r, p))
-    end_missing_run (fs, e, r);
-  /* The next poll has a higher fencing token than the start. */
-  else if (r->n_exec_boots < e->n_boots)
-    return;
-  else if (r->state == START_STOPPING
-           && (r->stop_acked_ms || start_refused_since (r, res->clock_ms)))
-    end_missing_run (fs, e, r);
-  else if (r->state == START_ACKED
-           || (r->state == START_UNCONFIRMED
-               && r->answer_lost_ms < p->sent_ms))
-    start_stop (fs, r);
-}
-
-/* Keeps whether the executor has more ended runs than its last answer lists.
-   Meanwhile, a run that is missing in the answer keeps its room, and its task
-   is not started elsewhere. */
-static void
-set_ends_left (struct fsched *fs, struct exec *e,
-               const struct order_result *res)
-{
-  if (res->ends_left != e->ends_left)
-    out_line (fs->out, "event=exec-ends-%s exec=%s ends=%zu runs=%zu seq=%lld",
-              res->ends_left ? "left" : "complete", e->rep.id, res->n_ends,
-              res->n_runs, (long long)e->seen_end_seq);
-  e->ends_left = res->ends_left;
-  fs->stats->polls_incomplete += res->ends_left;
-}
-
-/* Finds the first end in a poll's answer that must not be acknowledged, as the
-   job is set aside.  The answer lists all ends that were not acknowledged. */
-static void
-hold_ends (struct fsched *fs, struct exec *e, const struct order_result *res)
-{
-  e->held_end_seq = 0;
-  for (size_t i = 0; fs->n_set_aside && i < res->n_ends; i++)
-    {
-      const struct job *j = fsched_task_job (fs, &res->ends[i].task);
-      if (j && j->set_aside)
-        {
-          e->held_end_seq = res->ends[i].seq;
-          return;
-        }
-    }
-}
-
-/* Processes the rows of running tasks in a poll's answer: those of known runs,
-   or the others. */
-static void
-process_run_rows (struct fsched *fs, struct exec *e,
-                  const struct order_result *res, bool known)
-{
-  for (size_t i = 0; i < res->n_runs; i++)
-    {
-      const struct run_row *row = &res->runs[i];
-      if ((find_run (fs, e, &row->task, row->run_id) != NULL) == known)
-        process_run_row (fs, e, row);
-    }
-}
-
-/* Sends stops again for runs that are still listed long after a stop was
-   acknowledged. */
-static void
-resend_stops (const struct fsched *fs, struct exec *e)
-{
-  struct start *r;
-
-  TAILQ_FOREACH (r, &e->runs, exec_link)
-    if (r->in_list && r->stop_acked_ms
-        && fs->now_ms - r->stop_acked_ms > STOP_RESEND_MS)
-      {
-        out_line (fs->out,
-                  "event=stop-ineffective job=%s step=%d task=%d run=%lld "
-                  "exec=%s stops=%d since_ms=%lld",
-                  r->job->spec.id, r->step, r->index, (long long)r->run_id,
-                  e->rep.id, r->n_stops,
-                  (long long)(fs->now_ms - r->stopping_ms));
-        r->stop_acked_ms = 0;
-      }
-}
-
-/* Processes the lists of ended and running tasks in a poll's answer. */
-static void
-process_lists (struct fsched *fs, struct exec *e,
-               const struct pending_order *p, const struct order_result *res)
-{
-  struct start *r, *next;
-  int orphans_before = e->n_orphans;
-
-  TAILQ_FOREACH (r, &e->runs, exec_link)
-    r->in_list = false;
-  for (size_t i = 0; i < res->n_ends; i++)
-    process_end_row (fs, e, &res->ends[i]);
-  hold_ends (fs, e, res);
-  process_run_rows (fs, e, res, true);
-  set_ends_left (fs, e, res);
-  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    if (!r->in_list && !e->ends_left)
-      process_missing_run (fs, e, r, p, res);
-  /* A task of which this ends the run may have another one here. */
-  e->n_orphans = 0;
-  process_run_rows (fs, e, res, false);
-  if (e->n_orphans && fs->now_ms >= e->next_orphan_stop_ms)
-    e->next_orphan_stop_ms = fs->now_ms + FSCHED_STOP_RETRY_MS;
-  if (orphans_before && !e->n_orphans)
-    fs->pass_due = true;
-  resend_stops (fs, e);
-}
-
-/* Returns whether the clock in the answer to order @p shows another boot than
-   the one that was known when the order was sent: it went back, or further
-   ahead than the time that has passed.  A boot begins at any reading.  How
-   late the answer comes says nothing. */
-static bool
-clock_shows_boot (const struct fsched *fs, const struct exec *e,
-                  const struct pending_order *p, int64_t clock_ms)
-{
-  int64_t elapsed_ms = fs->now_ms - p->exec_clock_sent_ms;
-
-  if (clock_ms <= 0 || !p->exec_clock_ms || p->n_exec_boots != e->n_boots)
-    return false;
-  return clock_ms < p->exec_clock_ms
-         || clock_ms - p->exec_clock_ms
-                > elapsed_ms * CLOCK_RATE_HIGH / 100 + FSCHED_CLOCK_MARGIN_MS;
-}
-
-/* Keeps the reading of the executor's clock in the answer to order @p. */
-static void
-keep_clock (const struct fsched *fs, struct exec *e,
-            const struct pending_order *p, int64_t clock_ms)
-{
-  e->clock_ms = clock_ms;
-  e->clock_sent_ms = p->sent_ms;
-  e->last_contact_ms = fs->now_ms;
-}
-
-bool
-exec_detect_reboot (struct fsched *fs, struct exec *e,
-                    const struct pending_order *p, int64_t clock_ms)
-{
-  if (!clock_shows_boot (fs, e, p, clock_ms))
-    return false;
-  keep_clock (fs, e, p, clock_ms);
-  e->lease_deadline_ms = 0;
-  ask_boot (fs, e, "clock");
-  return true;
-}
-
-/* Notes the boot that has answered the poll @p. */
-static void
-set_boot (struct fsched *fs, struct exec *e, const struct pending_order *p,
-          const struct order_result *res)
-{
-  bool new_boot = exec_has_new_boot (e, res->boot_start_ms)
-                  || clock_shows_boot (fs, e, p, res->clock_ms);
-
-  if (new_boot)
-    out_line (fs->out,
-              "event=exec-rebooted exec=%s clock_ms=%lld boot_start=%lld "
-              "boot_before=%lld asked=%d",
-              e->rep.id, (long long)res->clock_ms,
-              (long long)res->boot_start_ms, (long long)e->boot_start_ms,
-              !e->boot_known);
-  /* After another sign of the boot, the poll itself had the higher token. */
-  if (new_boot && e->boot_known)
-    void_boot (fs, e);
-  if (new_boot)
-    e->lease_deadline_ms = res->clock_ms + FSCHED_LEASE_MS;
-  if (new_boot || res->boot_start_ms)
-    e->boot_start_ms = res->boot_start_ms;
-  e->boot_known = true;
-}
-
 /* Marks an executor as reachable after it has answered a poll, and detects a
    new boot. */
 static void
 mark_reachable (struct fsched *fs, struct exec *e,
                 const struct pending_order *p, const struct order_result *res)
 {
-  set_boot (fs, e, p, res);
+  boot_note (fs, e, p, res);
   if (!e->answered || e->unreachable)
     {
       out_line (
@@ -855,7 +405,7 @@
     }
   e->answered = true;
   e->unreachable = false;
-  keep_clock (fs, e, p, res->clock_ms);
+  boot_keep_clock (fs, e, p, res->clock_ms);
 }
 
 void
@@ -897,7 +447,7 @@
   if (p->n_exec_boots == e->n_boots
       && p->recorded_end_seq > e->forgotten_end_seq)
     e->forgotten_end_seq = p->recorded_end_seq;
-  process_lists (fs, e, p, res);
+  lists_process (fs, e, p, res);
   crash_check_lapsed (fs, e, res);
   if (!e->ends_left)
     e->reconciled = true;
@@ -972,7 +522,7 @@
 static bool
 entry_is_of_other_boot (const struct exec *e)
 {
-  return exec_has_new_boot (e, e->rep.boot_start_ms);
+  return boot_has_changed (e, e->rep.boot_start_ms);
 }
 
 bool
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -336,6 +336,65 @@
 /** domain_free_all() - Free all failure domains. */
 void domain_free_all (struct fsched *fs);
 
+/* Functions of fsched_boot.c. */
+
+/**
+ * boot_has_changed() - Return whether the executor has booted since the boot
+ * that began at @boot_start_ms; false if either start is unknown (0).
+ */
+bool boot_has_changed (const struct exec *e, int64_t boot_start_ms);
+/**
+ * boot_void() - Void all that was known of the executor's boot: another one
+ * has begun.
+ *
+ * The runs stay until a list of the new boot tells what became of them.  From
+ * now on, orders have a higher fencing token, so that a boot which has
+ * received one of them refuses the orders that were meant for the boot before.
+ */
+void boot_void (struct fsched *fs, struct exec *e);
+/**
+ * boot_ask() - Ask an executor at once which boot it is in.
+ * @sign: the sign of a new boot, for the log line
+ *
+ * Until it has answered, no tasks are placed on it.
+ */
+void boot_ask (struct fsched *fs, struct exec *e, const char *sign);
+/**
+ * boot_detect() - Detect a new boot by the clock in an answer to a start or
+ * stop order, which does not name the boot.
+ * @p: the order that was answered; borrowed
+ * @clock_ms: the executor's clock; 0: not reported
+ *
+ * At a sign of a new boot, the executor is polled at once.
+ *
+ * Return: whether there is one.
+ */
+bool boot_detect (struct fsched *fs, struct exec *e,
+                  const struct pending_order *p, int64_t clock_ms);
+/**
+ * boot_note() - Note the boot that has answered a poll.
+ * @p: the poll; borrowed
+ * @res: the answer; borrowed
+ */
+void boot_note (struct fsched *fs, struct exec *e,
+                const struct pending_order *p, const struct order_result *res);
+/** boot_keep_clock() - Keep the reading of the executor's clock in the answer
+ * to order @p. */
+void boot_keep_clock (const struct fsched *fs, struct exec *e,
+                      const struct pending_order *p, int64_t clock_ms);
+
+/* Functions of fsched_lists.c. */
+
+/**
+ * lists_process() - Process the lists of ended and running tasks in a poll's
+ * answer.
+ * @p: the poll; borrowed
+ * @res: the answer; borrowed
+ */
+void lists_process (struct fsched *fs, struct exec *e,
+                    const struct pending_order *p,
+                    const struct order_result *res);
+
 /* Functions of fsched_exec.c. */
 
 /** exec_find() - Return executor @id, borrowed; NULL if it is unknown. */
@@ -357,18 +416,6 @@
  */
 void exec_poll_result (struct fsched *fs, const struct pending_order *p,
                        const struct order_result *res);
-/**
- * exec_detect_reboot() - Detect a new boot by the clock in an answer to a
- * start or stop order, which does not name the boot.
- * @p: the order that was answered; borrowed
- * @clock_ms: the executor's clock; 0: not reported
- *
- * At a sign of a new boot, the executor is polled at once.
- *
- * Return: whether there is one.
- */
-bool exec_detect_reboot (struct fsched *fs, struct exec *e,
-                         const struct pending_order *p, int64_t clock_ms);
 /** exec_add_answer_time() - Add the time that the answer to @p took to
  * exec::answer_ms. */
 void exec_add_answer_time (const struct fsched *fs, struct exec *e,
@@ -394,12 +441,6 @@
  */
 void exec_reconcile_check (struct fsched *fs);
 
-/**
- * exec_has_new_boot() - Return whether the executor has booted since the boot
- * that began at @boot_start_ms; false if either start is unknown (0).
- */
-bool exec_has_new_boot (const struct exec *e, int64_t boot_start_ms);
-
 /**
  * exec_recently_listed() - Return whether discovery lists the executor, or
  * ceased to list it so recently that the platform may only have lost the entry
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -468,7 +468,7 @@
       domain_answered (fs, r->exec);
       exec_add_answer_time (fs, r->exec, p);
     }
-  boot_shown = exec_detect_reboot (fs, r->exec, p, res->clock_ms);
+  boot_shown = boot_detect (fs, r->exec, p, res->clock_ms);
   if (p->kind == ORDER_START)
     process_start_result (fs, r, p, res, boot_shown);
   else
