Simulated fleet: a lost end takes back only the success of its own run

The ends of the gang's run were listed and recorded; its executor restarted before a poll acknowledged them. An earlier run of the same task had ended, not with success, on another executor, which then crashed before any list showed that end: the check took the task for not done.

Successful ends are counted, and a crash takes back those that it loses. A task whose only successful end was lost still counts as not done.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -123,7 +123,7 @@
   if (stats)
     {
       stats->n_running--;
-      stats->ended_done |= run_end == RUN_END_DONE;
+      stats->n_done_ends += run_end == RUN_END_DONE;
     }
   /* After a fault a member may wait for members that never start, because the
      leader's stop order for the waiting member was lost as well (walk.lua,
@@ -770,7 +770,7 @@
     {
       struct ftask_stats *stats = find_task_stats (s, &e->ends[i].task);
       if (stats && e->ends[i].seq > e->listed_end_seq)
-        stats->ended_done = stats->end_acked;
+        stats->n_done_ends -= e->ends[i].run_end == RUN_END_DONE;
     }
   e->n_runs = 0;
   e->n_ends = 0;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -295,9 +295,10 @@
   bool done;
   /* True if the leader acknowledged the end of a successful run. */
   bool end_acked;
-  /* A run has ended with success, acknowledged or not, and its executor has
-     not lost the report of the end in a crash before any answer listed it. */
-  bool ended_done;
+  /* Number of runs that have ended with success, acknowledged or not, and
+     whose executor has not lost the report of the end in a crash before any
+     answer listed it. */
+  int n_done_ends;
   int n_failed;  /* failed runs whose ends the leader acknowledged */
   int n_starts;  /* runs that were started */
   int n_crashes; /* executors that have crashed because they ran the task */
--- a/regress/fsim/standing.c
+++ b/regress/fsim/standing.c
@@ -177,7 +177,7 @@
   int64_t n_done = 0;
 
   for (int64_t i = 0; i < n_tasks; i++)
-    n_done += stats[i].ended_done;
+    n_done += stats[i].n_done_ends > 0;
   return j->spec.steps[step].gang && n_done > 0 ? 0 : n_tasks - n_done;
 }
 
