Simulated fleet: a violation says whether the start was late, and the fence

The text of TWICE and BUDGET names the start of the boot and the fencing token that it had before the late order.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -265,18 +265,30 @@
                     (long long)max);
 }
 
+/* Sets @text to what a violation says of a start that is executed late. */
+static void
+describe_late_start (const struct fexec *e, char *text, size_t size)
+{
+  *text = '\0';
+  if (e->executes_late)
+    snprintf (text, size, ", late, boot %lld, fence %lld",
+              (long long)e->boot_start_ms, (long long)e->fencing_token_before);
+}
+
 /* Reports a violation for each rule that the start of a task breaks. */
 static void
 check_start (struct fsim *s, struct fexec *e, const struct order *o,
              struct fjob *j, struct ftask_stats *stats)
 {
   struct job_need used = { 0 };
+  char late[64];
   const struct job_need *capacity
       = s->now_ms - e->shrunk_ms < FSIM_SHRUNK_AFTER_MS
                 && e->earlier_capacity.millicores > e->capacity.millicores
             ? &e->earlier_capacity
             : &e->capacity;
 
+  describe_late_start (e, late, sizeof late);
   for (int i = 0; i < e->n_runs; i++)
     {
       used.millicores += e->runs[i].need.millicores;
@@ -287,18 +299,20 @@
                     (long long)used.millicores,
                     (long long)capacity->millicores);
   if (stats->n_running > 1)
-    fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already running",
+    fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already running%s",
                     o->task.job, (long long)o->task.step,
-                    (long long)o->task.index, (long long)o->run_id, e->id);
+                    (long long)o->task.index, (long long)o->run_id, e->id,
+                    late);
   if (stats->end_acked)
-    fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already done",
+    fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already done%s",
                     o->task.job, (long long)o->task.step,
-                    (long long)o->task.index, (long long)o->run_id, e->id);
+                    (long long)o->task.index, (long long)o->run_id, e->id,
+                    late);
   if (stats->n_failed >= j->spec.attempts)
-    fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d runs have failed",
+    fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d runs have failed%s",
                     o->task.job, (long long)o->task.step,
                     (long long)o->task.index, (long long)o->run_id,
-                    stats->n_failed);
+                    stats->n_failed, late);
   if (stats->n_crashes >= FSIM_CRASHES_MAX
       && ++stats->n_starts_after_crashes >= FSIM_STARTS_AFTER_CRASHES_MAX)
     fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d crashes", o->task.job,
@@ -623,10 +637,14 @@
 deliver_delayed_order (struct fsim *s, void *arg)
 {
   struct order_delivery *d = arg;
+  struct fexec *e = find_exec_at (s, d->order.addr);
 
   /* The instance already has the result ORDER_LOST. */
   d->drop_result = true;
+  e->executes_late = true;
+  e->fencing_token_before = e->fencing_token;
   deliver_order (s, d);
+  e->executes_late = false;
 }
 
 /* Gives up an order of instance @i that the executor does not answer, after
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -178,6 +178,10 @@
   int64_t lease_until_ms;
   /* The highest fencing token of all orders that this boot has received. */
   int64_t fencing_token;
+  /* A copy of an order that is late is being executed, and the fencing token
+     before it. */
+  bool executes_late;
+  int64_t fencing_token_before;
   /* Share (0 to 1) of executed orders whose result is lost. */
   double lost_result_share;
   /* Share (0 to 1) of start and stop orders that are not answered and are
