--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -1115,7 +1115,7 @@
         {
           if (j->stats[at].n_running)
             return -1;
-          n_done += j->stats[at].ended_done;
+          n_done += j->stats[at].n_done_ends > 0;
         }
       if (n_done < (j->spec.steps[i].gang ? 1 : j->spec.steps[i].tasks))
         return i;
