A boot may hold the longest lease that executors grant

An order that was meant for the boot before has a deadline on that boot's clock. If the next boot's clock is behind it, the deadline lies far ahead, and the executor grants its longest lease. The leader counted 6 s, its own leases' length, from the first answer of the boot, and so did the next leader from its claim. The deadline of one boot was taken for that of another.

The longest lease is read from the settings (hold_max_ms). It is counted from the first answer of a boot, from its first answer to a poll with the token that older orders lack, and from a leader's first contact; a new leader waits for it before it takes runs on executors that do not answer for ended.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -438,6 +438,7 @@
   d->settings.grace_ms = new_settings.grace_ms;
   d->fleet.settings.revoke_ms = new_settings.revoke_ms;
   d->fleet.settings.conf_apply_ms = new_settings.conf_apply_ms;
+  d->fleet.settings.lease_max_ms = new_settings.lease_max_ms;
   d->fleet.settings.limits = new_settings.store_limits;
   log_line ("event=settings-reloaded");
 }
@@ -481,6 +482,7 @@
       = { .boot = wall_ms (),
           .revoke_ms = d->settings.revoke_ms,
           .conf_apply_ms = d->settings.conf_apply_ms,
+          .lease_max_ms = d->settings.lease_max_ms,
           .millicores = d->settings.millicores,
           .limits = d->settings.store_limits,
           .codec = pf_codec };
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -13,13 +13,6 @@
 
 enum
 {
-  /* Time after a new leader's claim until an unreachable executor no longer
-     runs any task that an earlier leader has started.  The earlier leader may
-     have given orders for LEADER_MAY_ORDER_MS, of which LEADER_CLAIM_AFTER_MS
-     had passed before the claim.  After the last order the executor's lease
-     has to end, on a clock that is 2% slow. */
-  EARLIER_RUNS_WAIT_MS = LEADER_MAY_ORDER_MS - LEADER_CLAIM_AFTER_MS
-                         + FSCHED_LEASE_MS * 102 / 100 + 300,
   /* Number of low bits of a call's token that count the calls of one process.
      The higher bits hold the start time of the process, so that the tokens of
      the next process are larger than all tokens of this one. */
@@ -443,6 +436,26 @@
   return true;
 }
 
+/* Returns the longest lease that executors grant. */
+static int64_t
+lease_max_ms (const struct fleet *f)
+{
+  return f->settings.lease_max_ms > FSCHED_LEASE_MS ? f->settings.lease_max_ms
+                                                    : FSCHED_LEASE_MS;
+}
+
+/* Returns the time after a new leader's claim until an unreachable executor no
+   longer runs any task that an earlier leader has started.  The earlier leader
+   may have given orders for LEADER_MAY_ORDER_MS, of which
+   LEADER_CLAIM_AFTER_MS had passed before the claim.  After the last order the
+   executor's lease has to end, on a clock that is 2% slow. */
+static int64_t
+earlier_runs_wait_ms (const struct fleet *f)
+{
+  return LEADER_MAY_ORDER_MS - LEADER_CLAIM_AFTER_MS
+         + lease_max_ms (f) * 102 / 100 + 300;
+}
+
 /* Begins this instance's term as the leader: makes a new scheduler and begins
    to read the recorded state. */
 static void
@@ -454,7 +467,8 @@
   f->stats.leader_terms++;
   fleet_drop_scheduler (f);
   f->fsched = fsched_new (&f->out, &f->last_token, f->now_ms, f->leader.epoch,
-                          EARLIER_RUNS_WAIT_MS, &f->stats.fsched);
+                          earlier_runs_wait_ms (f), &f->stats.fsched);
+  fsched_set_lease_max (f->fsched, lease_max_ms (f));
   fsched_set_limits (f->fsched, &f->settings.limits);
   fsched_adviser_seen (f->fsched, "", "", 0, 0);
   fsched_inherit_lanes (f->fsched, f->advice_lanes);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -165,6 +165,9 @@
   int64_t revoke_ms;
   /* Longest time until a change of the configuration is in force. */
   int64_t conf_apply_ms;
+  /* Longest lease that executors grant; 0: not known.  If it is shorter than
+     FSCHED_LEASE_MS, it is taken for that. */
+  int64_t lease_max_ms;
   /* This instance's share of a core, in thousandths; 0: not known. */
   int64_t millicores;
   struct store_limits limits; /* of the table service */
--- a/core/fsched.c
+++ b/core/fsched.c
@@ -70,6 +70,7 @@
   fs->epoch = epoch;
   fs->claimed_ms = now_ms;
   fs->old_leases_end_ms = now_ms + wait_ms;
+  fs->lease_max_ms = FSCHED_LEASE_MS;
   fs->stats = stats;
   window_init (fs);
   lanes_init (&fs->lanes);
@@ -191,6 +192,12 @@
   free (fs);
 }
 
+void
+fsched_set_lease_max (struct fsched *fs, int64_t ms)
+{
+  fs->lease_max_ms = ms;
+}
+
 void
 fsched_set_limits (struct fsched *fs, const struct store_limits *limits)
 {
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -34,7 +34,7 @@
 
 enum
 {
-  /* Length of a lease: the longest that an executor grants. */
+  /* Length of the leases that the leader gives. */
   FSCHED_LEASE_MS = 6000,
   /* An executor with no ended run to report may delay its answer to a poll by
      this long, so an idle executor is polled once a second. */
@@ -547,6 +547,9 @@
   int64_t clock_ms;        /* the executor's clock in its last answer */
   int64_t clock_sent_ms;   /* when the order was sent that was answered */
   int64_t last_contact_ms; /* local time of the last answer */
+  /* exec::n_boots when the last poll was sent that has been answered: the
+     executor refuses orders that are older. */
+  int n_boots_polled;
   /* Latest end of the leases given to the executor, on the executor's
      clock. */
   int64_t lease_deadline_ms;
@@ -857,6 +860,10 @@
   bool loaded; /* the records are loaded; orders may be given */
   bool reconciled;    /* this leader knows all runs on all executors */
   int64_t claimed_ms; /* when the term began */
+  /* Longest lease that an executor grants, at least FSCHED_LEASE_MS.  A boot
+     grants it to an order that was meant for the one before, whose clock was
+     ahead. */
+  int64_t lease_max_ms;
   /* All leases that earlier leaders gave have expired by this time. */
   int64_t old_leases_end_ms;
   bool may_order; /* orders may be given: the leadership is recent enough */
@@ -977,6 +984,9 @@
  * rows and calls have any size.
  */
 void fsched_set_limits (struct fsched *fs, const struct store_limits *limits);
+/** fsched_set_lease_max() - Set the longest lease that an executor grants, at
+ * least FSCHED_LEASE_MS, which holds without it. */
+void fsched_set_lease_max (struct fsched *fs, int64_t ms);
 
 /**
  * fsched_set_conf() - Replace the configuration.
--- a/core/fsched_boot.c
+++ b/core/fsched_boot.c
@@ -52,20 +52,29 @@
   fs->pass_due = true;
 }
 
+/* Takes the leases of an executor for the longest that it grants at the
+   reading @clock_ms of its clock: until then, it may have carried out orders
+   with a deadline that was meant for another clock.
+   @new_boot: the deadlines known so far are of the boot before */
+static void
+expect_longest_lease (const struct fsched *fs, struct exec *e,
+                      int64_t clock_ms, bool new_boot)
+{
+  int64_t deadline_ms = clock_ms + fs->lease_max_ms;
+
+  if (new_boot || deadline_ms > e->lease_deadline_ms)
+    e->lease_deadline_ms = deadline_ms;
+}
+
 void
 boot_ask (struct fsched *fs, struct exec *e, const char *sign)
 {
-  int64_t longest_lease_ms;
-
   out_line (fs->out, "event=exec-boot-unknown exec=%s sign=%s boot=%lld",
             e->rep.id, sign, (long long)e->boot_start_ms);
   boot_void (fs, e);
   e->boot_known = false;
   e->n_resets = 0;
-  /* What the new boot has begun may have a lease of full length. */
-  longest_lease_ms = exec_clock_now (fs, e) + FSCHED_LEASE_MS;
-  if (longest_lease_ms > e->lease_deadline_ms)
-    e->lease_deadline_ms = longest_lease_ms;
+  expect_longest_lease (fs, e, exec_clock_now (fs, e), false);
   e->poll_id = 0;
   e->next_poll_ms = fs->now_ms;
   exec_mark_unreachable (fs, e, sign);
@@ -126,8 +135,9 @@
   /* After another sign of the boot, the poll itself had the higher token. */
   if (new_boot && e->boot_known)
     boot_void (fs, e);
-  if (new_boot)
-    e->lease_deadline_ms = res->clock_ms + FSCHED_LEASE_MS;
+  if (new_boot || !e->answered || p->n_exec_boots > e->n_boots_polled)
+    expect_longest_lease (fs, e, res->clock_ms, new_boot);
+  e->n_boots_polled = p->n_exec_boots;
   if (new_boot || res->boot_start_ms)
     e->boot_start_ms = res->boot_start_ms;
   e->boot_known = true;
--- a/regress/fleet/restart.lua
+++ b/regress/fleet/restart.lua
@@ -41,6 +41,41 @@
   end
 end
 
+for _, clock_ms in ipairs{1, 2000000} do
+  scenario("a run that the next boot began with a longer lease is not started "
+           .. "elsewhere before that ends, clock " .. clock_ms, function()
+    start_fleet{execs = 2, lease_max_ms = 10000}
+    exec(1, "listed", 0)
+    run(3000)
+    restart(clock_ms, 1)
+    submit_job(1, 15000)
+    run(1000)
+    exec(0, "partition", 12000)
+    exec(1, "listed", 1)
+    run(40000)
+    expect(state(0, id(1)) == "completed", "the job is not completed")
+  end)
+end
+
+for _, cut_after_ms in ipairs{0, 2000} do
+  scenario("a run that the next boot began with a longer lease is not started "
+           .. "by the next leader before that ends, cut after " .. cut_after_ms,
+           function()
+    start_fleet{execs = 2, lease_max_ms = 10000}
+    exec(1, "listed", 0)
+    run(3000)
+    restart(1, 1)
+    submit_job(1, 15000)
+    run(300)
+    kill_leader()
+    run(cut_after_ms)
+    exec(0, "partition", 14000)
+    exec(1, "listed", 1)
+    run(50000)
+    expect(state(leader(), id(1)) == "completed", "the job is not completed")
+  end)
+end
+
 for _, stale in ipairs{0, 1} do
   scenario("a start that was meant for the boot before is refused, stale entry "
            .. stale, function()
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -42,8 +42,6 @@
   /* An executor reports no violation for an incomplete gang until this time
      has passed since its last fault (fexec::last_fault_ms). */
   RECENT_FAULT_MS = 6000,
-  /* A lease ends no later than this time after the order that extends it. */
-  LEASE_MAX_MS = 6000,
   /* Maximum number of ended runs in the result of a poll. */
   ENDS_PAGE_MAX = 500,
 };
@@ -395,14 +393,14 @@
 }
 
 /* Extends the lease to @deadline_ms on the executor's clock, but to no more
-   than LEASE_MAX_MS from now. */
+   than fsim::lease_max_ms from now. */
 static void
 extend_lease (struct fsim *s, struct fexec *e, int64_t deadline_ms)
 {
   int64_t until_ms = s->now_ms + deadline_ms - clock_now (s, e);
 
-  if (until_ms > s->now_ms + LEASE_MAX_MS)
-    until_ms = s->now_ms + LEASE_MAX_MS;
+  if (until_ms > s->now_ms + s->lease_max_ms)
+    until_ms = s->now_ms + s->lease_max_ms;
   if (until_ms > e->lease_until_ms)
     e->lease_until_ms = until_ms;
 }
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -471,6 +471,8 @@
   char first_violation[256]; /* empty if no violation was reported */
   /* Largest size of a row in the settings of instances. */
   int64_t row_bytes_setting;
+  /* A lease ends no later than this time after the order that extends it. */
+  int64_t lease_max_ms;
   bool verbose;       /* true: the log lines of the instances are printed */
   bool shutting_down; /* true after fsim_free() was called; timers stop */
 };
@@ -495,6 +497,9 @@
 /** fsim_set_row_bytes() - Set the largest size of a row, in bytes, for the
  * table and in the settings of all instances. */
 void fsim_set_row_bytes (struct fsim *s, int64_t n_bytes);
+/** fsim_set_lease_max() - Set the longest lease that executors grant, also in
+ * the settings of all instances. */
+void fsim_set_lease_max (struct fsim *s, int64_t ms);
 /** fsim_schedule() - Call @fn with @arg in an event that is due in @after_ms.
  */
 void fsim_schedule (struct fsim *s, int64_t after_ms,
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -513,6 +513,7 @@
       = { .boot = s->wall_start_ms + s->now_ms,
           .revoke_ms = 5000,
           .conf_apply_ms = 3000,
+          .lease_max_ms = s->lease_max_ms,
           .millicores = in->millicores,
           .limits = { .row_bytes = s->row_bytes_setting,
                       .call_bytes = CALL_VALUE_BYTES },
@@ -575,6 +576,7 @@
   s->advice.slow_factor = 1;
   s->table.row_bytes_max = FSIM_ROW_BYTES_MAX;
   s->row_bytes_setting = FSIM_ROW_BYTES_MAX;
+  s->lease_max_ms = FSCHED_LEASE_MS;
   RB_INIT (&s->jobs);
   RB_INIT (&s->table.rows);
   s->n_exec = execs;
@@ -613,6 +615,14 @@
     s->inst[i]->fleet.settings.limits.row_bytes = n_bytes;
 }
 
+void
+fsim_set_lease_max (struct fsim *s, int64_t ms)
+{
+  s->lease_max_ms = ms;
+  for (int i = 0; i < s->n_inst; i++)
+    s->inst[i]->fleet.settings.lease_max_ms = ms;
+}
+
 int
 fsim_leader (const struct fsim *s)
 {
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -38,10 +38,11 @@
 }
 
 /* fleet{instances=, execs=, cores=, mem=, permitted_percent=, ticket_ms=,
-   row_bytes=}: replaces the simulation.  Cores and memory (MB) are those of
-   each executor; the advice service permits permitted_percent of the executors
-   for a step, with tickets that are valid for ticket_ms.  Rows of the table
-   have at most row_bytes, which the instances know from their settings. */
+   row_bytes=, lease_max_ms=}: replaces the simulation.  Cores and memory (MB)
+   are those of each executor; the advice service permits permitted_percent of
+   the executors for a step, with tickets that are valid for ticket_ms.  Rows
+   of the table have at most row_bytes, and executors grant leases of at most
+   lease_max_ms, which the instances know from their settings. */
 static int
 verb_fleet (lua_State *l)
 {
@@ -58,6 +59,7 @@
       = (double)int_field (l, 1, "permitted_percent", 100) / 100;
   sim->ticket_ms = int_field (l, 1, "ticket_ms", FSIM_TICKET_MS);
   fsim_set_row_bytes (sim, int_field (l, 1, "row_bytes", FSIM_ROW_BYTES_MAX));
+  fsim_set_lease_max (sim, int_field (l, 1, "lease_max_ms", FSCHED_LEASE_MS));
   return 0;
 }
 
--- a/regress/unit/settings_test.c
+++ b/regress/unit/settings_test.c
@@ -39,10 +39,13 @@
 
   CU_ASSERT_EQUAL (
       read_settings (
-          "{\"revoke_ms\":1000,\"config_apply_ms\":1,\"grace_s\":0}", &s, &ce),
+          "{\"revoke_ms\":1000,\"config_apply_ms\":1,\"hold_max_ms\":1,"
+          "\"grace_s\":0}",
+          &s, &ce),
       0);
   CU_ASSERT_EQUAL (s.revoke_ms, 1000);
   CU_ASSERT_EQUAL (s.conf_apply_ms, 1);
+  CU_ASSERT_EQUAL (s.lease_max_ms, 1);
   CU_ASSERT_EQUAL (s.grace_ms, 0);
   CU_ASSERT_EQUAL (s.millicores, 120);
 }
@@ -55,11 +58,13 @@
 
   CU_ASSERT_EQUAL (read_settings ("{\"revoke_ms\":3600000,"
                                   "\"config_apply_ms\":3600000,"
+                                  "\"hold_max_ms\":3600000,"
                                   "\"grace_s\":3600}",
                                   &s, &ce),
                    0);
   CU_ASSERT_EQUAL (s.revoke_ms, 3600000);
   CU_ASSERT_EQUAL (s.conf_apply_ms, 3600000);
+  CU_ASSERT_EQUAL (s.lease_max_ms, 3600000);
   CU_ASSERT_EQUAL (s.grace_ms, 3600000);
 }
 
