--- a/regress/fleet/lib.lua
+++ b/regress/fleet/lib.lua
@@ -70,7 +70,7 @@
 local calls = {}
 
 -- Lets run() call f after the given time in ms.  What f does lasts for for_ms.
-local function later(ms, f, for_ms)
+function later(ms, f, for_ms)
   lasting(ms + (for_ms or 0))
   calls[#calls + 1] = {at_ms = now() + math.ceil(ms), f = f}
 end
--- a/regress/fleet/walk.lua
+++ b/regress/fleet/walk.lua
@@ -4,13 +4,16 @@
 -- accepted job must be completed or failed within 25 s after the last faults.
 scenario("accepted jobs are completed or failed despite random faults",
   function()
-  start_fleet{instances = 4, execs = 8, permitted_percent = 80}
+  start_fleet{instances = 4, execs = 8, permitted_percent = 80,
+              lease_max_ms = LEASE_MAX_MS}
   watch_standing()
   local n, calls = 0, {}
   local function submit_job()
     n = n + 1
     local kind = random()
-    if kind < 0.2 then
+    if LONG_MS and random() < 0.15 then
+      job{id = id(n), steps = {{tasks = 2, ms = LONG_MS}}}
+    elseif kind < 0.2 then
       job{id = id(n), steps = {{tasks = 4, gang = true, cpu = 3000, ms = 900}}}
     elseif kind < 0.25 then
       job{id = id(n), always_fails = true, steps = {{tasks = 2}}}
