An unanswered start may hold the longest lease of the next boot

A task could run twice where executors grant longer leases than the leader gives (hold_max_ms of 10,000 on one of the deployments): an executor restarts, the new boot carries out a start that was meant for the one before, grants it the longest lease as its clock is behind, and is cut off before any answer. The leader took the run for ended when the 6 s were over that it had granted to the former boot.

A run of which a copy of the start has no answer ends only when the longest lease, counted from the last copy, is over as well.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -204,7 +204,8 @@
   /* Number of start orders that were answered, or certainly not sent.  The
      others may still be carried out. */
   int n_settled;
-  int n_exec_boots; /* exec::n_boots when the last start order was sent */
+  int64_t last_sent_ms; /* when the last start order was sent; 0: none was */
+  int n_exec_boots;     /* exec::n_boots when the last start order was sent */
   /* The executor's list of runs that is being processed contains the run. */
   bool in_list;
   /* An earlier leader started the run, and its executor has not answered this
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -229,18 +229,36 @@
     o->timeout_ms = o->wait_ms + FSCHED_ANSWER_MAX_MS;
 }
 
-/* Ends all runs of an executor after all its leases have expired. */
+/* Returns whether a boot that has carried out an unanswered start order of @r
+   when it was sent, by a clock that the leader does not know, no longer runs
+   it. */
+static bool
+unanswered_start_over (const struct fsched *fs, const struct start *r)
+{
+  int64_t elapsed_ms = fs->now_ms - r->last_sent_ms - FSCHED_CLOCK_MARGIN_MS;
+
+  return r->tries == r->n_settled
+         || elapsed_ms * CLOCK_RATE_LOW / 100 > fs->lease_max_ms;
+}
+
+/* Ends the runs of an executor after all leases of its boot have expired. */
 static void
 end_expired_runs (struct fsched *fs, struct exec *e)
 {
-  struct start *r;
+  struct start *r, *next;
+  bool logged = false;
 
-  out_line (
-      fs->out, "event=lease-over exec=%s silent_ms=%lld", e->rep.id,
-      (long long)(fs->now_ms
-                  - (e->answered ? e->last_contact_ms : fs->claimed_ms)));
-  while ((r = TAILQ_FIRST (&e->runs)))
+  TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
     {
+      if (!unanswered_start_over (fs, r))
+        continue;
+      if (!logged)
+        out_line (fs->out, "event=lease-over exec=%s silent_ms=%lld",
+                  e->rep.id,
+                  (long long)(fs->now_ms
+                              - (e->answered ? e->last_contact_ms
+                                             : fs->claimed_ms)));
+      logged = true;
       if (r->state == START_INTENT || r->state == START_DROPPED)
         {
           start_end (fs, r, RUN_END_NOT_STARTED);
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -237,6 +237,7 @@
   if (r->tries == 0)
     r->sent_wall_ms = fs->now_ms + fs->wall_offset_ms;
   fs->stats->starts += r->tries++ == 0;
+  r->last_sent_ms = fs->now_ms;
   r->n_exec_boots = r->exec->n_boots;
   set_pending (fs, r, true);
   domain_start_sent (fs, r->exec);
--- a/regress/fleet/restart.lua
+++ b/regress/fleet/restart.lua
@@ -57,6 +57,22 @@
   end)
 end
 
+scenario("an unanswered start is not given up before the longest lease that the "
+         .. "next boot may have granted it", function()
+  start_fleet{execs = 2, lease_max_ms = 10000}
+  exec(1, "listed", 0)
+  run(3000)
+  restart(1, 1)
+  exec(0, "lose-start", 0)
+  submit_job(1, 15000)
+  run(100)
+  exec(0, "lose-start", -1)
+  exec(0, "partition", 12000)
+  exec(1, "listed", 1)
+  run(40000)
+  expect(state(0, id(1)) == "completed", "the job is not completed")
+end)
+
 for _, cut_after_ms in ipairs{0, 2000} do
   scenario("a run that the next boot began with a longer lease is not started "
            .. "by the next leader before that ends, cut after " .. cut_after_ms,
