A run that a list shows after its end goes on for the next leader

Tasks could run twice: a list showed a run whose end was recorded, or had been noted together with that of a later run; the next leader did not take it for going on if its executor was cut off, and started the task again.

The end was taken back by lowering its number. That does not reach a page of an earlier leader, which goes on to state it; leaves the intent of a later run that has ended as the task's last one, so that the intent of the run that goes on is an "earlier-run"; and does not concern a run that is recorded as failed. The end now stays as it is, and the progress names the run that goes on, as it does for a second run of a task that is done.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -515,7 +515,12 @@
       if (task->done || task->n_failed || task->n_crashes || task->n_lost)
         start_mark_job_started (j);
       for (size_t r = 0; r < task->n_failed; r++)
-        add_failed_run (t, task->failed[r].id);
+        {
+          struct job_end end
+              = { .run_id = task->failed[r].id, .how = RUN_END_FAILED };
+          add_failed_run (t, end.run_id);
+          start_note_end (t, &end, false);
+        }
       for (size_t r = 0; r < task->n_crashes; r++)
         crash_add (s, (int)task->index, &task->crashes[r]);
       for (size_t r = 0; r < task->n_lost; r++)
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -424,16 +424,16 @@
   if (!j)
     return FATE_JOB_UNKNOWN;
   t = &j->steps[e->task.step].tasks[e->task.index];
-  if (t->done && e->run_id != t->stopping_run_id)
+  *job = j;
+  *task = t;
+  if (e->run_id == t->stopping_run_id)
+    return FATE_RUNNING;
+  if (t->done)
     return FATE_DONE;
   for (int i = 0; i < t->n_failed; i++)
     if (t->failed_runs[i].id == e->run_id)
       return FATE_FAILED;
-  if (e->run_id <= t->ended.run_id)
-    return FATE_ENDED;
-  *job = j;
-  *task = t;
-  return FATE_RUNNING;
+  return e->run_id <= t->ended.run_id ? FATE_ENDED : FATE_RUNNING;
 }
 
 /* Creates a start for a loaded intent whose run may still be running on an
--- a/core/fsched_progress.c
+++ b/core/fsched_progress.c
@@ -71,6 +71,8 @@
   int begin = first > s->first_task ? first - s->first_task : 0;
   size_t n_filled = 0;
 
+  /* Pages of earlier leaders go on to state the end of a run that a list has
+     shown since, so that the run is named instead of the end left out. */
   for (int t = begin; t < s->n_tasks && s->first_task + t < first + n; t++)
     {
       struct jtask *k = &s->tasks[t];
@@ -78,7 +80,9 @@
           = { .index = t,
               .done = k->done,
               .stopping_run_id
-              = k->done && k->run && !gang ? k->run->run_id : 0,
+              = k->run && (k->done ? !gang : k->run->run_id <= k->ended.run_id)
+                    ? k->run->run_id
+                    : 0,
               .failed = k->failed_runs,
               .n_failed = (size_t)k->n_failed,
               .crashes = k->crashes,
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -133,8 +133,8 @@
 
   if (r->run_id > t->ended.run_id)
     return;
-  t->ended.run_id = r->run_id - 1;
-  if (t->ended_lost && !job_state_final (r->job->state))
+  t->ended_lost = true;
+  if (!job_state_final (r->job->state))
     progress_mark_task (fs, r->job, r->step, r->index);
 }
 
--- a/core/job.h
+++ b/core/job.h
@@ -160,8 +160,8 @@
 {
   int64_t index; /* index of the task in its step */
   bool done;     /* a run of the task has succeeded */
-  /* Id of another run of a task that is done, which may not have ended yet; 0:
-     there is none. */
+  /* Id of a run that may not have ended yet, although the task is done or the
+     end of this or a later run is recorded; 0: there is none. */
   int64_t stopping_run_id;
   struct job_run *failed; /* failed runs, in no particular order */
   size_t n_failed;
