A run in a row that cannot be used is kept until its stop is answered

A new leader stops by name the runs of an earlier one that a list may hide in a row that cannot be used.

takeover_test, "a run in a row that cannot be used is kept until it is stopped", failed before.

--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -202,9 +202,9 @@
                      const struct order_result *res)
 {
   /* The run may be in a row that cannot be used, so it is stopped by name. */
-  if (r->inherited && res->n_bad_rows)
+  if (r->inherited && res->n_bad_rows
+      && (!r->stop_acked_ms || r->stop_acked_ms > p->sent_ms))
     {
-      r->inherited = false;
       start_stop (fs, r);
       return;
     }
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -409,6 +409,28 @@
   table_free (&t);
 }
 
+static void
+test_run_in_a_row_that_cannot_be_used (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+
+  begin (&x, &t);
+  add_tasks (&x, 1, false);
+  leave_room_on (&x, 0);
+  play (&x, &t, 10, true);
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  next_leader (&x, &t, 1, INT64_MAX);
+  servers[0].n_bad_rows = 1;
+  n_stops = 0;
+  play (&x, &t, 20, false);
+  CU_ASSERT (n_stops > 0);
+  /* No stop was answered. */
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -417,4 +439,6 @@
            { "a failed run that a list shows goes on for the next leader",
              test_failed_run_that_a_list_shows },
            { "pages of an earlier leader do not end a run that a list shows",
-             test_pages_of_an_earlier_leader })
+             test_pages_of_an_earlier_leader },
+           { "a run in a row that cannot be used is kept until it is stopped",
+             test_run_in_a_row_that_cannot_be_used })
