A start is not sent if a list has shown an earlier run of the task

While the intent of a start was being written, a list could show an earlier run of its task that had been taken for ended. The start was sent all the same, and the task ran twice until the stop of the earlier run was carried out. The start is dropped now, and the next list adopts the earlier run.

--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -111,7 +111,11 @@
     return NULL;
   t = &j->steps[row->task.step].tasks[row->task.index];
   if (t->run)
-    return NULL;
+    {
+      if (t->run->state == START_INTENT)
+        start_stop (fs, t->run);
+      return NULL;
+    }
   out_line (fs->out,
             "event=run-adopted job=%s step=%lld task=%lld run=%lld "
             "exec=%s percent=%lld boot=%lld",
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -431,6 +431,38 @@
   table_free (&t);
 }
 
+static void
+test_start_that_is_not_sent_yet (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+
+  begin (&x, &t);
+  add_tasks (&x, 1, false);
+  leave_room_on (&x, 0);
+  play (&x, &t, 10, false);
+  result (&x, ORDER_DONE, 0);
+  leave_room_on (&x, -1);
+  servers[0].boot_start_ms++;
+  play (&x, &t, 100, false);
+  CU_ASSERT_PTR_NULL (the_task (&x)->run);
+  n_starts = 0;
+  leave_room_on (&x, 1);
+  for (int i = 0; i < 10 && !the_task (&x)->run; i++)
+    play (&x, NULL, 1, false);
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  CU_ASSERT_EQUAL (the_task (&x)->run->state, START_INTENT);
+  servers[0].boot_start_ms++;
+  servers[0].run = run_1;
+  exec_find (x.fs, "e0")->next_poll_ms = 0;
+  play (&x, NULL, 60, false); /* the write takes 1.2 s */
+  CU_ASSERT_EQUAL (exec_find (x.fs, "e0")->n_orphans, 1);
+  play (&x, &t, 1, false);
+  CU_ASSERT_EQUAL (n_starts, 0);
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -441,4 +473,6 @@
            { "pages of an earlier leader do not end a run that a list shows",
              test_pages_of_an_earlier_leader },
            { "a run in a row that cannot be used is kept until it is stopped",
-             test_run_in_a_row_that_cannot_be_used })
+             test_run_in_a_row_that_cannot_be_used },
+           { "a start is not sent if a list shows an earlier run of the task",
+             test_start_that_is_not_sent_yet })
