The roster keeps executors that run tasks without needs

An executor that was not listed was left out of the roster if its tasks needed no room, so that the next leader took their runs for ended (exec-unknown).

takeover_test, "the roster keeps an executor that runs a task without needs", failed before.

--- a/core/fsched_record.c
+++ b/core/fsched_record.c
@@ -31,8 +31,8 @@
 static bool
 in_roster (const struct fsched *fs, const struct exec *e)
 {
-  return exec_recently_listed (fs, e) || !e->reconciled || e->used.millicores
-         || e->used.mem_mb || e->used.accels;
+  return exec_recently_listed (fs, e) || !e->reconciled
+         || !TAILQ_EMPTY (&e->runs);
 }
 
 /* Returns the value of row @number of the roster, a line "id addr" for each of
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -463,6 +463,41 @@
   table_free (&t);
 }
 
+static void
+test_roster_keeps_executors_with_runs (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+  struct exec *e;
+  struct job_spec spec
+      = { .id = JOB, .tenant = "blue", .service = "svc", .attempts = 2 };
+
+  begin (&x, &t);
+  spec.n_steps = 1;
+  spec.steps = fsched_zalloc (1, sizeof *spec.steps);
+  spec.steps[0].tasks = 1;
+  spec.steps[0].best_effort_cpu = true;
+  spec.steps[0].need.millicores = 1000;
+  fsched_add_job (x.fs, &spec, false, 0);
+  leave_room_on (&x, 0);
+  play (&x, &t, 10, true);
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  if (the_task (&x)->run)
+    {
+      e = the_task (&x)->run->exec;
+      servers[atoi (e->rep.id + 1)].run = run_1;
+      fsched_exec_unlisted (x.fs, e->rep.id);
+      play (&x, &t, 20000 / STEP_MS, true);
+      CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+      /* Another executor of the same row begins. */
+      roster_mark_dirty (x.fs, e);
+      play (&x, &t, 10, true);
+      CU_ASSERT_EQUAL (next_leaders_run (&x, &t), 1);
+    }
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -475,4 +510,6 @@
            { "a run in a row that cannot be used is kept until it is stopped",
              test_run_in_a_row_that_cannot_be_used },
            { "a start is not sent if a list shows an earlier run of the task",
-             test_start_that_is_not_sent_yet })
+             test_start_that_is_not_sent_yet },
+           { "the roster keeps an executor that runs a task without needs",
+             test_roster_keeps_executors_with_runs })
