A start is not sent again to the next boot of an executor

When the answer to a start was lost after a poll had shown the next boot, the start was sent again: to a boot that may be of another kind, by what the entry of the boot before said, and with its ticket.

takeover_test, "a start is not repeated for the next boot", failed before.

--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -414,7 +414,9 @@
       r->answer_lost_ms = fs->now_ms;
       if (r->state != START_SENT)
         return;
-      if (may_try_again (r) && fs->may_order && !r->exec->unreachable)
+      /* The task was placed by what held for the boot of the first try. */
+      if (may_try_again (r) && fs->may_order && !r->exec->unreachable
+          && p->n_exec_boots == r->exec->n_boots)
         start_send (fs, r);
       else if (r->job->spec.steps[r->step].gang)
         start_stop_gang (fs, r->job, r->step);
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -498,6 +498,33 @@
   table_free (&t);
 }
 
+static void
+test_start_is_not_repeated_for_the_next_boot (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+
+  begin (&x, &t);
+  add_tasks (&x, 1, false);
+  leave_room_on (&x, 0);
+  /* A poll waits for an end while the start is sent. */
+  for (int i = 0; i < 10 && !start; i++)
+    play (&x, &t, 1, false);
+  CU_ASSERT_PTR_NOT_NULL (start);
+  n_starts = 0;
+  servers[0].boot_start_ms++;
+  exec_find (x.fs, "e0")->next_poll_ms = 0;
+  for (int i = 0; i < 20 && exec_find (x.fs, "e0")->n_boots == 0; i++)
+    play (&x, NULL, 1, false);
+  CU_ASSERT_EQUAL (exec_find (x.fs, "e0")->n_boots, 1);
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  result (&x, ORDER_LOST, 0);
+  play (&x, NULL, 1, false);
+  CU_ASSERT_EQUAL (n_starts, 0);
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -512,4 +539,6 @@
            { "a start is not sent if a list shows an earlier run of the task",
              test_start_that_is_not_sent_yet },
            { "the roster keeps an executor that runs a task without needs",
-             test_roster_keeps_executors_with_runs })
+             test_roster_keeps_executors_with_runs },
+           { "a start is not repeated for the next boot",
+             test_start_is_not_repeated_for_the_next_boot })
