The next leader asks an executor at its newest address

The roster kept the address that an executor had when it was first recorded. If it started again at another address, the next leader polled the old one; an executor there refuses (421), which ended the runs at the new address. The same happened if the entry named the new address while a new leader's first poll was on its way.

takeover_test, "the roster has the address of the next boot" and "an old address ends no run for the next leader", failed before.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -94,6 +94,11 @@
   e->in_list = true;
   if (addr_changed)
     {
+      /* An answer to a poll on its way to the old address tells nothing. */
+      if (!e->boot_known)
+        e->poll_id = e->last_poll_id = 0;
+      /* The next leader asks at the address in the roster. */
+      e->recorded = false;
       e->next_poll_ms = fs->now_ms;
       crash_exec_replaced (fs, e);
     }
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -498,6 +498,20 @@
   table_free (&t);
 }
 
+static void
+report_at (struct fixture *x, const char *id, const char *addr,
+           int64_t boot_start_ms)
+{
+  struct exec_report rep
+      = { .capacity = { .millicores = 1000, .mem_mb = 1000 },
+          .boot_start_ms = boot_start_ms };
+
+  clb_copy (rep.id, id, sizeof rep.id);
+  clb_copy (rep.addr, addr, sizeof rep.addr);
+  clb_copy (rep.service, "svc", sizeof rep.service);
+  fsched_exec_report (x->fs, &rep);
+}
+
 static void
 test_start_is_not_repeated_for_the_next_boot (void)
 {
@@ -525,6 +539,52 @@
   table_free (&t);
 }
 
+static void
+test_roster_has_the_address_of_the_next_boot (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+  bool found = false;
+
+  begin (&x, &t);
+  play (&x, &t, 10, false);
+  servers[0].boot_start_ms++;
+  report_at (&x, "e0", "10.0.0.7:80", BOOT_START_MS + 1);
+  play (&x, &t, 100, false);
+  for (int i = 0; i < t.n; i++)
+    found |= t.values[i] && strstr (t.values[i], "e0 10.0.0.7:80\n");
+  CU_ASSERT (found);
+  tear_down (&x);
+  table_free (&t);
+}
+
+static void
+test_old_address_ends_no_run_for_the_next_leader (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+  struct order *poll;
+  struct order_result res = { .outcome = ORDER_WRONG_BOOT };
+
+  begin (&x, &t);
+  add_tasks (&x, 1, false);
+  leave_room_on (&x, 0);
+  play (&x, &t, 10, true);
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  next_leader (&x, &t, 1, INT64_MAX);
+  x.now_ms += STEP_MS;
+  fsched_tick (x.fs, x.now_ms, true);
+  poll = take_order_to (&x, ORDER_POLL, "e0");
+  CU_ASSERT_PTR_NOT_NULL (poll);
+  report_at (&x, "e0", "10.0.0.7:80", BOOT_START_MS);
+  if (poll)
+    fsched_order_result (x.fs, x.now_ms, poll->id, &res);
+  order_free (poll);
+  CU_ASSERT_PTR_NOT_NULL (the_task (&x)->run);
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -541,4 +601,8 @@
            { "the roster keeps an executor that runs a task without needs",
              test_roster_keeps_executors_with_runs },
            { "a start is not repeated for the next boot",
-             test_start_is_not_repeated_for_the_next_boot })
+             test_start_is_not_repeated_for_the_next_boot },
+           { "the roster has the address of the next boot",
+             test_roster_has_the_address_of_the_next_boot },
+           { "an old address ends no run for the next leader",
+             test_old_address_ends_no_run_for_the_next_leader })
