Tickets are those of the boot that the query was about

An answer of the advice service was taken for the boot that the executor was in when the answer came. A ticket for the boot before is refused.

advice_test, "tickets are those of the boot that was asked about", failed before.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -258,8 +258,10 @@
 {
   int state;              /* enum permit_state */
   int64_t valid_until_ms; /* time at which the ticket expires */
-  /* Start of the executor's boot that the permit is for. */
+  /* Start of the executor's boot that the permit is for, and that the last
+     advice query that named it was about. */
   int64_t boot_start_ms;
+  int64_t asked_boot_start_ms;
   char *ticket;      /* owned; NULL: none */
   uint64_t query_id; /* id of the last advice query that named it; 0: none */
   bool asked;        /* this query is outstanding and not overdue */
--- a/core/fsched_advice.c
+++ b/core/fsched_advice.c
@@ -123,6 +123,7 @@
       if (p->state == PERMIT_UNKNOWN)
         p->state = PERMIT_QUERIED;
       p->query_id = o->id;
+      p->asked_boot_start_ms = execs->list[i].e->boot_start_ms;
       p->asked = true;
     }
   o->n_execs = execs->n;
@@ -315,7 +316,7 @@
         continue;
       p = permit_get (s, e);
       p->state = PERMIT_ALLOWED;
-      p->boot_start_ms = e->boot_start_ms;
+      p->boot_start_ms = p->asked_boot_start_ms;
       p->valid_until_ms = expiry_ms;
       if (p->valid_until_ms > s->tickets_until_ms)
         s->tickets_until_ms = p->valid_until_ms;
--- a/regress/unit/advice_test.c
+++ b/regress/unit/advice_test.c
@@ -137,6 +137,35 @@
   tear_down (&s.x);
 }
 
+static void
+test_tickets_are_those_of_the_boot_asked_about (void)
+{
+  struct service s;
+  struct exec *e;
+
+  set_up_service (&s);
+  add_advised_job (&s, "0000000000000001");
+  run_for (&s, 40, -1);
+  CU_ASSERT_EQUAL_FATAL (s.n_queries, 1);
+  s.x.boot_start_ms++;
+  TAILQ_FOREACH (e, &s.x.fs->execs, link)
+    {
+      report_exec (&s.x, e->rep.id);
+      e->next_poll_ms = 0;
+    }
+  step (&s.x);
+  answer_query (&s, &s.queries[0], 0);
+  TAILQ_FOREACH (e, &s.x.fs->execs, link)
+    {
+      CU_ASSERT_EQUAL (e->boot_start_ms, BOOT_START_MS + 1);
+      CU_ASSERT_FALSE (permit_valid (
+          s.x.fs, &fsched_find_job (s.x.fs, "0000000000000001")->steps[0], e));
+    }
+  run_for (&s, 3000, ADVICE_MS);
+  CU_ASSERT_EQUAL (n_started (&s), 1);
+  tear_down (&s.x);
+}
+
 UNIT_MAIN ("advice",
            { "an answer after the deadline is used",
              test_late_answer_is_used },
@@ -149,4 +178,6 @@
            { "refused tickets are not asked for again at once",
              test_refused_tickets_are_not_asked_for_at_once },
            { "a ticket ages on its way to the leader",
-             test_ticket_ages_on_its_way_to_the_leader })
+             test_ticket_ages_on_its_way_to_the_leader },
+           { "tickets are those of the boot that was asked about",
+             test_tickets_are_those_of_the_boot_asked_about })
