A gang is not sent without a member whose start was dropped

A start that was dropped while its intent was being written, as its executor had begun another boot, was met only after the members before it had been sent. They began, waited for the gang and were stopped. A dropped start is now looked for before any start is sent, like one that may not be sent any more.

takeover_test, "a gang is not sent without one of its members", failed before.

--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -286,8 +286,9 @@
   struct intent *e;
 
   TAILQ_FOREACH (e, &fs->intents.writing, link)
-    if (e->start && e->start->state == START_INTENT
-        && !may_send (fs, e->start))
+    if (e->start
+        && (e->start->state == START_DROPPED
+            || (e->start->state == START_INTENT && !may_send (fs, e->start))))
       start_end (fs, e->start, RUN_END_NOT_STARTED);
   TAILQ_FOREACH (e, &fs->intents.writing, link)
     {
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -585,6 +585,36 @@
   table_free (&t);
 }
 
+static void
+test_gang_is_not_sent_without_a_member (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+  struct exec *e;
+  struct job *j;
+
+  begin (&x, &t);
+  TAILQ_FOREACH (e, &x.fs->execs, link)
+    e->rep.capacity.millicores = 1000;
+  add_job (&x, JOB, 2, true);
+  for (int i = 0; i < 10 && !the_task (&x)->run; i++)
+    play (&x, NULL, 1, false);
+  j = fsched_find_job (x.fs, JOB);
+  CU_ASSERT_EQUAL (j->n_runs, 2);
+  e = j->steps[0].tasks[1].run->exec;
+  servers[atoi (e->rep.id + 1)].boot_start_ms++;
+  e->next_poll_ms = 0;
+  for (int i = 0; i < 60 && e->n_boots == 0; i++)
+    play (&x, NULL, 1, false);
+  CU_ASSERT_EQUAL (j->steps[0].tasks[1].run->state, START_DROPPED);
+  write_rows (&x, &t);
+  leave_room_on (&x, -1);
+  play (&x, NULL, 1, false);
+  CU_ASSERT_EQUAL (n_starts, 0);
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -605,4 +635,6 @@
            { "the roster has the address of the next boot",
              test_roster_has_the_address_of_the_next_boot },
            { "an old address ends no run for the next leader",
-             test_old_address_ends_no_run_for_the_next_leader })
+             test_old_address_ends_no_run_for_the_next_leader },
+           { "a gang is not sent without one of its members",
+             test_gang_is_not_sent_without_a_member })
