A task is not started while a list shows another run of it

When a task's start ended while an executor's last list showed another run of the task, which was being stopped as an orphan, the task was started once more at once, beside the run that was known to go on. That run is adopted now, as it is when the list comes after the end.

takeover_test, "a task is not started while a list shows another run of it", failed before.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -238,6 +238,11 @@
   int32_t last_run_id;
   /* As loaded: job_task_progress::stopping_run_id. */
   int64_t stopping_run_id;
+  /* Another run of the task that a list has shown, its executor, and the poll
+     for that list; NULL: none. */
+  struct exec *orphan_exec;
+  int64_t orphan_run_id;
+  uint64_t orphan_poll_id;
   struct job_end ended; /* the last run that has ended; run id 0: none */
   bool ended_lost;      /* job_task_progress::lost states it */
   bool done;            /* a run of the task has succeeded */
@@ -535,6 +540,8 @@
   /* Number of orphans in the executor's last list: runs whose job is unknown,
      or whose task has another run. */
   int n_orphans;
+  /* Id of the poll whose lists were processed last; 0: none of this boot. */
+  uint64_t list_poll_id;
   size_t n_bad_rows; /* order_result::n_bad_rows of the last poll */
   bool ends_left;    /* order_result::ends_left of the last poll */
   /* Start of the boot that answered the last poll; 0: not reported. */
--- a/core/fsched_boot.c
+++ b/core/fsched_boot.c
@@ -38,6 +38,7 @@
 
   if (e->n_boots < FSCHED_FENCE_BOOTS_MAX)
     e->n_boots++;
+  e->list_poll_id = 0;
   reset_end_seqs (e);
   e->failures_in_row = 0;
   e->quarantine_until_ms = 0;
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -385,6 +385,12 @@
 
 /* Functions of fsched_lists.c. */
 
+/**
+ * lists_adopt_orphan() - Adopt the other run of a task that the last list of
+ * its executor has shown, if there is one, now that the task has no run.
+ */
+void lists_adopt_orphan (struct fsched *fs, struct job *j, int step,
+                         int index);
 /**
  * lists_process() - Process the lists of ended and running tasks in a poll's
  * answer.
--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -132,6 +132,23 @@
   return r;
 }
 
+/* Notes that the executor's list shows an orphan. */
+static void
+note_orphan (const struct fsched *fs, struct exec *e,
+             const struct run_row *row)
+{
+  struct job *j = fsched_task_job (fs, &row->task);
+  struct jtask *t;
+
+  e->n_orphans++;
+  if (!j)
+    return;
+  t = &j->steps[row->task.step].tasks[row->task.index];
+  t->orphan_exec = e;
+  t->orphan_run_id = row->run_id;
+  t->orphan_poll_id = e->list_poll_id;
+}
+
 /* Processes a running task that an executor reports. */
 static void
 process_run_row (struct fsched *fs, struct exec *e, const struct run_row *row)
@@ -142,7 +159,7 @@
     r = adopt_run (fs, e, row);
   if (!r)
     {
-      e->n_orphans++;
+      note_orphan (fs, e, row);
       if (fs->now_ms >= e->next_orphan_stop_ms)
         stop_orphan (fs, e, row);
       return;
@@ -164,6 +181,22 @@
   clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
 }
 
+void
+lists_adopt_orphan (struct fsched *fs, struct job *j, int step, int index)
+{
+  struct jtask *t = &j->steps[step].tasks[index];
+  struct exec *e = t->orphan_exec;
+  struct run_row row = { .task = { .step = step, .index = index },
+                         .run_id = t->orphan_run_id };
+
+  if (!e || t->orphan_poll_id != e->list_poll_id || t->run || t->done
+      || job_state_final (j->state))
+    return;
+  t->orphan_exec = NULL;
+  clb_copy (row.task.job, j->spec.id, sizeof row.task.job);
+  process_run_row (fs, e, &row);
+}
+
 /* Returns whether the executor refuses the start orders for a run from the
    reading @clock_ms of its clock on, as their deadline has passed. */
 static bool
@@ -310,6 +343,7 @@
   struct start *r, *next;
   int orphans_before = e->n_orphans;
 
+  e->list_poll_id = p->id;
   TAILQ_FOREACH (r, &e->runs, exec_link)
     r->in_list = false;
   for (size_t i = 0; i < res->n_ends; i++)
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -198,6 +198,7 @@
   if (others_may_run && j->spec.steps[step].gang)
     start_stop_gang (fs, j, step);
   fsched_task_ended (fs, j, step, index, run_id, run_end);
+  lists_adopt_orphan (fs, j, step, index);
 }
 
 /* Sets the task and run id of an order to those of a start. */
--- a/core/job.h
+++ b/core/job.h
@@ -143,8 +143,8 @@
   bool unconfirmed;
 };
 
-/** struct job_end - the end of a run; all earlier runs of its task have ended
- */
+/** struct job_end - the end of a run; all earlier runs of its task have ended,
+ * but for job_task_progress::stopping_run_id */
 struct job_end
 {
   int64_t run_id;
--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -615,6 +615,35 @@
   table_free (&t);
 }
 
+static void
+test_orphan_is_not_started_again (void)
+{
+  struct fixture x;
+  struct table t = { 0 };
+
+  begin (&x, &t);
+  add_tasks (&x, 1, false);
+  leave_room_on (&x, 0);
+  play (&x, &t, 10, false);
+  result (&x, ORDER_DONE, 0);
+  leave_room_on (&x, -1);
+  servers[0].boot_start_ms++;
+  play (&x, &t, 100, false);
+  leave_room_on (&x, 1);
+  play (&x, &t, 10, false);
+  servers[0].boot_start_ms++;
+  servers[0].run = run_1;
+  exec_find (x.fs, "e0")->next_poll_ms = 0;
+  play (&x, &t, 80, false);
+  CU_ASSERT_EQUAL (exec_find (x.fs, "e0")->n_orphans, 1);
+  result (&x, ORDER_REFUSED, REFUSED_NO_ROOM);
+  n_starts = 0;
+  play (&x, &t, 3, false);
+  CU_ASSERT_EQUAL (n_starts, 0);
+  tear_down (&x);
+  table_free (&t);
+}
+
 UNIT_MAIN ("takeover_test",
            { "an earlier run that a list shows goes on for the next leader",
              test_earlier_run_that_a_list_shows },
@@ -637,4 +666,6 @@
            { "an old address ends no run for the next leader",
              test_old_address_ends_no_run_for_the_next_leader },
            { "a gang is not sent without one of its members",
-             test_gang_is_not_sent_without_a_member })
+             test_gang_is_not_sent_without_a_member },
+           { "a task is not started while a list shows another run of it",
+             test_orphan_is_not_started_again })
