--- a/regress/unit/takeover_test.c
+++ b/regress/unit/takeover_test.c
@@ -189,8 +189,6 @@
                   o->u.line = NULL;
                 }
             }
-          if (o->kind == OUT_LOG_LINE && getenv ("VERBOSE") && o->u.line)
-            printf ("%lld %s\n", (long long)x->now_ms, o->u.line);
           out_free (o);
         }
     }
@@ -325,8 +323,6 @@
     }
   play (&x, &t, 100, false); /* 2 s; the lease is not over */
   CU_ASSERT_EQUAL (n_starts, 0);
-  if (n_starts)
-    printf ("\nrun %lld sent to %s\n", (long long)start->run_id, start->exec);
   tear_down (&x);
   table_free (&t);
 }
