Logs: fencing tokens of starts, acknowledgements without an answer

The start line has the fencing token; a poll that acknowledged ends and had no answer has a line of its own (event=acknowledgement-lost); the simulated executors say whether a list had shown the end that was acknowledged.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -296,6 +296,7 @@
       p->n_exec_boots = e->n_boots;
     }
   p->id = o->id;
+  p->fencing_token = o->fencing_token;
   p->kind = kind;
   p->sent_ms = fs->now_ms;
   RB_INSERT (pending_order_tree, &fs->orders, p);
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -628,6 +628,7 @@
   int64_t exec_clock_ms;
   int64_t exec_clock_sent_ms;
   int n_exec_boots;
+  int64_t fencing_token; /* order::fencing_token */
   char job[JOB_ID_SIZE]; /* of an advice query: id of the job */
   int step;              /* of an advice query: index of the step */
   int adviser;           /* of an advice query: index into fsched::advisers */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -441,6 +441,12 @@
 
   if (order_was_answered (res))
     exec_add_answer_time (fs, e, p);
+  else if (p->recorded_end_seq)
+    out_line (fs->out,
+              "event=acknowledgement-lost exec=%s seq=%lld token=%lld "
+              "boot=%lld",
+              e->rep.id, (long long)p->recorded_end_seq,
+              (long long)p->fencing_token, (long long)e->boot_start_ms);
   /* The poll is overdue and was counted as failed.  A later one may have shown
      what is newer, and so may a new boot. */
   if (p->id != e->poll_id
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -246,7 +246,7 @@
             "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
             "lease_ms=%d saved=%s used=%lld/%lld contact_age_ms=%lld "
             "tenant=%s tenant_used=%lld,%lld tenant_limit=%lld,%lld "
-            "config=%lld boot=%lld",
+            "config=%lld boot=%lld token=%lld",
             r->job->spec.id, r->step, r->index, (long long)r->run_id,
             r->exec->rep.id, r->tries, FSCHED_LEASE_MS, o->checkpoint,
             (long long)r->exec->used.millicores,
@@ -255,7 +255,8 @@
             r->job->account->name, (long long)r->job->account->used.millicores,
             (long long)r->job->account->used.mem_mb,
             (long long)limit.millicores, (long long)limit.mem_mb,
-            (long long)account_conf_version (fs), (long long)r->boot_start_ms);
+            (long long)account_conf_version (fs), (long long)r->boot_start_ms,
+            (long long)o->fencing_token);
 }
 
 static void
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -302,9 +302,10 @@
                     (long long)o->task.index, (long long)o->run_id, e->id,
                     late);
   if (stats->end_acked)
-    fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already done%s",
+    fsim_violation (s, "TWICE %s.%lld.%lld run %lld on %s: already done, %s%s",
                     o->task.job, (long long)o->task.step,
                     (long long)o->task.index, (long long)o->run_id, e->id,
+                    stats->end_listed ? "end listed" : "end never listed",
                     late);
   if (stats->n_failed >= j->spec.attempts)
     fsim_violation (s, "BUDGET %s.%lld.%lld run %lld: %d runs have failed%s",
@@ -440,6 +441,7 @@
         {
           stats->done = true;
           stats->end_acked = true;
+          stats->end_listed |= end->seq <= e->listed_end_seq;
         }
       if (stats && end->run_end == RUN_END_FAILED)
         stats->n_failed++;
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -299,6 +299,8 @@
   bool done;
   /* True if the leader acknowledged the end of a successful run. */
   bool end_acked;
+  /* True if an answer had listed the end of such a run before. */
+  bool end_listed;
   /* Number of runs that have ended with success, acknowledged or not, and
      whose executor has not lost the report of the end in a crash before any
      answer listed it. */
