--- /dev/null
+++ b/regress/fleet/late_orders.lua
@@ -0,0 +1,82 @@
+dofile("regress/fleet/lib.lua")
+
+-- Starts a fleet of two executors of which only number 0 is listed.
+local function start_pair()
+  start_fleet{execs = 2}
+  exec(1, "listed", 0)
+  run(3000)
+end
+
+-- Submits job n of one task that runs for ms.
+local function submit_job(n, ms)
+  job{id = id(n), steps = {{tasks = 1, ms = ms}}}
+  submit(n % 3, id(n))
+end
+
+-- Restarts executor 0 again and again for ms, so that orders of the leader
+-- reach few of its boots.
+local function restart_in_series(ms, clock_ms)
+  exec(0, "entry-frozen", 1)
+  exec(0, "boot-clock", clock_ms)
+  for _ = 1, ms / 80 do
+    exec(0, "reboot")
+    exec(0, "dead-connections", 100)
+    run(80)
+  end
+  exec(0, "dead-connections", 0)
+  exec(0, "entry-frozen", 0)
+end
+
+scenario("a late poll forgets no ends of the next boot that no list has shown",
+  function()
+  start_pair()
+  for n = 1, 8 do
+    submit_job(n, 300)
+    run(100)
+  end
+  run(1000)
+  submit_job(9, 300)
+  run(280)
+  exec(0, "late-polls", 2500)
+  run(200)
+  exec(0, "entry-frozen", 1)
+  exec(0, "boot-clock", 1)
+  exec(0, "reboot")
+  exec(0, "lose-results", 1)
+  submit_job(20, 300)
+  run(2500)
+  exec(0, "late-polls", 0)
+  exec(0, "lose-results", 0)
+  exec(0, "entry-frozen", 0)
+  run(15000)
+  expect(state(0, id(20)) == "completed", "the job is not completed")
+end)
+
+for _, clock_ms in ipairs{1, 2000000} do
+  scenario("a late copy of a start that was answered is no run after an "
+           .. "acknowledged end, clock " .. clock_ms, function()
+    start_pair()
+    exec(0, "late-start", 0)
+    submit_job(1, 300)
+    run(200)
+    exec(0, "late-start", -1)
+    run(1400)
+    restart_in_series(11000, clock_ms)
+    run(10000)
+    expect(state(0, id(1)) == "completed", "the job is not completed")
+  end)
+
+  scenario("a task is not started elsewhere while a copy of its start may be "
+           .. "carried out, clock " .. clock_ms, function()
+    start_pair()
+    exec(0, "late-start", 0)
+    submit_job(1, 14000)
+    run(1900)
+    exec(0, "late-start", -1)
+    exec(1, "listed", 1)
+    run(100)
+    restart_in_series(10500, clock_ms)
+    run(40000)
+    expect(state(0, id(1)) == "completed", "the job is not completed")
+  end)
+end
