A start is sent again only after a list that does not show its run

What callers saw: nothing by itself; it leaves copies of starts on their way that nobody needs. When the answer to a start was lost, the start was sent again at once, whether or not the executor had carried it out, and after two tries its task was started elsewhere while both copies could still arrive.

Cause: the leader did not look before it repeated the order. Now it asks the executor for its lists first, and places nothing there until they arrive. A list that shows the run settles the only copy. Otherwise the start is sent again, up to 16 times, so that a task rarely leaves an executor that may still carry out a copy; members of gangs, which wait for each other, are still sent twice, and their gang is stopped if the lists do not come either.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -48,8 +48,10 @@
      executor's answers are known to take (exec::answer_ms). */
   FSCHED_CALL_TIMEOUT_MS = 500,
   /* Maximum number of times that a start order is sent while its answers are
-     lost.  The run id makes the order idempotent. */
-  FSCHED_START_TRIES = 2,
+     lost, and that of a member of a gang.  The run id makes the order
+     idempotent. */
+  FSCHED_START_TRIES = 16,
+  FSCHED_GANG_TRIES = 2,
   /* Time after which a poll is overdue, in addition to the delay that the poll
      permits and to exec::answer_ms. */
   FSCHED_POLL_SLACK_MS = 900,
@@ -204,6 +206,7 @@
   /* Number of start orders that were answered, or certainly not sent.  The
      others may still be carried out. */
   int n_settled;
+  bool copy_answered;   /* an answer has said that the run is there */
   int64_t last_sent_ms; /* when the last start order was sent; 0: none was */
   int n_exec_boots;     /* exec::n_boots when the last start order was sent */
   /* The executor's list of runs that is being processed contains the run. */
@@ -582,6 +585,8 @@
   uint64_t last_poll_id; /* id of the last poll; 0: none */
   int64_t poll_sent_ms;  /* when the last poll was sent */
   int64_t poll_wait_ms;  /* delay of the answer that the last poll permits */
+  bool list_due;         /* a poll without delay is due, see exec_ask_list() */
+  bool poll_asked;       /* the last poll was such a one */
   /* Time that the executor's answers take, apart from the delay that a poll
      permits: the longest of the last ones, which decays; at most
      FSCHED_ANSWER_MAX_MS. */
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -186,7 +186,8 @@
 static int64_t
 poll_overdue_ms (const struct exec *e)
 {
-  return e->poll_wait_ms + e->answer_ms + FSCHED_POLL_SLACK_MS;
+  return e->poll_wait_ms + e->answer_ms
+         + (e->poll_asked ? FSCHED_CALL_TIMEOUT_MS : FSCHED_POLL_SLACK_MS);
 }
 
 /* Returns whether a poll may state up to which number ends are recorded.  The
@@ -207,6 +208,9 @@
   struct order *o = fsched_order_new (fs, ORDER_POLL, e, &pend);
 
   pend->exec = e;
+
+  e->poll_asked = e->list_due;
+  e->list_due = false;
   e->poll_id = o->id;
   e->last_poll_id = o->id;
   e->poll_sent_ms = fs->now_ms;
@@ -224,7 +228,8 @@
     }
   /* The executor may delay its answer only if all ends that it has reported
      are recorded: it would report unrecorded ends again at once. */
-  if (e->answered && !e->unreachable && e->recorded_end_seq == e->seen_end_seq)
+  if (e->answered && !e->unreachable && !e->poll_asked
+      && e->recorded_end_seq == e->seen_end_seq)
     o->wait_ms = FSCHED_POLL_WAIT_MS;
   pend->wait_ms = o->wait_ms;
   e->poll_wait_ms = o->wait_ms;
@@ -324,6 +329,19 @@
   e->boot_known = false;
 }
 
+/* Stops the gangs of which no list may tell in time whether a member has
+   started. */
+static void
+stop_unconfirmed_gangs (struct fsched *fs, struct exec *e)
+{
+  struct start *r;
+
+  TAILQ_FOREACH (r, &e->runs, exec_link)
+    if (r->state == START_UNCONFIRMED && !r->inherited
+        && r->job->spec.steps[r->step].gang)
+      start_stop_gang (fs, r->job, r->step);
+}
+
 /* Processes a failed poll: marks the executor as unreachable and schedules the
    next poll. */
 static void
@@ -344,6 +362,7 @@
     }
   e->unreachable = true;
   e->next_poll_ms = fs->now_ms + poll_retry_ms (fs, e, res);
+  stop_unconfirmed_gangs (fs, e);
 }
 
 /* Counts a poll as failed that has no answer in time.  It stays outstanding:
@@ -374,6 +393,16 @@
     end_expired_runs (fs, e);
 }
 
+void
+exec_ask_list (struct fsched *fs, struct exec *e)
+{
+  e->list_due = true;
+  /* The answer to a poll that permits no delay is about to arrive. */
+  if (e->poll_id && e->poll_wait_ms)
+    e->poll_id = 0;
+  e->next_poll_ms = fs->now_ms;
+}
+
 void
 exec_mark_unreachable (struct fsched *fs, struct exec *e, const char *why)
 {
@@ -485,7 +514,7 @@
   e->next_poll_ms = fs->now_ms + FSCHED_POLL_GAP_MS;
   if (e->seen_end_seq > e->recorded_end_seq)
     e->next_poll_ms = fs->now_ms + FSCHED_POLL_WAIT_MS / 2;
-  if (first_answer)
+  if (first_answer || e->list_due)
     e->next_poll_ms = fs->now_ms;
 }
 
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -257,6 +257,18 @@
  * start.
  */
 void start_stop_gang (struct fsched *fs, struct job *j, int step);
+/** start_stop_with_gang() - Stop the run and, if it is a member of a gang, the
+ * other members. */
+void start_stop_with_gang (struct fsched *fs, struct start *r);
+/**
+ * start_send_again() - Send a start order again that no list has confirmed.
+ *
+ * Return: false if that is not possible.
+ */
+bool start_send_again (struct fsched *fs, struct start *r);
+/** start_settle() - Note that a list shows the run: if only one copy of its
+ * start has no answer, that one was carried out. */
+void start_settle (struct start *r);
 /**
  * start_log_confirmed() - Log that a start is about to be confirmed of which
  * an answer was lost; of inherited ones, only members of incomplete gangs.
@@ -426,6 +438,9 @@
  * exec::answer_ms. */
 void exec_add_answer_time (const struct fsched *fs, struct exec *e,
                            const struct pending_order *p);
+/** exec_ask_list() - Poll @e at once, for the effect of a start without an
+ * answer. */
+void exec_ask_list (struct fsched *fs, struct exec *e);
 /**
  * exec_mark_unreachable() - Mark @e as unreachable until a poll of it
  * succeeds; meanwhile, no tasks are placed on it.
--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -39,6 +39,7 @@
     start_mark_job_started (j);
   if (r)
     {
+      start_settle (r);
       clb_copy (r->checkpoint, row->checkpoint, sizeof r->checkpoint);
       start_end (fs, r, row->run_end);
     }
@@ -165,6 +166,7 @@
       return;
     }
   start_log_confirmed (fs, r, "list");
+  start_settle (r);
   r->in_list = true;
   r->inherited = false;
   if (e->boot_start_ms)
@@ -263,10 +265,11 @@
   else if (r->state == START_STOPPING
            && (r->stop_acked_ms || start_refused_since (r, res->clock_ms)))
     end_missing_run (fs, e, r);
-  else if (r->state == START_ACKED
-           || (r->state == START_UNCONFIRMED
-               && r->answer_lost_ms < p->sent_ms))
+  else if (r->state == START_ACKED)
     start_stop (fs, r);
+  else if (r->state == START_UNCONFIRMED && r->answer_lost_ms <= p->sent_ms
+           && !start_send_again (fs, r))
+    start_stop_with_gang (fs, r);
 }
 
 /* Keeps whether the executor has more ended runs than its last answer lists.
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -99,6 +99,15 @@
       start_stop (fs, s->tasks[i].run);
 }
 
+void
+start_stop_with_gang (struct fsched *fs, struct start *r)
+{
+  if (r->job->spec.steps[r->step].gang)
+    start_stop_gang (fs, r->job, r->step);
+  else
+    start_stop (fs, r);
+}
+
 /* Adds the time of a run that has ended to the statistics of its step. */
 static void
 add_run_time (const struct fsched *fs, const struct start *r, int run_end)
@@ -337,8 +346,29 @@
 static bool
 may_try_again (const struct start *r)
 {
-  return r->tries < FSCHED_START_TRIES
-         && r->exec->answer_ms < FSCHED_CALL_TIMEOUT_MS;
+  int max = r->job->spec.steps[r->step].gang ? FSCHED_GANG_TRIES
+                                             : FSCHED_START_TRIES;
+
+  return r->tries < max && r->exec->answer_ms < FSCHED_CALL_TIMEOUT_MS;
+}
+
+bool
+start_send_again (struct fsched *fs, struct start *r)
+{
+  if (!may_try_again (r) || !fs->may_order || job_state_final (r->job->state)
+      || (r->job->spec.advice.base_ms > 0
+          && !permit_valid (fs, &r->job->steps[r->step], r->exec)))
+    return false;
+  r->state = START_SENT;
+  start_send (fs, r);
+  return true;
+}
+
+void
+start_settle (struct start *r)
+{
+  if (!r->copy_answered && r->tries == r->n_settled + 1)
+    r->n_settled++;
 }
 
 void
@@ -372,11 +402,12 @@
 {
   int outcome = res->outcome;
 
-  r->n_settled += outcome != ORDER_LOST;
+  /* A list may have settled it before. */
+  if (outcome != ORDER_LOST && r->n_settled < r->tries)
+    r->n_settled++;
 
   /* No more tasks are placed on the executor until a poll of it succeeds. */
-  if (outcome == ORDER_UNREACHED
-      || (outcome == ORDER_LOST && !may_try_again (r)))
+  if (outcome == ORDER_UNREACHED || outcome == ORDER_LOST)
     exec_mark_unreachable (fs, r->exec, "order-timeout");
   /* If an earlier answer was lost, the earlier copy of the start order may
      have arrived, whatever the result of this copy is. */
@@ -386,6 +417,7 @@
     {
     case ORDER_DONE:
       start_log_confirmed (fs, r, "answer");
+      r->copy_answered = true;
       r->start_acked_ms = fs->now_ms;
       if (boot_shown)
         r->boot_start_ms = 0;
@@ -416,14 +448,10 @@
       r->answer_lost_ms = fs->now_ms;
       if (r->state != START_SENT)
         return;
-      /* The task was placed by what held for the boot of the first try. */
-      if (may_try_again (r) && fs->may_order && !r->exec->unreachable
-          && p->n_exec_boots == r->exec->n_boots)
-        start_send (fs, r);
-      else if (r->job->spec.steps[r->step].gang)
+      exec_ask_list (fs, r->exec);
+      r->state = START_UNCONFIRMED;
+      if (!may_try_again (r) && r->job->spec.steps[r->step].gang)
         start_stop_gang (fs, r->job, r->step);
-      else
-        r->state = START_UNCONFIRMED;
     }
 }
 
