The next leader knows of copies of starts that may be carried out

Cause: only the leader that had sent the copy knew of it. Class: a fact that outlives a term is kept in memory. The rows of intents name such copies now, with the time for which they may be carried out, before or with the record of the run's end. A start that an earlier leader sent, and that no list shows, counts as such a copy from the claim on.

--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -114,6 +114,12 @@
  * sent.
  */
 void intent_add (struct fsched *fs, struct start *r);
+/**
+ * intent_add_copies() - Record that a copy of the start order of @r may be
+ * carried out until @until_ms, whatever becomes of the start.
+ */
+void intent_add_copies (struct fsched *fs, const struct start *r,
+                        int64_t until_ms);
 /**
  * intent_set_boot() - Let the intent of a start name the boot that the start
  * is known to run on when it is written next.
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -11,6 +11,10 @@
  * that are still needed are written again with the new ones.  Rows are
  * therefore never deleted.  An intent is needed until the end of its start is
  * recorded.
+ *
+ * The rows also name starts of which a copy without an answer may be carried
+ * out although another copy was sent or the run has ended.  A new leader, too,
+ * then acknowledges no end of the executor or the task.
  */
 #include "fsched_impl.h"
 
@@ -38,6 +42,9 @@
   char exec[CLB_ID_MAX];
   int64_t boot_start_ms; /* as start::boot_start_ms */
   uint64_t end_seq;      /* intents::n_ends at the start's end; 0: not ended */
+  /* Until then, a copy of the start that was not answered may be carried out;
+     0: the entry is an intent. */
+  int64_t copies_until_ms;
 };
 
 void
@@ -71,18 +78,16 @@
 }
 
 static struct intent *
-intent_new (struct start *r)
+intent_new (const struct start *r)
 {
   struct intent *e = fsched_zalloc (1, sizeof *e);
 
-  e->start = r;
   clb_copy (e->task.job, r->job->spec.id, sizeof e->task.job);
   e->task.step = r->step;
   e->task.index = r->index;
   e->run_id = r->run_id;
   clb_copy (e->exec, r->exec->rep.id, sizeof e->exec);
   e->boot_start_ms = r->boot_start_ms;
-  r->intent = e;
   return e;
 }
 
@@ -91,6 +96,18 @@
 {
   struct intent *e = intent_new (r);
 
+  r->intent = e;
+  e->start = r;
+  TAILQ_INSERT_TAIL (&fs->intents.waiting, e, link);
+  fs->intents_write_due = true;
+}
+
+void
+intent_add_copies (struct fsched *fs, const struct start *r, int64_t until_ms)
+{
+  struct intent *e = intent_new (r);
+
+  e->copies_until_ms = until_ms;
   TAILQ_INSERT_TAIL (&fs->intents.waiting, e, link);
   fs->intents_write_due = true;
 }
@@ -119,21 +136,29 @@
 {
   const struct job *j;
 
+  if (e->copies_until_ms)
+    return fs->now_ms < e->copies_until_ms;
   if (e->start || e->end_seq > fs->intents.recorded_ends)
     return true;
   j = fs->n_set_aside ? fsched_find_job (fs, e->task.job) : NULL;
   return j && j->set_aside;
 }
 
-/* Returns the line of an intent in a row, which the caller frees. */
+/* Returns the line of an entry in a row, which the caller frees.  The line of
+   a copy ends with the time for which it may still be carried out. */
 static char *
-intent_line (const struct intent *e)
+intent_line (const struct fsched *fs, const struct intent *e)
 {
+  char copies[32] = "";
   char *line;
 
-  if (asprintf (&line, "%s %lld %lld %lld %s %lld\n", e->task.job,
+  if (e->copies_until_ms)
+    snprintf (copies, sizeof copies, " %lld",
+              (long long)(e->copies_until_ms - fs->now_ms));
+  if (asprintf (&line, "%s %lld %lld %lld %s %lld%s\n", e->task.job,
                 (long long)e->task.step, (long long)e->task.index,
-                (long long)e->run_id, e->exec, (long long)e->boot_start_ms)
+                (long long)e->run_id, e->exec, (long long)e->boot_start_ms,
+                copies)
       < 0)
     abort ();
   return line;
@@ -152,7 +177,7 @@
     {
       if (!still_needed (fs, e))
         continue;
-      clb_auto char *line = intent_line (e);
+      clb_auto char *line = intent_line (fs, e);
       n_bytes += (int64_t)strlen (line);
       ++*n;
     }
@@ -165,7 +190,7 @@
 find_row (const struct fsched *fs, int64_t max_bytes)
 {
   const struct intents *p = &fs->intents;
-  clb_auto char *line = intent_line (TAILQ_FIRST (&p->waiting));
+  clb_auto char *line = intent_line (fs, TAILQ_FIRST (&p->waiting));
 
   for (int i = 0; i < INTENT_ROWS; i++)
     {
@@ -200,8 +225,9 @@
    many as a row holds.  Returns the value of the row, which the caller
    frees. */
 static char *
-take_waiting (struct intents *p, int64_t max_bytes)
+take_waiting (struct fsched *fs, int64_t max_bytes)
 {
+  struct intents *p = &fs->intents;
   struct intent *e;
   char *text = NULL;
   size_t len = 0;
@@ -212,7 +238,7 @@
     abort ();
   for (int n = 0; n < ROW_INTENTS_MAX && (e = TAILQ_FIRST (&p->waiting)); n++)
     {
-      clb_auto char *line = intent_line (e);
+      clb_auto char *line = intent_line (fs, e);
       n_bytes += (int64_t)strlen (line);
       if (n_bytes > max_bytes)
         break;
@@ -243,7 +269,7 @@
       return;
     }
   empty_row (fs, row);
-  text = take_waiting (p, fs->limits.row_bytes);
+  text = take_waiting (fs, fs->limits.row_bytes);
   fs->intents_write_due = !TAILQ_EMPTY (&p->waiting);
   snprintf (key, sizeof key, FSCHED_KEY_INTENTS "%03d", row);
   /* The first row of a write always fits. */
@@ -335,13 +361,15 @@
 
 /* Loading. */
 
-/* Parses a line "job step index run_id executor boot_start".  Earlier versions
-   wrote no boot_start.  Returns false if the line is malformed. */
+/* Parses a line "job step index run_id executor boot_start", and that of a
+   copy with the time behind it, see intent_line().  Earlier versions wrote no
+   boot_start.  Returns false if the line is malformed. */
 static bool
-parse_line (char *line, struct intent *e)
+parse_line (const struct fsched *fs, char *line, struct intent *e)
 {
   long long step, index, run_id;
   long long boot_start_ms = 0;
+  long long copies_ms = 0;
   int used = 0;
   char *boot;
 
@@ -354,7 +382,7 @@
   if (boot)
     {
       *boot++ = '\0';
-      if (sscanf (boot, "%lld", &boot_start_ms) != 1)
+      if (sscanf (boot, "%lld %lld", &boot_start_ms, &copies_ms) < 1)
         return false;
     }
   if (strlen (line + used) >= CLB_ID_MAX || run_id < 0
@@ -364,6 +392,8 @@
   e->task.index = index;
   e->run_id = run_id;
   e->boot_start_ms = boot_start_ms;
+  if (copies_ms > 0)
+    e->copies_until_ms = fs->now_ms + copies_ms;
   clb_copy (e->exec, line + used, sizeof e->exec);
   return true;
 }
@@ -382,7 +412,7 @@
        line = strtok_r (NULL, "\n", &save))
     {
       struct intent *e = fsched_zalloc (1, sizeof *e);
-      if (parse_line (line, e))
+      if (parse_line (fs, line, e))
         {
           TAILQ_INSERT_TAIL (&fs->intents.rows[row], e, link);
           continue;
@@ -466,6 +496,21 @@
   return FATE_RUNNING;
 }
 
+/* Holds back the acknowledgements that a copy which an earlier leader sent
+   forbids. */
+static void
+load_copies (struct fsched *fs, const struct intent *e)
+{
+  struct exec *exec = exec_find (fs, e->exec);
+  struct job *j = fsched_task_job (fs, &e->task);
+  struct jtask *t = j ? &j->steps[e->task.step].tasks[e->task.index] : NULL;
+
+  if (exec && e->copies_until_ms > exec->copies_until_ms)
+    exec->copies_until_ms = e->copies_until_ms;
+  if (t && e->copies_until_ms > t->copies_until_ms)
+    t->copies_until_ms = e->copies_until_ms;
+}
+
 /* Logs what a new leader concluded from a loaded intent.  @fate: enum
    intent_fate, not FATE_RUNNING.  Intents of jobs and tasks that are over have
    no line. */
@@ -497,12 +542,17 @@
      when its earlier run has certainly ended. */
   for (int i = 0; i < INTENT_ROWS; i++)
     TAILQ_FOREACH (e, &fs->intents.rows[i], link)
-      if (recorded_fate (fs, e, &j, &t) == FATE_RUNNING
+      if (!e->copies_until_ms && recorded_fate (fs, e, &j, &t) == FATE_RUNNING
           && e->run_id > t->last_run_id)
         t->last_run_id = (int32_t)e->run_id;
   for (int i = 0; i < INTENT_ROWS; i++)
     TAILQ_FOREACH (e, &fs->intents.rows[i], link)
       {
+        if (e->copies_until_ms)
+          {
+            load_copies (fs, e);
+            continue;
+          }
         fate = assume_running (fs, e);
         n_fates[fate]++;
         if (fate != FATE_RUNNING)
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -169,15 +169,41 @@
   return r->tries > r->n_settled ? r->copies_until_ms : 0;
 }
 
+/* Returns for how long after the claim a copy of a start order may be carried
+   out that an earlier leader has sent. */
+static int64_t
+inherited_copy_lifetime_ms (const struct start *r)
+{
+  const struct job_spec *spec = &r->job->spec;
+  int64_t ms = FSCHED_ORDER_LATE_MS;
+
+  if (spec->advice.base_ms > 0 && spec->advice.valid_ms < ms)
+    ms = spec->advice.valid_ms;
+  return ms + FSCHED_CLOCK_MARGIN_MS;
+}
+
+/* Returns whether a run ends without a list that shows it. */
+static bool
+run_was_not_listed (int run_end)
+{
+  return run_end == RUN_END_NOT_STARTED || run_end == RUN_END_REBOOTED
+         || run_end == RUN_END_LAPSED;
+}
+
 /* Notes that copies of the start order of @r, which ends, may be carried
    out.  Until they no longer may, no end of the task is acknowledged, on
    whichever executor. */
 static void
-note_copies (const struct start *r)
+note_copies (struct fsched *fs, const struct start *r, int run_end)
 {
   int64_t until_ms = start_copies_until_ms (r);
   struct jtask *t = start_get_task (r);
 
+  if (r->inherited && run_was_not_listed (run_end))
+    until_ms = fs->claimed_ms + inherited_copy_lifetime_ms (r);
+  /* Most inherited runs that an executor has lost were answered. */
+  if (until_ms > fs->now_ms && !(r->inherited && run_end == RUN_END_REBOOTED))
+    intent_add_copies (fs, r, until_ms);
   if (until_ms > t->copies_until_ms)
     t->copies_until_ms = until_ms;
   if (t->copies_until_ms > r->exec->copies_until_ms)
@@ -210,7 +236,7 @@
             r->state, r->inherited, r->n_stops, (long long)r->boot_start_ms);
   add_run_time (fs, r, run_end);
   fsched_keep_checkpoint (j, step, index, r->checkpoint);
-  note_copies (r);
+  note_copies (fs, r, run_end);
   adjust_use (r, -1);
   set_pending (fs, r, false);
   intent_ended (fs, r);
@@ -412,6 +438,7 @@
       || (r->job->spec.advice.base_ms > 0
           && !permit_valid (fs, &r->job->steps[r->step], r->exec)))
     return false;
+  intent_add_copies (fs, r, start_copies_until_ms (r));
   r->state = START_SENT;
   start_send (fs, r);
   return true;
--- a/regress/fleet/late_orders.lua
+++ b/regress/fleet/late_orders.lua
@@ -76,6 +76,24 @@
   expect(state(0, id(20)) == "completed", "the job is not completed")
 end)
 
+-- The first leader ends the run, but is lost before it acknowledges the end.
+for _, kill_after_ms in ipairs{200, 800, 1400} do
+  scenario("the next leader acknowledges no end while a copy of the start may "
+           .. "be carried out, lost after " .. kill_after_ms, function()
+    start_pair()
+    exec(0, "late-start", 0)
+    submit_job(1, 300)
+    run(200)
+    exec(0, "late-start", -1)
+    run(kill_after_ms)
+    kill_leader()
+    run(3000)
+    restart_in_series(9000, 1)
+    run(10000)
+    expect(state(leader(), id(1)) == "completed", "the job is not completed")
+  end)
+end
+
 scenario("ends are acknowledged soon although answers to starts are lost",
   function()
   start_pair()
