A task is not started elsewhere while a lost start may be carried out late

Such a start counts as over only once its copies can no longer be carried out, too: 12 s, or the life of its ticket, for a single task whose start had no answer and whose executor answers nothing. A late copy of one member of a gang does no work, so gangs, of which all members would stand, do not wait.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -289,14 +289,17 @@
 
 /* Returns whether a boot that has carried out an unanswered start order of @r
    when it was sent, by a clock that the leader does not know, no longer runs
-   it. */
+   it, and no boot will carry it out later.  A late copy of one member of a
+   gang does no work, so gangs do not wait for the latter. */
 static bool
 unanswered_start_over (const struct fsched *fs, const struct start *r)
 {
   int64_t elapsed_ms = fs->now_ms - r->last_sent_ms - FSCHED_CLOCK_MARGIN_MS;
+  bool gang = r->job->spec.steps[r->step].gang;
 
   return r->tries == r->n_settled
-         || elapsed_ms * CLOCK_RATE_LOW / 100 > fs->lease_max_ms;
+         || (elapsed_ms * CLOCK_RATE_LOW / 100 > fs->lease_max_ms
+             && (gang || fs->now_ms >= r->copies_until_ms));
 }
 
 /* Ends the runs of an executor after all leases of its boot have expired. */
