The next leader holds back the end of a task's other run

The end of a run on another executor is recorded like a copy there, and an end that only a list tells of is held back as well.

--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -24,6 +24,19 @@
   return r && r->exec == e && r->run_id == run_id ? r : NULL;
 }
 
+/* Holds back the acknowledgement of an end while a copy of a start of its task
+   may be carried out. */
+static void
+hold_ends_of_task (const struct fsched *fs, struct exec *e,
+                   const struct job *j, const struct task_ref *task)
+{
+  const struct jtask *t = &j->steps[task->step].tasks[task->index];
+
+  if (t->copies_until_ms > fs->now_ms
+      && t->copies_until_ms > e->copies_until_ms)
+    e->copies_until_ms = t->copies_until_ms;
+}
+
 /* Processes an ended run that an executor reports. */
 static void
 process_end_row (struct fsched *fs, struct exec *e, const struct end_row *row)
@@ -51,6 +64,7 @@
                 row->task.job, (long long)row->task.step,
                 (long long)row->task.index, (long long)row->run_id, e->rep.id,
                 run_end_names[row->run_end]);
+      hold_ends_of_task (fs, e, j, &row->task);
       fsched_keep_checkpoint (j, (int)row->task.step, (int)row->task.index,
                               row->checkpoint);
       fsched_task_ended (fs, j, (int)row->task.step, (int)row->task.index,
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -204,6 +204,9 @@
   /* Most inherited runs that an executor has lost were answered. */
   if (until_ms > fs->now_ms && !(r->inherited && run_end == RUN_END_REBOOTED))
     intent_add_copies (fs, r, until_ms);
+  /* Copies of another run.  The next leader may not know the task any more. */
+  if (t->copies_until_ms > fs->now_ms && t->copies_until_ms > until_ms)
+    intent_add_copies (fs, r, t->copies_until_ms);
   if (until_ms > t->copies_until_ms)
     t->copies_until_ms = until_ms;
   if (t->copies_until_ms > r->exec->copies_until_ms)
