The record of a copy names the time by the wall clock

The rows of intents are overwritten only as new ones come, and a copy was recorded with the time that was left. The time until which the copy may be carried out is recorded now; 5 s are allowed for the distance of two instances' clocks.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -468,6 +468,7 @@
   fleet_drop_scheduler (f);
   f->fsched = fsched_new (&f->out, &f->last_token, f->now_ms, f->leader.epoch,
                           earlier_runs_wait_ms (f), &f->stats.fsched);
+  f->fsched->wall_offset_ms = f->wall_ms - f->now_ms;
   fsched_set_lease_max (f->fsched, lease_max_ms (f));
   fsched_set_limits (f->fsched, &f->settings.limits);
   fsched_adviser_seen (f->fsched, "", "", 0, 0);
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -28,6 +28,8 @@
   ROW_INTENTS_MAX = 400,
   /* Maximum number of loaded intents that have a log line of their own. */
   LOGGED_INTENTS_MAX = 200,
+  /* Largest distance between the wall clocks of two instances. */
+  WALL_SKEW_MAX_MS = 5000,
 };
 
 /** struct intent - the record of one start */
@@ -145,7 +147,8 @@
 }
 
 /* Returns the line of an entry in a row, which the caller frees.  The line of
-   a copy ends with the time for which it may still be carried out. */
+   a copy ends with the time until which it may be carried out, by the wall
+   clock. */
 static char *
 intent_line (const struct fsched *fs, const struct intent *e)
 {
@@ -154,7 +157,7 @@
 
   if (e->copies_until_ms)
     snprintf (copies, sizeof copies, " %lld",
-              (long long)(e->copies_until_ms - fs->now_ms));
+              (long long)(e->copies_until_ms + fs->wall_offset_ms));
   if (asprintf (&line, "%s %lld %lld %lld %s %lld%s\n", e->task.job,
                 (long long)e->task.step, (long long)e->task.index,
                 (long long)e->run_id, e->exec, (long long)e->boot_start_ms,
@@ -361,15 +364,27 @@
 
 /* Loading. */
 
+/* Returns the local time until which a copy may be carried out.  The instance
+   that recorded it may have had another wall clock.
+   @until_wall_ms: as recorded */
+static int64_t
+copies_until (const struct fsched *fs, int64_t until_wall_ms)
+{
+  int64_t until_ms = until_wall_ms - fs->wall_offset_ms + WALL_SKEW_MAX_MS;
+  int64_t max_ms = fs->now_ms + FSCHED_ORDER_LATE_MS + FSCHED_CLOCK_MARGIN_MS;
+
+  return until_ms < max_ms ? until_ms : max_ms;
+}
+
 /* Parses a line "job step index run_id executor boot_start", and that of a
-   copy with the time behind it, see intent_line().  Earlier versions wrote no
+   copy with a time behind it, see intent_line().  Earlier versions wrote no
    boot_start.  Returns false if the line is malformed. */
 static bool
 parse_line (const struct fsched *fs, char *line, struct intent *e)
 {
   long long step, index, run_id;
   long long boot_start_ms = 0;
-  long long copies_ms = 0;
+  long long copies_wall_ms = 0;
   int used = 0;
   char *boot;
 
@@ -382,7 +397,7 @@
   if (boot)
     {
       *boot++ = '\0';
-      if (sscanf (boot, "%lld %lld", &boot_start_ms, &copies_ms) < 1)
+      if (sscanf (boot, "%lld %lld", &boot_start_ms, &copies_wall_ms) < 1)
         return false;
     }
   if (strlen (line + used) >= CLB_ID_MAX || run_id < 0
@@ -392,8 +407,8 @@
   e->task.index = index;
   e->run_id = run_id;
   e->boot_start_ms = boot_start_ms;
-  if (copies_ms > 0)
-    e->copies_until_ms = fs->now_ms + copies_ms;
+  if (copies_wall_ms)
+    e->copies_until_ms = copies_until (fs, copies_wall_ms);
   clb_copy (e->exec, line + used, sizeof e->exec);
   return true;
 }
