A start is sent again only once its copies are recorded; lists of ends, gangs of one

Members of gangs do not wait for that. - While acknowledgements were held back, an executor's list could fill up: after 500 ends, later ones were not seen for up to 12 s. It gets no starts above 250. - A gang of one task counted as a gang, whose late copies do no work; it does. - A copy that was refused after another one was lost was sent again without a pause, and a 429 or 503 did not count against the executor. Draining and quarantined executors are not sent it again. - An executor that was marked unreachable was asked only if the start had not been confirmed. - has_ends_to_forget() counted from an earlier acknowledgement. - A queue without valid_ms gave copies of earlier leaders no lifetime.

--- a/core/fsched.h
+++ b/core/fsched.h
@@ -211,7 +211,10 @@
   /* Number of start orders that were answered, or certainly not sent.  The
      others may still be carried out. */
   int n_settled;
-  bool copy_answered;    /* an answer has said that the run is there */
+  bool copy_answered; /* an answer has said that the run is there */
+  /* The executor has refused a copy after the answer to another one was
+     lost. */
+  bool refused;
   int64_t last_sent_ms;  /* when the last start order was sent; 0: none was */
   int n_exec_boots;      /* exec::n_boots when the last start order was sent */
   int64_t fencing_token; /* order::fencing_token of the last start order */
@@ -228,6 +231,9 @@
   int64_t sent_wall_ms;
   bool pending;          /* the start counts in fsched::n_pending_starts */
   struct intent *intent; /* the record of the start; NULL: none */
+  /* The record of its copies that must be durable before the start order is
+     sent again; NULL: none. */
+  struct intent *resend;
   /* Name of the latest checkpoint that the executor reported; empty: none. */
   char checkpoint[JOB_CHECKPOINT_SIZE];
 };
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -18,6 +18,9 @@
   /* A measured time that is shorter than exec::answer_ms reduces it by this
      part of the difference. */
   ANSWER_DECAY_DIVISOR = 4,
+  /* Number of ends in an executor's list above which it gets no starts, half
+     of what one answer holds. */
+  LISTED_ENDS_MAX = 250,
 };
 
 int
@@ -289,17 +292,16 @@
 
 /* Returns whether a boot that has carried out an unanswered start order of @r
    when it was sent, by a clock that the leader does not know, no longer runs
-   it, and no boot will carry it out later.  A late copy of one member of a
-   gang does no work, so gangs do not wait for the latter. */
+   it, and no boot will carry it out later.  Gangs do not wait for the latter:
+   all members would stand, and one that starts late does no work alone. */
 static bool
 unanswered_start_over (const struct fsched *fs, const struct start *r)
 {
   int64_t elapsed_ms = fs->now_ms - r->last_sent_ms - FSCHED_CLOCK_MARGIN_MS;
-  bool gang = r->job->spec.steps[r->step].gang;
 
   return r->tries == r->n_settled
          || (elapsed_ms * CLOCK_RATE_LOW / 100 > fs->lease_max_ms
-             && (gang || fs->now_ms >= r->copies_until_ms));
+             && (start_in_gang (r) || fs->now_ms >= r->copies_until_ms));
 }
 
 /* Ends the runs of an executor after all leases of its boot have expired. */
@@ -580,7 +582,10 @@
   mark_reachable (fs, e, p, res);
   if (p->n_exec_boots == e->n_boots
       && p->recorded_end_seq > e->forgotten_end_seq)
-    e->forgotten_end_seq = p->recorded_end_seq;
+    {
+      e->forgotten_end_seq = p->recorded_end_seq;
+      e->acks_due_ms = fs->now_ms;
+    }
   lists_process (fs, e, p, res);
   crash_check_lapsed (fs, e, res);
   if (!e->ends_left)
@@ -659,13 +664,16 @@
   return boot_has_changed (e, e->rep.boot_start_ms);
 }
 
-/* Returns whether ends have been due for long that the executor may forget
+/* Returns whether the executor gets no starts until it has forgotten ends: it
+   lists so many that later ones would soon be left out, or it may forget them
    only once all starts on their way are answered. */
 static bool
-awaits_answers (const struct fsched *fs, const struct exec *e)
+has_ends_to_forget (const struct fsched *fs, const struct exec *e)
 {
   const struct start *r;
 
+  if (e->seen_end_seq - e->forgotten_end_seq >= LISTED_ENDS_MAX)
+    return true;
   if (!ends_are_due (fs, e)
       || fs->now_ms - e->acks_due_ms < FSCHED_POLL_HELD_MS)
     return false;
@@ -681,7 +689,8 @@
   return exec_recently_listed (fs, e) && e->answered && !e->unreachable
          && e->recorded && e->reconciled && !e->n_orphans && !e->rep.draining
          && !entry_is_of_other_boot (e) && !(e->domain && e->domain->silent)
-         && fs->now_ms >= e->quarantine_until_ms && !awaits_answers (fs, e);
+         && fs->now_ms >= e->quarantine_until_ms
+         && !has_ends_to_forget (fs, e);
 }
 
 bool
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -120,6 +120,11 @@
  */
 void intent_add_copies (struct fsched *fs, const struct start *r,
                         int64_t until_ms);
+/**
+ * intent_add_resend() - Record the copies of the start order of @r, then call
+ * start_send_again().
+ */
+void intent_add_resend (struct fsched *fs, struct start *r, int64_t until_ms);
 /**
  * intent_set_boot() - Let the intent of a start name the boot that the start
  * is known to run on when it is written next.
@@ -263,15 +268,18 @@
  * start.
  */
 void start_stop_gang (struct fsched *fs, struct job *j, int step);
+/** start_in_gang() - Return whether the run is a member of a gang of several
+ * tasks, which wait for each other. */
+bool start_in_gang (const struct start *r);
 /** start_stop_with_gang() - Stop the run and, if it is a member of a gang, the
  * other members. */
 void start_stop_with_gang (struct fsched *fs, struct start *r);
-/**
- * start_send_again() - Send a start order again that no list has confirmed.
- *
- * Return: false if that is not possible.
- */
-bool start_send_again (struct fsched *fs, struct start *r);
+/** start_try_again() - Send a start order again that no list has confirmed,
+ * once its copies are recorded, or stop the run if that is not possible. */
+void start_try_again (struct fsched *fs, struct start *r);
+/** start_send_again() - Send the start order again after its copies have been
+ * recorded, unless another order or a list has told of the run meanwhile. */
+void start_send_again (struct fsched *fs, struct start *r);
 /** start_settle() - Note that a list shows the run: if only one copy of its
  * start has no answer, that one was carried out. */
 void start_settle (struct start *r);
--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -47,6 +47,7 @@
   /* Until then, a copy of the start that was not answered may be carried out;
      0: the entry is an intent. */
   int64_t copies_until_ms;
+  struct start *resend; /* the start to send again once this is durable */
 };
 
 void
@@ -114,6 +115,14 @@
   fs->intents_write_due = true;
 }
 
+void
+intent_add_resend (struct fsched *fs, struct start *r, int64_t until_ms)
+{
+  intent_add_copies (fs, r, until_ms);
+  r->resend = TAILQ_LAST (&fs->intents.waiting, intentq);
+  r->resend->resend = r;
+}
+
 void
 intent_set_boot (const struct start *r)
 {
@@ -124,6 +133,9 @@
 void
 intent_ended (struct fsched *fs, struct start *r)
 {
+  if (r->resend)
+    r->resend->resend = NULL;
+  r->resend = NULL;
   if (!r->intent)
     return;
   r->intent->start = NULL;
@@ -331,6 +343,13 @@
           mark_start_sent (fs, r->job);
           start_send (fs, r);
         }
+      r = e->resend;
+      e->resend = NULL;
+      if (r)
+        {
+          r->resend = NULL;
+          start_send_again (fs, r);
+        }
     }
 }
 
--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -281,9 +281,8 @@
     end_missing_run (fs, e, r);
   else if (r->state == START_ACKED)
     start_stop (fs, r);
-  else if (r->state == START_UNCONFIRMED && r->answer_lost_ms <= p->sent_ms
-           && !start_send_again (fs, r))
-    start_stop_with_gang (fs, r);
+  else if (r->state == START_UNCONFIRMED && r->answer_lost_ms <= p->sent_ms)
+    start_try_again (fs, r);
 }
 
 /* Keeps whether the executor has more ended runs than its last answer lists.
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -2,8 +2,8 @@
  * Starts of tasks.  A start is sent to an executor, which then lists the run
  * as running and later as ended.  If the answer to a start is lost, the
  * executor's next list of runs decides: if the list contains the run, the
- * start is confirmed; if not, the run is stopped by its id.  An executor never
- * starts a run that was stopped.
+ * start is confirmed; if not, the start is sent again, or the run is stopped
+ * by its id.  An executor never starts a run that was stopped.
  */
 #include "fsched_impl.h"
 
@@ -99,6 +99,13 @@
       start_stop (fs, s->tasks[i].run);
 }
 
+bool
+start_in_gang (const struct start *r)
+{
+  return r->job->spec.steps[r->step].gang
+         && r->job->steps[r->step].n_tasks > 1;
+}
+
 void
 start_stop_with_gang (struct fsched *fs, struct start *r)
 {
@@ -177,7 +184,8 @@
   const struct job_spec *spec = &r->job->spec;
   int64_t ms = FSCHED_ORDER_LATE_MS;
 
-  if (spec->advice.base_ms > 0 && spec->advice.valid_ms < ms)
+  if (spec->advice.base_ms > 0 && spec->advice.valid_ms > 0
+      && spec->advice.valid_ms < ms)
     ms = spec->advice.valid_ms;
   return ms + FSCHED_CLOCK_MARGIN_MS;
 }
@@ -428,23 +436,53 @@
 static bool
 may_try_again (const struct start *r)
 {
-  int max = r->job->spec.steps[r->step].gang ? FSCHED_GANG_TRIES
-                                             : FSCHED_START_TRIES;
+  int max = start_in_gang (r) ? FSCHED_GANG_TRIES : FSCHED_START_TRIES;
 
-  return r->tries < max && r->exec->answer_ms < FSCHED_CALL_TIMEOUT_MS;
+  return r->tries < max && !r->refused
+         && r->exec->answer_ms < FSCHED_CALL_TIMEOUT_MS;
 }
 
-bool
+/* Returns whether the executor may be sent the start order again. */
+static bool
+may_send_again (const struct fsched *fs, const struct start *r)
+{
+  const struct exec *e = r->exec;
+
+  return may_try_again (r) && fs->may_order && !e->unreachable
+         && !e->rep.draining && fs->now_ms >= e->quarantine_until_ms
+         && !job_state_final (r->job->state)
+         && (r->job->spec.advice.base_ms <= 0
+             || permit_valid (fs, &r->job->steps[r->step], e));
+}
+
+void
+start_try_again (struct fsched *fs, struct start *r)
+{
+  if (r->resend)
+    return;
+  if (!may_send_again (fs, r))
+    {
+      start_stop_with_gang (fs, r);
+      return;
+    }
+  intent_add_resend (fs, r, start_copies_until_ms (r));
+  /* The other members do not wait for as long as the table may take. */
+  if (start_in_gang (r))
+    start_send_again (fs, r);
+}
+
+void
 start_send_again (struct fsched *fs, struct start *r)
 {
-  if (!may_try_again (r) || !fs->may_order || job_state_final (r->job->state)
-      || (r->job->spec.advice.base_ms > 0
-          && !permit_valid (fs, &r->job->steps[r->step], r->exec)))
-    return false;
-  intent_add_copies (fs, r, start_copies_until_ms (r));
+  if (r->state != START_UNCONFIRMED)
+    return;
+  if (!may_send_again (fs, r))
+    {
+      start_stop_with_gang (fs, r);
+      return;
+    }
   r->state = START_SENT;
   start_send (fs, r);
-  return true;
 }
 
 void
@@ -491,11 +529,19 @@
 
   /* No more tasks are placed on the executor until a poll of it succeeds. */
   if (outcome == ORDER_UNREACHED || outcome == ORDER_LOST)
-    exec_mark_unreachable (fs, r->exec, "order-timeout");
+    {
+      exec_mark_unreachable (fs, r->exec, "order-timeout");
+      exec_ask_list (fs, r->exec);
+    }
   /* If an earlier answer was lost, the earlier copy of the start order may
      have arrived, whatever the result of this copy is. */
-  if (r->answer_lost_ms && outcome != ORDER_DONE)
-    outcome = ORDER_LOST;
+  if (r->answer_lost_ms && outcome != ORDER_DONE && outcome != ORDER_LOST)
+    {
+      r->refused = true;
+      if (outcome == ORDER_BUSY)
+        exec_count_failure (fs, r->exec);
+      outcome = ORDER_LOST;
+    }
   switch (outcome)
     {
     case ORDER_DONE:
@@ -531,7 +577,6 @@
       r->answer_lost_ms = fs->now_ms;
       if (r->state != START_SENT)
         return;
-      exec_ask_list (fs, r->exec);
       r->state = START_UNCONFIRMED;
       if (!may_try_again (r) && r->job->spec.steps[r->step].gang)
         start_stop_gang (fs, r->job, r->step);
--- a/regress/fleet/late_orders.lua
+++ b/regress/fleet/late_orders.lua
@@ -7,9 +7,9 @@
   run(3000)
 end
 
--- Submits job n of one task that runs for ms.
-local function submit_job(n, ms)
-  job{id = id(n), steps = {{tasks = 1, ms = ms}}}
+-- Submits job n of one task, or of a gang of one, that runs for ms.
+local function submit_job(n, ms, gang)
+  job{id = id(n), steps = {{tasks = 1, ms = ms, gang = gang}}}
   submit(n % 3, id(n))
 end
 
@@ -94,6 +94,79 @@
   end)
 end
 
+scenario("the next leader does not acknowledge the end of another run of the "
+         .. "task", function()
+  start_pair()
+  exec(0, "late-start", 0)
+  submit_job(1, 300)
+  run(250)
+  exec(0, "late-start", -1)
+  exec(1, "listed", 1)
+  exec(0, "boot-clock", 1)
+  exec(0, "reboot")
+  run(900)
+  kill_leader()
+  run(2500)
+  restart_in_series(9000, 1)
+  run(10000)
+  expect(state(leader(), id(1)) == "completed", "the job is not completed")
+end)
+
+scenario("a start is sent again only once its first copy is recorded", function()
+  start_pair()
+  exec(0, "late-start", 0)
+  submit_job(1, 300)
+  run(400)
+  local l = the_leader()
+  instance(l, "partition-store", 3000)
+  run(105)
+  exec(0, "late-start", -1)
+  run(200)
+  instance(l, "kill")
+  run(3500)
+  restart_in_series(8000, 1)
+  run(10000)
+  expect(state(leader(), id(1)) == "completed", "the job is not completed")
+end)
+
+scenario("the record of an old copy holds back no acknowledgements", function()
+  start_pair()
+  exec(0, "late-start", 0)
+  submit_job(1, 300)
+  run(1200)
+  exec(0, "late-start", -1)
+  run(60000)
+  kill_leader()
+  run(9000)
+  submit_job(2, 300)
+  run(4000)
+  local _, _, acknowledged = task(id(2), 0, 0)
+  expect(acknowledged, "the end is not acknowledged")
+end)
+
+scenario("the list of ends does not fill up while a copy may be carried out",
+  function()
+  start_pair()
+  exec(0, "late-start", 0)
+  submit_job(1, 300)
+  run(1200)
+  exec(0, "late-start", -1)
+  for n = 10, 169 do
+    if n == 70 then exec(1, "listed", 1) end
+    job{id = id(n), steps = {{tasks = 10, ms = 50, cpu = 100, mem = 10}}}
+    submit(n % 3, id(n))
+    run(25)
+  end
+  run(2000)
+  local calls = {}
+  for n = 10, 169 do calls[n] = request(0, id(n)) end
+  run(400)
+  for n = 10, 169 do
+    local _, body = answer(calls[n])
+    expect(body == "completed", "job " .. n .. " is " .. tostring(body))
+  end
+end)
+
 scenario("ends are acknowledged soon although answers to starts are lost",
   function()
   start_pair()
@@ -119,17 +192,20 @@
     expect(state(0, id(1)) == "completed", "the job is not completed")
   end)
 
-  scenario("a task is not started elsewhere while a copy of its start may be "
-           .. "carried out, clock " .. clock_ms, function()
-    start_pair()
-    exec(0, "late-start", 0)
-    submit_job(1, 14000)
-    run(1900)
-    exec(0, "late-start", -1)
-    exec(1, "listed", 1)
-    run(100)
-    restart_in_series(10500, clock_ms)
-    run(40000)
-    expect(state(0, id(1)) == "completed", "the job is not completed")
-  end)
+  for _, gang in ipairs{false, true} do
+    scenario("a task is not started elsewhere while a copy of its start may be "
+             .. "carried out, clock " .. clock_ms .. ", gang " .. tostring(gang),
+             function()
+      start_pair()
+      exec(0, "late-start", 0)
+      submit_job(1, 14000, gang)
+      run(1900)
+      exec(0, "late-start", -1)
+      exec(1, "listed", 1)
+      run(100)
+      restart_in_series(10500, clock_ms)
+      run(40000)
+      expect(state(0, id(1)) == "completed", "the job is not completed")
+    end)
+  end
 end
--- a/regress/unit/exec_test.c
+++ b/regress/unit/exec_test.c
@@ -383,6 +383,8 @@
   x.now_ms += STEP_MS;
   fsched_tick (x.fs, x.now_ms, true);
   answer_late (&x, take_order_to (&x, ORDER_POLL, "e0"), 0, &listed, 1);
+  collect (&x);
+  fsched_recorded (x.fs);
   answer_late (&x, take_order (&x, ORDER_START), 0, NULL, 0);
   for (int64_t end_ms = x.now_ms + 5000; x.now_ms < end_ms;)
     step (&x);
