The soak names every kind of violation

The stand-in printed the first violation only. It now counts them by kind and keeps the first of each; TWICE is told apart by its reason, and by whether the start was executed late, which the stand-in did not mark before. The check fails as before if there is any violation.

--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -432,6 +432,20 @@
   uint64_t ticks;
 };
 
+enum
+{
+  FSIM_VIOLATION_KINDS_MAX = 24, /* more kinds count as the last one */
+  FSIM_VIOLATION_SIZE = 256,     /* size of the text of a violation */
+};
+
+/** struct fviolations - violations of one kind */
+struct fviolations
+{
+  char kind[64]; /* first word of their texts, for TWICE also the reason */
+  int n;
+  char first[FSIM_VIOLATION_SIZE];
+};
+
 /** struct fsim - a simulation: its clock, processes and results */
 struct fsim
 {
@@ -470,7 +484,10 @@
   uint64_t answers_unused[UNUSED_N];
   int64_t n_advice_queries; /* queries that the advice service has received */
   int n_violations;
-  char first_violation[256]; /* empty if no violation was reported */
+  /* Empty if no violation was reported. */
+  char first_violation[FSIM_VIOLATION_SIZE];
+  struct fviolations violations[FSIM_VIOLATION_KINDS_MAX];
+  int n_violation_kinds;
   /* Largest size of a row in the settings of instances. */
   int64_t row_bytes_setting;
   /* A lease ends no later than this time after the order that extends it. */
@@ -516,7 +533,8 @@
  * including, 1.
  */
 double fsim_random (struct fsim *s);
-/** fsim_violation() - Count a violation and keep the text of the first. */
+/** fsim_violation() - Count a violation and keep the text of the first, and of
+ * the first of its kind. */
 void fsim_violation (struct fsim *s, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
 /** fsim_start_instance() - Start a new process of instance @i. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -2,6 +2,7 @@
    requests. */
 #include "fsim.h"
 
+#include <limits.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -35,18 +36,58 @@
   return (double)(s->rng_state >> 11) / (double)(1ULL << 53);
 }
 
+/* Sets @kind to the kind of a violation: the first word of its text, and for
+   TWICE also the reason, which stands after ": ", up to ", late". */
+static void
+violation_kind (const char *text, char *kind, size_t size)
+{
+  const char *reason = strstr (text, ": ");
+  const char *late = strstr (text, ", late");
+  int len = (int)strcspn (text, " ");
+
+  if (!reason || strncmp (text, "TWICE ", 6) != 0)
+    snprintf (kind, size, "%.*s", len, text);
+  else
+    snprintf (kind, size, "TWICE %.*s",
+              late ? (int)(late + strlen (", late") - reason - 2) : INT_MAX,
+              reason + 2);
+}
+
+/* Return: the entry of the violations of @kind. */
+static struct fviolations *
+violations_of (struct fsim *s, const char *kind)
+{
+  int i = 0;
+
+  while (i < s->n_violation_kinds && i < FSIM_VIOLATION_KINDS_MAX - 1
+         && strcmp (s->violations[i].kind, kind) != 0)
+    i++;
+  if (i == s->n_violation_kinds)
+    {
+      s->n_violation_kinds++;
+      clb_copy (s->violations[i].kind, kind, sizeof s->violations[i].kind);
+    }
+  return &s->violations[i];
+}
+
 void
 fsim_violation (struct fsim *s, const char *fmt, ...)
 {
   char text[200];
+  char kind[64];
+  struct fviolations *v;
   va_list ap;
 
   va_start (ap, fmt);
   vsnprintf (text, sizeof text, fmt, ap);
   va_end (ap);
+  violation_kind (text, kind, sizeof kind);
+  v = violations_of (s, kind);
+  if (v->n++ == 0)
+    snprintf (v->first, sizeof v->first, "at %lld: %s", (long long)s->now_ms,
+              text);
   if (s->n_violations++ == 0)
-    snprintf (s->first_violation, sizeof s->first_violation, "at %lld: %s",
-              (long long)s->now_ms, text);
+    clb_copy (s->first_violation, v->first, sizeof s->first_violation);
 }
 
 /* fsim::events is a binary heap with the earliest event first. */
--- a/regress/process/fleetkill.sh
+++ b/regress/process/fleetkill.sh
@@ -80,6 +80,6 @@
 	;;
 esac
 check "violations of guarantees that executors observed" "" \
-	"$(grep '^violation' "$dir/standin.log" | tail -1)"
+	"$(violations)"
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/regress/process/fleetlib.sh
+++ b/regress/process/fleetlib.sh
@@ -137,6 +137,19 @@
 	sleep 1.5
 }
 
+# violations: prints the last line of each kind of violation in the log of the
+# stand-in, with the number and the first violation of the kind.
+violations() {
+	awk '/^violation/ {
+			kind = $0
+			sub(/:.*/, "", kind)
+			if (!(kind in last)) kinds[++n] = kind
+			last[kind] = $0
+		}
+		END { for (i = 1; i <= n; i++) print last[kinds[i]] }' \
+		"$dir/standin.log"
+}
+
 # leader: prints the number of the instance whose metrics show that it leads, or
 # nothing if none does.
 leader() {
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -19,10 +19,12 @@
  * runs in real time.  The table listens on PORT, executor K on PORT + 1 + K,
  * and the advice service on the port after that of the last executor.
  *
- * The program prints a line "violation ..." when the executors have detected
- * further violations (see regress/fsim/execs.c), and a line "unanswered ..."
- * for each order that it executes without an answer, and a line "unseen ..."
- * for each poll that lets an executor forget ends which no answer has listed.
+ * The program prints a line "violation KIND: COUNT, first at MS: TEXT" when
+ * the executors have detected further violations of a kind (see
+ * regress/fsim/execs.c); COUNT is their number so far.  It prints a line
+ * "unanswered ..." for each order that it executes without an answer, and a
+ * line "unseen ..." for each poll that lets an executor forget ends which no
+ * answer has listed.
  * It reads commands from standard input, one per line (MS is a time in ms):
  *   table down MS       the table refuses all calls for MS
  *   table late MS       from now on, the table's answers come MS later
@@ -742,7 +744,12 @@
         continue;
       TAILQ_REMOVE (&late_orders, l, link);
       if (can_answer (l->exec))
-        execute_unanswered (l->exec, &l->order);
+        {
+          l->exec->executes_late = true;
+          l->exec->fencing_token_before = l->exec->fencing_token;
+          execute_unanswered (l->exec, &l->order);
+          l->exec->executes_late = false;
+        }
       free (l->order.payload);
       free (l);
     }
@@ -895,17 +902,22 @@
     }
 }
 
-/* Prints a line if violations were detected since the last such line. */
+/* Prints a line for each kind of which violations were detected since the last
+   such line. */
 static void
 report_violations (void)
 {
-  static int reported;
+  static int reported[FSIM_VIOLATION_KINDS_MAX];
 
-  if (sim->n_violations == reported)
-    return;
-  printf ("violation %d, first %s\n", sim->n_violations, sim->first_violation);
-  fflush (stdout);
-  reported = sim->n_violations;
+  for (int i = 0; i < sim->n_violation_kinds; i++)
+    {
+      const struct fviolations *v = &sim->violations[i];
+      if (v->n == reported[i])
+        continue;
+      printf ("violation %s: %d, first %s\n", v->kind, v->n, v->first);
+      fflush (stdout);
+      reported[i] = v->n;
+    }
 }
 
 static void
