--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -803,18 +803,27 @@
   fsim_schedule (s, 4500, delete_discovery_entry, removal);
 }
 
+/* Return: the reading at which the clock of the next boot begins, in 1 ms. */
+static int64_t
+next_boot_clock (struct fsim *s, const struct fexec *e)
+{
+  if (e->next_boot_clock_ms == FSIM_CLOCK_GOES_ON)
+    return clock_now (s, e) + 1;
+  if (e->next_boot_clock_ms >= 0)
+    return e->next_boot_clock_ms;
+  return (int64_t)(fsim_random (s) * BOOT_CLOCK_MAX_MS);
+}
+
 void
 fexec_reboot (struct fsim *s, struct fexec *e)
 {
   if (e->up)
     fexec_crash (s, e);
   e->up = true;
+  e->boot_clock_ms = next_boot_clock (s, e);
   /* The start of a boot must not be 0, which means in
      order_delivery::boot_start_ms that the boot is unknown. */
   e->boot_start_ms = s->now_ms + 1;
-  e->boot_clock_ms = e->next_boot_clock_ms >= 0
-                         ? e->next_boot_clock_ms
-                         : (int64_t)(fsim_random (s) * BOOT_CLOCK_MAX_MS);
   if (e->renames)
     snprintf (e->id, sizeof e->id, "%s-%lld", e->addr,
               (long long)e->boot_start_ms);
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -153,6 +153,14 @@
   int64_t run_id;
 };
 
+enum
+{
+  /* Values of fexec::next_boot_clock_ms: each boot draws the reading, or goes
+     on with the clock of the boot before. */
+  FSIM_CLOCK_DRAWN = -1,
+  FSIM_CLOCK_GOES_ON = -2,
+};
+
 /** struct fexec - a simulated executor */
 struct fexec
 {
@@ -168,7 +176,7 @@
   /* Start of the present or last boot, in simulated time. */
   int64_t boot_start_ms;
   /* Reading of the executor's clock at the start of the boot, and of the next
-     boot; -1: the next one draws it. */
+     boots, or one of the values below. */
   int64_t boot_clock_ms;
   int64_t next_boot_clock_ms;
   /* No instance reaches the executor until this time. */
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -634,7 +634,7 @@
       e->boot_delay_ms = FSIM_BOOT_DELAY_MS;
       e->lost_start = e->dropped_start = e->late_start = -1;
       fexec_reboot (s, e);
-      e->next_boot_clock_ms = -1;
+      e->next_boot_clock_ms = FSIM_CLOCK_DRAWN;
     }
   s->n_inst = instances;
   for (int i = 0; i < instances; i++)
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -366,7 +366,8 @@
    dead-connections    the next value orders fail at once and do not arrive:
                        they are sent on connections of the boot before
    boot-clock          the clock of the next boots begins at value; -1: at a
-                       reading that is drawn
+                       reading that is drawn; -2: where the clock of the boot
+                       before is
    entry-frozen        with value 1, the discovery entry stays as it is,
                        whatever happens to the executor; 0 ends the fault
    drop-stops          with value 1, stop orders do not arrive; 0 ends the
--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -40,6 +40,10 @@
  *   exec K restart MS   ends the boot of executor K; MS later the next one
  *                       begins, and its discovery entry is written within
  *                       1.5 s
+ *   exec K clock any|on|zero
+ *                       the clock of the next boots of executor K begins at a
+ *                       reading that is drawn (at the start), goes on where
+ *                       the clock of the boot before is, or begins at 1 ms
  *   exec K cut MS       executor K does not answer for MS
  *   exec K late MS      from now on, the answers of executor K come MS later
  *   exec K lost SHARE   from now on, executor K answers a SHARE (0 to 1; 0 at
@@ -1357,6 +1361,18 @@
     e->fails_runs = value > 0;
 }
 
+/* Sets where the clock of the next boots begins. */
+static void
+set_boot_clock (int exec_index, const char *mode)
+{
+  if (exec_index < 0 || exec_index >= n_execs)
+    return;
+  exec_servers[exec_index].exec->next_boot_clock_ms
+      = strcmp (mode, "on") == 0     ? FSIM_CLOCK_GOES_ON
+        : strcmp (mode, "zero") == 0 ? 1
+                                     : FSIM_CLOCK_DRAWN;
+}
+
 static void
 run_command (const char *line)
 {
@@ -1375,6 +1391,8 @@
     sadv_inject (fault, value);
   else if (sscanf (line, "advised %255s", path) == 1)
     sadv_write_counts (path);
+  else if (sscanf (line, "exec %d clock %15s", &exec_index, fault) == 2)
+    set_boot_clock (exec_index, fault);
   else if (sscanf (line, "exec %d %15s %lf", &exec_index, fault, &value) >= 2)
     inject_exec_fault (exec_index, fault, value);
   else if (sscanf (line, "queue %c %47s %lf", &digit, name, &value) == 3)
