--- a/core/fsched_intent.c
+++ b/core/fsched_intent.c
@@ -164,12 +164,12 @@
 static char *
 intent_line (const struct fsched *fs, const struct intent *e)
 {
+  int64_t until_wall_ms = e->copies_until_ms + fs->wall_offset_ms;
   char copies[32] = "";
   char *line;
 
   if (e->copies_until_ms)
-    snprintf (copies, sizeof copies, " %lld",
-              (long long)(e->copies_until_ms + fs->wall_offset_ms));
+    snprintf (copies, sizeof copies, " %lld", (long long)until_wall_ms);
   if (asprintf (&line, "%s %lld %lld %lld %s %lld%s\n", e->task.job,
                 (long long)e->task.step, (long long)e->task.index,
                 (long long)e->run_id, e->exec, (long long)e->boot_start_ms,
