An executor stays in use after one lost start; simulated polls are carried out once

A lost start marked its executor as unreachable at once since, so that other starts on it were dropped until its lists came. The executor is asked, and counts as unreachable when the second start of the task is lost, or the lists do not come, as before.

The simulated executors checked the fencing token of a waiting poll again every 10 ms, and refused it once a start with a higher token had come. An order is carried out once; only its answer waits.

--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -528,11 +528,11 @@
     r->n_settled++;
 
   /* No more tasks are placed on the executor until a poll of it succeeds. */
+  if (outcome == ORDER_UNREACHED
+      || (outcome == ORDER_LOST && r->tries >= FSCHED_GANG_TRIES))
+    exec_mark_unreachable (fs, r->exec, "order-timeout");
   if (outcome == ORDER_UNREACHED || outcome == ORDER_LOST)
-    {
-      exec_mark_unreachable (fs, r->exec, "order-timeout");
-      exec_ask_list (fs, r->exec);
-    }
+    exec_ask_list (fs, r->exec);
   /* If an earlier answer was lost, the earlier copy of the start order may
      have arrived, whatever the result of this copy is. */
   if (r->answer_lost_ms && outcome != ORDER_DONE && outcome != ORDER_LOST)
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -559,9 +559,10 @@
   if (o->kind == ORDER_POLL)
     res->boot_start_ms = s->wall_start_ms + e->boot_start_ms;
   res->outcome = ORDER_DONE;
-  if (o->fencing_token < e->fencing_token)
+  /* A poll that waits has been carried out already. */
+  if (first && o->fencing_token < e->fencing_token)
     refusal = REFUSED_FENCE;
-  else
+  else if (first)
     {
       e->fencing_token = o->fencing_token;
       if (o->lease_deadline_ms)
