--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -254,7 +254,6 @@
   struct order *o = fsched_order_new (fs, ORDER_POLL, e, &pend);
 
   pend->exec = e;
-
   e->poll_asked = e->list_due;
   e->list_due = false;
   e->poll_id = o->id;
