Room on executors is counted without copies of them

Cause: room_count(), room_fits() and the counts of the log lines about waiting steps copied the whole executor, over a kilobyte, to count its room beside other reservations. Under overload every query looks at all executors, twice if nothing is free.

Change: exec_fit_beside() takes the reservation as an argument.

--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -724,7 +724,8 @@
 }
 
 int
-exec_fit_count (const struct exec *e, const struct job *j, int step, int max)
+exec_fit_beside (const struct exec *e, const struct job *j, int step, int max,
+                 const struct job_need *reserved)
 {
   const struct job_step *s = &j->spec.steps[step];
   const struct job_need *capacity = &e->rep.capacity;
@@ -733,15 +734,15 @@
 
   if (!s->best_effort_cpu
       && (fits = fit_count (capacity->millicores,
-                            e->used.millicores + e->reserved.millicores,
+                            e->used.millicores + reserved->millicores,
                             s->need.millicores))
              < n)
     n = fits;
-  if ((fits = fit_count (capacity->mem_mb, e->used.mem_mb + e->reserved.mem_mb,
+  if ((fits = fit_count (capacity->mem_mb, e->used.mem_mb + reserved->mem_mb,
                          s->need.mem_mb))
       < n)
     n = fits;
-  if ((fits = fit_count (capacity->accels, e->used.accels + e->reserved.accels,
+  if ((fits = fit_count (capacity->accels, e->used.accels + reserved->accels,
                          s->need.accels))
       < n)
     n = fits;
@@ -756,3 +757,9 @@
     }
   return n < 0 ? 0 : (int)n;
 }
+
+int
+exec_fit_count (const struct exec *e, const struct job *j, int step, int max)
+{
+  return exec_fit_beside (e, j, step, max, &e->reserved);
+}
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -508,6 +508,16 @@
 int exec_fit_count (const struct exec *e, const struct job *j, int step,
                     int max);
 
+/**
+ * exec_fit_beside() - Count how many more tasks of a step @e has capacity for
+ * beside its runs and @reserved.
+ * @max: upper limit of the count
+ *
+ * Return: 0 to @max.
+ */
+int exec_fit_beside (const struct exec *e, const struct job *j, int step,
+                     int max, const struct job_need *reserved);
+
 /* Functions of fsched_account.c. */
 
 /** account_keep_limit() - Keep the account's limit for configurations that
--- a/core/fsched_room.c
+++ b/core/fsched_room.c
@@ -43,11 +43,9 @@
 room_count (const struct exec *e, const struct job *j, int step, int max,
             int view)
 {
-  struct exec seen = *e;
-  int n;
+  struct job_need reserved = reserved_in (e, j, view);
+  int n = exec_fit_beside (e, j, step, max, &reserved);
 
-  seen.reserved = reserved_in (e, j, view);
-  n = exec_fit_count (&seen, j, step, max);
   return n > 0 ? n : 0;
 }
 
@@ -187,19 +185,18 @@
 {
   const struct job_step *spec = &j->spec.steps[step];
   const struct jstep *s = &j->steps[step];
-  struct exec own;
+  struct job_need reserved = e->reserved;
   int n = e->index < s->n_permits && s->room_reserved
               ? s->permits[e->index].n_reserved
               : 0;
 
   if (n == 0 || view != ROOM_UNRESERVED)
     return room_count (e, j, step, s->n_tasks, view);
-  own = *e;
   if (!spec->best_effort_cpu)
-    own.reserved.millicores -= n * spec->need.millicores;
-  own.reserved.mem_mb -= n * spec->need.mem_mb;
-  own.reserved.accels -= n * spec->need.accels;
-  return exec_fit_count (&own, j, step, s->n_tasks);
+    reserved.millicores -= n * spec->need.millicores;
+  reserved.mem_mb -= n * spec->need.mem_mb;
+  reserved.accels -= n * spec->need.accels;
+  return exec_fit_beside (e, j, step, s->n_tasks, &reserved);
 }
 
 /* Returns the number of tasks, at most @max, that a capacity is enough for. */
--- a/core/fsched_why.c
+++ b/core/fsched_why.c
@@ -61,18 +61,17 @@
   const struct jstep *holder;
 };
 
+static const struct job_need nothing;
+
 /* Adds an eligible executor that may run the step to the counts. */
 static void
 count_allowed (const struct fsched *fs, const struct job *j, int step,
                const struct exec *e, bool advice, struct exec_counts *c)
 {
   const struct jstep *s = &j->steps[step];
-  struct exec unreserved = *e;
   int n_free = room_fits (e, j, step, ROOM_UNRESERVED);
-  int n;
+  int n = exec_fit_beside (e, j, step, s->n_tasks, &nothing);
 
-  unreserved.reserved = (struct job_need){ 0 };
-  n = exec_fit_count (&unreserved, j, step, s->n_tasks);
   c->n_allowed++;
   c->n_tickets += advice && permit_valid (fs, s, e);
   c->n_fit_free += n_free;
@@ -360,14 +359,12 @@
   for (int i = 0; i < fs->n_eligible; i++)
     {
       const struct exec *e = fs->eligible[i];
-      struct exec unreserved = *e;
       int fits;
       if (e->index >= s->n_permits
           || s->permits[e->index].state != PERMIT_ALLOWED
           || !exec_usable (e, j, step))
         continue;
-      unreserved.reserved = (struct job_need){ 0 };
-      fits = exec_fit_count (&unreserved, j, step, s->n_tasks);
+      fits = exec_fit_beside (e, j, step, s->n_tasks, &nothing);
       n_fit += fits;
       if (!permit_valid (fs, s, e))
         continue;
