Evacuation of a failure domain

Change: each instance keeps the set of evacuated domains from the feed of the configuration's table (core/evac.c); the leader starts nothing there, drops starts that are not sent and does not send others again.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -439,6 +439,7 @@
   d->fleet.settings.revoke_ms = new_settings.revoke_ms;
   d->fleet.settings.conf_apply_ms = new_settings.conf_apply_ms;
   d->fleet.settings.lease_max_ms = new_settings.lease_max_ms;
+  d->fleet.settings.evacuate_ms = new_settings.evacuate_ms;
   d->fleet.settings.limits = new_settings.store_limits;
   log_line ("event=settings-reloaded");
 }
@@ -483,6 +484,7 @@
           .revoke_ms = d->settings.revoke_ms,
           .conf_apply_ms = d->settings.conf_apply_ms,
           .lease_max_ms = d->settings.lease_max_ms,
+          .evacuate_ms = d->settings.evacuate_ms,
           .millicores = d->settings.millicores,
           .limits = d->settings.store_limits,
           .codec = pf_codec };
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -43,6 +43,7 @@
   follow_init (&f->job_feed, "job", FSCHED_JOB_PARTS, FLEET_FEED_WAIT_MS,
                &f->out, &f->last_token);
   f->job_feed.batch_ms = FLEET_JOBS_BATCH_MS;
+  evac_init (&f->evac);
   f->conf_current_ms = INT64_MIN / 2;
   f->conf_superseded_ms = INT64_MIN / 2;
   f->proxy_peer_fresh_ms = INT64_MIN / 2;
@@ -73,6 +74,7 @@
   leader_fini (&f->leader);
   follow_stop (&f->conf_feed);
   fconf_free (f->conf);
+  evac_fini (&f->evac);
   free (f->overloads);
   while ((o = out_take (&f->out)))
     out_free (o);
@@ -212,6 +214,91 @@
     fsched_set_conf (f->fsched, conf);
 }
 
+/* Logs a change of the evacuated failure domains, and passes it to the
+   scheduler. */
+static void
+note_evacuation (struct fleet *f, const char *domain, const char *change,
+                 int64_t ver)
+{
+  out_line (&f->out,
+            "event=evacuation change=%s domain=%.64s row=%lld evacuated=%d",
+            change, domain, (long long)ver, f->evac.n_domains);
+  if (f->fsched)
+    fsched_set_evac (f->fsched, &f->evac);
+}
+
+/* Processes a row of the table of the configuration, if it evacuates a failure
+   domain.  @ver: version of the answer with the row, which counts for the
+   removal of a row without a version */
+static void
+apply_evac_row (struct fleet *f, const struct row *row, int64_t ver)
+{
+  static const char *const changes[] = {
+    [EVAC_BEGUN] = "begun", [EVAC_ENDED] = "ended", [EVAC_IGNORED] = "ignored"
+  };
+  size_t len = strlen (f->settings.codec.evac_prefix);
+  int change;
+
+  if (strncmp (row->key, f->settings.codec.evac_prefix, len) != 0)
+    return;
+  change = evac_row (&f->evac, f->now_ms, row->key + len, row->value != NULL,
+                     row->ver ? row->ver : ver);
+  f->stats.bad_rows += change == EVAC_IGNORED;
+  if (change != EVAC_UNCHANGED)
+    note_evacuation (f, change == EVAC_IGNORED ? "" : row->key + len,
+                     changes[change], row->ver);
+}
+
+/* Ends a complete list of the operator's rows, as of version @ver. */
+static void
+end_evac_list (struct fleet *f, int64_t ver)
+{
+  if (evac_list_end (&f->evac, ver) > 0)
+    note_evacuation (f, "", "not-listed", ver);
+}
+
+/* Reads the evacuations through a peer if this instance leads and does not
+   reach the table service: its feed does not show them. */
+static void
+fetch_evacuations (struct fleet *f)
+{
+  struct out *o;
+
+  if (!f->settings.evacuate_ms || !f->fsched || f->evac_fetch_token
+      || f->now_ms < f->next_evac_fetch_ms || !proxy_table_unreachable (f)
+      || !proxy_peer (f))
+    return;
+  f->next_evac_fetch_ms = f->now_ms + FLEET_EVAC_FETCH_MS;
+  o = out_new (&f->out, OUT_STORE);
+  f->evac_fetch_token = ++f->last_token;
+  o->u.store.token = f->evac_fetch_token;
+  o->u.store.op.kind = STORE_LIST;
+  if (asprintf (&o->u.store.op.key, "%s/", f->settings.codec.conf_table) < 0)
+    abort ();
+  o->u.store.op.after = strdup (f->settings.codec.evac_prefix);
+  o->u.store.op.limit = EVAC_DOMAINS_MAX;
+}
+
+/* If call @token was made by fetch_evacuations(), handles @rep and returns
+   true; otherwise returns false. */
+static bool
+handle_evac_reply (struct fleet *f, uint64_t token,
+                   const struct store_rep *rep)
+{
+  if (!token || token != f->evac_fetch_token)
+    return false;
+  f->evac_fetch_token = 0;
+  /* A list that the feed has begun is ended by the feed. */
+  if (rep->err || !f->conf_feed.listed)
+    return true;
+  evac_list_begin (&f->evac);
+  for (size_t i = 0; i < rep->n_rows; i++)
+    apply_evac_row (f, &rep->rows[i], rep->ver);
+  if (!rep->more && !rep->n_bad)
+    end_evac_list (f, rep->ver);
+  return true;
+}
+
 /* Reads the configuration through a peer, if none has been read or a newer one
    is known to exist, and this instance does not reach the table service.  The
    feed's own calls are always sent directly. */
@@ -254,11 +341,14 @@
                      const struct store_rep *rep)
 {
   bool mine;
+  bool listed = f->conf_feed.listed;
   int event
       = follow_store_reply (&f->conf_feed, f->now_ms, token, rep, true, &mine);
 
   if (!mine)
     return false;
+  if (listed && !f->conf_feed.listed)
+    evac_list_begin (&f->evac);
   if (rep->err && !f->conf_feed_failed)
     {
       f->conf_feed_failed_since_ms = f->now_ms;
@@ -270,7 +360,13 @@
   if (event == FOLLOW_NONE)
     return true;
   for (size_t i = 0; i < rep->n_rows; i++)
-    apply_config_row (f, &rep->rows[i]);
+    {
+      apply_config_row (f, &rep->rows[i]);
+      apply_evac_row (f, &rep->rows[i], rep->ver);
+    }
+  f->evac.list_damaged |= rep->n_bad > 0;
+  if (event == FOLLOW_LISTED)
+    end_evac_list (f, rep->ver);
   if (event == FOLLOW_CHANGES || event == FOLLOW_LISTED)
     fleet_set_conf_current (f, f->conf_feed.fresh_ms);
   return true;
@@ -477,6 +573,7 @@
     fsched_inherit_overload (f->fsched, f->overloads[i].queue);
   if (f->conf)
     fsched_set_conf (f->fsched, f->conf);
+  fsched_set_evac (f->fsched, &f->evac);
   fleet_load_start (f);
 }
 
@@ -581,7 +678,8 @@
     f->fsched->now_ms = f->now_ms;
   if (!handle_election_reply (f, token, rep)
       && !handle_config_reply (f, token, rep)
-      && !handle_fetch_reply (f, token, rep))
+      && !handle_fetch_reply (f, token, rep)
+      && !handle_evac_reply (f, token, rep))
     if (!f->fsched
         || (!fleet_load_store_reply (f, token, rep)
             && !handle_jobs_reply (f, token, rep)
@@ -654,6 +752,7 @@
   f->wall_ms = wall_ms;
   fleet_send_hello (f);
   fetch_config (f);
+  fetch_evacuations (f);
   proxy_tick (f);
   api_tick (f);
   send_due_output (f);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -11,6 +11,7 @@
 #ifndef FLEET_H
 #define FLEET_H
 
+#include "evac.h"
 #include "fsched.h"
 #include "follow.h"
 #include "leader.h"
@@ -72,6 +73,9 @@
      current is younger than this.  The time covers two waits of the
      configuration's feed and slow answers. */
   FLEET_READY_CONF_AGE_MS = 1400,
+  /* Interval between reads of the evacuations through a peer, by a leader that
+     does not reach the table service. */
+  FLEET_EVAC_FETCH_MS = 1000,
   /* Shortest interval between reads of the configuration through a peer. */
   FLEET_CONF_FETCH_MS = 200,
   /* Size of an answer of the configuration's feed, in bytes, above which it
@@ -151,6 +155,9 @@
   const char *conf_table; /* table that holds the configuration */
   const char *conf_key;   /* key of the configuration's row, "TABLE/KEY" */
   const char *exec_table; /* table of executors' entries, keyed by id */
+  /* Keys of the rows that evacuate a failure domain, without its name.  The
+     rows are in conf_table. */
+  const char *evac_prefix;
 };
 
 /** struct fleet_settings - settings of an instance, fixed at its start */
@@ -165,6 +172,9 @@
   int64_t revoke_ms;
   /* Longest time until a change of the configuration is in force. */
   int64_t conf_apply_ms;
+  /* Longest time until nothing more is started in an evacuated failure domain;
+     0: domains are not evacuated on this platform. */
+  int64_t evacuate_ms;
   /* Longest lease that executors grant; 0: not known.  If it is shorter than
      FSCHED_LEASE_MS, it is taken for that. */
   int64_t lease_max_ms;
@@ -328,6 +338,10 @@
      none. */
   uint64_t conf_fetch_token;
   int64_t next_conf_fetch_ms; /* earliest time of the next such read */
+  struct evac evac; /* failure domains that the operator has evacuated */
+  /* Token of the read of the evacuations through a peer; 0: none. */
+  uint64_t evac_fetch_token;
+  int64_t next_evac_fetch_ms; /* earliest time of the next such read */
   /* Reads the executors' table; active only while this instance leads. */
   struct table_follower exec_feed;
   /* Reads the table of jobs; active only while this instance leads. */
--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -111,6 +111,8 @@
                 f->conf ? f->conf->n_unusable : 0);
   metric_print (out, "config_refused_total", NULL, NULL,
                 f->stats.configs_refused);
+  metric_print (out, "evacuated_domains", NULL, NULL,
+                (uint64_t)f->evac.n_domains);
   metric_print (out, "leading", NULL, NULL, f->leader.state == LEADER_LEADING);
   for (int i = 0; i < FLEET_VERB_N; i++)
     hist_print (out, "request_ms", "verb", fleet_verb_names[i],
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -26,6 +26,7 @@
 
 #include "fsched_lanes.h"
 #include "estim.h"
+#include "evac.h"
 #include "fconf.h"
 #include "fsched_stats.h"
 #include "leader.h"
@@ -493,6 +494,7 @@
   int n_unanswered;
   int64_t first_unanswered_ms;
   bool silent;               /* no tasks are placed in the domain */
+  bool evacuated;            /* nothing is started there, see evac.h */
   struct domain_cores cores; /* as of the last domain_count_cores() */
 };
 TAILQ_HEAD (domainq, domain);
@@ -882,6 +884,7 @@
   struct execq execs;
   struct exec_tree execs_by_id;
   struct domainq domains;
+  const struct evac *evac; /* evacuated failure domains; NULL: none */
   /* Executors that may be given tasks in the current placing pass. */
   struct exec **eligible;
   int n_eligible;
@@ -1039,6 +1042,16 @@
  * @conf: the new configuration; borrowed until it is replaced
  */
 void fsched_set_conf (struct fsched *fs, const struct fconf *conf);
+/**
+ * fsched_set_evac() - Set which failure domains are evacuated.
+ *
+ * To be called again after each change of the set.  Nothing is started in an
+ * evacuated domain: starts that are not sent are dropped, and starts without
+ * an answer are not sent again.  Polls, stops and acknowledgements go on.
+ *
+ * @ev: the set; borrowed for as long as the scheduler exists
+ */
+void fsched_set_evac (struct fsched *fs, const struct evac *ev);
 
 /** fsched_roster_row() - Return the number of the roster's row for executor
  * @id. */
--- a/core/fsched_domain.c
+++ b/core/fsched_domain.c
@@ -30,10 +30,62 @@
       return d;
   d = fsched_zalloc (1, sizeof *d);
   clb_copy (d->name, name, sizeof d->name);
+  d->evacuated = fs->evac && evac_contains (fs->evac, name);
   TAILQ_INSERT_TAIL (&fs->domains, d, link);
   return d;
 }
 
+/* Logs that a domain is evacuated, or no longer, with the executors and runs
+   that it has. */
+static void
+log_evacuated (struct fsched *fs, const struct domain *d)
+{
+  const struct exec *e;
+  const struct start *r;
+  int n_execs = 0;
+  int n_runs = 0;
+  int n_unsent = 0;
+
+  TAILQ_FOREACH (e, &fs->execs, link)
+    {
+      if (e->domain != d)
+        continue;
+      n_execs++;
+      TAILQ_FOREACH (r, &e->runs, exec_link)
+        {
+          bool unsent = r->state == START_INTENT || r->state == START_DROPPED;
+          n_unsent += unsent;
+          n_runs += !unsent;
+        }
+    }
+  out_line (fs->out, "event=domain-%s domain=%s execs=%d runs=%d unsent=%d",
+            d->evacuated ? "evacuated" : "returned", d->name, n_execs, n_runs,
+            n_unsent);
+}
+
+void
+fsched_set_evac (struct fsched *fs, const struct evac *ev)
+{
+  struct domain *d;
+
+  fs->evac = ev;
+  TAILQ_FOREACH (d, &fs->domains, link)
+    {
+      bool evacuated = evac_contains (ev, d->name);
+      if (evacuated == d->evacuated)
+        continue;
+      d->evacuated = evacuated;
+      log_evacuated (fs, d);
+    }
+  fs->pass_due = true;
+}
+
+bool
+domain_takes_starts (const struct exec *e)
+{
+  return !e->domain || (!e->domain->silent && !e->domain->evacuated);
+}
+
 void
 domain_start_sent (struct fsched *fs, const struct exec *e)
 {
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -361,6 +361,9 @@
 
 /** domain_get() - Return failure domain @name, borrowed; add it if new. */
 struct domain *domain_get (struct fsched *fs, const char *name);
+/** domain_takes_starts() - Return whether the failure domain of @e is neither
+ * silent nor evacuated. */
+bool domain_takes_starts (const struct exec *e);
 /** domain_start_sent() - Report that a start order was sent to @e. */
 void domain_start_sent (struct fsched *fs, const struct exec *e);
 /** domain_answered() - Report that @e has answered an order. */
--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -280,6 +280,7 @@
 {
   struct job_need used = { 0 };
   char late[64];
+  int64_t evacuated_ms;
   const struct job_need *capacity
       = s->now_ms - e->shrunk_ms < FSIM_SHRUNK_AFTER_MS
                 && e->earlier_capacity.millicores > e->capacity.millicores
@@ -321,6 +322,11 @@
   fquota_check (s, j, &j->spec.steps[o->task.step].need);
   if (j->refused)
     fsim_violation (s, "REFUSED %s: started although refused", o->task.job);
+  evacuated_ms = s->evacuated_ms[fsim_zone (e->addr)];
+  if (evacuated_ms && s->now_ms - evacuated_ms > s->evacuate_ms
+      && !e->executes_late)
+    fsim_violation (s, "EVAC %s: started on %s %lld ms after the evacuation",
+                    o->task.job, e->id, (long long)(s->now_ms - evacuated_ms));
 }
 
 static void
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -32,6 +32,7 @@
   /* Time after which a reduced capacity counts for LIMIT: the users' contact
      time and one heartbeat. */
   FSIM_SHRUNK_AFTER_MS = 4500,
+  FSIM_ZONES = 3, /* number of failure domains of executors */
   /* Value of fexec::boot_delay_ms unless a script sets another one. */
   FSIM_BOOT_DELAY_MS = 2000,
   /* After this many executors have crashed because they ran a task, fewer than
@@ -472,6 +473,10 @@
   int n_exec;
   int64_t last_tick_ms;  /* time of the last fexec_tick() */
   int64_t last_crash_ms; /* when an executor crashed last */
+  /* When each failure domain was evacuated; 0: it is not. */
+  int64_t evacuated_ms[FSIM_ZONES];
+  /* Time after which nothing may be started in an evacuated one. */
+  int64_t evacuate_ms;
   /* Share (0 to 1) of executors that the advice service permits for a step. */
   double permitted_share;
   /* Time for which the advice service's tickets are valid. */
@@ -527,6 +532,9 @@
 /** fsim_set_lease_max() - Set the longest lease that executors grant, also in
  * the settings of all instances. */
 void fsim_set_lease_max (struct fsim *s, int64_t ms);
+/** fsim_set_evacuate() - Set the time after which nothing may be started in an
+ * evacuated failure domain, also in the instances' settings; 0: unset. */
+void fsim_set_evacuate (struct fsim *s, int64_t ms);
 /** fsim_schedule() - Call @fn with @arg in an event that is due in @after_ms.
  */
 void fsim_schedule (struct fsim *s, int64_t after_ms,
@@ -591,6 +599,12 @@
 
 /** fsim_set_conf() - Write @text to the table as the fleet's configuration. */
 void fsim_set_conf (struct fsim *s, const char *text);
+/** fsim_zone() - Return the number of the failure domain of the executor at
+ * @addr, which the last digit of the address selects. */
+int fsim_zone (const char *addr);
+/** fsim_evacuate() - Let the operator evacuate a failure domain, or take it
+ * back. */
+void fsim_evacuate (struct fsim *s, int zone, bool evacuated);
 
 /* The following functions are defined in quota.c. */
 
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -233,9 +233,7 @@
       != 5)
     return CLB_EPARSE;
   clb_copy (out->id, id, sizeof out->id);
-  /* The last digit of an executor's address selects its failure domain. */
-  snprintf (out->zone, sizeof out->zone, "zone%c",
-            "012"[(out->addr[strlen (out->addr) - 1] - '0') % 3]);
+  snprintf (out->zone, sizeof out->zone, "zone%d", fsim_zone (out->addr));
   clb_copy (out->service, "svc", sizeof out->service);
   out->capacity.millicores = millicores;
   out->capacity.mem_mb = mem;
@@ -349,6 +347,22 @@
   free (text);
 }
 
+int
+fsim_zone (const char *addr)
+{
+  return (addr[strlen (addr) - 1] - '0') % FSIM_ZONES;
+}
+
+void
+fsim_evacuate (struct fsim *s, int zone, bool evacuated)
+{
+  char key[64];
+
+  s->evacuated_ms[zone] = evacuated ? s->now_ms : 0;
+  snprintf (key, sizeof key, "op/evacuate/zone%d", zone);
+  ftable_put (s, key, evacuated ? "{}" : NULL);
+}
+
 void
 fsim_set_conf (struct fsim *s, const char *text)
 {
@@ -555,6 +569,7 @@
           .revoke_ms = 5000,
           .conf_apply_ms = 3000,
           .lease_max_ms = s->lease_max_ms,
+          .evacuate_ms = s->evacuate_ms,
           .millicores = in->millicores,
           .limits = { .row_bytes = s->row_bytes_setting,
                       .call_bytes = CALL_VALUE_BYTES },
@@ -566,7 +581,8 @@
                      .error_body = error_body,
                      .conf_table = "op",
                      .conf_key = "op/config",
-                     .exec_table = "servers" } };
+                     .exec_table = "servers",
+                     .evac_prefix = "op/evacuate/" } };
 
   snprintf (settings.id, sizeof settings.id, "n%d", i);
   snprintf (settings.mesh_addr, sizeof settings.mesh_addr, "n%d", i);
@@ -664,6 +680,14 @@
     s->inst[i]->fleet.settings.lease_max_ms = ms;
 }
 
+void
+fsim_set_evacuate (struct fsim *s, int64_t ms)
+{
+  s->evacuate_ms = ms;
+  for (int i = 0; i < s->n_inst; i++)
+    s->inst[i]->fleet.settings.evacuate_ms = ms;
+}
+
 int
 fsim_leader (const struct fsim *s)
 {
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -38,11 +38,13 @@
 }
 
 /* fleet{instances=, execs=, cores=, mem=, permitted_percent=, ticket_ms=,
-   row_bytes=, lease_max_ms=}: replaces the simulation.  Cores and memory (MB)
-   are those of each executor; the advice service permits permitted_percent of
-   the executors for a step, with tickets that are valid for ticket_ms.  Rows
-   of the table have at most row_bytes, and executors grant leases of at most
-   lease_max_ms, which the instances know from their settings. */
+   row_bytes=, lease_max_ms=, evacuate_ms=}: replaces the simulation.  Cores
+   and memory (MB) are those of each executor; the advice service permits
+   permitted_percent of the executors for a step, with tickets that are valid
+   for ticket_ms.  Rows of the table have at most row_bytes, and executors
+   grant leases of at most lease_max_ms; nothing may be started in a failure
+   domain evacuate_ms after it was evacuated.  The instances know these from
+   their settings. */
 static int
 verb_fleet (lua_State *l)
 {
@@ -60,6 +62,7 @@
   sim->ticket_ms = int_field (l, 1, "ticket_ms", FSIM_TICKET_MS);
   fsim_set_row_bytes (sim, int_field (l, 1, "row_bytes", FSIM_ROW_BYTES_MAX));
   fsim_set_lease_max (sim, int_field (l, 1, "lease_max_ms", FSCHED_LEASE_MS));
+  fsim_set_evacuate (sim, int_field (l, 1, "evacuate_ms", 0));
   return 0;
 }
 
@@ -71,6 +74,18 @@
   return 0;
 }
 
+/* evacuate(zone, on): lets the operator evacuate failure domain zone (0 to 2),
+   or take it back if "on" is false */
+static int
+verb_evacuate (lua_State *l)
+{
+  int zone = (int)luaL_checkinteger (l, 1);
+
+  luaL_argcheck (l, zone >= 0 && zone < FSIM_ZONES, 1, "no such domain");
+  fsim_evacuate (sim, zone, lua_toboolean (l, 2));
+  return 0;
+}
+
 /* run(ms): advances the simulated time by ms and executes the events that are
    due by then */
 static int
@@ -726,6 +741,7 @@
 static const luaL_Reg verbs[] = {
   { "fleet", verb_fleet },
   { "config", verb_config },
+  { "evacuate", verb_evacuate },
   { "run", verb_run },
   { "now", verb_now },
   { "random", verb_random },
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -24,7 +24,8 @@
   struct fleet_settings settings = { .boot = boot,
                                      .codec = { .decode_conf = refuse_conf,
                                                 .conf_table = "op",
-                                                .exec_table = "ex" } };
+                                                .exec_table = "ex",
+                                                .evac_prefix = "evac/" } };
 
   clb_copy (settings.id, "n1", sizeof settings.id);
   clb_copy (settings.mesh_addr, "a", sizeof settings.mesh_addr);
--- a/regress/unit/settings_test.c
+++ b/regress/unit/settings_test.c
@@ -40,12 +40,13 @@
   CU_ASSERT_EQUAL (
       read_settings (
           "{\"revoke_ms\":1000,\"config_apply_ms\":1,\"hold_max_ms\":1,"
-          "\"grace_s\":0}",
+          "\"evacuate_ms\":1,\"grace_s\":0}",
           &s, &ce),
       0);
   CU_ASSERT_EQUAL (s.revoke_ms, 1000);
   CU_ASSERT_EQUAL (s.conf_apply_ms, 1);
   CU_ASSERT_EQUAL (s.lease_max_ms, 1);
+  CU_ASSERT_EQUAL (s.evacuate_ms, 1);
   CU_ASSERT_EQUAL (s.grace_ms, 0);
   CU_ASSERT_EQUAL (s.millicores, 120);
 }
@@ -79,6 +80,7 @@
   CU_ASSERT_EQUAL (
       read_settings ("{\"revoke_ms\":5000,\"grace_s\":6}", &s, &ce), 0);
   CU_ASSERT (s.conf_apply_ms > 0);
+  CU_ASSERT_EQUAL (s.evacuate_ms, 0);
 }
 
 static void
