Racks of gangs and names of queries are found in one pass each

Cause: a gang that prefers one rack was tried on each of some 40 racks, over all executors each time; what a query may name was sorted also where only its sum was needed (the second look of collect_within_bound()).

Change: the room of all racks is counted in one pass, and only the first rack with enough is looked at; candidates are sorted once it is known which are used.

--- a/core/fsched_choice.c
+++ b/core/fsched_choice.c
@@ -111,8 +111,8 @@
   return fs->n_eligible ? (int)(hash % (uint32_t)fs->n_eligible) : 0;
 }
 
-/* Collects what a query about a step may name, those with the most capacity
-   first.  @view: enum room_view */
+/* Collects what a query about a step may name, in no order.
+   @view: enum room_view */
 static void
 collect_choice (struct fsched *fs, struct job *j, int step, int view,
                 struct choice *c)
@@ -153,6 +153,12 @@
             c->expired[c->n_expired++] = (struct named_exec){ e, fits };
         }
     }
+}
+
+/* Sorts what a query may name, those with the most capacity first. */
+static void
+sort_choice (struct choice *c)
+{
   sort_candidates (c->expired, c->n_expired);
   sort_candidates (c->unknown, c->n_unknown);
 }
@@ -296,6 +302,7 @@
   struct choice c = { 0 };
 
   collect_within_bound (fs, j, step, &c);
+  sort_choice (&c);
   if (j->spec.steps[step].gang)
     choose_gang_execs (&c, share, n_waiting,
                        lanes_are_limited (fs) ? 0 : s->n_queries, out);
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -182,6 +182,24 @@
   return n;
 }
 
+/* Counts the members of a gang that the executors of each rack have capacity
+   for, in @fits, which the caller frees; the index is the id of the rack. */
+static int *
+count_rack_fits (struct fsched *fs, const struct job *j, int step, int view)
+{
+  int n_members = j->steps[step].n_tasks;
+  int *fits = fsched_zalloc ((size_t)fs->racks.n + 1, sizeof *fits);
+
+  for (int i = 0; i < fs->n_eligible; i++)
+    {
+      const struct exec *e = fs->eligible[i];
+      if (fits[e->rack_id] < n_members && exec_usable (e, j, step)
+          && permitted (fs, j, step, e))
+        fits[e->rack_id] += room_count (e, j, step, n_members, view);
+    }
+  return fits;
+}
+
 /* Chooses the rack of a gang and fills @candidates as gang_candidates() does:
    the rack of the step's data if possible, else any single rack if the step
    prefers one, else all racks.  Returns the number of candidates, 0 if the
@@ -191,15 +209,19 @@
                    struct candidate *candidates)
 {
   int data_rack_id = j->steps[step].data_rack_id;
+  clb_auto int *fits = NULL;
   size_t n;
 
   if (data_rack_id
       && (n = gang_candidates (fs, j, step, data_rack_id, view, candidates)))
     return n;
   if (j->spec.steps[step].same_rack)
-    for (int rack_id = 1; rack_id <= fs->racks.n; rack_id++)
-      if ((n = gang_candidates (fs, j, step, rack_id, view, candidates)))
-        return n;
+    {
+      fits = count_rack_fits (fs, j, step, view);
+      for (int rack_id = 1; rack_id <= fs->racks.n; rack_id++)
+        if (fits[rack_id] >= j->steps[step].n_tasks)
+          return gang_candidates (fs, j, step, rack_id, view, candidates);
+    }
   return gang_candidates (fs, j, step, 0, view, candidates);
 }
 
