--- a/core/fsched.h
+++ b/core/fsched.h
@@ -208,6 +208,7 @@
   /* enum order_outcome of the last stop order; -1: none has a result. */
   int stop_outcome;
   uint64_t order_id; /* id of the outstanding start or stop order; 0: none */
+  bool unanswered;   /* the start counts in exec::n_unanswered */
   int tries;         /* number of start orders sent */
   /* Number of start orders that were answered, or certainly not sent.  The
      others may still be carried out. */
@@ -517,9 +518,13 @@
 {
   TAILQ_ENTRY (exec) link;
   RB_ENTRY (exec) by_id;
-  struct exec_report rep; /* the executor's latest entry in discovery */
-  struct domain *domain;  /* the executor's failure domain */
-  int service_id;         /* interned id of the executor's service */
+  /* Earliest time at which exec_tick() has something to do; 0: not known.
+     Checks of all executors read only this far, and exec_eligible() not much
+     further: the fields are in the order of use, as hundreds of executors do
+     not stay in the processor's cache. */
+  int64_t due_ms;
+  struct domain *domain; /* the executor's failure domain */
+  int service_id;        /* interned id of the executor's service */
   int rack_id; /* interned id of the executor's rack; 0: none reported */
   /* Bit set of the interned ids of the executor's labels, see LABELS_MAX. */
   uint64_t label_set;
@@ -536,8 +541,28 @@
   bool reconciled;
   /* An order or poll has failed, and no poll has succeeded since. */
   bool unreachable;
-  int roster_row; /* number of the roster's row for the executor */
-  bool recorded;  /* the recorded roster contains the executor */
+  /* The executor has answered a poll since the last sign of a new boot. */
+  bool boot_known;
+  /* Number of orphans in the executor's last list: runs whose job is unknown,
+     or whose task has another run. */
+  int n_orphans;
+  /* Start of the boot that answered the last poll; 0: not reported. */
+  int64_t boot_start_ms;
+  int64_t last_contact_ms; /* local time of the last answer */
+  /* End of the last quarantine; 0: there was none. */
+  int64_t quarantine_until_ms;
+  /* Ends of runs up to this sequence number have been processed. */
+  int64_t seen_end_seq;
+  /* Ends of runs up to this sequence number are recorded. */
+  int64_t recorded_end_seq;
+  /* The boot has acknowledged that it has forgotten the ends up to this
+     sequence number. */
+  int64_t forgotten_end_seq;
+  /* Since when ends are recorded that the boot has not forgotten. */
+  int64_t acks_due_ms;
+  int n_unanswered; /* runs in START_SENT with an outstanding start order */
+  int roster_row;   /* number of the roster's row for the executor */
+  bool recorded;    /* the recorded roster contains the executor */
   /* The roster in the outstanding write contains the executor. */
   bool writing;
   struct startq runs; /* starts on the executor, sent or not */
@@ -561,19 +586,12 @@
   /* The most urgent step that room is reserved for; NULL: there is none. */
   struct jstep *holder;
   bool eligible; /* the current placing pass may give tasks to the executor */
-  /* Number of orphans in the executor's last list: runs whose job is unknown,
-     or whose task has another run. */
-  int n_orphans;
   /* Id of the poll whose lists were processed last; 0: none of this boot. */
   uint64_t list_poll_id;
   size_t n_bad_rows; /* order_result::n_bad_rows of the last poll */
   bool ends_left;    /* order_result::ends_left of the last poll */
-  /* Start of the boot that answered the last poll; 0: not reported. */
-  int64_t boot_start_ms;
-  /* The executor has answered a poll since the last sign of a new boot. */
-  bool boot_known;
-  int n_resets; /* polls since that sign which failed at once */
-  int n_boots;  /* boots that this leader has noticed after the first */
+  int n_resets;      /* polls since that sign which failed at once */
+  int n_boots;       /* boots that this leader has noticed after the first */
   int n_fences; /* times that the token was raised, FSCHED_FENCES_MAX at most
                  */
   /* Number of polls with the present token that acknowledge ends and have no
@@ -583,17 +601,14 @@
   int64_t copies_until_ms;
   /* Start of the last boot that discovery has listed as draining; 0: none. */
   int64_t drained_boot_ms;
-  int64_t clock_ms;        /* the executor's clock in its last answer */
-  int64_t clock_sent_ms;   /* when the order was sent that was answered */
-  int64_t last_contact_ms; /* local time of the last answer */
+  int64_t clock_ms;      /* the executor's clock in its last answer */
+  int64_t clock_sent_ms; /* when the order was sent that was answered */
   /* exec::n_boots when the last poll was sent that has been answered: the
      executor refuses orders that are older. */
   int n_boots_polled;
   /* Latest end of the leases given to the executor, on the executor's
      clock. */
   int64_t lease_deadline_ms;
-  /* Ends of runs up to this sequence number have been processed. */
-  int64_t seen_end_seq;
   /* Sequence number of the first end that must not be acknowledged, as it is
      of a job that is set aside; 0: there is none. */
   int64_t held_end_seq;
@@ -601,23 +616,13 @@
   int64_t round_end_seq;
   /* The value of recorded_end_seq after the outstanding write. */
   int64_t writing_end_seq;
-  /* Ends of runs up to this sequence number are recorded. */
-  int64_t recorded_end_seq;
-  /* The boot has acknowledged that it has forgotten the ends up to this
-     sequence number. */
-  int64_t forgotten_end_seq;
-  /* Since when ends are recorded that the boot has not forgotten. */
-  int64_t acks_due_ms;
   uint64_t poll_id; /* id of the poll that is outstanding and not overdue; 0:
                        none */
   uint64_t last_poll_id; /* id of the last poll; 0: none */
   int64_t poll_sent_ms;  /* when the last poll was sent */
   int64_t poll_wait_ms;  /* delay of the answer that the last poll permits */
-  /* Earliest time at which start_tick() has something to do for one of runs;
-     0: not known. */
-  int64_t runs_due_ms;
-  bool list_due;   /* a poll without delay is due, see exec_ask_list() */
-  bool poll_asked; /* the last poll was such a one */
+  bool list_due;         /* a poll without delay is due, see exec_ask_list() */
+  bool poll_asked;       /* the last poll was such a one */
   /* Time that the executor's answers take, apart from the delay that a poll
      permits: the longest of the last ones, which decays; at most
      FSCHED_ANSWER_MAX_MS. */
@@ -630,9 +635,8 @@
      that succeeded.  A quarantine sets it to FSCHED_QUARANTINE_FAILURES - 1,
      so that one more failure leads to the next quarantine. */
   int failures_in_row;
-  /* End of the last quarantine; 0: there was none. */
-  int64_t quarantine_until_ms;
   int64_t quarantine_ms; /* length of the last quarantine; 0: there was none */
+  struct exec_report rep; /* the executor's latest entry in discovery */
 };
 TAILQ_HEAD (execq, exec);
 RB_HEAD (exec_tree, exec);
--- a/core/fsched_boot.c
+++ b/core/fsched_boot.c
@@ -43,7 +43,7 @@
   e->failures_in_row = 0;
   e->quarantine_until_ms = 0;
   e->quarantine_ms = 0;
-  e->runs_due_ms = 0;
+  e->due_ms = 0;
   TAILQ_FOREACH (r, &e->runs, exec_link)
     {
       r->stop_acked_ms = 0;
@@ -78,6 +78,7 @@
   e->n_resets = 0;
   expect_longest_lease (fs, e, exec_clock_now (fs, e), false);
   e->poll_id = 0;
+  e->due_ms = 0;
   e->next_poll_ms = fs->now_ms;
   exec_mark_unreachable (fs, e, sign);
 }
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -100,6 +100,7 @@
       /* An answer to a poll on its way to the old address tells nothing. */
       if (!e->boot_known)
         e->poll_id = e->last_poll_id = 0;
+      e->due_ms = 0;
       /* The next leader asks at the address in the roster. */
       e->recorded = false;
       e->next_poll_ms = fs->now_ms;
@@ -348,6 +349,7 @@
   if (ms < e->answer_ms)
     ms = e->answer_ms - (e->answer_ms - ms) / ANSWER_DECAY_DIVISOR;
   e->answer_ms = ms;
+  e->due_ms = 0;
 }
 
 /* Returns the pause after a failed poll.  After a restart, each connection of
@@ -419,6 +421,7 @@
                 !TAILQ_EMPTY (&e->runs));
     }
   e->unreachable = true;
+  e->due_ms = 0;
   e->next_poll_ms = fs->now_ms + poll_retry_ms (fs, e, res);
   stop_unconfirmed_gangs (fs, e);
 }
@@ -443,35 +446,45 @@
          && ends_are_due (fs, e) && !may_acknowledge (fs, e);
 }
 
+/* Returns the earliest time at which exec_tick() has something to do, unless
+   something changes before: the poll is overdue, or a run needs something.
+   Without an outstanding poll, the next one may be due at any time. */
+static int64_t
+next_due_ms (const struct exec *e)
+{
+  const struct start *r;
+  int64_t due_ms;
+
+  if (!e->poll_id || e->unreachable)
+    return 0;
+  due_ms = e->poll_sent_ms + poll_overdue_ms (e);
+  TAILQ_FOREACH (r, &e->runs, exec_link)
+    {
+      int64_t run_due_ms = start_due_ms (r);
+      if (run_due_ms < due_ms)
+        due_ms = run_due_ms;
+    }
+  return due_ms;
+}
+
 void
 exec_tick (struct fsched *fs, struct exec *e)
 {
   struct start *r, *next;
-  int64_t runs_due_ms = INT64_MAX;
-  bool overdue
-      = e->poll_id && fs->now_ms - e->poll_sent_ms >= poll_overdue_ms (e);
   bool idle;
 
-  /* Hundreds of executors are checked every FSCHED_EXEC_SWEEP_MS.  Most have
-     an outstanding poll and runs that need nothing. */
-  if (e->poll_id && !overdue && !e->unreachable && fs->now_ms < e->runs_due_ms)
+  if (fs->now_ms < e->due_ms)
     return;
   idle = !exec_recently_listed (fs, e) && e->reconciled
          && TAILQ_EMPTY (&e->runs);
-  if (overdue)
+  if (e->poll_id && fs->now_ms - e->poll_sent_ms >= poll_overdue_ms (e))
     end_overdue_poll (fs, e);
   if (!e->poll_id && !idle && fs->now_ms >= e->next_poll_ms
       && !poll_is_held (fs, e))
     send_poll (fs, e);
   TAILQ_FOREACH_SAFE (r, &e->runs, exec_link, next)
-    {
-      int64_t due_ms;
-      start_tick (fs, r);
-      due_ms = start_due_ms (r);
-      if (due_ms < runs_due_ms)
-        runs_due_ms = due_ms;
-    }
-  e->runs_due_ms = runs_due_ms;
+    start_tick (fs, r);
+  e->due_ms = next_due_ms (e);
   if (e->unreachable && !TAILQ_EMPTY (&e->runs) && leases_expired (fs, e))
     end_expired_runs (fs, e);
 }
@@ -483,6 +496,7 @@
   /* The answer to a poll that permits no delay is about to arrive. */
   if (e->poll_id && e->poll_wait_ms)
     e->poll_id = 0;
+  e->due_ms = 0;
   e->next_poll_ms = fs->now_ms;
 }
 
@@ -492,6 +506,7 @@
   if (e->unreachable)
     return;
   e->unreachable = true;
+  e->due_ms = 0;
   e->unreachable_since_ms = fs->now_ms;
   out_line (fs->out, "event=exec-unreachable exec=%s outcome=%s", e->rep.id,
             why);
@@ -569,6 +584,7 @@
           || !order_was_answered (res)))
     return;
   e->poll_id = 0;
+  e->due_ms = 0;
   if (res->n_bad_rows != e->n_bad_rows)
     out_line (fs->out, "event=bad-row exec=%s rows=%zu", e->rep.id,
               res->n_bad_rows);
@@ -684,17 +700,10 @@
 static bool
 has_ends_to_forget (const struct fsched *fs, const struct exec *e)
 {
-  const struct start *r;
-
   if (e->seen_end_seq - e->forgotten_end_seq >= LISTED_ENDS_MAX)
     return true;
-  if (!ends_are_due (fs, e)
-      || fs->now_ms - e->acks_due_ms < FSCHED_POLL_HELD_MS)
-    return false;
-  TAILQ_FOREACH (r, &e->runs, exec_link)
-    if (r->state == START_SENT && r->order_id)
-      return true;
-  return false;
+  return e->n_unanswered > 0 && ends_are_due (fs, e)
+         && fs->now_ms - e->acks_due_ms >= FSCHED_POLL_HELD_MS;
 }
 
 bool
--- a/core/fsched_impl.h
+++ b/core/fsched_impl.h
@@ -235,6 +235,9 @@
  */
 struct start *start_new (struct fsched *fs, struct job *j, int step, int index,
                          struct exec *e, int64_t run_id, int state);
+/** start_count_unanswered() - Update exec::n_unanswered after a change of
+ * start::state or start::order_id. */
+void start_count_unanswered (struct start *r);
 /** start_mark_job_started() - Mark @j as a job of which a task has begun on an
  * executor. */
 void start_mark_job_started (struct job *j);
--- a/core/fsched_lists.c
+++ b/core/fsched_lists.c
@@ -190,7 +190,10 @@
   if (!r->start_acked_ms)
     r->start_acked_ms = fs->now_ms;
   if (r->state == START_SENT || r->state == START_UNCONFIRMED)
-    r->state = START_ACKED;
+    {
+      r->state = START_ACKED;
+      start_count_unanswered (r);
+    }
   if (r->percent != row->percent)
     r->percent_changed_ms = fs->now_ms;
   r->percent = row->percent;
@@ -349,7 +352,7 @@
                   e->rep.id, r->n_stops,
                   (long long)(fs->now_ms - r->stopping_ms));
         r->stop_acked_ms = 0;
-        e->runs_due_ms = 0;
+        e->due_ms = 0;
       }
 }
 
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -42,12 +42,21 @@
     return;
   r->pending = pending;
   if (pending)
-    r->exec->runs_due_ms = 0;
+    r->exec->due_ms = 0;
   fs->n_pending_starts += pending ? 1 : -1;
   if (!pending && fs->n_pending_starts == FSCHED_PENDING_STARTS_MAX - 1)
     fs->pass_due = true;
 }
 
+void
+start_count_unanswered (struct start *r)
+{
+  bool unanswered = r->state == START_SENT && r->order_id;
+
+  r->exec->n_unanswered += unanswered - r->unanswered;
+  r->unanswered = unanswered;
+}
+
 void
 start_mark_job_started (struct job *j)
 {
@@ -87,7 +96,7 @@
   j->steps[step].held_back_ms = 0;
   j->steps[step].passed_millicores = 0;
   TAILQ_INSERT_TAIL (&e->runs, r, exec_link);
-  e->runs_due_ms = 0;
+  e->due_ms = 0;
   adjust_use (r, 1);
   return r;
 }
@@ -252,6 +261,7 @@
   fsched_keep_checkpoint (j, step, index, r->checkpoint);
   note_copies (fs, r, run_end);
   adjust_use (r, -1);
+  r->exec->n_unanswered -= r->unanswered;
   set_pending (fs, r, false);
   intent_ended (fs, r);
   TAILQ_REMOVE (&r->exec->runs, r, exec_link);
@@ -343,6 +353,7 @@
   r->n_exec_boots = r->exec->n_boots;
   r->fencing_token = o->fencing_token;
   set_pending (fs, r, true);
+  start_count_unanswered (r);
   domain_start_sent (fs, r->exec);
   out_line (fs->out,
             "event=start job=%s step=%d task=%d run=%lld exec=%s try=%d "
@@ -386,7 +397,8 @@
       return;
     }
   r->state = START_STOPPING;
-  r->exec->runs_due_ms = 0;
+  start_count_unanswered (r);
+  r->exec->due_ms = 0;
   r->stopping_ms = fs->now_ms;
   r->stop_acked_ms = 0;
   r->next_stop_ms = 0;
@@ -638,7 +650,8 @@
   bool boot_shown;
 
   r->order_id = 0;
-  r->exec->runs_due_ms = 0;
+  start_count_unanswered (r);
+  r->exec->due_ms = 0;
   set_pending (fs, r, false);
   if (order_was_answered (res))
     {
