Evacuations: silent feeds, late and damaged answers of peers

A forwarded answer did not say that it lacks values, so that a domain was taken back whose row could not be read. evac_walk.lua could not fail: its faults ended before evacuate_ms; and rack_test passed for a gang that was never placed.

Change: rows of a peer are used while the feed is not listed; lists older than the feed are dropped; store_rep::n_bad is encoded; nothing is started while the set is older than evacuate_ms (event=starts-held), if the settings have it.

--- a/core/evac.c
+++ b/core/evac.c
@@ -43,7 +43,7 @@
 
 int
 evac_row (struct evac *ev, int64_t now_ms, const char *name, bool present,
-          int64_t ver)
+          int64_t ver, bool in_list)
 {
   struct evac_domain *d = find_domain (ev, name);
 
@@ -59,7 +59,7 @@
   if (d)
     {
       d->ver = ver;
-      d->in_list = true;
+      d->in_list |= in_list;
       return EVAC_UNCHANGED;
     }
   if (!clb_word_ok (name) || strlen (name) >= sizeof d->name
@@ -71,7 +71,7 @@
   clb_copy (d->name, name, sizeof d->name);
   d->ver = ver;
   d->since_ms = now_ms;
-  d->in_list = true;
+  d->in_list = in_list;
   TAILQ_INSERT_TAIL (&ev->domains, d, link);
   ev->n_domains++;
   return EVAC_BEGUN;
--- a/core/evac.h
+++ b/core/evac.h
@@ -63,13 +63,14 @@
  * @name: name of the failure domain
  * @present: whether the row exists; false: it was removed
  * @ver: version of the row, or of its removal
+ * @in_list: whether the row is part of the list that is being read
  *
  * A row that is older than what is known changes nothing.
  *
  * Return: enum evac_change.
  */
 int evac_row (struct evac *ev, int64_t now_ms, const char *name, bool present,
-              int64_t ver);
+              int64_t ver, bool in_list);
 /** evac_list_begin() - Begin a complete list of the operator's rows. */
 void evac_list_begin (struct evac *ev);
 /**
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -44,6 +44,7 @@
                &f->out, &f->last_token);
   f->job_feed.batch_ms = FLEET_JOBS_BATCH_MS;
   evac_init (&f->evac);
+  f->evac_current_ms = INT64_MIN / 2;
   f->conf_current_ms = INT64_MIN / 2;
   f->conf_superseded_ms = INT64_MIN / 2;
   f->proxy_peer_fresh_ms = INT64_MIN / 2;
@@ -228,10 +229,13 @@
 }
 
 /* Processes a row of the table of the configuration, if it evacuates a failure
-   domain.  @ver: version of the answer with the row, which counts for the
-   removal of a row without a version */
+   domain.
+   @ver: version of the answer with the row, which counts for the removal of a
+         row without a version
+   @in_list: as evac_row() */
 static void
-apply_evac_row (struct fleet *f, const struct row *row, int64_t ver)
+apply_evac_row (struct fleet *f, const struct row *row, int64_t ver,
+                bool in_list)
 {
   static const char *const changes[] = {
     [EVAC_BEGUN] = "begun", [EVAC_ENDED] = "ended", [EVAC_IGNORED] = "ignored"
@@ -242,11 +246,30 @@
   if (strncmp (row->key, f->settings.codec.evac_prefix, len) != 0)
     return;
   change = evac_row (&f->evac, f->now_ms, row->key + len, row->value != NULL,
-                     row->ver ? row->ver : ver);
+                     row->ver ? row->ver : ver, in_list);
   f->stats.bad_rows += change == EVAC_IGNORED;
   if (change != EVAC_UNCHANGED)
-    note_evacuation (f, change == EVAC_IGNORED ? "" : row->key + len,
-                     changes[change], row->ver);
+    note_evacuation (f, row->key + len, changes[change], row->ver);
+}
+
+/* Notes that the evacuated failure domains are known as of @at_ms. */
+static void
+set_evac_current (struct fleet *f, int64_t at_ms)
+{
+  if (at_ms > f->evac_current_ms)
+    f->evac_current_ms = at_ms;
+}
+
+/* Returns whether a domain may have been evacuated for so long that nothing
+   may be started in it, without this instance's knowledge. */
+static bool
+evac_outdated (const struct fleet *f)
+{
+  int64_t max_ms = f->settings.evacuate_ms > FLEET_READY_CONF_AGE_MS
+                       ? f->settings.evacuate_ms
+                       : FLEET_READY_CONF_AGE_MS;
+
+  return f->settings.evacuate_ms && f->now_ms - f->evac_current_ms >= max_ms;
 }
 
 /* Ends a complete list of the operator's rows, as of version @ver. */
@@ -269,6 +292,7 @@
       || !proxy_peer (f))
     return;
   f->next_evac_fetch_ms = f->now_ms + FLEET_EVAC_FETCH_MS;
+  f->evac_fetch_sent_ms = f->now_ms;
   o = out_new (&f->out, OUT_STORE);
   f->evac_fetch_token = ++f->last_token;
   o->u.store.token = f->evac_fetch_token;
@@ -287,15 +311,21 @@
 {
   if (!token || token != f->evac_fetch_token)
     return false;
-  f->evac_fetch_token = 0;
   /* A list that the feed has begun is ended by the feed. */
-  if (rep->err || !f->conf_feed.listed)
+  bool whole = f->conf_feed.listed;
+
+  f->evac_fetch_token = 0;
+  /* The feed has shown what is newer; it does not repeat it. */
+  if (rep->err || rep->ver < f->conf_feed.ver)
     return true;
-  evac_list_begin (&f->evac);
+  if (whole)
+    evac_list_begin (&f->evac);
   for (size_t i = 0; i < rep->n_rows; i++)
-    apply_evac_row (f, &rep->rows[i], rep->ver);
-  if (!rep->more && !rep->n_bad)
+    apply_evac_row (f, &rep->rows[i], rep->ver, whole);
+  if (whole && !rep->more && !rep->n_bad)
     end_evac_list (f, rep->ver);
+  if (!rep->more && !rep->n_bad)
+    set_evac_current (f, f->evac_fetch_sent_ms);
   return true;
 }
 
@@ -362,13 +392,15 @@
   for (size_t i = 0; i < rep->n_rows; i++)
     {
       apply_config_row (f, &rep->rows[i]);
-      apply_evac_row (f, &rep->rows[i], rep->ver);
+      apply_evac_row (f, &rep->rows[i], rep->ver, true);
     }
   f->evac.list_damaged |= rep->n_bad > 0;
   if (event == FOLLOW_LISTED)
     end_evac_list (f, rep->ver);
-  if (event == FOLLOW_CHANGES || event == FOLLOW_LISTED)
-    fleet_set_conf_current (f, f->conf_feed.fresh_ms);
+  if (event != FOLLOW_CHANGES && event != FOLLOW_LISTED)
+    return true;
+  fleet_set_conf_current (f, f->conf_feed.fresh_ms);
+  set_evac_current (f, f->conf_feed.fresh_ms);
   return true;
 }
 
@@ -663,6 +695,8 @@
       follow_tick (&f->exec_feed, f->now_ms);
       follow_tick (&f->job_feed, f->now_ms);
       f->fsched->wall_offset_ms = f->wall_ms - f->now_ms;
+      fsched_hold_starts (f->fsched, evac_outdated (f),
+                          f->now_ms - f->evac_current_ms);
       fsched_tick (f->fsched, f->now_ms,
                    leader_may_order (&f->leader, f->now_ms)
                        && !f->fsched->fenced);
@@ -701,9 +735,9 @@
     f->store_failures++;
   if (rep->n_bad)
     {
-      f->stats.bad_rows += rep->n_bad;
-      out_line (&f->out, "event=bad-row values=%zu rows=%zu ver=%lld",
-                rep->n_bad, rep->n_rows, (long long)rep->ver);
+      f->stats.bad_rows += (uint64_t)rep->n_bad;
+      out_line (&f->out, "event=bad-row values=%lld rows=%zu ver=%lld",
+                (long long)rep->n_bad, rep->n_rows, (long long)rep->ver);
     }
   if (!proxy_store_reply (f, token, rep))
     fleet_dispatch_reply (f, token, rep);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -339,6 +339,8 @@
   uint64_t conf_fetch_token;
   int64_t next_conf_fetch_ms; /* earliest time of the next such read */
   struct evac evac; /* failure domains that the operator has evacuated */
+  int64_t evac_current_ms;    /* time as of which they are known */
+  int64_t evac_fetch_sent_ms; /* when the read below was sent */
   /* Token of the read of the evacuations through a peer; 0: none. */
   uint64_t evac_fetch_token;
   int64_t next_evac_fetch_ms; /* earliest time of the next such read */
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -889,6 +889,7 @@
   struct exec_tree execs_by_id;
   struct domainq domains;
   const struct evac *evac; /* evacuated failure domains; NULL: none */
+  bool starts_held;        /* see fsched_hold_starts() */
   /* Executors that may be given tasks in the current placing pass. */
   struct exec **eligible;
   int n_eligible;
@@ -1056,6 +1057,12 @@
  * @ev: the set; borrowed for as long as the scheduler exists
  */
 void fsched_set_evac (struct fsched *fs, const struct evac *ev);
+/**
+ * fsched_hold_starts() - Start nothing while @held is true, as failure domains
+ * may be evacuated without this instance's knowledge.
+ * @age_ms: age of what is known, for the log line
+ */
+void fsched_hold_starts (struct fsched *fs, bool held, int64_t age_ms);
 
 /** fsched_roster_row() - Return the number of the roster's row for executor
  * @id. */
--- a/core/fsched_domain.c
+++ b/core/fsched_domain.c
@@ -80,6 +80,17 @@
   fs->pass_due = true;
 }
 
+void
+fsched_hold_starts (struct fsched *fs, bool held, int64_t age_ms)
+{
+  if (held == fs->starts_held)
+    return;
+  fs->starts_held = held;
+  fs->pass_due = true;
+  out_line (fs->out, "event=starts-%s reason=evacuations age_ms=%lld",
+            held ? "held" : "allowed", (long long)age_ms);
+}
+
 bool
 domain_takes_starts (const struct exec *e)
 {
--- a/core/fsched_exec.c
+++ b/core/fsched_exec.c
@@ -709,10 +709,10 @@
 bool
 exec_eligible (const struct fsched *fs, const struct exec *e)
 {
-  return exec_recently_listed (fs, e) && e->answered && !e->unreachable
-         && e->recorded && e->reconciled && !e->n_orphans && !e->rep.draining
-         && !entry_is_of_other_boot (e) && domain_takes_starts (e)
-         && fs->now_ms >= e->quarantine_until_ms
+  return !fs->starts_held && exec_recently_listed (fs, e) && e->answered
+         && !e->unreachable && e->recorded && e->reconciled && !e->n_orphans
+         && !e->rep.draining && !entry_is_of_other_boot (e)
+         && domain_takes_starts (e) && fs->now_ms >= e->quarantine_until_ms
          && !has_ends_to_forget (fs, e);
 }
 
--- a/core/fsched_start.c
+++ b/core/fsched_start.c
@@ -474,9 +474,9 @@
 {
   const struct exec *e = r->exec;
 
-  return may_try_again (r) && fs->may_order && !e->unreachable
-         && !(e->domain && e->domain->evacuated) && !e->rep.draining
-         && fs->now_ms >= e->quarantine_until_ms
+  return may_try_again (r) && fs->may_order && !fs->starts_held
+         && !e->unreachable && !(e->domain && e->domain->evacuated)
+         && !e->rep.draining && fs->now_ms >= e->quarantine_until_ms
          && !job_state_final (r->job->state)
          && (r->job->spec.advice.base_ms <= 0
              || permit_valid (fs, &r->job->steps[r->step], e));
--- a/core/msg.h
+++ b/core/msg.h
@@ -340,7 +340,7 @@
   bool more; /* for STORE_LIST: true if more rows follow after the last key */
   int64_t ver; /* newest version covered by the reply; 0: not given */
   /* Number of values of the answer that cannot be used and were left out. */
-  size_t n_bad;
+  int64_t n_bad;
 };
 extern const struct desc store_rep_desc;
 
--- a/regress/fleet/evac_walk.lua
+++ b/regress/fleet/evac_walk.lua
@@ -1,4 +1,5 @@
--- walk.lua with failure domains that the operator evacuates and takes back.
+-- walk.lua with failure domains that the operator evacuates for longer than
+-- evacuate_ms, so that starts there count as violations.
 local new_fleet = fleet
 
 function fleet(options)
@@ -6,12 +7,19 @@
   return new_fleet(options)
 end
 
+local evacuated = {}
+
 EXTRA_FAULTS = {}
 for _ = 1, 8 do
   EXTRA_FAULTS[#EXTRA_FAULTS + 1] = function()
-    local zone = math.floor(random() * 3)
+    local zone, for_ms = math.floor(random() * 3), 6000 + random() * 6000
+    if evacuated[zone] then return end
+    evacuated[zone] = true
     evacuate(zone, true)
-    return function() evacuate(zone, false) end
+    later(for_ms, function()
+      evacuate(zone, false)
+      evacuated[zone] = nil
+    end)
   end
 end
 dofile("regress/fleet/walk.lua")
--- a/regress/fleet/evacuate.lua
+++ b/regress/fleet/evacuate.lua
@@ -111,8 +111,71 @@
   evacuate(0, true)
   submit_mixed(n, 9000)
   expect(running_in(0) == 0, "tasks run 9 s after the evacuation")
+  expect(running_in(1) > 0, "nothing runs in the other domains")
 end)
 
+-- Submits jobs to instance i for the given time, one every 50 ms.
+local function submit_to(i, first, for_ms)
+  for n = first, first + for_ms / 50 - 1 do
+    job{id = id(n), steps = {{tasks = 2, cpu = 2000, ms = 700}}}
+    submit(i, id(n))
+    run(50)
+  end
+end
+
+scenario("a leader whose new listing gets no answers learns of it from a peer",
+         function()
+  start_domains()
+  local old = the_leader()
+  local n = submit_mixed(1, 1500)
+  instance(old, "silence-conf", 60000)
+  evacuate(2, false) -- a change, so that the feed is behind the compaction
+  store("compact")
+  run(1500)
+  evacuate(1, true)
+  submit_to((old + 1) % 4, n, 10000)
+  expect(running_in(1) == 0, "tasks run 10 s after the evacuation")
+end)
+
+for _, restarts in ipairs{false, true} do
+  scenario("an instance whose feed is silent is elected after an evacuation"
+           .. (restarts and ", restarted" or ""), function()
+    start_domains()
+    local n = submit_mixed(1, 1500)
+    local old = the_leader()
+    local next_leader = (old + 1) % 4
+    if restarts then instance(next_leader, "kill") end
+    instance(next_leader, "silence-conf", 60000)
+    if restarts then instance(next_leader, "start") end
+    run(1500)
+    evacuate(1, true)
+    run(6000)
+    for k = n, n + 59 do
+      job{id = id(k), steps = {{tasks = 4, cpu = 4000, ms = 3000}}}
+      submit(old, id(k))
+    end
+    run(500)
+    -- No other instance can be elected.
+    for i = 0, 3 do
+      if i ~= next_leader and i ~= old then
+        instance(i, "partition-store", 60000)
+      end
+    end
+    run(100)
+    instance(old, "kill")
+    for _ = 1, 12000 do
+      if leader() == next_leader then break end
+      run(1)
+    end
+    for i = 0, 3 do
+      if i ~= next_leader then instance(i, "partition-store", 0) end
+    end
+    expect(leader() == next_leader, "another instance leads")
+    submit_to(next_leader, n + 60, 8000)
+    expect(running_in(1) == 0, "tasks run in the evacuated domain")
+  end)
+end
+
 scenario("a domain taken back while the feed's history is lost gets tasks",
          function()
   start_domains()
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -202,6 +202,84 @@
   fleet_fini (&leader);
 }
 
+enum
+{
+  FETCH_TOKEN = 77,
+  LIST_TOKEN = 78,
+};
+
+/* Passes a peer's answer to a read of the evacuations to @f: at version @ver,
+   domain z is evacuated by a row of version 10 if @present. */
+static void
+answer_fetch (struct fleet *f, int64_t ver, bool present, int64_t n_bad)
+{
+  struct row row = { .key = "evac/z", .ver = 10, .value = "{}" };
+  struct store_rep rep
+      = { .rows = &row, .n_rows = present, .ver = ver, .n_bad = n_bad };
+
+  f->evac_fetch_token = FETCH_TOKEN;
+  fleet_dispatch_reply (f, FETCH_TOKEN, &rep);
+}
+
+/* Guards against a domain that is evacuated again by an answer which is older
+   than the removal that the feed has shown. */
+static void
+test_late_answer_of_peer (void)
+{
+  struct fleet f;
+
+  start_instance (&f, 1);
+  f.conf_feed.listed = true;
+  f.conf_feed.ver = 20;
+  answer_fetch (&f, 15, true, 0);
+  CU_ASSERT_EQUAL (f.evac.n_domains, 0);
+  answer_fetch (&f, 25, true, 0);
+  CU_ASSERT_EQUAL (f.evac.n_domains, 1);
+  fleet_fini (&f);
+}
+
+/* Guards against a domain that is taken back because its row could not be
+   read. */
+static void
+test_unreadable_rows_take_nothing_back (void)
+{
+  struct store_rep rep = { .ver = 30, .n_bad = 1 };
+  struct fleet f;
+
+  start_instance (&f, 1);
+  f.conf_feed.listed = true;
+  answer_fetch (&f, 25, true, 0);
+  answer_fetch (&f, 30, false, 1);
+  CU_ASSERT_EQUAL (f.evac.n_domains, 1);
+  follow_relist (&f.conf_feed);
+  evac_list_begin (&f.evac);
+  f.conf_feed.listings[0].token = LIST_TOKEN;
+  fleet_dispatch_reply (&f, LIST_TOKEN, &rep);
+  CU_ASSERT (f.conf_feed.listed);
+  CU_ASSERT_EQUAL (f.evac.n_domains, 1);
+  answer_fetch (&f, 31, false, 0);
+  CU_ASSERT_EQUAL (f.evac.n_domains, 0);
+  fleet_fini (&f);
+}
+
+static void
+test_peer_answer_says_what_it_lacks (void)
+{
+  struct mesh_msg m = { .kind = MESH_STORE_REPLY, .rep = { .n_bad = 2 } };
+  struct mesh_msg got;
+  struct codec_err ce;
+  char *buf;
+  size_t len;
+
+  clb_copy (m.from, "n2", sizeof m.from);
+  clb_copy (m.addr, "b", sizeof m.addr);
+  CU_ASSERT_EQUAL_FATAL (mesh_pack (&m, &buf, &len), 0);
+  CU_ASSERT_EQUAL_FATAL (mesh_unpack (buf, len, &got, &ce), 0);
+  CU_ASSERT_EQUAL (got.rep.n_bad, 2);
+  mesh_clear (&got);
+  free (buf);
+}
+
 UNIT_MAIN ("fleet",
            { "a restarted process uses other store tokens",
              test_store_tokens_of_restarted_process },
@@ -212,4 +290,10 @@
            { "followers learn of overloaded queues",
              test_followers_learn_of_overloaded_queues },
            { "a reply with an inherited overload is readable",
-             test_reply_with_inherited_overload_is_readable })
+             test_reply_with_inherited_overload_is_readable },
+           { "a late answer of a peer evacuates nothing",
+             test_late_answer_of_peer },
+           { "unreadable rows take no domain back",
+             test_unreadable_rows_take_nothing_back },
+           { "a peer's answer says how many values it lacks",
+             test_peer_answer_says_what_it_lacks })
--- a/regress/unit/rack_test.c
+++ b/regress/unit/rack_test.c
@@ -33,6 +33,7 @@
   ((struct job *)j)->spec.steps[0].same_rack = true;
   for (int i = 0; i < 10; i++)
     step (x);
+  CU_ASSERT_EQUAL (j->steps[0].n_running, tasks);
   for (int i = 0; i < tasks; i++)
     if (j->steps[0].tasks[i].run)
       used |= 1u << j->steps[0].tasks[i].run->exec->index;
