Placing passes look for the executors of a step once

Cause: place_step() tries up to three views and is_held_back() two more; each of them, and each task of a step that is not a gang, checked the permit, the service and the label of all eligible executors. A gang allocated its candidates and its counts by rack for each view.

Change: scan_execs() collects the usable and permitted executors with CPU and memory for one task, and all views look only at these. It checks the capacity before the permit, and collects nothing if no ticket of the step is valid. The arrays are allocated once a pass. Steps that their account's limit or a running gang member keeps from starting are left before that.

--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -43,6 +43,26 @@
 #define OTHER_RACK INT64_C (0x100000000)     /* not the rack of the data */
 #define CRASHED_BEFORE INT64_C (0x200000000) /* crashed under the step */
 
+/** struct candidate - an executor that has capacity for members of a gang */
+struct candidate
+{
+  struct exec *e;
+  int fits; /* number of members that the executor has capacity for */
+  bool crashed_before; /* the executor has crashed under the step */
+};
+
+/** struct scan - executors that the step being placed may use; the arrays are
+ * owned by place_and_query() */
+struct scan
+{
+  /* Those that are usable and permitted and have CPU and memory for one task,
+     reserved or not, in the order of fsched::eligible. */
+  struct exec **execs;
+  int n;
+  struct candidate *candidates; /* of a gang */
+  int *rack_fits;               /* indexed by the id of the rack */
+};
+
 /* Returns whether the step needs no advice, or has a valid permit for the
    executor. */
 static bool
@@ -69,24 +89,67 @@
   return value;
 }
 
+/* Returns whether @free is enough for @need; no need is always met, also by an
+   executor whose capacity has shrunk below its use. */
+static bool
+is_enough (int64_t free, int64_t need)
+{
+  return need <= 0 || free >= need;
+}
+
+/* Returns whether an executor has CPU and memory for one task of the step,
+   apart from what is reserved. */
+static bool
+has_space (const struct exec *e, const struct job_step *spec)
+{
+  const struct job_need *capacity = &e->rep.capacity;
+
+  return (spec->best_effort_cpu
+          || is_enough (capacity->millicores - e->used.millicores,
+                        spec->need.millicores))
+         && is_enough (capacity->mem_mb - e->used.mem_mb, spec->need.mem_mb);
+}
+
+/* Fills scan::execs for a step.  The capacity is checked before the permit:
+   few executors have some left under load, and the permits of each step are
+   separate memory. */
+static void
+scan_execs (struct fsched *fs, const struct job *j, int step,
+            struct scan *scan)
+{
+  const struct job_step *spec = &j->spec.steps[step];
+
+  scan->n = 0;
+  if (j->spec.advice.base_ms > 0
+      && j->steps[step].tickets_until_ms
+             <= fs->now_ms + FSCHED_TICKET_MARGIN_MS)
+    return;
+  for (int i = 0; i < fs->n_eligible; i++)
+    {
+      struct exec *e = fs->eligible[i];
+      if (has_space (e, spec) && exec_usable (e, j, step)
+          && permitted (fs, j, step, e))
+        scan->execs[scan->n++] = e;
+    }
+}
+
 /*
- * Returns the usable executor with the least free CPU that has capacity for a
- * task of the step, or NULL.  Executors in the rack of the step's data are
+ * Returns the executor of a scan with the least free CPU that has capacity for
+ * a task of the step, or NULL.  Executors in the rack of the step's data are
  * preferred to all others.  An executor that has crashed under the step is
  * taken last: if the executor is the cause, the task has to run elsewhere.
  */
 static struct exec *
-best_fit (struct fsched *fs, const struct job *j, int step, int view)
+best_fit (const struct scan *scan, const struct job *j, int step, int view)
 {
   struct exec *best = NULL;
   int64_t best_value = 0;
 
-  for (int i = 0; i < fs->n_eligible; i++)
+  for (int i = 0; i < scan->n; i++)
     {
-      struct exec *e = fs->eligible[i];
+      struct exec *e = scan->execs[i];
       int64_t value;
-      if (!exec_usable (e, j, step) || !permitted (fs, j, step, e)
-          || room_count (e, j, step, 1, view) < 1)
+      if (room_count (e, j, step, 1, view) < 1)
         continue;
       value = unfitness (j, step, e);
       if (!best || value < best_value)
@@ -102,7 +165,8 @@
    can take one of the tasks, and true otherwise, also if tasks are left
    because the client account has reached its limit. */
 static bool
-place_single_tasks (struct fsched *fs, struct job *j, int step, int view)
+place_single_tasks (struct fsched *fs, struct job *j, int step, int view,
+                    const struct scan *scan)
 {
   struct jstep *s = &j->steps[step];
 
@@ -114,7 +178,7 @@
         continue;
       if (!account_has_room (fs, j, step, 1))
         return true;
-      e = best_fit (fs, j, step, view);
+      e = best_fit (scan, j, step, view);
       if (!e)
         return false;
       room_pass_over (e, j, step);
@@ -124,14 +188,6 @@
   return true;
 }
 
-/** struct candidate - an executor that has capacity for members of a gang */
-struct candidate
-{
-  struct exec *e;
-  int fits; /* number of members that the executor has capacity for */
-  bool crashed_before; /* the executor has crashed under the step */
-};
-
 /* Compares candidates for qsort(): most capacity first, those that have
    crashed under the step last. */
 static int
@@ -148,91 +204,92 @@
 }
 
 /*
- * Fills @candidates with the executors of a rack that can take members of a
- * gang, those with the most capacity first.  @rack_id 0 means any rack.
+ * Fills scan::candidates with the executors of a rack that can take members of
+ * a gang, those with the most capacity first.  @rack_id 0 means any rack.
  * Returns the number of executors, or 0 if they lack the capacity for the
  * whole gang.
  */
 static size_t
-gang_candidates (struct fsched *fs, const struct job *j, int step, int rack_id,
-                 int view, struct candidate *candidates)
+gang_candidates (const struct scan *scan, const struct job *j, int step,
+                 int rack_id, int view)
 {
   int n_members = j->steps[step].n_tasks;
   int n_fit = 0;
   size_t n = 0;
 
-  for (int i = 0; i < fs->n_eligible; i++)
+  for (int i = 0; i < scan->n; i++)
     {
-      struct exec *e = fs->eligible[i];
+      struct exec *e = scan->execs[i];
       int fits;
-      if ((rack_id && rack_id != e->rack_id) || !exec_usable (e, j, step)
-          || !permitted (fs, j, step, e))
+      if (rack_id && rack_id != e->rack_id)
         continue;
       fits = room_count (e, j, step, n_members, view);
       if (fits < 1)
         continue;
-      candidates[n++]
+      scan->candidates[n++]
           = (struct candidate){ e, fits,
                                 crash_happened_on (&j->steps[step], e) };
       n_fit += fits;
     }
   if (n_fit < n_members)
     return 0;
-  qsort (candidates, n, sizeof *candidates, compare_fits);
+  qsort (scan->candidates, n, sizeof *scan->candidates, compare_fits);
   return n;
 }
 
 /* Counts the members of a gang that the executors of each rack have capacity
-   for, in @fits, which the caller frees; the index is the id of the rack. */
-static int *
-count_rack_fits (struct fsched *fs, const struct job *j, int step, int view)
+   for, in scan::rack_fits. */
+static void
+count_rack_fits (const struct fsched *fs, const struct scan *scan,
+                 const struct job *j, int step, int view)
 {
   int n_members = j->steps[step].n_tasks;
-  int *fits = fsched_zalloc ((size_t)fs->racks.n + 1, sizeof *fits);
+  int *fits = scan->rack_fits;
 
-  for (int i = 0; i < fs->n_eligible; i++)
+  memset (fits, 0, ((size_t)fs->racks.n + 1) * sizeof *fits);
+  for (int i = 0; i < scan->n; i++)
     {
-      const struct exec *e = fs->eligible[i];
-      if (fits[e->rack_id] < n_members && exec_usable (e, j, step)
-          && permitted (fs, j, step, e))
+      const struct exec *e = scan->execs[i];
+      if (fits[e->rack_id] < n_members)
         fits[e->rack_id] += room_count (e, j, step, n_members, view);
     }
-  return fits;
 }
 
-/* Chooses the rack of a gang and fills @candidates as gang_candidates() does:
-   the rack of the step's data if possible, else any single rack if the step
-   prefers one, else all racks.  Returns the number of candidates, 0 if the
-   gang fits nowhere. */
+/* Chooses the rack of a gang and fills scan::candidates as gang_candidates()
+   does: the rack of the step's data if possible, else any single rack if the
+   step prefers one, else all racks.  Returns the number of candidates, 0 if
+   the gang fits nowhere. */
 static size_t
-choose_candidates (struct fsched *fs, const struct job *j, int step, int view,
-                   struct candidate *candidates)
+choose_candidates (const struct fsched *fs, const struct scan *scan,
+                   const struct job *j, int step, int view)
 {
   int data_rack_id = j->steps[step].data_rack_id;
-  clb_auto int *fits = NULL;
   size_t n;
 
+  if (scan->n == 0)
+    return 0;
   if (data_rack_id
-      && (n = gang_candidates (fs, j, step, data_rack_id, view, candidates)))
+      && (n = gang_candidates (scan, j, step, data_rack_id, view)))
     return n;
   if (j->spec.steps[step].same_rack)
     {
-      fits = count_rack_fits (fs, j, step, view);
+      count_rack_fits (fs, scan, j, step, view);
       for (int rack_id = 1; rack_id <= fs->racks.n; rack_id++)
-        if (fits[rack_id] >= j->steps[step].n_tasks)
-          return gang_candidates (fs, j, step, rack_id, view, candidates);
+        if (scan->rack_fits[rack_id] >= j->steps[step].n_tasks)
+          return gang_candidates (scan, j, step, rack_id, view);
     }
-  return gang_candidates (fs, j, step, 0, view, candidates);
+  return gang_candidates (scan, j, step, 0, view);
 }
 
 /* Places all members of a gang or none.  Returns false if there is no capacity
    for all of them, and true otherwise, also if none is placed because an
    earlier run has not ended or the client account has reached its limit. */
 static bool
-place_gang (struct fsched *fs, struct job *j, int step, int view)
+place_gang (struct fsched *fs, struct job *j, int step, int view,
+            const struct scan *scan)
 {
   struct jstep *s = &j->steps[step];
-  struct candidate *candidates;
+  struct candidate *candidates = scan->candidates;
   int64_t run_id = 0;
   size_t n;
   size_t next = 0;
@@ -241,10 +298,7 @@
     return true; /* all members of the earlier run must end first */
   if (!account_has_room (fs, j, step, s->n_tasks))
     return true;
-  candidates = calloc ((size_t)fs->n_execs + 1, sizeof *candidates);
-  if (!candidates)
-    abort ();
-  n = choose_candidates (fs, j, step, view, candidates);
+  n = choose_candidates (fs, scan, j, step, view);
   for (int i = 0; i < s->n_tasks && n; i++)
     if (s->tasks[i].next_run_id > run_id)
       run_id = s->tasks[i].next_run_id;
@@ -261,32 +315,32 @@
       intent_add (fs, start_new (fs, j, step, i, candidates[next].e, run_id,
                                  START_INTENT));
     }
-  free (candidates);
   return n > 0;
 }
 
 static bool
-place_in_view (struct fsched *fs, struct job *j, int step, int view)
+place_in_view (struct fsched *fs, struct job *j, int step, int view,
+               const struct scan *scan)
 {
-  return j->spec.steps[step].gang ? place_gang (fs, j, step, view)
-                                  : place_single_tasks (fs, j, step, view);
+  return j->spec.steps[step].gang
+             ? place_gang (fs, j, step, view, scan)
+             : place_single_tasks (fs, j, step, view, scan);
 }
 
 /* Returns whether a step's tasks, all of a gang or one otherwise, fit in a
-   view on executors that they may start on for @for_ms at least. */
+   view on executors of a scan that they may start on for @for_ms at least. */
 static bool
-step_fits (struct fsched *fs, const struct job *j, int step, int view,
-           int64_t for_ms)
+step_fits (const struct fsched *fs, const struct scan *scan,
+           const struct job *j, int step, int view, int64_t for_ms)
 {
   const struct jstep *s = &j->steps[step];
   bool advice = j->spec.advice.base_ms > 0;
   int n_left = j->spec.steps[step].gang ? s->n_tasks : 1;
 
-  for (int i = 0; i < fs->n_eligible && n_left > 0; i++)
+  for (int i = 0; i < scan->n && n_left > 0; i++)
     {
-      const struct exec *e = fs->eligible[i];
-      if (exec_usable (e, j, step)
-          && (!advice || permit_valid_for (fs, s, e, for_ms)))
+      const struct exec *e = scan->execs[i];
+      if (!advice || permit_valid_for (fs, s, e, for_ms))
         n_left -= room_count (e, j, step, n_left, view);
     }
   return n_left <= 0;
@@ -307,16 +361,17 @@
 /* Returns whether room that is reserved for more urgent steps still keeps a
    step from starting, or it does not fit anyway. */
 static bool
-is_held_back (struct fsched *fs, const struct job *j, int step, int view)
+is_held_back (const struct fsched *fs, const struct scan *scan,
+              const struct job *j, int step, int view)
 {
   struct jstep *s = &j->steps[step];
 
-  if (!step_fits (fs, j, step, view, FSCHED_TICKET_MARGIN_MS))
+  if (!step_fits (fs, scan, j, step, view, FSCHED_TICKET_MARGIN_MS))
     return true;
   if (!s->held_back_ms)
     s->held_back_ms = fs->now_ms;
   return fs->now_ms - s->held_back_ms < room_held_max_ms (fs, j)
-         && step_fits (fs, j, step, view, wait_needs_ms (fs));
+         && step_fits (fs, scan, j, step, view, wait_needs_ms (fs));
 }
 
 /*
@@ -329,19 +384,24 @@
  * place_gang() does.
  */
 static bool
-place_step (struct fsched *fs, struct job *j, int step)
+place_step (struct fsched *fs, struct job *j, int step, struct scan *scan)
 {
   int view = j->spec.steps[step].gang ? ROOM_ALL : ROOM_OF_GANGS;
 
-  return place_in_view (fs, j, step, ROOM_UNRESERVED)
-         || place_in_view (fs, j, step, ROOM_OF_RANK)
-         || (!is_held_back (fs, j, step, view)
-             && place_in_view (fs, j, step, view));
+  /* place_in_view() places nothing then, whatever executors there are. */
+  if ((j->spec.steps[step].gang && j->steps[step].n_running > 0)
+      || !account_may_start (fs, j, step))
+    return true;
+  scan_execs (fs, j, step, scan);
+  return place_in_view (fs, j, step, ROOM_UNRESERVED, scan)
+         || place_in_view (fs, j, step, ROOM_OF_RANK, scan)
+         || (!is_held_back (fs, scan, j, step, view)
+             && place_in_view (fs, j, step, view, scan));
 }
 
 /* Places the tasks of a job's ready steps. */
 static void
-place_job (struct fsched *fs, struct job *j)
+place_job (struct fsched *fs, struct job *j, struct scan *scan)
 {
   for (size_t i = 0; i < j->spec.n_steps; i++)
     {
@@ -352,7 +412,7 @@
       if (!s->ready || s->n_done + s->n_running >= s->n_tasks)
         continue;
       if (!needs_advice || s->tickets_until_ms > fs->now_ms)
-        placed = place_step (fs, j, (int)i);
+        placed = place_step (fs, j, (int)i, scan);
       if (!placed && s->answer_new)
         why_answer_unused (fs, j, (int)i);
       s->answer_new = false;
@@ -536,7 +596,7 @@
    @begin of @n, until there is no capacity left.  Returns the number of the
    next job. */
 static int
-place_rank (struct fsched *fs, int begin, int n)
+place_rank (struct fsched *fs, int begin, int n, struct scan *scan)
 {
   const struct job *first = fs->ready_jobs[begin];
   int i;
@@ -552,7 +612,7 @@
       if (i % CAPACITY_CHECK_JOBS == 0 && !has_free_capacity (fs))
         break;
       if (fs->n_pending_starts < FSCHED_PENDING_STARTS_MAX)
-        place_job (fs, fs->ready_jobs[i]);
+        place_job (fs, fs->ready_jobs[i], scan);
       else
         note_missing_tickets (fs, fs->ready_jobs[i]);
     }
@@ -565,11 +625,19 @@
 static void
 place_and_query (struct fsched *fs, int n)
 {
+  size_t n_execs = (size_t)fs->n_eligible + 1;
+  clb_auto struct exec **execs = fsched_zalloc (n_execs, sizeof *execs);
+  clb_auto struct candidate *candidates
+      = fsched_zalloc (n_execs, sizeof *candidates);
+  clb_auto int *rack_fits
+      = fsched_zalloc ((size_t)fs->racks.n + 1, sizeof *rack_fits);
+  struct scan scan
+      = { .execs = execs, .candidates = candidates, .rack_fits = rack_fits };
   int end;
 
   for (int begin = 0; begin < n; begin = end)
     {
-      end = place_rank (fs, begin, n);
+      end = place_rank (fs, begin, n, &scan);
       for (int i = begin; i < end; i++)
         for (size_t k = 0; k < fs->ready_jobs[i]->spec.n_steps; k++)
           if (fs->ready_jobs[i]->steps[k].n_asking > 0
