Room for a step is reserved without a look at all executors

Cause: reserve_for_step() wrote to all permits of a step and then went through all eligible executors, of which most are neither asked about nor permitted.

Change: one loop over the permits, which looks up the executors of those that matter by index and writes only where a value changes.

--- a/core/fsched_room.c
+++ b/core/fsched_room.c
@@ -141,9 +141,34 @@
     mark_held (fs, &j->steps[step], HOLD_QUERY);
 }
 
+/* Returns the eligible executor that has an index, NULL if there is none.
+   fsched::eligible is in ascending order of the index, and skips no more
+   indices than there are other executors. */
+static struct exec *
+find_eligible (const struct fsched *fs, int index)
+{
+  int begin = index - (fs->n_execs - fs->n_eligible);
+  int end = index < fs->n_eligible ? index + 1 : fs->n_eligible;
+
+  if (begin < 0)
+    begin = 0;
+  while (begin < end)
+    {
+      int middle = begin + (end - begin) / 2;
+      struct exec *e = fs->eligible[middle];
+      if (e->index == index)
+        return e;
+      if (e->index < index)
+        begin = middle + 1;
+      else
+        end = middle;
+    }
+  return NULL;
+}
+
 /* Reserves capacity for the waiting tasks of a step: for HOLD_GANG on the
    executors that it is permitted, else on those that its outstanding queries
-   name. */
+   name.  These are few, so the others are not looked at. */
 static void
 reserve_for_step (struct fsched *fs, struct job *j, int step,
                   enum hold_kind kind)
@@ -153,15 +178,17 @@
   int n_waiting = step_waiting (s);
 
   for (int i = 0; i < s->n_permits; i++)
-    s->permits[i].n_reserved = 0;
-  for (int i = 0; i < fs->n_eligible && n_waiting > 0; i++)
     {
-      struct exec *e = fs->eligible[i];
-      struct permit *p;
-      if (e->index >= s->n_permits || !exec_usable (e, j, step))
+      struct permit *p = &s->permits[i];
+      struct exec *e;
+      /* Written only where it changes, as the permits of all steps do not fit
+         into the processor's caches. */
+      if (p->n_reserved)
+        p->n_reserved = 0;
+      if (n_waiting <= 0 || (asked ? !p->asked : p->state != PERMIT_ALLOWED))
         continue;
-      p = &s->permits[e->index];
-      if (asked ? !p->asked : p->state != PERMIT_ALLOWED)
+      e = find_eligible (fs, i);
+      if (!e || !exec_usable (e, j, step))
         continue;
       p->n_reserved = reserve_capacity (e, j, step, n_waiting, kind);
       n_waiting -= p->n_reserved;
