Permits are checked before the service and label of an executor

Cause: collect_choice() and scan_execs() called exec_usable() for every eligible executor, also for those that the step is denied or has no ticket for.

Change: both check the permit first; collect_choice() also goes round the list of executors without a division.

The unit tests pass, apart from room_record_test, which failed before.

--- a/core/fsched_choice.c
+++ b/core/fsched_choice.c
@@ -111,6 +111,14 @@
   return fs->n_eligible ? (int)(hash % (uint32_t)fs->n_eligible) : 0;
 }
 
+/* Returns whether the step is denied the executor. */
+static bool
+is_denied (const struct jstep *s, const struct exec *e)
+{
+  return e->index < s->n_permits
+         && s->permits[e->index].state == PERMIT_DENIED;
+}
+
 /* Collects what a query about a step may name, in no order.
    @view: enum room_view */
 static void
@@ -125,18 +133,17 @@
 
   c->expired = fsched_zalloc ((size_t)fs->n_eligible + 1, size);
   c->unknown = fsched_zalloc ((size_t)fs->n_eligible + 1, size);
-  for (int i = 0; i < fs->n_eligible; i++)
+  for (int i = 0, k = first; i < fs->n_eligible; i++)
     {
-      struct exec *e = fs->eligible[(first + i) % fs->n_eligible];
+      struct exec *e = fs->eligible[k];
       struct permit *p;
       int fits;
-      if (!exec_usable (e, j, step))
+      k = k + 1 < fs->n_eligible ? k + 1 : 0;
+      if (is_denied (s, e) || !exec_usable (e, j, step))
         continue;
       p = permit_get (s, e);
       if (p->state == PERMIT_ALLOWED && p->boot_start_ms != e->boot_start_ms)
         p->state = PERMIT_UNKNOWN;
-      if (p->state == PERMIT_DENIED)
-        continue;
       fits = room_fits (e, j, step, view);
       if (p->state == PERMIT_UNKNOWN)
         c->unknown[c->n_unknown++] = (struct named_exec){ e, fits };
--- a/core/fsched_place.c
+++ b/core/fsched_place.c
@@ -127,8 +127,8 @@
   for (int i = 0; i < fs->n_eligible; i++)
     {
       struct exec *e = fs->eligible[i];
-      if (has_space (e, spec) && exec_usable (e, j, step)
-          && permitted (fs, j, step, e))
+      if (has_space (e, spec) && permitted (fs, j, step, e)
+          && exec_usable (e, j, step))
         scan->execs[scan->n++] = e;
     }
 }
