--- a/review/standin-2/client2.c
+++ b/review/standin-2/client2.c
@@ -103,6 +103,8 @@
 static int n_addrs, retries;
 static int64_t give_up_ms;
 static const char *spec;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static int n_running;
 
 static void
 log_line (const char *method, const char *id, const char *addr, int try,
@@ -153,6 +155,9 @@
         break;
     }
   free (j);
+  pthread_mutex_lock (&lock);
+  n_running--;
+  pthread_mutex_unlock (&lock);
   return NULL;
 }
 
@@ -160,12 +165,13 @@
 load (int rate, int seconds)
 {
   int n = rate * seconds;
-  pthread_t *threads = calloc ((size_t)n, sizeof *threads);
+  pthread_t thread;
   int64_t begin = now_ms ();
   pthread_attr_t attr;
 
   pthread_attr_init (&attr);
   pthread_attr_setstacksize (&attr, 262144);
+  pthread_attr_setdetachstate (&attr, PTHREAD_CREATE_DETACHED);
   for (int i = 0; i < n; i++)
     {
       struct job *j = calloc (1, sizeof *j);
@@ -176,10 +182,18 @@
                 (unsigned)(begin & 0xffffffff) ^ (unsigned)getpid () << 16,
                 (unsigned)i * 2654435761u);
       j->first = i;
-      pthread_create (&threads[i], &attr, job_thread, j);
+      pthread_mutex_lock (&lock);
+      n_running++;
+      pthread_mutex_unlock (&lock);
+      while (pthread_create (&thread, &attr, job_thread, j))
+        usleep (10000);
+    }
+  for (int left = 1; left > 0; usleep (10000))
+    {
+      pthread_mutex_lock (&lock);
+      left = n_running;
+      pthread_mutex_unlock (&lock);
     }
-  for (int i = 0; i < n; i++)
-    pthread_join (threads[i], NULL);
   return 0;
 }
 
--- a/review/standin-2/fleet2.c
+++ b/review/standin-2/fleet2.c
@@ -19,6 +19,9 @@
  *                   takes over
  *   late SHARE      from now on, this share of the writes is not answered and
  *                   performed 1 to 6 s later, if its condition still holds
+ *   orders-late SHARE  from now on, this share of the orders to start or stop a
+ *                   run is not answered, and carried out 2 to 12 s later by the
+ *                   boot that the executor then has
  *   crash K MS      executor K crashes and starts again MS later
  *   crash-runs ID MS   the same for the executor that runs a task of job ID
  *   entry K CPU     another writer replaces the entry of executor K by one that
@@ -56,6 +59,8 @@
   TX_MS = 3,
   LATE_MIN_MS = 1000,
   LATE_MAX_MS = 6000,
+  ORDER_LATE_MIN_MS = 2000,
+  ORDER_LATE_MAX_MS = 12000,
   ROWS_MAX = 60000,
   RUNS_MAX = 60000,
 };
@@ -106,7 +111,7 @@
 static struct exec execs[64];
 static int n_execs, port;
 static int64_t outage_until_ms, outage_no;
-static double late_share;
+static double late_share, orders_late_share;
 static int64_t start_ns;
 static unsigned seed;
 
@@ -463,8 +468,8 @@
   r->over = true;
   snprintf (r->how, sizeof r->how, "%s", how);
   r->seq = ++e->end_seq;
-  event ("end %s run=%lld exec=%s how=%s saved=%s", r->task,
-         (long long)r->id, e->id, how, r->saved);
+  event ("end %s run=%lld exec=%s:%lld how=%s saved=%s", r->task,
+         (long long)r->id, e->id, (long long)e->born, how, r->saved);
   pthread_cond_broadcast (&changed);
 }
 
@@ -510,8 +515,8 @@
       {
         runs[i].over = true;
         runs[i].seq = 0;
-        event ("lost %s run=%lld exec=%s", runs[i].task,
-               (long long)runs[i].id, e->id);
+        event ("lost %s run=%lld exec=%s:%lld", runs[i].task,
+               (long long)runs[i].id, e->id, (long long)e->born);
       }
   for (int i = 0; i < 64; i++)
     if (e->conns[i] > 0)
@@ -626,8 +631,8 @@
                      .saves = (int)word (spec, "saves=", 0) };
   snprintf (r->task, sizeof r->task, "%s", task);
   snprintf (r->saved, sizeof r->saved, "%s", str (b, "checkpoint"));
-  event ("start %s run=%lld exec=%s token=%lld checkpoint=%s", task,
-         (long long)id, e->id,
+  event ("start %s run=%lld exec=%s:%lld token=%lld checkpoint=%s", task,
+         (long long)id, e->id, (long long)e->born,
          (long long)json_integer_value (json_object_get (b, "fencing_token")),
          str (b, "checkpoint"));
   return json_pack ("{s:I}", "clock_ms", (json_int_t)exec_clock (e));
@@ -719,6 +724,11 @@
   bool ends;
 
   lease (e, json_integer_value (json_object_get (b, "deadline_ms")));
+  for (int i = 0; i < n_runs && seen > e->forgotten; i++)
+    if (runs[i].exec == e - execs && runs[i].born == e->born && runs[i].over
+        && runs[i].seq > e->forgotten && runs[i].seq <= seen)
+      event ("noted %s run=%lld exec=%s:%lld how=%s", runs[i].task,
+             (long long)runs[i].id, e->id, (long long)e->born, runs[i].how);
   if (seen > e->forgotten)
     e->forgotten = seen;
   for (;;)
@@ -739,8 +749,8 @@
 }
 
 static json_t *
-exec_call (struct exec *e, const char *path, const char *target, json_t *b,
-           int *status, bool *closed)
+exec_order (struct exec *e, const char *path, const char *target, json_t *b,
+            int *status, bool *closed)
 {
   json_t *out = NULL;
   int64_t fence = json_integer_value (json_object_get (b, "fencing_token"));
@@ -771,6 +781,62 @@
   return out;
 }
 
+struct late_order
+{
+  struct exec *e;
+  char path[64], target[64];
+  json_t *body;
+  int64_t after_ms;
+};
+
+static void *
+late_order_thread (void *arg)
+{
+  struct late_order *l = arg;
+  int status;
+  bool closed = false;
+
+  usleep ((useconds_t)(l->after_ms * 1000));
+  json_decref (
+      exec_order (l->e, l->path, l->target, l->body, &status, &closed));
+  json_decref (l->body);
+  free (l);
+  return NULL;
+}
+
+/* Handles a call to an executor.  Returns the answer; NULL: there is none, and
+   @closed says whether the channel is closed. */
+static json_t *
+exec_call (struct exec *e, const char *path, const char *target, json_t *b,
+           int *status, bool *closed)
+{
+  struct late_order *l;
+  pthread_t t;
+  bool late;
+
+  pthread_mutex_lock (&mu);
+  late = strcmp (path, "/api/hold") && e->up && chance () < orders_late_share;
+  pthread_mutex_unlock (&mu);
+  if (!late)
+    return exec_order (e, path, target, b, status, closed);
+  l = calloc (1, sizeof *l);
+  l->e = e;
+  snprintf (l->path, sizeof l->path, "%s", path);
+  snprintf (l->target, sizeof l->target, "%s", target);
+  l->body = json_incref (b);
+  pthread_mutex_lock (&mu);
+  l->after_ms
+      = ORDER_LATE_MIN_MS
+        + (int64_t)(chance () * (ORDER_LATE_MAX_MS - ORDER_LATE_MIN_MS));
+  event ("late-order %s %s run=%lld exec=%s in=%lld", path, str (b, "task"),
+         (long long)json_integer_value (json_object_get (b, "run")), e->id,
+         (long long)l->after_ms);
+  pthread_mutex_unlock (&mu);
+  pthread_create (&t, NULL, late_order_thread, l);
+  pthread_detach (t);
+  return NULL;
+}
+
 /* HTTP. */
 
 struct conn
@@ -846,7 +912,9 @@
   json_decref (body);
   if (!out && !closed)
     {
-      pause (); /* the channel delivers nothing further */
+      /* The channel delivers nothing further. */
+      while (recv (c->fd, *buf, 65535, 0) > 0)
+        ;
       return false;
     }
   if (!out)
@@ -978,6 +1046,11 @@
       late_share = atof (word2);
       event ("late share=%s", word2);
     }
+  else if (!strcmp (word1, "orders-late"))
+    {
+      orders_late_share = atof (word2);
+      event ("orders-late share=%s", word2);
+    }
   else if (!strcmp (word1, "crash"))
     exec_crash (&execs[atoi (word2) % n_execs], atoll (word3));
   else if (!strcmp (word1, "crash-runs"))
