--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -55,20 +55,23 @@
 	mkfifo "$dir/commands"
 	net=127.$((10 + $$ % 200)).$((1 + $$ / 200 % 200))
 	for try in 1 2 3 4 5 6; do
-		port=$((21000 + ($$ + try * 1013) % 10000))
+		port=$((21000 + ($$ * 11 + try * 1013) % 10000))
 		"$bin/fleet2" "$port" "$1" "$dir/config.json" "${SEED:-$$}" \
 			<"$dir/commands" >"$dir/platform.log" 2>&1 &
 		platform=$!
 		exec 9>"$dir/commands"
-		sleep 0.5
-		kill -0 $platform 2>/dev/null && break
+		for i in $(seq 1 50); do
+			sleep 0.1
+			grep -q ready "$dir/platform.log" && break 2
+			kill -0 $platform 2>/dev/null || break
+		done
 	done
 	grep -q ready "$dir/platform.log" || cannot_run "no free port"
 	pids="$pids $platform"
 	addrs=
 	for n in $(seq 1 "$2"); do
 		write_settings "$n"
-		"$daemon" --fleet "$dir/$n.json" >"$dir/$n.log" 2>&1 &
+		CITRONLB_CONFIG=$dir/$n.json "$daemon" >"$dir/$n.log" 2>&1 &
 		eval "pid_$n=$!; addr_$n=$net.$n:8183"
 		pids="$pids $!"
 		addrs="$addrs $net.$n:8183"
