--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,12 +1,14 @@
 #!/bin/bash
 # REFUSED: jobs whose every attempt was rejected are run.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# What was sent, answered and run is written to record.txt in this folder.
 cd "$(dirname "$0")/../.." || exit 2
 case=review/7
+record=$case/record.txt
 . review/standin-2/lib.sh
 
 up 8 3
-"$bin/client2" load "${rate:-90}" "${seconds:-96}" 4 0 "ms=50" $addrs >>"$dir/client.log" &
+"$bin/client2" load "${rate:-90}" "${seconds:-92}" 4 0 "ms=50" $addrs >>"$dir/client.log" &
 clients=$!
 if [ "$TROUBLE" != 0 ]; then
 	for i in $(seq 1 "${outages:-8}"); do
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -1,12 +1,12 @@
 # Starts the daemons of the deploy file beside the stand-ins.  Scripts source
-# this file at the project's root, with $case set to their folder.
+# this file at the project's root, with $case set to their folder and $record to
+# the file in which the record is written.
 #
 # up EXECUTORS INSTANCES starts them, with the settings of a small deployment;
 # tell COMMAND passes a command to the stand-in of the platform.  Instance I
 # takes callers' requests at ${addr_I}; $addrs has all of these.
 bin=${BIN:-target/review-2}
 daemon=target/citronlbd/citronlbd
-record=$case/record.txt
 attempts=${attempts:-3}
 TROUBLE=${TROUBLE:-1}
 pids=
