--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -92,6 +92,7 @@
 write_record() {
 	cat "$dir/platform.log" "$dir/client.log" 2>/dev/null | grep -v ' ready$' |
 		sort -n -s -k1,1 >"$record"
+	grep -q ' start ' "$record" || cannot_run "no task was started"
 	[ "${KEEP:-}" ] && mkdir -p "$KEEP" && cp "$dir"/*.log "$KEEP"
 	return 0
 }
