Log how writes to the table went that had no plain response

A caller was told 503 for a job that ran, and no line said how often the write behind the answer was sent, on which connections, and which copy decided the outcome. The HTTP client now counts the copies that libcurl sends of a request, and the daemon logs event=write-trace for each write to the table service without a response or with more than one copy. event=retry has the token of the try, so that the two lines can be joined.

--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -294,6 +294,27 @@
   fleet_store_partial (&d->fleet, boottime_ms (), token, total);
 }
 
+/* Logs a write to the table service that had no response or was sent more than
+   once. */
+static void
+on_write_trace (void *arg, const struct pf_write_trace *trace)
+{
+  static const char *const results[] = { [HTTPC_OK] = "response",
+                                         [HTTPC_UNREACHED] = "not-sent",
+                                         [HTTPC_FAILED] = "no-response" };
+  const struct httpc_exchange *e = trace->exchange;
+  char line[256];
+
+  (void)arg;
+  snprintf (line, sizeof line,
+            "event=write-trace token=%llu result=%s status=%d copies=%d "
+            "new_connections=%d sent_bytes=%ld error=\"%.80s\"",
+            (unsigned long long)trace->token, results[trace->http_result],
+            trace->status, e->copies, e->new_connections, e->sent_bytes,
+            e->error);
+  log_line (line);
+}
+
 static void
 on_order_result (void *arg, const struct order *o,
                  const struct order_result *result)
@@ -671,7 +692,8 @@
   d->advice_http_client = hpool_new (d->loop, &advice_conf);
   d->store = (struct pf_store){ d->store_http_client,   d->leader_http_client,
                                 d->settings.store_addr, d,
-                                on_store_reply,         on_store_partial };
+                                on_store_reply,         on_store_partial,
+                                on_write_trace };
   d->orders = (struct pf_orders){ d->exec_http_client, d->advice_http_client,
                                   d->settings.advice_service_addr, d,
                                   on_order_result };
--- a/core/api.c
+++ b/core/api.c
@@ -477,6 +477,7 @@
 handle_call_failure (struct fleet *f, struct api_request *c, int64_t err)
 {
   bool writing = c->step == API_WRITING;
+  uint64_t token = c->token;
 
   f->stats.store_errors++;
   c->token = 0;
@@ -492,10 +493,11 @@
       f->stats.retries++;
       out_line (
           &f->out,
-          "event=retry call=%llu verb=%d job=%s tries=%d error=%s "
+          "event=retry call=%llu verb=%d job=%s tries=%d token=%llu error=%s "
           "outcome_unknown=%d pause_ms=%lld left_ms=%lld table_unreachable=%d",
           (unsigned long long)c->request_id, c->verb, c->job_id, c->tries,
-          clb_err_name ((int)err), c->outcome_unknown, (long long)pause,
+          (unsigned long long)token, clb_err_name ((int)err),
+          c->outcome_unknown, (long long)pause,
           (long long)(c->deadline_ms - f->now_ms),
           proxy_table_unreachable (f));
     }
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -39,6 +39,8 @@
   /* Value of clock_ms() when the last byte of the response's body arrived or,
      before the first one, when the request was started. */
   uint64_t last_byte_ms;
+  /* Number of times that the request was sent. */
+  int n_copies;
   /* True once on_head has been called. */
   bool head_delivered;
   /* True while the response is paused, as on_data has returned false. */
@@ -129,6 +131,22 @@
   x->rq.on_head (x->rq.arg, (int)status, content_type);
 }
 
+/* Calls on_exchange for a request whose libcurl result is @code. */
+static void
+report_exchange (struct xfer *x, CURLcode code, long sent_bytes)
+{
+  long n_connects = 0;
+  struct httpc_exchange exchange = { .copies = x->n_copies,
+                                     .sent_bytes = sent_bytes,
+                                     .error = curl_easy_strerror (code) };
+
+  if (!x->rq.on_exchange)
+    return;
+  curl_easy_getinfo (x->easy, CURLINFO_NUM_CONNECTS, &n_connects);
+  exchange.new_connections = (int)n_connects;
+  x->rq.on_exchange (x->rq.arg, &exchange);
+}
+
 /* Ends a request whose libcurl result is @code: calls on_end and frees @x. */
 static void
 xfer_end (struct xfer *x, CURLcode code)
@@ -144,6 +162,7 @@
     result = sent_bytes == 0 ? HTTPC_UNREACHED : HTTPC_FAILED;
   else
     deliver_head (x);
+  report_exchange (x, code, sent_bytes);
   RB_REMOVE (xfer_tree, &c->xfers, x);
   curl_multi_remove_handle (c->multi, x->easy);
   if (c->n_idle_handles < IDLE_HANDLES_MAX)
@@ -413,6 +432,21 @@
   return len;
 }
 
+/* CURLOPT_PREREQFUNCTION: called before each time that the request is sent. */
+static int
+before_copy (void *arg, char *remote_ip, char *local_ip, int remote_port,
+             int local_port)
+{
+  struct xfer *x = arg;
+
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  x->n_copies++;
+  return CURL_PREREQFUNC_OK;
+}
+
 /* CURLOPT_SOCKOPTFUNCTION: SO_LINGER with a time of 0 makes close() discard
    unsent data, so that an aborted request is not delivered afterwards. */
 static int
@@ -451,6 +485,7 @@
     abort ();
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, before_copy);
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_PROXY, "");
   return e;
@@ -499,6 +534,7 @@
   set_body (x, rq);
   curl_easy_setopt (e, CURLOPT_PRIVATE, x);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, x);
+  curl_easy_setopt (e, CURLOPT_PREREQDATA, x);
   curl_easy_setopt (e, CURLOPT_URL, rq->url);
   curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, rq->method);
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, x->headers);
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -25,6 +25,20 @@
   HTTPC_FAILED,
 };
 
+/**
+ * struct httpc_exchange - how a request was carried out
+ *
+ * A request that is not sent, as it waits for a connection until it times out,
+ * has no copies.
+ */
+struct httpc_exchange
+{
+  int copies;          /* number of times that the request was sent */
+  int new_connections; /* number of connections opened for the request */
+  long sent_bytes;   /* bytes of the request that were sent, over all copies */
+  const char *error; /* libcurl's text for the result, never NULL */
+};
+
 /**
  * struct httpc_req - a request
  *
@@ -76,6 +90,11 @@
    * called if on_data is set.
    */
   void (*on_partial) (void *arg, size_t total);
+  /**
+   * on_exchange - Called exactly once, right before on_end, with the borrowed
+   * @exchange.  May be NULL.
+   */
+  void (*on_exchange) (void *arg, const struct httpc_exchange *exchange);
   /**
    * on_end - Called exactly once, as the last callback.
    * @result: enum httpc_result
