A write that libcurl would repeat fails with an unknown outcome

The HTTP client now asks before each copy and lets only GET and HEAD be sent again. Any other request fails with HTTPC_FAILED, so that its outcome is unknown: the submission is repeated on its condition, and the caller gets 504 or the recorded answer. HTTPC_UNREACHED means that no copy was begun, and no longer depends on a count of bytes. The same holds for every write through this client: the leader's, those made for peers, and the first interface's.

--- a/citronlbd/backend.c
+++ b/citronlbd/backend.c
@@ -52,7 +52,8 @@
     .content_type = "application/json",
     .timeout_ms = SYNC_TIMEOUT_MS,
     .connect_timeout_ms = SYNC_CONNECT_TIMEOUT_MS,
-    /* libcurl must not send a start a second time on another connection. */
+    /* A start on a reused connection would have an unknown outcome if the
+       worker has just closed it. */
     .new_connection = req->n_starts > 0,
     .on_end = on_end,
   };
--- a/citronlbd/fleetd.c
+++ b/citronlbd/fleetd.c
@@ -306,12 +306,13 @@
   char line[256];
 
   (void)arg;
-  snprintf (line, sizeof line,
-            "event=write-trace token=%llu result=%s status=%d copies=%d "
-            "new_connections=%d sent_bytes=%ld error=\"%.80s\"",
-            (unsigned long long)trace->token, results[trace->http_result],
-            trace->status, e->copies, e->new_connections, e->sent_bytes,
-            e->error);
+  snprintf (
+      line, sizeof line,
+      "event=write-trace token=%llu result=%s status=%d copies=%d "
+      "repeat_prevented=%d new_connections=%d sent_bytes=%ld error=\"%.80s\"",
+      (unsigned long long)trace->token, results[trace->http_result],
+      trace->status, e->copies, e->repeat_prevented, e->new_connections,
+      e->sent_bytes, e->error);
   log_line (line);
 }
 
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -41,6 +41,11 @@
   uint64_t last_byte_ms;
   /* Number of times that the request was sent. */
   int n_copies;
+  /* True if the request's method is safe (RFC 9110), so that it may be sent
+     again. */
+  bool safe;
+  /* True if libcurl has tried to send a request again that is not safe. */
+  bool repeat_prevented;
   /* True once on_head has been called. */
   bool head_delivered;
   /* True while the response is paused, as on_data has returned false. */
@@ -137,6 +142,7 @@
 {
   long n_connects = 0;
   struct httpc_exchange exchange = { .copies = x->n_copies,
+                                     .repeat_prevented = x->repeat_prevented,
                                      .sent_bytes = sent_bytes,
                                      .error = curl_easy_strerror (code) };
 
@@ -159,7 +165,7 @@
   curl_easy_getinfo (x->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (x->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
   if (code != CURLE_OK)
-    result = sent_bytes == 0 ? HTTPC_UNREACHED : HTTPC_FAILED;
+    result = x->n_copies == 0 ? HTTPC_UNREACHED : HTTPC_FAILED;
   else
     deliver_head (x);
   report_exchange (x, code, sent_bytes);
@@ -432,7 +438,11 @@
   return len;
 }
 
-/* CURLOPT_PREREQFUNCTION: called before each time that the request is sent. */
+/* CURLOPT_PREREQFUNCTION: called before each time that the request is sent.
+   libcurl sends a request again by itself if its kept connection is closed
+   before the first byte of the response.  Only a request that changes nothing
+   may be sent again: the response to the second copy does not tell whether
+   the server has carried out the first one. */
 static int
 before_copy (void *arg, char *remote_ip, char *local_ip, int remote_port,
              int local_port)
@@ -443,6 +453,11 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
+  if (x->n_copies > 0 && !x->safe)
+    {
+      x->repeat_prevented = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
   x->n_copies++;
   return CURL_PREREQFUNC_OK;
 }
@@ -512,6 +527,13 @@
   curl_easy_setopt (e, CURLOPT_POSTFIELDS, x->body);
 }
 
+/* Returns whether requests of this method ask for no change on the server. */
+static bool
+is_safe (const char *method)
+{
+  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0;
+}
+
 uint64_t
 httpc_send (struct httpc *c, const struct httpc_req *rq)
 {
@@ -525,6 +547,7 @@
   x->easy = e;
   x->rq = *rq;
   x->id = ++c->last_id;
+  x->safe = is_safe (rq->method);
   RB_INSERT (xfer_tree, &c->xfers, x);
   add_header (x, "Content-Type", rq->content_type);
   add_header (x, "X-Request-Id", rq->request_id);
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -18,9 +18,9 @@
 {
   /* A complete response arrived, with any status. */
   HTTPC_OK,
-  /* No byte of the request was sent, so the server has not seen it. */
+  /* The request was never sent, so the server has not seen it. */
   HTTPC_UNREACHED,
-  /* Bytes of the request were sent, but no complete response arrived, so the
+  /* The request may have been sent, but no complete response arrived, so the
      outcome is unknown. */
   HTTPC_FAILED,
 };
@@ -33,8 +33,11 @@
  */
 struct httpc_exchange
 {
-  int copies;          /* number of times that the request was sent */
-  int new_connections; /* number of connections opened for the request */
+  /* Number of times that the request was sent: at most 1 unless its method is
+     GET or HEAD. */
+  int copies;
+  bool repeat_prevented; /* libcurl has tried to send another copy */
+  int new_connections;   /* number of connections opened for the request */
   long sent_bytes;   /* bytes of the request that were sent, over all copies */
   const char *error; /* libcurl's text for the result, never NULL */
 };
@@ -67,8 +70,8 @@
   int64_t silence_ms;
   /* Maximum time to connect; 0 selects libcurl's default. */
   int64_t connect_timeout_ms;
-  /* True if the request gets a connection of its own.  On a reused connection
-     that turns out to be dead, libcurl sends the request a second time. */
+  /* True if the request gets a connection of its own, so that it does not fail
+     because the server has closed a reused one. */
   bool new_connection;
   /* First argument of the callbacks. */
   void *arg;
@@ -136,8 +139,8 @@
  * httpc_abort() - Abort a request.
  *
  * Before the function returns, it calls on_end with HTTPC_FAILED, or with
- * HTTPC_UNREACHED if no byte was sent.  It does nothing if request @id has
- * ended.
+ * HTTPC_UNREACHED if the request was not sent.  It does nothing if request @id
+ * has ended.
  */
 void httpc_abort (struct httpc *c, uint64_t id);
 
--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -13,6 +13,11 @@
  *   N stall-reply    forward nothing from the target to the client
  *   N stall-request  forward nothing from the client to the target
  *   N reset          reset all connections of the link, also new ones
+ *   N restart        as when the process of an HTTP server ends and the next
+ *                    one does not serve yet: the next bytes from the target on
+ *                    a present connection are dropped, and the connection is
+ *                    closed in order; requests on new connections are answered
+ *                    with status 503 and not forwarded
  *   N stale          reset each present connection of the link when its client
  *                    sends more on it; the mode stays as it is
  * A stall loses no bytes: once the mode of the link lets them pass again, they
@@ -46,12 +51,17 @@
   MODE_STALL_REPLY,
   MODE_STALL_REQUEST,
   MODE_RESET,
+  MODE_RESTART,
   MODE_N
 };
 
 static const char *const mode_names[MODE_N]
-    = { "pass",        "delay",         "rate", "stall",
-        "stall-reply", "stall-request", "reset" };
+    = { "pass",        "delay",         "rate",  "stall",
+        "stall-reply", "stall-request", "reset", "restart" };
+
+/* Response to requests on new connections in MODE_RESTART. */
+static const char refusal[]
+    = "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
 
 /* struct link - a listening port and the port that it forwards to */
 struct link
@@ -77,6 +87,8 @@
   bool closing;    /* both ends are being closed */
   bool connected;  /* the connection to the target is established */
   bool stale;      /* more bytes from the client reset the connection */
+  bool ending;     /* more bytes from the target close the connection */
+  bool refusing;   /* bytes from the client are answered with refusal */
   /* Time at which the last bytes to each end are to be written.  Bytes that
      are read later are not written earlier, so that a shorter delay does not
      reorder the stream. */
@@ -254,6 +266,10 @@
     close_pair (p, n == UV_ECONNRESET);
   else if (n > 0 && p->stale && s == (uv_stream_t *)&p->end[0])
     close_pair (p, true);
+  else if (n > 0 && p->ending && s == (uv_stream_t *)&p->end[1])
+    close_pair (p, false);
+  else if (n > 0 && p->refusing && s == (uv_stream_t *)&p->end[0])
+    forward_bytes (p, 0, refusal, sizeof refusal - 1);
   else if (n > 0)
     forward_bytes (p, s == (uv_stream_t *)&p->end[0], buf->base, (size_t)n);
 }
@@ -297,6 +313,7 @@
   p->id = ++last_pair_id;
   p->link = l;
   p->n_open_ends = 2;
+  p->refusing = l->mode == MODE_RESTART;
   for (int i = 0; i < 2; i++)
     {
       uv_tcp_init (loop, &p->end[i]);
@@ -348,9 +365,14 @@
   for (p = LIST_FIRST (&pairs); p; p = next)
     {
       next = LIST_NEXT (p, entry);
-      if (p->link == &links[index] && links[index].mode == MODE_RESET)
+      if (p->link != &links[index])
+        continue;
+      p->ending = links[index].mode == MODE_RESTART;
+      if (links[index].mode == MODE_RESET)
         close_pair (p, true);
-      else if (p->link == &links[index])
+      else if (p->refusing)
+        close_pair (p, false);
+      else
         update_reading (p);
     }
 }
