The simulated fleet checks refused and cancelled jobs

The check REFUSED of the simulated executors never fired: nothing set the flag that it read. It now counts a job's submissions and those whose answer says that they never run (429, 503, 410), and reports a start after the last such answer, as well as such an answer after a start.

A new part of UNASKED reports a start more than 3 s after a cancellation was answered with 200 or 410, unless the executor carries out a late order or the caller has submitted the job once more since.

--- a/regress/fsim/execs.c
+++ b/regress/fsim/execs.c
@@ -14,8 +14,9 @@
  *   BUDGET   the task has failed as often as the queue allows, or has crashed
  *            FSIM_CRASHES_MAX executors and is started the
  *            FSIM_STARTS_AFTER_CRASHES_MAX-th time since
- *   REFUSED  the job's submission was refused
- *   UNASKED  the job or task does not exist
+ *   REFUSED  every submission of the job was refused
+ *   UNASKED  the job or task does not exist, or its cancellation was answered
+ *            more than FSIM_CANCEL_MS before
  *
  * At the end of a run the executor reports GANG if the run was a member of a
  * gang that was still incomplete when the member's wait time was over, unless
@@ -320,8 +321,12 @@
                     (long long)o->run_id, stats->n_crashes);
   check_max_per_exec (s, e, o, j);
   fquota_check (s, j, &j->spec.steps[o->task.step].need);
-  if (j->refused)
+  if (j->n_submitted && j->n_refused == j->n_submitted)
     fsim_violation (s, "REFUSED %s: started although refused", o->task.job);
+  if (j->cancel_acked_ms && !e->executes_late
+      && s->now_ms - j->cancel_acked_ms > FSIM_CANCEL_MS)
+    fsim_violation (s, "UNASKED %s: started %lld ms after its cancellation",
+                    o->task.job, (long long)(s->now_ms - j->cancel_acked_ms));
   evacuated_ms = s->evacuated_ms[fsim_zone (e->addr)];
   if (evacuated_ms && s->now_ms - evacuated_ms > s->evacuate_ms
       && !e->executes_late)
--- a/regress/fsim/fsim.h
+++ b/regress/fsim/fsim.h
@@ -35,6 +35,9 @@
   FSIM_ZONES = 3, /* number of failure domains of executors */
   /* Value of fexec::boot_delay_ms unless a script sets another one. */
   FSIM_BOOT_DELAY_MS = 2000,
+  /* No task of a job starts later than this after its cancellation was
+     answered, by the users' rules. */
+  FSIM_CANCEL_MS = 3000,
   /* After this many executors have crashed because they ran a task, fewer than
      FSIM_STARTS_AFTER_CRASHES_MAX starts of the task are allowed. */
   FSIM_CRASHES_MAX = 3,
@@ -276,10 +279,14 @@
   bool accepted;          /* a caller was told that the job is accepted */
   bool cancelled;         /* a caller has asked to cancel the job */
   bool shown_failed;      /* a caller was told that the job has failed */
-  bool refused;           /* every submission of the job was refused */
-  int64_t submitted_ms;   /* time of the last submission */
-  int64_t done_ms;        /* unused */
-  int last_state;         /* unused */
+  int n_submitted;        /* submissions of the job */
+  int n_refused;          /* those whose answer says that they never run */
+  /* Time at which a caller was told that the job is cancelled, or that there
+     is no such job to cancel; 0: never. */
+  int64_t cancel_acked_ms;
+  int64_t submitted_ms; /* time of the last submission */
+  int64_t done_ms;      /* unused */
+  int last_state;       /* unused */
   /* Used by standing.c: the job has ended; and since when it could run at all
      checks, 0: it could not at the last one. */
   bool ended;
@@ -325,6 +332,7 @@
 struct fsim_call
 {
   uint64_t call_id;
+  int64_t sent_ms;
   int instance; /* index of the instance that got the request */
   int verb;     /* enum fleet_verb */
   char id[JOB_ID_SIZE];
--- a/regress/fsim/sim.c
+++ b/regress/fsim/sim.c
@@ -467,6 +467,28 @@
                  d);
 }
 
+/* Notes what the answer to submission @c says of its job.  A caller who
+   submits a job after cancelling it wants it to run. */
+static void
+note_submit_answer (struct fsim *s, struct fjob *j, const struct fsim_call *c)
+{
+  if (c->status == 200)
+    {
+      j->accepted = true;
+      if (c->sent_ms > j->cancel_acked_ms)
+        j->cancel_acked_ms = 0;
+    }
+  if (c->status != 429 && c->status != 503 && c->status != 410)
+    return;
+  j->n_refused++;
+  for (int i = 0; i < j->n_stats && j->n_refused == j->n_submitted; i++)
+    if (j->stats[i].n_starts)
+      {
+        fsim_violation (s, "REFUSED %s: refused although started", j->id);
+        return;
+      }
+}
+
 /* Stores the answer to a caller's request in fsim::calls. */
 static void
 record_answer (struct fsim *s, const struct out *o)
@@ -478,8 +500,11 @@
   c->retry_ms = o->u.answer.retry_ms;
   c->answered_ms = s->now_ms;
   c->body = o->u.answer.body ? strdup (o->u.answer.body) : NULL;
-  if (j && c->verb == FLEET_VERB_SUBMIT && c->status == 200)
-    j->accepted = true;
+  if (j && c->verb == FLEET_VERB_SUBMIT)
+    note_submit_answer (s, j, c);
+  if (j && c->verb == FLEET_VERB_CANCEL
+      && (c->status == 200 || c->status == 410) && !j->cancel_acked_ms)
+    j->cancel_acked_ms = s->now_ms;
   if (j && c->verb == FLEET_VERB_STATE && c->status == 200 && c->body)
     j->shown_failed |= strcmp (c->body, job_state_names[JOB_FAILED]) == 0;
 }
@@ -758,6 +783,7 @@
   c = &s->calls[s->n_calls++];
   memset (c, 0, sizeof *c);
   c->call_id = s->n_calls;
+  c->sent_ms = s->now_ms;
   c->instance = instance;
   c->verb = verb;
   clb_copy (c->id, strrchr (path, '/') + 1, sizeof c->id);
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -195,6 +195,7 @@
   snprintf (path, sizeof path, "/%s/%s", j->spec.queue, j->id);
   body = codec_text (&job_spec_desc, &submitted);
   j->submitted_ms = sim->now_ms;
+  j->n_submitted++;
   clb_copy (j->spec.tenant,
             fquota_tenant_of_key (sim, luaL_optstring (l, 3, "k")),
             sizeof j->spec.tenant);
