A cancellation that is answered 410 keeps the job from being recorded

DELETE of a job without a row recorded nothing.

DELETE of such a job now writes a withdrawal into the job's own row, on the condition that the row is as it was read, and answers 410 once that write has taken effect. A submission is written on the condition that the row does not exist, as before, so that either of the two is first, however it is sent or delayed. A submission that meets a withdrawal is answered 410 (withdrawn). If the withdrawal cannot be recorded, DELETE is answered 503 or 504. The leader removes withdrawals after a minute by the table service's clock, also those of earlier leaders' terms. Each client account may record a tenth of the table service's writes a second; beyond that DELETE is answered 429.

A submission costs what it did; a cancellation of a job that is not recorded costs a write more, and its share of a removal (docs/design/withdrawals.md).

--- a/core/api.c
+++ b/core/api.c
@@ -4,17 +4,17 @@
  * leader is queried for states and counts.  If the leader does not answer, a
  * state is read from the table service, and a count is refused.
  */
-#include "fleet.h"
+#include "api_impl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 const char *const fleet_answer_names[]
-    = { "accepted",  "duplicate",  "state",      "cancelled", "waiting",
-        "no-config", "stale",      "no-queue",   "bad-key",   "bad-job",
-        "no-job",    "refused",    "overloaded", "unknown",   "no-leader",
-        "too-many",  "table-lost", NULL };
+    = { "accepted",  "duplicate",  "state",      "cancelled",    "waiting",
+        "no-config", "stale",      "no-queue",   "bad-key",      "bad-job",
+        "no-job",    "refused",    "overloaded", "unknown",      "no-leader",
+        "too-many",  "table-lost", "withdrawn",  "cancel-limit", NULL };
 
 const char *const fleet_verb_names[]
     = { "submit", "state", "cancel", "other", NULL };
@@ -22,8 +22,8 @@
 /* HTTP statuses, by enum fleet_answer.  503 means that nothing was accepted,
    504 that it is unknown whether the request took effect. */
 static const int answer_status[ANSWER_N]
-    = { 200, 200, 200, 200, 200, 503, 503, 404, 401,
-        400, 410, 503, 429, 504, 503, 503, 503 };
+    = { 200, 200, 200, 200, 200, 503, 503, 404, 401, 400,
+        410, 503, 429, 504, 503, 503, 503, 410, 429 };
 
 int
 api_request_cmp (const struct api_request *a, const struct api_request *b)
@@ -33,10 +33,8 @@
 
 RB_GENERATE (api_request_tree, api_request, by_request_id, api_request_cmp)
 
-/* Writes the key of a row of job @id to @out.  The key ends with @suffix,
-   which is empty for the row that holds the job itself. */
-static void
-job_key (const char *id, const char *suffix, char out[CLB_NAME_MAX])
+void
+api_job_key (const char *id, const char *suffix, char out[CLB_NAME_MAX])
 {
   snprintf (out, CLB_NAME_MAX, "job:%d/%s%s", fsched_job_part (id), id,
             suffix);
@@ -72,10 +70,8 @@
   free (c);
 }
 
-/* Answers @c with @answer (enum fleet_answer) and frees @c.  The function
-   takes ownership of @body, which may be NULL. */
-static void
-finish_request (struct fleet *f, struct api_request *c, int answer, char *body)
+void
+api_finish (struct fleet *f, struct api_request *c, int answer, char *body)
 {
   int64_t retry_ms = fleet_retry_after_ms (f, answer);
 
@@ -115,10 +111,8 @@
       fleet_retry_after_ms (f, answer));
 }
 
-/* Queues a call to the table service for @c.  Returns the operation of the
-   call, which the function's caller fills in. */
-static struct store_op *
-send_call (struct fleet *f, struct api_request *c, int kind)
+struct store_op *
+api_send_call (struct fleet *f, struct api_request *c, int kind)
 {
   struct out *o = out_new (&f->out, OUT_STORE);
 
@@ -131,11 +125,11 @@
   return &o->u.store.op;
 }
 
-/* Returns the timeout of a write for a caller.  Under load, a part of the
-   table lets writes wait.  Giving up such a write and sending it again would
-   double the load, and the caller would not learn the outcome. */
-static int64_t
-write_timeout_ms (const struct fleet *f)
+/* Under load, a part of the table lets writes wait.  Giving up such a write
+   and sending it again would double the load, and the caller would not learn
+   the outcome. */
+int64_t
+api_write_timeout_ms (const struct fleet *f)
 {
   int64_t ms = FLEET_WRITE_TIMEOUT_FACTOR * f->write_latency_ms;
 
@@ -162,42 +156,29 @@
 static void
 send_submit (struct fleet *f, struct api_request *c)
 {
-  struct store_op *op = send_call (f, c, STORE_TXN);
+  struct store_op *op = api_send_call (f, c, STORE_TXN);
   char key[CLB_NAME_MAX];
 
   c->step = API_WRITING;
-  job_key (c->job_id, "", key);
-  op->timeout_ms = write_timeout_ms (f);
+  api_job_key (c->job_id, "", key);
+  op->timeout_ms = api_write_timeout_ms (f);
   store_cond (op, key, 0);
   store_put (op, key, c->record);
 }
 
-/* Sends a write of the row that cancels the job. */
-static void
-send_cancel (struct fleet *f, struct api_request *c)
-{
-  struct store_op *op = send_call (f, c, STORE_TXN);
-  char key[CLB_NAME_MAX];
-
-  c->step = API_WRITING;
-  job_key (c->job_id, ".cancel", key);
-  op->timeout_ms = write_timeout_ms (f);
-  store_put (op, key, "{}");
-}
-
-/* Sends a read of the row that @step waits for: for API_READING_STATE the
-   job's progress, for API_READING_JOB the job itself. */
-static void
-send_read (struct fleet *f, struct api_request *c, int step)
+/* For API_READING_STATE the row is the job's progress, for API_READING_JOB the
+   job itself. */
+void
+api_send_read (struct fleet *f, struct api_request *c, int step)
 {
-  struct store_op *op = send_call (f, c, STORE_GET);
+  struct store_op *op = api_send_call (f, c, STORE_GET);
   char key[CLB_NAME_MAX];
 
   c->step = step;
   if (step == API_READING_STATE)
     snprintf (key, sizeof key, FSCHED_KEY_PROGRESS "%s", c->job_id);
   else
-    job_key (c->job_id, "", key);
+    api_job_key (c->job_id, "", key);
   op->key = strdup (key);
 }
 
@@ -215,9 +196,9 @@
   if (!addr)
     {
       if (kind == MESH_STATE_QUERY)
-        send_read (f, c, API_READING_STATE);
+        api_send_read (f, c, API_READING_STATE);
       else
-        finish_request (f, c, ANSWER_NO_LEADER, NULL);
+        api_finish (f, c, ANSWER_NO_LEADER, NULL);
       return;
     }
   m = calloc (1, sizeof *m);
@@ -276,7 +257,7 @@
     }
   /* A job that was accepted before must not be refused. */
   if (fleet_overload_ms (f, c->queue) > 0)
-    send_read (f, c, API_READING_JOB);
+    api_send_read (f, c, API_READING_JOB);
   else
     send_submit (f, c);
 }
@@ -293,7 +274,7 @@
   /* A leader that cannot write may have a successor, which knows more. */
   if (state >= 0
       && (job_state_final (state) || leader_may_order (&f->leader, f->now_ms)))
-    finish_request (f, c, ANSWER_STATE, f->settings.codec.state_body (state));
+    api_finish (f, c, ANSWER_STATE, f->settings.codec.state_body (state));
   else
     query_leader (f, c, MESH_STATE_QUERY, c->job_id);
 }
@@ -305,9 +286,9 @@
 {
   if (f->fsched && f->fsched->loaded
       && leader_lease_valid (&f->leader, f->now_ms))
-    finish_request (f, c, ANSWER_WAITING,
-                    f->settings.codec.count_body (
-                        fsched_jobs_waiting (f->fsched, c->queue)));
+    api_finish (f, c, ANSWER_WAITING,
+                f->settings.codec.count_body (
+                    fsched_jobs_waiting (f->fsched, c->queue)));
   else
     query_leader (f, c, MESH_WAITING_QUERY, c->queue);
 }
@@ -372,6 +353,9 @@
   c->arrival_ms = f->now_ms;
   if (q->timeout_ms > 0 && timeout > q->timeout_ms)
     timeout = q->timeout_ms;
+  /* Nothing is written for a caller after the time that withdrawals cover. */
+  if (rq->verb != FLEET_VERB_STATE && timeout > FLEET_WRITE_REQUEST_MAX_MS)
+    timeout = FLEET_WRITE_REQUEST_MAX_MS;
   c->deadline_ms = f->now_ms + timeout - FLEET_ANSWER_MARGIN_MS;
   clb_copy (c->queue, q->name, sizeof c->queue);
   if (t)
@@ -421,7 +405,7 @@
   if (rq->verb == FLEET_VERB_SUBMIT)
     handle_submit (f, c, rq, q);
   else if (rq->verb == FLEET_VERB_CANCEL)
-    send_read (f, c, API_READING_JOB);
+    api_send_read (f, c, API_READING_JOB);
   else if (*id)
     handle_state_request (f, c);
   else
@@ -434,9 +418,15 @@
   struct api_request key = { .request_id = request_id };
   struct api_request *c = RB_FIND (api_request_tree, &f->requests, &key);
 
+  if (!c)
+    return;
   /* A write in progress goes on; the outcome of the write is not reported. */
-  if (c)
-    free_request (f, c);
+  out_line (&f->out,
+            "event=caller-gone call=%llu verb=%d job=%s step=%d tries=%d "
+            "token=%llu outcome_unknown=%d",
+            (unsigned long long)c->request_id, c->verb, c->job_id, c->step,
+            c->tries, (unsigned long long)c->token, c->outcome_unknown);
+  free_request (f, c);
 }
 
 /* Repeats the call to the table service for which @c waits. */
@@ -444,11 +434,11 @@
 send_retry (struct fleet *f, struct api_request *c)
 {
   if (c->step != API_WRITING)
-    send_read (f, c, c->step);
+    api_send_read (f, c, c->step);
   else if (c->verb == FLEET_VERB_SUBMIT)
     send_submit (f, c);
   else
-    send_cancel (f, c);
+    api_cancel_retry (f, c);
 }
 
 /* Returns true if at least FLEET_TRIES_MAX tries have failed and none of them
@@ -485,7 +475,7 @@
     c->outcome_unknown = true;
   if (tries_used_up (c)
       || (writing && err == CLB_EDENIED && !c->outcome_unknown))
-    finish_request (f, c, ANSWER_STORE_REFUSED, NULL);
+    api_finish (f, c, ANSWER_STORE_REFUSED, NULL);
   else
     {
       int64_t pause = retry_delay_ms (c->tries);
@@ -503,19 +493,55 @@
     }
 }
 
-/* Handles the answer to a write that has succeeded, or that has failed because
-   a job of this id is already recorded. */
+const struct row *
+api_job_row (const struct api_request *c, const struct store_rep *rep)
+{
+  char key[CLB_NAME_MAX];
+
+  api_job_key (c->job_id, "", key);
+  for (size_t i = 0; i < rep->n_rows; i++)
+    if (strcmp (rep->rows[i].key, key) == 0)
+      return &rep->rows[i];
+  return NULL;
+}
+
+void
+api_read_again (struct fleet *f, struct api_request *c)
+{
+  /* An earlier write may have taken effect. */
+  c->outcome_unknown = true;
+  c->step = API_READING_JOB;
+  c->token = 0;
+  c->retry_at_ms = f->now_ms + retry_delay_ms (c->tries);
+}
+
+/* Returns the answer to a submission whose job's row is @row. */
+static int
+answer_for_row (const struct row *row)
+{
+  int64_t withdrawn_ms;
+
+  return withdrawal_parse (row->value, &withdrawn_ms) ? ANSWER_WITHDRAWN
+                                                      : ANSWER_DUPLICATE;
+}
+
+/* Handles the answer to a write of a job's row that has succeeded, or that has
+   failed because the row exists. */
 static void
-handle_write_reply (struct fleet *f, struct api_request *c,
-                    const struct store_rep *rep)
+handle_submit_reply (struct fleet *f, struct api_request *c,
+                     const struct store_rep *rep)
 {
-  if (c->verb == FLEET_VERB_CANCEL || !rep->err)
-    fleet_notify_job (f, c->job_id,
-                      c->verb == FLEET_VERB_CANCEL ? NULL : c->record);
-  if (c->verb == FLEET_VERB_CANCEL)
-    finish_request (f, c, ANSWER_CANCELLED, NULL);
+  const struct row *row = api_job_row (c, rep);
+
+  if (!rep->err)
+    {
+      fleet_notify_job (f, c->job_id, c->record);
+      api_finish (f, c, ANSWER_ACCEPTED, NULL);
+    }
+  else if (row && row->value)
+    api_finish (f, c, answer_for_row (row), NULL);
   else
-    finish_request (f, c, rep->err ? ANSWER_DUPLICATE : ANSWER_ACCEPTED, NULL);
+    api_read_again (f, c);
 }
 
 /* Handles the answer to a read of the job's progress.  A job without recorded
@@ -533,10 +559,10 @@
       || codec_parse (&job_progress_desc, value, strlen (value), CODEC_LENIENT,
                       &p, &ce))
     {
-      send_read (f, c, API_READING_JOB);
+      api_send_read (f, c, API_READING_JOB);
       return;
     }
-  finish_request (f, c, ANSWER_STATE, f->settings.codec.state_body (p.state));
+  api_finish (f, c, ANSWER_STATE, f->settings.codec.state_body (p.state));
   codec_free (&job_progress_desc, &p);
 }
 
@@ -545,16 +571,21 @@
 handle_job_reply (struct fleet *f, struct api_request *c,
                   const struct store_rep *rep)
 {
-  if (c->verb == FLEET_VERB_SUBMIT)
-    finish_request (f, c, rep->err ? ANSWER_OVERLOADED : ANSWER_DUPLICATE,
-                    NULL);
-  else if (rep->err)
-    finish_request (f, c, ANSWER_NO_JOB, NULL);
-  else if (c->verb == FLEET_VERB_CANCEL)
-    send_cancel (f, c);
+  const struct row *row = rep->err ? NULL : api_job_row (c, rep);
+  bool found = row && row->value;
+
+  if (c->verb == FLEET_VERB_CANCEL)
+    api_cancel_read (f, c, row, rep->now_ms);
+  else if (c->verb == FLEET_VERB_SUBMIT && found)
+    api_finish (f, c, answer_for_row (row), NULL);
+  else if (c->verb == FLEET_VERB_SUBMIT)
+    api_finish (f, c, c->outcome_unknown ? ANSWER_UNKNOWN : ANSWER_OVERLOADED,
+                NULL);
+  else if (!found || answer_for_row (row) == ANSWER_WITHDRAWN)
+    api_finish (f, c, ANSWER_NO_JOB, NULL);
   else
-    finish_request (f, c, ANSWER_STATE,
-                    f->settings.codec.state_body (JOB_PENDING));
+    api_finish (f, c, ANSWER_STATE,
+                f->settings.codec.state_body (JOB_PENDING));
 }
 
 bool
@@ -572,8 +603,10 @@
                        !rep->err || rep->err == CLB_ECONFLICT);
   if (rep->err && rep->err != CLB_ECONFLICT && rep->err != CLB_ENOTFOUND)
     handle_call_failure (f, c, rep->err);
+  else if (c->step == API_WRITING && c->verb == FLEET_VERB_CANCEL)
+    api_cancel_written (f, c, rep);
   else if (c->step == API_WRITING)
-    handle_write_reply (f, c, rep);
+    handle_submit_reply (f, c, rep);
   else if (c->step == API_READING_STATE)
     handle_progress_reply (f, c, rep);
   else
@@ -631,9 +664,9 @@
 answer_if_recorded (struct fleet *f, struct api_request *c, int state)
 {
   if (c->verb == FLEET_VERB_SUBMIT)
-    finish_request (f, c, ANSWER_DUPLICATE, NULL);
+    api_finish (f, c, ANSWER_DUPLICATE, NULL);
   else if (state == JOB_CANCELLED)
-    finish_request (f, c, ANSWER_CANCELLED, NULL);
+    api_finish (f, c, ANSWER_CANCELLED, NULL);
 }
 
 /* Asks the leader whether the job or cancellation of @c is recorded. */
@@ -684,13 +717,13 @@
       return;
     }
   if (m->kind == MESH_WAITING_REPLY)
-    finish_request (f, c, ANSWER_WAITING,
-                    f->settings.codec.count_body (m->n_waiting));
+    api_finish (f, c, ANSWER_WAITING,
+                f->settings.codec.count_body (m->n_waiting));
   else if (m->known)
-    finish_request (f, c, ANSWER_STATE,
-                    f->settings.codec.state_body ((int)m->state));
+    api_finish (f, c, ANSWER_STATE,
+                f->settings.codec.state_body ((int)m->state));
   else
-    send_read (f, c, API_READING_STATE);
+    api_send_read (f, c, API_READING_STATE);
 }
 
 void
@@ -717,18 +750,18 @@
   if (f->now_ms >= c->deadline_ms)
     {
       bool may_be_written
-          = c->step == API_WRITING && (c->outcome_unknown || c->token);
-      finish_request (
-          f, c, may_be_written ? ANSWER_UNKNOWN : ANSWER_STORE_REFUSED, NULL);
+          = c->outcome_unknown || (c->step == API_WRITING && c->token);
+      api_finish (f, c, may_be_written ? ANSWER_UNKNOWN : ANSWER_STORE_REFUSED,
+                  NULL);
     }
   else if (c->step == API_QUERYING && !c->token
            && f->now_ms - c->query_ms >= FLEET_QUERY_TIMEOUT_MS)
     {
       f->stats.queries_lost++;
       if (*c->job_id)
-        send_read (f, c, API_READING_STATE);
+        api_send_read (f, c, API_READING_STATE);
       else
-        finish_request (f, c, ANSWER_NO_LEADER, NULL);
+        api_finish (f, c, ANSWER_NO_LEADER, NULL);
     }
   else if (c->retry_at_ms && f->now_ms >= c->retry_at_ms)
     send_retry (f, c);
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -19,9 +19,6 @@
   TOKEN_BITS = 20,
 };
 
-/* Suffix of the key of the row that cancels a job. */
-#define SUFFIX_CANCEL ".cancel"
-
 void
 fleet_init (struct fleet *f, const struct fleet_settings *settings,
             int64_t now_ms)
@@ -43,6 +40,9 @@
   follow_init (&f->job_feed, "job", FSCHED_JOB_PARTS, FLEET_FEED_WAIT_MS,
                &f->out, &f->last_token);
   f->job_feed.batch_ms = FLEET_JOBS_BATCH_MS;
+  withdrawals_init (&f->withdrawals, &f->out, &f->last_token);
+  rate_init (&f->account_withdrawals);
+  rate_init (&f->all_withdrawals);
   evac_init (&f->evac);
   f->evac_current_ms = INT64_MIN / 2;
   f->conf_current_ms = INT64_MIN / 2;
@@ -61,6 +61,7 @@
   f->fsched = NULL;
   follow_stop (&f->exec_feed);
   follow_stop (&f->job_feed);
+  withdrawals_clear (&f->withdrawals);
   fleet_load_stop (f);
 }
 
@@ -76,6 +77,8 @@
   follow_stop (&f->conf_feed);
   fconf_free (f->conf);
   evac_fini (&f->evac);
+  rate_fini (&f->account_withdrawals);
+  rate_fini (&f->all_withdrawals);
   free (f->overloads);
   while ((o = out_take (&f->out)))
     out_free (o);
@@ -404,85 +407,8 @@
   return true;
 }
 
-/* Parses @record, which holds job @id, and passes the job to the scheduler,
-   unless the scheduler has the job already or the job has ended. */
-static void
-add_job (struct fleet *f, const char *id, const char *record)
-{
-  struct job_spec spec;
-  struct codec_err ce;
-  int64_t age_ms = 0;
-
-  if (fsched_job_state (f->fsched, id) >= 0
-      || strcmp (record, FSCHED_TRIMMED) == 0)
-    return;
-  if (codec_parse (&job_spec_desc, record, strlen (record), CODEC_LENIENT,
-                   &spec, &ce)
-      || strcmp (spec.id, id) != 0 || job_check (&spec, &ce))
-    {
-      f->stats.bad_rows++;
-      out_line (&f->out, "event=bad-row key=job/%s error=%s field=%s", id,
-                clb_err_name (ce.err), ce.path);
-      return;
-    }
-  /* A job that arrives while the scheduler runs counts as new: the job's age
-     could only be computed from wall clocks, and those of two instances differ
-     by seconds. */
-  if (!f->fsched->loaded && f->wall_ms > spec.accepted_ms)
-    age_ms = f->wall_ms - spec.accepted_ms;
-  fsched_add_job (f->fsched, &spec, !f->fsched->loaded, age_ms);
-}
-
-/* Passes a row of the table of jobs, which holds a job or the cancellation of
-   one, to the scheduler. */
-static void
-apply_job_row (struct fleet *f, const struct row *row)
-{
-  const char *slash = strrchr (row->key, '/');
-  char id[JOB_ID_SIZE];
-
-  if (!slash || !row->value || strlen (slash + 1) < JOB_ID_SIZE - 1)
-    return;
-  clb_copy (id, slash + 1, sizeof id);
-  if (!slash[JOB_ID_SIZE])
-    add_job (f, id, row->value);
-  else if (strcmp (slash + JOB_ID_SIZE, SUFFIX_CANCEL) == 0)
-    fsched_cancel (f->fsched, id);
-}
-
 void
-fleet_apply_job_notice (struct fleet *f, const char *id, const char *record)
-{
-  if (!f->fsched || !f->fsched->loaded || !job_id_ok (id))
-    return;
-  if (record)
-    add_job (f, id, record);
-  else
-    fsched_cancel (f->fsched, id);
-}
-
-void
-fleet_notify_job (struct fleet *f, const char *id, const char *record)
-{
-  const char *addr = fleet_leader_addr (f);
-  struct mesh_msg *m;
-
-  fleet_apply_job_notice (f, id, record);
-  if (!addr)
-    return;
-  m = calloc (1, sizeof *m);
-  if (!m)
-    abort ();
-  m->kind = MESH_JOB_NOTICE;
-  clb_copy (m->id, id, sizeof m->id);
-  m->record = record ? strdup (record) : NULL;
-  fleet_send (f, addr, m);
-}
-
-/* Lists a table again if its feed is stuck although the table service can be
-   reached. */
-static void
-relist_if_stuck (struct fleet *f, struct table_follower *feed)
+fleet_relist_if_stuck (struct fleet *f, struct table_follower *feed)
 {
   if (!follow_feed_stuck (feed) || proxy_table_unreachable (f))
     return;
@@ -490,30 +416,6 @@
   follow_relist (feed);
 }
 
-/* If call @token was made by the feed of jobs, handles @rep and returns true;
-   otherwise returns false. */
-static bool
-handle_jobs_reply (struct fleet *f, uint64_t token,
-                   const struct store_rep *rep)
-{
-  bool mine;
-  /* Rows are used even if this instance's lease has ended, as it does for
-     moments while the table service is slow.  If a successor has claimed
-     leadership, no intent of this instance becomes durable any more, so no
-     task of these jobs is started. */
-  int event
-      = follow_store_reply (&f->job_feed, f->now_ms, token, rep, true, &mine);
-
-  if (!mine)
-    return false;
-  if (event != FOLLOW_NONE)
-    for (size_t i = 0; i < rep->n_rows; i++)
-      apply_job_row (f, &rep->rows[i]);
-  relist_if_stuck (f, &f->job_feed);
-  fleet_load_finish (f);
-  return true;
-}
-
 /* Passes a row of the executors' table to the scheduler.  An executor whose
    row was deleted or is damaged counts as unlisted. */
 static void
@@ -555,7 +457,7 @@
   if (event != FOLLOW_NONE)
     for (size_t i = 0; i < rep->n_rows; i++)
       apply_exec_row (f, &rep->rows[i]);
-  relist_if_stuck (f, &f->exec_feed);
+  fleet_relist_if_stuck (f, &f->exec_feed);
   if (event == FOLLOW_LISTED)
     fsched_exec_list (f->fsched, false);
   else if (listed && !f->exec_feed.listed)
@@ -694,6 +596,8 @@
       fleet_load_tick (f);
       follow_tick (&f->exec_feed, f->now_ms);
       follow_tick (&f->job_feed, f->now_ms);
+      if (f->fsched->loaded && leader_may_order (&f->leader, f->now_ms))
+        withdrawals_tick (&f->withdrawals, f->now_ms, fleet_table_ms (f));
       f->fsched->wall_offset_ms = f->wall_ms - f->now_ms;
       fsched_hold_starts (f->fsched, evac_outdated (f),
                           f->now_ms - f->evac_current_ms);
@@ -716,16 +620,35 @@
       && !handle_evac_reply (f, token, rep))
     if (!f->fsched
         || (!fleet_load_store_reply (f, token, rep)
-            && !handle_jobs_reply (f, token, rep)
-            && !handle_execs_reply (f, token, rep)))
+            && !fleet_jobs_reply (f, token, rep)
+            && !handle_execs_reply (f, token, rep)
+            && !withdrawals_store_reply (&f->withdrawals, f->now_ms, token,
+                                         rep)))
       api_store_reply (f, token, rep);
 }
 
+int64_t
+fleet_table_ms (const struct fleet *f)
+{
+  return f->table_clock_known ? f->now_ms + f->table_clock_offset_ms : 0;
+}
+
+int64_t
+fleet_n_instances (const struct fleet *f)
+{
+  int64_t n = f->fsched ? f->fsched->n_advisers : f->n_instances;
+
+  return n > 0 ? n : 1;
+}
+
 void
 fleet_store_reply (struct fleet *f, int64_t now_ms, uint64_t token,
                    const struct store_rep *rep)
 {
   f->now_ms = now_ms;
+  if (rep->now_ms)
+    f->table_clock_offset_ms = rep->now_ms - now_ms;
+  f->table_clock_known = f->table_clock_known || rep->now_ms;
   if (rep->err == 0 || rep->err == CLB_ECONFLICT || rep->err == CLB_ENOTFOUND)
     {
       f->store_last_contact_ms = now_ms;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -16,6 +16,8 @@
 #include "follow.h"
 #include "leader.h"
 #include "mesh.h"
+#include "rate.h"
+#include "withdraw.h"
 
 enum
 {
@@ -45,6 +47,17 @@
   FLEET_ASK_MS = 400,
   /* A request is answered this long before the caller's own timeout ends. */
   FLEET_ANSWER_MARGIN_MS = 150,
+  /* A submission or cancellation is answered after this time at the latest,
+     whatever the caller's timeout is, and nothing is written for it any
+     more. */
+  FLEET_WRITE_REQUEST_MAX_MS = 20000,
+  /* Withdrawals may take this part of the writes of the table service, and
+     those of one client account this one.  Each instance gets an equal
+     share. */
+  FLEET_WITHDRAWALS_DIVISOR = 4,
+  FLEET_ACCOUNT_WITHDRAWALS_DIVISOR = 10,
+  /* Writes of all instances a second, if the settings do not tell. */
+  FLEET_WRITES_PER_S_DEFAULT = 500,
   /* Timeout of a request that states none. */
   FLEET_DEFAULT_TIMEOUT_MS = 2500,
   /* Pause before the first retry of a failed call to the table service.  The
@@ -222,6 +235,12 @@
      effect or may still do so. */
   bool outcome_unknown;
   int64_t next_ask_ms; /* earliest time of the next ask_whether_recorded() */
+
+  /* Of a cancellation. */
+
+  bool withdrawing;     /* the write in progress is that of a withdrawal */
+  int64_t row_ver;      /* version of the row that the withdrawal replaces */
+  int64_t withdrawn_ms; /* as withdrawal::table_ms */
 };
 RB_HEAD (api_request_tree, api_request);
 
@@ -267,6 +286,10 @@
   ANSWER_TOO_MANY,
   /* The table service was known to be unreachable; no call was sent to it. */
   ANSWER_TABLE_UNREACHABLE,
+  /* The job was cancelled before it was recorded. */
+  ANSWER_WITHDRAWN,
+  /* The client account has cancelled too many jobs that are not recorded. */
+  ANSWER_CANCEL_LIMIT,
   ANSWER_N
 };
 extern const char *const fleet_answer_names[ANSWER_N + 1];
@@ -370,6 +393,18 @@
   /* Earliest time at which due records of starts cause a write. */
   int64_t next_intents_ms;
 
+  /* Withdrawals in the table of jobs; known only while this instance leads. */
+  struct withdrawals withdrawals;
+  /* Limits of the rate at which callers' cancellations record withdrawals. */
+  struct rate_limit account_withdrawals;
+  struct rate_limit all_withdrawals;
+  /* Number of instances, as the leader last reported; 0: not known. */
+  int64_t n_instances;
+  /* The clock of the table service less now_ms, as the last answer showed it;
+     unset unless table_clock_known. */
+  int64_t table_clock_offset_ms;
+  bool table_clock_known;
+
   /* Moving average of the latency of writes for callers. */
   int64_t write_latency_ms;
   struct api_request_tree requests; /* callers' requests in progress */
@@ -597,6 +632,20 @@
  * @record: the job's record, which is copied; NULL: the job was cancelled
  */
 void fleet_notify_job (struct fleet *f, const char *id, const char *record);
+/** fleet_jobs_reply() - Handle the answer @rep to call @token, if the feed of
+ * jobs has made the call.  Return whether it has. */
+bool fleet_jobs_reply (struct fleet *f, uint64_t token,
+                       const struct store_rep *rep);
+/** fleet_relist_if_stuck() - List a table again if its feed is stuck although
+ * the table service can be reached. */
+void fleet_relist_if_stuck (struct fleet *f, struct table_follower *feed);
+/** fleet_table_ms() - Return the time on the clock of the table service, which
+ * is steady and the same for all instances; 0: not known.  It is behind by the
+ * time that the last answer took to arrive. */
+int64_t fleet_table_ms (const struct fleet *f);
+/** fleet_n_instances() - Return how many instances there are, as far as this
+ * one knows; at least 1. */
+int64_t fleet_n_instances (const struct fleet *f);
 /** fleet_send() - Send @m to the instance at @addr.  The function takes
  * ownership of @m. */
 void fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m);
--- a/core/fleet_mesh.c
+++ b/core/fleet_mesh.c
@@ -176,6 +176,7 @@
   set_proxy_peer (f, r);
   set_overloads (f, r);
   r->advice_lanes = f->fsched ? fsched_lanes_known (f->fsched) : 0;
+  r->n_instances = f->fsched ? f->fsched->n_advisers : 0;
   r->rank = rank + 1;
   fleet_send (f, m->addr, r);
 }
@@ -251,6 +252,8 @@
   m->n_overloads = 0;
   if (m->advice_lanes)
     f->advice_lanes = (int)m->advice_lanes;
+  if (m->n_instances)
+    f->n_instances = m->n_instances;
   f->proxy_peer_fresh_ms = m->seq - m->table_age_ms;
   clb_copy (f->proxy_peer_addr,
             *m->proxy_peer_addr ? m->proxy_peer_addr : m->addr,
--- a/core/fleet_metrics.c
+++ b/core/fleet_metrics.c
@@ -102,6 +102,9 @@
   metric_print (out, "bad_rows_total", NULL, NULL, f->stats.bad_rows);
   metric_print (out, "writes_refused_total", NULL, NULL,
                 f->stats.writes_refused);
+  metric_print (out, "withdrawals", NULL, NULL, (uint64_t)f->withdrawals.n);
+  metric_print (out, "withdrawals_removed_total", NULL, NULL,
+                f->withdrawals.n_removed);
   metric_print (out, "config_version", NULL, NULL,
                 f->conf ? (uint64_t)f->conf->version : 0);
   metric_print (out, "config_age_ms", NULL, NULL,
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -59,6 +59,7 @@
   FLD_ARRAY_AS ("overloads", struct mesh_msg, overloads, n_overloads,
                 &overload_desc, MESH_OVERLOADS_MAX),
   FLD_INT (struct mesh_msg, advice_lanes, 0, LANES_ALL),
+  FLD_INT_AS ("instances", struct mesh_msg, n_instances, 0, INT32_MAX),
 };
 static DESC (mesh_desc, struct mesh_msg, mesh_fields);
 
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -116,6 +116,7 @@
   size_t n_overloads; /* number of entries of overloads */
   /* In the leader's reply to a hello, see fsched_lanes_known(). */
   int64_t advice_lanes;
+  int64_t n_instances; /* in the leader's reply to a hello; 0: not known */
 };
 
 /**
--- a/core/msg.c
+++ b/core/msg.c
@@ -211,6 +211,7 @@
   FLD_ARRAY (struct store_rep, rows, n_rows, &row_desc, NUMBER_MAX),
   FLD_FLAG (struct store_rep, more),
   FLD_INT (struct store_rep, ver, 0, INT64_MAX),
+  FLD_INT (struct store_rep, now_ms, 0, INT64_MAX),
   FLD_INT (struct store_rep, n_bad, 0, INT64_MAX),
 };
 DESC (store_rep_desc, struct store_rep, store_rep_fields);
--- a/core/msg.h
+++ b/core/msg.h
@@ -273,8 +273,9 @@
 /** struct store_limits - what the table service accepts in a STORE_TXN */
 struct store_limits
 {
-  int64_t row_bytes;  /* largest value of a row, in bytes */
-  int64_t call_bytes; /* largest sum of the values of one call, in bytes */
+  int64_t row_bytes;    /* largest value of a row, in bytes */
+  int64_t call_bytes;   /* largest sum of the values of one call, in bytes */
+  int64_t writes_per_s; /* writes of all instances together; 0: not known */
 };
 
 /** struct store_op - an operation of the table service */
@@ -338,7 +339,8 @@
   struct row *rows;
   size_t n_rows;
   bool more; /* for STORE_LIST: true if more rows follow after the last key */
-  int64_t ver; /* newest version covered by the reply; 0: not given */
+  int64_t ver;    /* newest version covered by the reply; 0: not given */
+  int64_t now_ms; /* clock of the table service; 0: not given */
   /* Number of values of the answer that cannot be used and were left out. */
   int64_t n_bad;
 };
--- a/regress/fsim/table.c
+++ b/regress/fsim/table.c
@@ -19,6 +19,8 @@
   PACKET_BYTES = 1400,
   /* Interval at which an instance is told that a reply is arriving. */
   PARTIAL_MS = 50,
+  /* The table's clock shows this time more than the simulation's. */
+  CLOCK_AHEAD_MS = 86400000,
   /* A part refuses a write if writes that take longer than this wait for
      it. */
   PART_WAIT_MAX_MS = 1000,
@@ -404,6 +406,7 @@
   struct table_call *q = arg;
 
   ftable_apply (&s->table, &q->op, &q->rep);
+  q->rep.now_ms = s->now_ms + CLOCK_AHEAD_MS;
   q->drop_reply = q->drop_reply
                   || (s->inst[q->inst]->reply_rows_max
                       && q->rep.n_rows > s->inst[q->inst]->reply_rows_max);
--- a/regress/fsim/verbs.c
+++ b/regress/fsim/verbs.c
@@ -610,6 +610,21 @@
   return 5;
 }
 
+/* withdrawals(): returns the number of rows of the table that are withdrawals
+ */
+static int
+verb_withdrawals (lua_State *l)
+{
+  struct ftable_row *r;
+  lua_Integer n = 0;
+  int64_t withdrawn_ms;
+
+  RB_FOREACH (r, ftable_row_tree, &sim->table.rows)
+    n += withdrawal_parse (r->value, &withdrawn_ms);
+  lua_pushinteger (l, n);
+  return 1;
+}
+
 /* refused(): returns the number of writes that the table has refused because
    they exceeded a limit */
 static int
@@ -763,6 +778,7 @@
   { "calls", verb_calls },
   { "proxied", verb_proxied },
   { "refused", verb_refused },
+  { "withdrawals", verb_withdrawals },
   { "watch_standing", verb_watch_standing },
   { "standing", verb_standing },
   { "unused", verb_unused },
