A cancellation that the leader hears of before the job is remembered

A DELETE was answered 200 and the leader was notified while it did not know the job yet, as the job's own notice was lost.

The leader now keeps the cancellation of an unknown job as that of an ended one, so that the row is not taken up. Only recorded jobs are cancelled by such notices, so that no id is shown that nobody submitted.

--- a/core/fsched.c
+++ b/core/fsched.c
@@ -396,6 +396,11 @@
 
   if (j)
     fsched_end_job (fs, j, JOB_CANCELLED, "cancelled");
+  /* The row of the job may arrive later than the notice of its cancellation.
+     Of a job that an earlier leader has ended, the state is known once all is
+     loaded. */
+  else if (fs->loaded && fsched_job_state (fs, id) < 0)
+    fsched_add_ended_job (fs, id, JOB_CANCELLED, false);
 }
 
 /* Marks a task as done.  If it is the last task of its step, the steps that
--- a/core/fsched.h
+++ b/core/fsched.h
@@ -1111,7 +1111,8 @@
 /* The following functions pass events to the scheduler. */
 
 /**
- * fsched_cancel() - Cancel job @id; no effect if it is unknown or has ended.
+ * fsched_cancel() - Cancel job @id, which is recorded; no effect if it has
+ * ended.
  */
 void fsched_cancel (struct fsched *fs, const char *id);
 /**
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -280,6 +280,40 @@
   free (buf);
 }
 
+/* Makes @f a leader whose scheduler is loaded. */
+static void
+lead (struct fleet *f)
+{
+  f->leader.state = LEADER_LEADING;
+  f->leader.renewed_ms = f->now_ms;
+  f->fsched = fsched_new (&f->out, &f->last_token, f->now_ms, 1, 0,
+                          &f->stats.fsched);
+  f->fsched->loaded = true;
+}
+
+/* Guards against a job that runs as the notice of its cancellation overtook
+   the job's row. */
+static void
+test_cancellation_before_the_job (void)
+{
+  static const char id[] = "0000000000000001";
+  struct job_step step = { .tasks = 1, .need = { .millicores = 100 } };
+  struct job_spec spec
+      = { .queue = "q", .service = "s", .steps = &step, .n_steps = 1 };
+  clb_auto char *record = NULL;
+  struct fleet f;
+
+  clb_copy (spec.id, id, sizeof spec.id);
+  record = codec_text (&job_spec_desc, &spec);
+  start_instance (&f, 1796352007000);
+  lead (&f);
+  fleet_apply_job_notice (&f, id, NULL);
+  fleet_apply_job_notice (&f, id, record);
+  CU_ASSERT_EQUAL (fsched_job_state (f.fsched, id), JOB_CANCELLED);
+  CU_ASSERT_EQUAL (f.fsched->n_jobs, 0);
+  fleet_fini (&f);
+}
+
 UNIT_MAIN ("fleet",
            { "a restarted process uses other store tokens",
              test_store_tokens_of_restarted_process },
@@ -296,4 +330,6 @@
            { "unreadable rows take no domain back",
              test_unreadable_rows_take_nothing_back },
            { "a peer's answer says how many values it lacks",
-             test_peer_answer_says_what_it_lacks })
+             test_peer_answer_says_what_it_lacks },
+           { "a cancellation before the job",
+             test_cancellation_before_the_job })
