A peer's write that waited long in a link is not performed

An instance that does not reach the table sends its writes through a peer.

The request has its time on the table service's clock, which all instances know.

fleet_test, "a late write of a peer is refused", fails without the change (mutant serve-late-writes).

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -60,6 +60,7 @@
                 &overload_desc, MESH_OVERLOADS_MAX),
   FLD_INT (struct mesh_msg, advice_lanes, 0, LANES_ALL),
   FLD_INT_AS ("instances", struct mesh_msg, n_instances, 0, INT32_MAX),
+  FLD_INT (struct mesh_msg, table_ms, 0, INT64_MAX),
 };
 static DESC (mesh_desc, struct mesh_msg, mesh_fields);
 
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -117,6 +117,9 @@
   /* In the leader's reply to a hello, see fsched_lanes_known(). */
   int64_t advice_lanes;
   int64_t n_instances; /* in the leader's reply to a hello; 0: not known */
+  /* In MESH_STORE_REQUEST, the time of the request on the clock of the table
+     service; 0: not known. */
+  int64_t table_ms;
 };
 
 /**
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -31,6 +31,9 @@
   /* Time that a peer has to answer a call, in addition to the time for which
      the call itself waits (wait_ms). */
   PEER_TIMEOUT_MS = 1000,
+  /* A peer's write that is older is refused.  The peer waits less long for any
+     write. */
+  REQUEST_AGE_MAX_MS = 5000,
   /* Maximum number of calls in progress that are made for peers; a further
      call is refused. */
   SERVED_CALLS_MAX = 2000,
@@ -158,6 +161,7 @@
   if (!m)
     abort ();
   m->kind = MESH_STORE_REQUEST;
+  m->table_ms = fleet_table_ms (f);
   m->seq = (int64_t)token;
   m->op = o->u.store.op;
   memset (&o->u.store.op, 0, sizeof o->u.store.op);
@@ -183,6 +187,18 @@
   fleet_send (f, addr, m);
 }
 
+/* Returns whether @m asks for a write and has waited for long, in a link that
+   was interrupted or while this process was paused.  The peer has given the
+   write up, and what it relied on may have changed. */
+static bool
+is_late_write (const struct fleet *f, const struct mesh_msg *m)
+{
+  int64_t now_ms = fleet_table_ms (f);
+
+  return m->op.kind == STORE_TXN && m->table_ms && now_ms
+         && now_ms - m->table_ms > REQUEST_AGE_MAX_MS;
+}
+
 void
 proxy_serve (struct fleet *f, struct mesh_msg *m)
 {
@@ -190,7 +206,8 @@
   struct proxy_call *c;
   struct out *o;
 
-  if (proxy_table_unreachable (f) || f->n_proxy_serving >= SERVED_CALLS_MAX)
+  if (proxy_table_unreachable (f) || f->n_proxy_serving >= SERVED_CALLS_MAX
+      || is_late_write (f, m))
     {
       send_reply (f, m->addr, m->seq, &refused);
       return;
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -314,6 +314,43 @@
   fleet_fini (&f);
 }
 
+/* Passes a peer's request for a write of age @age_ms.  Return: whether the
+   write is sent to the table. */
+static bool
+serves_write (struct fleet *f, int64_t age_ms)
+{
+  struct mesh_msg m = { .kind = MESH_STORE_REQUEST };
+  struct out *o;
+  bool sent = false;
+
+  m.op.kind = STORE_TXN;
+  store_put (&m.op, "job:0/0000000000000000", "{}");
+  m.table_ms = fleet_table_ms (f) - age_ms;
+  fleet_mesh_msg (f, f->now_ms, &m);
+  mesh_clear (&m);
+  while ((o = fleet_next_out (f)))
+    {
+      sent |= o->kind == OUT_STORE && o->u.store.op.kind == STORE_TXN;
+      out_free (o);
+    }
+  return sent;
+}
+
+/* Guards against a peer's write that waited in a link until nobody relies on
+   it any more: it would create a job that was cancelled since. */
+static void
+test_late_write_of_a_peer_is_refused (void)
+{
+  struct fleet f;
+  struct store_rep rep = { .now_ms = 90000000 };
+
+  start_instance (&f, 1796352007000);
+  fleet_store_reply (&f, 1000, 0, &rep);
+  CU_ASSERT_TRUE (serves_write (&f, 1000));
+  CU_ASSERT_FALSE (serves_write (&f, 20000));
+  fleet_fini (&f);
+}
+
 UNIT_MAIN ("fleet",
            { "a restarted process uses other store tokens",
              test_store_tokens_of_restarted_process },
@@ -332,4 +369,6 @@
            { "a peer's answer says how many values it lacks",
              test_peer_answer_says_what_it_lacks },
            { "a cancellation before the job",
-             test_cancellation_before_the_job })
+             test_cancellation_before_the_job },
+           { "a late write of a peer is refused",
+             test_late_write_of_a_peer_is_refused })
