Submissions that may have waited in a paused process are refused

The rule on outdated configurations refuses most of these, but not those of public queues, or once the feed has failed.

After a pause of 20 s or more, an instance answers submissions with 503 for 2 s (resumed). A shorter pause is covered by the minute of the withdrawal.

fleet_test, "a submission after a pause is refused", fails without the change (mutant submit-after-a-pause). The new scenario of cancel.lua with a stop of 100 s passed before, too, by the other rule.

--- a/core/api.c
+++ b/core/api.c
@@ -14,7 +14,8 @@
     = { "accepted",  "duplicate",  "state",      "cancelled",    "waiting",
         "no-config", "stale",      "no-queue",   "bad-key",      "bad-job",
         "no-job",    "refused",    "overloaded", "unknown",      "no-leader",
-        "too-many",  "table-lost", "withdrawn",  "cancel-limit", NULL };
+        "too-many",  "table-lost", "withdrawn",  "cancel-limit", "resumed",
+        NULL };
 
 const char *const fleet_verb_names[]
     = { "submit", "state", "cancel", "other", NULL };
@@ -23,7 +24,7 @@
    504 that it is unknown whether the request took effect. */
 static const int answer_status[ANSWER_N]
     = { 200, 200, 200, 200, 200, 503, 503, 404, 401, 400,
-        410, 503, 429, 504, 503, 503, 503, 410, 429 };
+        410, 503, 429, 504, 503, 503, 503, 410, 429, 503 };
 
 int
 api_request_cmp (const struct api_request *a, const struct api_request *b)
@@ -335,6 +336,15 @@
          && !proxy_peer (f);
 }
 
+/* Returns true if requests that arrive now may have waited while the process
+   was paused.  A submission may then be older than a withdrawal that was
+   removed meanwhile. */
+static bool
+may_have_waited (const struct fleet *f)
+{
+  return f->now_ms - f->resumed_ms < FLEET_RESUMED_MS;
+}
+
 /* Adds a request in progress for @rq to queue @q.  @t is the client account of
    the request's key; NULL: the queue is public, and the key is missing or
    unknown. */
@@ -374,7 +384,7 @@
   const char *id;
   struct api_request *c;
 
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   f->wall_ms = wall_ms;
   if (!f->conf)
     return refuse_request (f, rq, ANSWER_NO_CONFIG, "");
@@ -390,6 +400,8 @@
         f, rq, conf_can_deny (f) ? ANSWER_BAD_KEY : ANSWER_CONF_STALE, "");
   if (conf_outdated (f) || (!q->is_public && !conf_fresh_for_keys (f)))
     return refuse_request (f, rq, ANSWER_CONF_STALE, "");
+  if (rq->verb == FLEET_VERB_SUBMIT && may_have_waited (f))
+    return refuse_request (f, rq, ANSWER_RESUMED, "");
   if (f->n_requests >= FLEET_REQUESTS_MAX)
     return refuse_request (f, rq, ANSWER_TOO_MANY, "");
   if (rq->verb != FLEET_VERB_STATE && table_writes_blocked (f))
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -46,6 +46,7 @@
   evac_init (&f->evac);
   f->evac_current_ms = INT64_MIN / 2;
   f->conf_current_ms = INT64_MIN / 2;
+  f->resumed_ms = INT64_MIN / 2;
   f->conf_superseded_ms = INT64_MIN / 2;
   f->proxy_peer_fresh_ms = INT64_MIN / 2;
   proxy_init (f);
@@ -84,6 +85,18 @@
     out_free (o);
 }
 
+void
+fleet_set_now (struct fleet *f, int64_t now_ms)
+{
+  if (now_ms - f->now_ms >= FLEET_PAUSE_MS)
+    {
+      f->resumed_ms = now_ms;
+      out_line (&f->out, "event=resumed pause_ms=%lld",
+                (long long)(now_ms - f->now_ms));
+    }
+  f->now_ms = now_ms;
+}
+
 void
 fleet_send (struct fleet *f, const char *addr, struct mesh_msg *m)
 {
@@ -645,7 +658,7 @@
 fleet_store_reply (struct fleet *f, int64_t now_ms, uint64_t token,
                    const struct store_rep *rep)
 {
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   if (rep->now_ms)
     f->table_clock_offset_ms = rep->now_ms - now_ms;
   f->table_clock_known = f->table_clock_known || rep->now_ms;
@@ -671,7 +684,7 @@
 fleet_store_partial (struct fleet *f, int64_t now_ms, uint64_t token,
                      size_t total)
 {
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   f->store_last_contact_ms = now_ms;
   f->store_failures = 0;
   if (total > FLEET_NO_CHANGE_BYTES
@@ -683,7 +696,7 @@
 fleet_order_result (struct fleet *f, int64_t now_ms, const struct order *o,
                     const struct order_result *res)
 {
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   if (*o->reply_to)
     fleet_send_advice_reply (f, o, res);
   else if (f->fsched)
@@ -697,7 +710,7 @@
 void
 fleet_mesh_msg (struct fleet *f, int64_t now_ms, struct mesh_msg *m)
 {
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   fleet_handle_mesh_msg (f, m);
   send_due_output (f);
 }
@@ -705,7 +718,7 @@
 void
 fleet_tick (struct fleet *f, int64_t now_ms, int64_t wall_ms)
 {
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   f->wall_ms = wall_ms;
   fleet_send_hello (f);
   fetch_config (f);
@@ -718,7 +731,7 @@
 void
 fleet_stop (struct fleet *f, int64_t now_ms)
 {
-  f->now_ms = now_ms;
+  fleet_set_now (f, now_ms);
   f->stopping = true;
   if (f->leader.state == LEADER_LEADING)
     out_line (&f->out, "event=lead-released epoch=%lld",
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -51,6 +51,11 @@
      whatever the caller's timeout is, and nothing is written for it any
      more. */
   FLEET_WRITE_REQUEST_MAX_MS = 20000,
+  /* If the process was paused for at least this long, it refuses submissions
+     for FLEET_RESUMED_MS, in which it reads those that have waited.  A shorter
+     pause is covered by the time for which withdrawals stand. */
+  FLEET_PAUSE_MS = 20000,
+  FLEET_RESUMED_MS = 2000,
   /* Withdrawals may take this part of the writes of the table service, and
      those of one client account this one.  Each instance gets an equal
      share. */
@@ -290,6 +295,8 @@
   ANSWER_WITHDRAWN,
   /* The client account has cancelled too many jobs that are not recorded. */
   ANSWER_CANCEL_LIMIT,
+  /* The process was paused for long, and the submission may have waited. */
+  ANSWER_RESUMED,
   ANSWER_N
 };
 extern const char *const fleet_answer_names[ANSWER_N + 1];
@@ -350,6 +357,7 @@
 {
   struct fleet_settings settings;
   int64_t now_ms;        /* time of the latest input */
+  int64_t resumed_ms;    /* end of the last pause of FLEET_PAUSE_MS or more */
   int64_t wall_ms;       /* latest wall-clock time passed in, milliseconds */
   struct outq out;       /* output for fleet_next_out() to return */
   uint64_t last_token;   /* last number given to a call, query or order */
@@ -622,6 +630,9 @@
 
 /* Functions of fleet.c that api.c and proxy.c use. */
 
+/** fleet_set_now() - Set the time of an input. */
+void fleet_set_now (struct fleet *f, int64_t now_ms);
+
 /** fleet_dispatch_reply() - Pass @rep to the module that made call @token. */
 void fleet_dispatch_reply (struct fleet *f, uint64_t token,
                            const struct store_rep *rep);
--- a/regress/fleet/cancel.lua
+++ b/regress/fleet/cancel.lua
@@ -223,6 +223,26 @@
   expect(withdrawals() == 1, "the withdrawal does not stand")
 end)
 
+-- The submission waits in a stopped instance until the withdrawal is removed.
+scenario("a cancelled job does not run though its instance stops for long",
+  function()
+  start_fleet{}
+  local i = (leader() + 1) % 3
+  instance(i, "freeze", 100000)
+  run(100)
+  local c = submit_long(i, 1)
+  run(100)
+  expect(cancel((i + 1) % 3, 1) == 410, "cancellation of an unknown job")
+  run(90000)
+  expect(withdrawals() == 0, "the withdrawal stands")
+  run(20000)
+  expect(answer(c) == 503, "the submission is answered " .. answer(c))
+  expect_never_started(1)
+  local d = submit(i, id(1))
+  run(300)
+  expect(answer(d) == 200, "the next submission is answered " .. answer(d))
+end)
+
 scenario("a job that was recorded late is cancelled, not shown as unknown",
   function()
   start_fleet{}
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -351,6 +351,92 @@
   fleet_fini (&f);
 }
 
+/* Gives @f a configuration with one public queue, known to be current. */
+static void
+configure_public_queue (struct fleet *f)
+{
+  f->conf = fsched_zalloc (1, sizeof *f->conf);
+  f->conf->queues = fsched_zalloc (1, sizeof *f->conf->queues);
+  f->conf->n_queues = 1;
+  f->conf->version = 1;
+  clb_copy (f->conf->queues->name, "q", CLB_NAME_MAX);
+  clb_copy (f->conf->queues->host, "h", FCONF_HOST_SIZE);
+  clb_copy (f->conf->queues->prefix, "/q/", FCONF_PREFIX_SIZE);
+  f->conf->queues->is_public = true;
+  f->conf_current_ms = f->now_ms;
+}
+
+/* Submits a job at @now_ms.  Return: the HTTP status if the submission is
+   answered at once, otherwise 0. */
+static int
+submit_status (struct fleet *f, int64_t now_ms)
+{
+  struct fleet_request rq = { .request_id = 1,
+                              .verb = FLEET_VERB_SUBMIT,
+                              .host = "h",
+                              .path = "/q/0000000000000001",
+                              .body = "",
+                              .timeout_ms = 3000 };
+  struct out *o;
+  int status = 0;
+
+  fleet_request (f, now_ms, now_ms, &rq);
+  while ((o = fleet_next_out (f)))
+    {
+      if (o->kind == OUT_ANSWER)
+        status = o->u.answer.status;
+      out_free (o);
+    }
+  return status;
+}
+
+/* Decodes no job; for struct fleet_codec. */
+static int
+refuse_job (const char *text, size_t len, struct job_spec *out,
+            struct codec_err *ce)
+{
+  (void)text;
+  (void)len;
+  memset (out, 0, sizeof *out);
+  memset (ce, 0, sizeof *ce);
+  return CLB_EFIELD;
+}
+
+static char *
+no_body (const char *error, const char *detail)
+{
+  (void)error;
+  (void)detail;
+  return strdup ("{}");
+}
+
+/* Guards against a submission that waited in a paused process until the
+   withdrawal of its job was removed.  The status 400 shows that the submission
+   is handled. */
+static void
+test_submission_after_a_pause_is_refused (void)
+{
+  struct fleet f;
+  int64_t end_ms = 1000 + FLEET_PAUSE_MS;
+
+  start_instance (&f, 1796352007000);
+  f.settings.codec.decode_job = refuse_job;
+  f.settings.codec.error_body = no_body;
+  f.settings.conf_apply_ms = 2000;
+  f.settings.revoke_ms = 5000;
+  configure_public_queue (&f);
+  CU_ASSERT_EQUAL (submit_status (&f, 1500), 400);
+  fleet_tick (&f, 2000, 2000);
+  f.conf_feed_failed = true;
+  f.conf_feed_failed_since_ms = 1000 + end_ms;
+  CU_ASSERT_EQUAL (submit_status (&f, 1000 + end_ms), 503);
+  CU_ASSERT_EQUAL (submit_status (&f, 1000 + end_ms + FLEET_RESUMED_MS - 1),
+                   503);
+  f.conf_feed_failed_since_ms = 1000 + end_ms + FLEET_RESUMED_MS;
+  CU_ASSERT_EQUAL (submit_status (&f, 1000 + end_ms + FLEET_RESUMED_MS), 400);
+  fleet_fini (&f);
+}
+
 UNIT_MAIN ("fleet",
            { "a restarted process uses other store tokens",
              test_store_tokens_of_restarted_process },
@@ -371,4 +457,6 @@
            { "a cancellation before the job",
              test_cancellation_before_the_job },
            { "a late write of a peer is refused",
-             test_late_write_of_a_peer_is_refused })
+             test_late_write_of_a_peer_is_refused },
+           { "a submission after a pause is refused",
+             test_submission_after_a_pause_is_refused })
