--- a/regress/unit/platform_test.c
+++ b/regress/unit/platform_test.c
@@ -526,6 +526,26 @@
   CU_PASS ("no decoder crashed");
 }
 
+/* Guards against a submission that is told of a job where its row is that of a
+   withdrawal: the answer to a failed condition has the row and the clock. */
+static void
+test_failed_condition_has_the_row (void)
+{
+  static const char text[]
+      = "{\"rows\":[{\"table\":\"job\",\"part\":\"7\",\"key\":\"a\","
+        "\"value\":\"e30=\",\"ver\":7}],\"ver\":9,\"now_ms\":1234}";
+  struct store_rep rep;
+
+  pf_store_decode (STORE_TXN, HTTPC_OK, 412, text, strlen (text), NULL, &rep);
+  CU_ASSERT_EQUAL (rep.err, CLB_ECONFLICT);
+  CU_ASSERT_EQUAL (rep.now_ms, 1234);
+  CU_ASSERT_EQUAL_FATAL (rep.n_rows, 1);
+  CU_ASSERT_STRING_EQUAL (rep.rows[0].key, "job:7/a");
+  CU_ASSERT_STRING_EQUAL (rep.rows[0].value, "{}");
+  CU_ASSERT_EQUAL (rep.rows[0].ver, 7);
+  codec_free (&store_rep_desc, &rep);
+}
+
 UNIT_MAIN ("platform",
            { "a discovery entry is decoded", test_discovery_entry },
            { "invalid discovery entries are refused",
@@ -533,6 +553,8 @@
            { "odd discovery entries are refused", test_odd_discovery_entries },
            { "an odd row of a page costs only itself",
              test_odd_row_costs_only_itself },
+           { "a failed condition has the row",
+             test_failed_condition_has_the_row },
            { "an odd item of a configuration costs only itself",
              test_odd_item_of_a_config_costs_only_itself },
            { "odd rows of a poll cost only themselves",
--- a/regress/unit/settings_test.c
+++ b/regress/unit/settings_test.c
@@ -7,10 +7,11 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-/* Reads settings with the section "bounds" @bounds.  Return: 0 or an error. */
+/* Reads settings with the section "bounds" @bounds, and with @store at the end
+   of the section "platform".  Return: 0 or an error. */
 static int
-read_settings (const char *bounds, struct pf_settings *out,
-               struct codec_err *ce)
+read_settings_with (const char *bounds, const char *store,
+                    struct pf_settings *out, struct codec_err *ce)
 {
   char path[] = "/tmp/settings-test-XXXXXX";
   int fd = mkstemp (path);
@@ -23,14 +24,21 @@
            "\"bind_addrs\":{\"frontend\":\"127.0.0.1:8183\","
            "\"readiness\":\"127.0.0.1:8184\"},"
            "\"limits\":{\"cpu_share\":0.12},"
-           "\"platform\":{\"address\":\"127.0.0.1:9000\"}}",
-           bounds);
+           "\"platform\":{\"address\":\"127.0.0.1:9000\"%s}}",
+           bounds, store);
   fclose (f);
   err = pf_settings_read (path, out, ce);
   unlink (path);
   return err;
 }
 
+static int
+read_settings (const char *bounds, struct pf_settings *out,
+               struct codec_err *ce)
+{
+  return read_settings_with (bounds, "", out, ce);
+}
+
 static void
 test_shortest_bounds (void)
 {
@@ -101,7 +109,27 @@
              < 0);
 }
 
+/* Guards against a limit of withdrawals that does not follow the table
+   service's rate. */
+static void
+test_rate_of_writes (void)
+{
+  static const char bounds[] = "{\"revoke_ms\":5000,\"grace_s\":6}";
+  struct pf_settings s;
+  struct codec_err ce;
+
+  CU_ASSERT_EQUAL (
+      read_settings_with (bounds, ",\"writes_per_s\":600.0", &s, &ce), 0);
+  CU_ASSERT_EQUAL (s.store_limits.writes_per_s, 600);
+  CU_ASSERT_EQUAL (
+      read_settings_with (bounds, ",\"writes_per_s\":800", &s, &ce), 0);
+  CU_ASSERT_EQUAL (s.store_limits.writes_per_s, 800);
+  CU_ASSERT_EQUAL (read_settings (bounds, &s, &ce), 0);
+  CU_ASSERT_EQUAL (s.store_limits.writes_per_s, 0);
+}
+
 UNIT_MAIN ("settings", { "the shortest bounds", test_shortest_bounds },
            { "the longest bounds", test_longest_bounds },
            { "a missing bound", test_missing_bound },
-           { "bounds out of range", test_bounds_out_of_range })
+           { "bounds out of range", test_bounds_out_of_range },
+           { "the rate of writes", test_rate_of_writes })
