--- a/regress/standin/fleetd.c
+++ b/regress/standin/fleetd.c
@@ -31,6 +31,10 @@
  *   table lost SHARE    from now on, until the next such command, each write
  *                       is executed but not answered with the probability
  *                       SHARE (0 to 1; 0 at the start)
+ *   table late-writes SHARE
+ *                       from now on, each write is not answered, and executed
+ *                       1 to 6 s later, with the probability SHARE (0 to 1; 0
+ *                       at the start)
  *   table row-bytes N   from now on, the table refuses values of more than N
  *                       bytes (65536 at the start)
  *   table compact       compacts the table: from now on, a feed of changes
@@ -100,6 +104,9 @@
      arrival. */
   LATE_ORDER_MIN_MS = 2000,
   LATE_ORDER_MAX_MS = 12000,
+  /* The same for a write to the table. */
+  LATE_WRITE_MIN_MS = 1000,
+  LATE_WRITE_MAX_MS = 6000,
   /* After a restart, a discovery entry is written within this time: the users'
      heartbeat. */
   ENTRY_DELAY_MAX_MS = 1500,
@@ -167,6 +174,17 @@
   struct order order; /* owns its payload */
 };
 
+/* struct late_write - a write to the table that is not answered and executed
+   later */
+struct late_write
+{
+  TAILQ_ENTRY (late_write) link;
+  int64_t due_ms;
+  struct store_op op;
+};
+
+static TAILQ_HEAD (, late_write)
+    late_writes = TAILQ_HEAD_INITIALIZER (late_writes);
 static TAILQ_HEAD (, pending_request)
     pending_requests = TAILQ_HEAD_INITIALIZER (pending_requests);
 static TAILQ_HEAD (, late_answer)
@@ -462,6 +480,45 @@
   return !must_wait;
 }
 
+/* Executes a write without an answer. */
+static void
+execute_unanswered_write (const struct store_op *op)
+{
+  struct store_rep rep = { 0 };
+
+  ftable_apply (&sim->table, op, &rep);
+  codec_free (&store_rep_desc, &rep);
+}
+
+/* Executes the late writes that are due. */
+static void
+execute_late_writes (void)
+{
+  struct late_write *w, *next;
+
+  TAILQ_FOREACH_SAFE (w, &late_writes, link, next)
+    if (now () >= w->due_ms)
+      {
+        TAILQ_REMOVE (&late_writes, w, link);
+        execute_unanswered_write (&w->op);
+        codec_free (&store_op_desc, &w->op);
+        free (w);
+      }
+}
+
+/* Takes over @op to be executed later. */
+static void
+delay_write (const struct store_op *op)
+{
+  struct late_write *w = calloc (1, sizeof *w);
+
+  w->op = *op;
+  w->due_ms = now () + LATE_WRITE_MIN_MS
+              + (int64_t)(fsim_random (sim)
+                          * (LATE_WRITE_MAX_MS - LATE_WRITE_MIN_MS));
+  TAILQ_INSERT_TAIL (&late_writes, w, link);
+}
+
 static void
 on_table_request (void *arg, const struct httpd_req *rq)
 {
@@ -484,13 +541,17 @@
       free (p);
       return;
     }
+  if (p->op.kind == STORE_TXN
+      && fsim_random (sim) < sim->table.delayed_write_share)
+    {
+      delay_write (&p->op);
+      free (p);
+      return;
+    }
   if (p->op.kind == STORE_TXN
       && fsim_random (sim) < sim->table.lost_reply_share)
     {
-      struct store_rep rep = { 0 };
-      /* Inject the fault: execute the write without answering it. */
-      ftable_apply (&sim->table, &p->op, &rep);
-      codec_free (&store_rep_desc, &rep);
+      execute_unanswered_write (&p->op);
       codec_free (&store_op_desc, &p->op);
       free (p);
       return;
@@ -937,6 +998,7 @@
   restart_execs ();
   fexec_tick (sim);
   execute_late_orders ();
+  execute_late_writes ();
   send_late_answers ();
   report_violations ();
   TAILQ_FOREACH_SAFE (p, &pending_requests, link, next)
@@ -1320,6 +1382,8 @@
     table_late_ms = (int64_t)value;
   else if (strcmp (fault, "lost") == 0)
     sim->table.lost_reply_share = value;
+  else if (strcmp (fault, "late-writes") == 0)
+    sim->table.delayed_write_share = value;
   else if (strcmp (fault, "row-bytes") == 0)
     sim->table.row_bytes_max = (size_t)value;
   else if (strcmp (fault, "compact") == 0)
