An instance that is cut off learns the time of its peer

An instance takes that clock from the last answer it got from the table service.

The refusal has the peer's time now, and an instance takes the time from the answers of peers, too, so that its next write is performed.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -646,6 +646,15 @@
   return f->table_clock_known ? f->now_ms + f->table_clock_offset_ms : 0;
 }
 
+void
+fleet_set_table_ms (struct fleet *f, int64_t table_ms)
+{
+  if (!table_ms)
+    return;
+  f->table_clock_offset_ms = table_ms - f->now_ms;
+  f->table_clock_known = true;
+}
+
 int64_t
 fleet_n_instances (const struct fleet *f)
 {
@@ -659,9 +668,7 @@
                    const struct store_rep *rep)
 {
   fleet_set_now (f, now_ms);
-  if (rep->now_ms)
-    f->table_clock_offset_ms = rep->now_ms - now_ms;
-  f->table_clock_known = f->table_clock_known || rep->now_ms;
+  fleet_set_table_ms (f, rep->now_ms);
   if (rep->err == 0 || rep->err == CLB_ECONFLICT || rep->err == CLB_ENOTFOUND)
     {
       f->store_last_contact_ms = now_ms;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -654,6 +654,9 @@
  * is steady and the same for all instances; 0: not known.  It is behind by the
  * time that the last answer took to arrive. */
 int64_t fleet_table_ms (const struct fleet *f);
+/** fleet_set_table_ms() - Handle that an answer gives the time on the clock of
+ * the table service.  @table_ms: 0: the answer does not give it */
+void fleet_set_table_ms (struct fleet *f, int64_t table_ms);
 /** fleet_n_instances() - Return how many instances there are, as far as this
  * one knows; at least 1. */
 int64_t fleet_n_instances (const struct fleet *f);
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -202,7 +202,10 @@
 void
 proxy_serve (struct fleet *f, struct mesh_msg *m)
 {
-  struct store_rep refused = { .err = CLB_EUNAVAIL };
+  /* The time tells a peer whose last answer from the table service had waited,
+     and that takes the clock of the table service to be behind. */
+  struct store_rep refused
+      = { .err = CLB_EUNAVAIL, .now_ms = fleet_table_ms (f) };
   struct proxy_call *c;
   struct out *o;
 
@@ -264,6 +267,7 @@
   if (!c)
     return;
   free_call (&f->proxy_sent, c);
+  fleet_set_table_ms (f, m->rep.now_ms);
   fleet_dispatch_reply (f, token, &m->rep);
 }
 
--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -351,6 +351,83 @@
   fleet_fini (&f);
 }
 
+/* Returns the next output of @f that is a message of @kind, and drops those
+   before it; NULL: there is none. */
+static struct out *
+next_message (struct fleet *f, int kind)
+{
+  struct out *o;
+
+  while ((o = fleet_next_out (f)))
+    {
+      if (o->kind == OUT_FLEET_MSG && o->u.mesh.msg->kind == kind)
+        return o;
+      out_free (o);
+    }
+  return NULL;
+}
+
+/* Makes @f an instance that does not reach the table service and sends its
+   further calls to the leader. */
+static void
+cut_off_table (struct fleet *f)
+{
+  CU_ASSERT_PTR_NULL (next_message (f, MESH_STORE_REQUEST));
+  f->conf_feed_failed = true;
+  clb_copy (f->leader.holder, "n2", sizeof f->leader.holder);
+  clb_copy (f->leader.holder_addr, "b", sizeof f->leader.holder_addr);
+  clb_copy (f->proxy_peer_addr, "b", sizeof f->proxy_peer_addr);
+  f->leader_last_contact_ms = f->now_ms;
+  f->proxy_peer_fresh_ms = f->now_ms;
+}
+
+/* Lets @f send a write through @peer, and takes the answer if @peer refuses
+   it.  Return: whether @peer sends the write to the table. */
+static bool
+peer_writes (struct fleet *f, struct fleet *peer)
+{
+  struct out *o = out_new (&f->out, OUT_STORE);
+  bool refused;
+
+  o->u.store.token = ++f->last_token;
+  o->u.store.op.kind = STORE_TXN;
+  store_put (&o->u.store.op, "job:0/0000000000000000", "{}");
+  o = next_message (f, MESH_STORE_REQUEST);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (o);
+  fleet_mesh_msg (peer, peer->now_ms, o->u.mesh.msg);
+  out_free (o);
+  o = next_message (peer, MESH_STORE_REPLY);
+  refused = o != NULL;
+  if (refused)
+    {
+      fleet_mesh_msg (f, f->now_ms, o->u.mesh.msg);
+      out_free (o);
+    }
+  return !refused;
+}
+
+/* Guards against an instance that is cut off from the table, and whose peer
+   refuses all its writes, as the last answer of the table had waited in the
+   paused process. */
+static void
+test_peer_writes_after_a_late_answer (void)
+{
+  struct store_rep late = { .now_ms = 90000000 };
+  struct store_rep now = { .now_ms = 90010000 };
+  struct fleet f, peer;
+
+  start_instance (&f, 1796352007000);
+  start_instance (&peer, 1796352008000);
+  clb_copy (peer.settings.id, "n2", sizeof peer.settings.id);
+  fleet_store_reply (&f, 11000, 0, &late);
+  fleet_store_reply (&peer, 11000, 0, &now);
+  cut_off_table (&f);
+  CU_ASSERT_FALSE (peer_writes (&f, &peer));
+  CU_ASSERT_TRUE (peer_writes (&f, &peer));
+  fleet_fini (&f);
+  fleet_fini (&peer);
+}
+
 /* Gives @f a configuration with one public queue, known to be current. */
 static void
 configure_public_queue (struct fleet *f)
@@ -458,5 +535,7 @@
              test_cancellation_before_the_job },
            { "a late write of a peer is refused",
              test_late_write_of_a_peer_is_refused },
+           { "a peer writes again after a late answer",
+             test_peer_writes_after_a_late_answer },
            { "a submission after a pause is refused",
              test_submission_after_a_pause_is_refused })
