--- a/regress/unit/fleet_test.c
+++ b/regress/unit/fleet_test.c
@@ -394,6 +394,8 @@
   store_put (&o->u.store.op, "job:0/0000000000000000", "{}");
   o = next_message (f, MESH_STORE_REQUEST);
   CU_ASSERT_PTR_NOT_NULL_FATAL (o);
+  if (!o)
+    return false;
   fleet_mesh_msg (peer, peer->now_ms, o->u.mesh.msg);
   out_free (o);
   o = next_message (peer, MESH_STORE_REPLY);
